--- /dev/null
+++ b/cmd/gaugeslip/serve.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"gaugeslip/internal/config"
+	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/net/cluster"
+	"gaugeslip/internal/net/downstream"
+	"gaugeslip/internal/net/loop"
+	"gaugeslip/internal/net/upstream"
+)
+
+// The budget of descriptors: what is not downstream's or upstream's is for discovery, standard streams, the
+// listener, the poller and a margin.
+const (
+	reserveShare    = 10 // one part in ten
+	downstreamParts = 5  // of nine: a request holds a connection on each side, downstream some more
+	upstreamParts   = 4
+	probeTimeout    = 500 * time.Millisecond
+)
+
+// budget shares the descriptors out.
+func budget(sockets int) (down, up int) {
+	part := (sockets - sockets/reserveShare) / (downstreamParts + upstreamParts)
+	return part * downstreamParts, part * upstreamParts
+}
+
+// serve runs a dispatcher until SIGTERM or SIGINT, and then until all that it has taken is answered.
+func serve(args []string, _, stderr io.Writer) error {
+	f := flags("serve", stderr)
+	path := f.String("config", "", "configuration file, in place of the one that NODE_CONFIG names")
+	verbose := f.Bool("verbose", false, "log the module's verdicts too")
+	if err := parse(f, args); err != nil {
+		return err
+	}
+	level := slog.LevelInfo
+	if *verbose {
+		level = slog.LevelDebug
+	}
+	slog.SetDefault(slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level})))
+	cfg, err := config.Load(os.Getenv, *path)
+	if err != nil {
+		return err
+	}
+	runtime.GOMAXPROCS(cfg.Limits.Procs())
+	debug.SetMemoryLimit(cfg.Limits.MemoryBytes())
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	return dispatcher(ctx, cfg)
+}
+
+// dispatcher wires the parts together and runs them.
+func dispatcher(ctx context.Context, cfg *config.Config) error {
+	known, err := cluster.Known(cfg.Known, cfg.Settings)
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	core, err := dispatch.New(cfg.Settings.Policy, cfg.Seed)
+	if err != nil {
+		return err
+	}
+	down, up := budget(cfg.Limits.Sockets)
+	pool := upstream.NewPool(upstream.Config{ConnectTimeout: cfg.Settings.Policy.ConnectTimeout,
+		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, MaxConns: up})
+	l := loop.New(core, cfg.Settings, pool, &cluster.Discovery{Addr: cfg.Discovery, Settings: cfg.Settings},
+		loop.NewClock())
+	l.Post(known)
+	server := downstream.New(downstream.Config{Listen: cfg.Listen, MaxConns: down}, cfg.Settings, l)
+	ln, err := server.Listen()
+	if err != nil {
+		return err
+	}
+	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "hosts", len(known.Hosts))
+
+	// The loop and the pool outlive the downstream side, which needs them for what it still owes.
+	inner, halt := context.WithCancel(context.Background())
+	outer, stop := context.WithCancel(ctx)
+	defer stop()
+	swept, looped := make(chan struct{}), make(chan error, 1)
+	go func() { defer close(swept); pool.Sweep(inner) }()
+	go func() { looped <- l.Run(inner); stop() }()
+	err = server.Serve(outer, ln)
+	halt()
+	<-swept
+	if lerr := <-looped; lerr != nil {
+		return lerr
+	}
+	if err == nil {
+		slog.Info("stopped")
+	}
+	return err
+}
--- a/cmd/wirehost/main.go
+++ b/cmd/wirehost/main.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"os"
 
-	"archgw/internal/wire"
+	"gaugeslip/internal/wire"
 )
 
 func main() {
--- /dev/null
+++ b/internal/dispatch/core.go
@@ -0,0 +1,292 @@
+package dispatch
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"strings"
+	"time"
+
+	"gaugeslip/policy"
+)
+
+// job is one entry of the table: a request that is owed an answer, or whose upstream requests are still out.
+type job struct {
+	deadline time.Duration
+	attempts []attempt
+	out      int
+	finished bool
+}
+
+type attempt struct {
+	worker uint32
+	sent   time.Duration
+	ended  bool
+}
+
+// alarm is a timer that the module has set.
+type alarm struct {
+	at time.Duration
+	id uint64
+}
+
+// Core owns the decision module. It is not safe for use by more than one goroutine.
+type Core struct {
+	d           *policy.Dispatcher
+	maxAttempts int
+	jobs        map[uint64]*job
+	hosts       map[uint32]Host
+	alarms      []alarm
+	version     uint64
+	events      []policy.Event
+	actions     []policy.Action
+	out         []Command
+}
+
+// New makes a Core for one dispatcher.
+func New(cfg policy.Config, seed uint64) (*Core, error) {
+	d, err := policy.New(cfg, seed)
+	if err != nil {
+		return nil, err
+	}
+	return &Core{d: d, maxAttempts: max(cfg.MaxAttempts, 1), jobs: map[uint64]*job{}, hosts: map[uint32]Host{}}, nil
+}
+
+// Open is how many jobs the table holds, answered ones with requests still out included.
+func (c *Core) Open() int { return len(c.jobs) }
+
+// Step takes in what happened up to now and returns what to do, in order. The result is valid until the
+// next Step.
+func (c *Core) Step(now time.Duration, in []Message) []Command {
+	c.out, c.events = c.out[:0], c.events[:0]
+	for _, m := range in {
+		c.take(now, m)
+	}
+	c.alarms = keep(c.alarms, func(a alarm) bool {
+		if a.at <= now {
+			c.events = append(c.events, policy.Event{Kind: policy.TimerFired, Timer: a.id})
+		}
+		return a.at > now
+	})
+	// A Send that can't be carried out ends at once, which is news for the module in turn: each round uses
+	// up an attempt of some job, so the rounds end.
+	for len(c.events) > 0 {
+		c.actions = c.d.Step(now, c.events, c.actions[:0])
+		c.events = c.events[:0]
+		for i := range c.actions {
+			c.carry(now, &c.actions[i])
+		}
+	}
+	return c.out
+}
+
+// Wake tells when the next Step is due though nothing happens.
+func (c *Core) Wake() (at time.Duration, ok bool) {
+	for _, a := range c.alarms {
+		if !ok || a.at < at {
+			at, ok = a.at, true
+		}
+	}
+	return at, ok
+}
+
+func keep[T any](s []T, f func(T) bool) []T {
+	n := 0
+	for _, x := range s {
+		if f(x) {
+			s[n], n = x, n+1
+		}
+	}
+	return s[:n]
+}
+
+// take turns one message into an event.
+func (c *Core) take(now time.Duration, m Message) {
+	e := policy.Event{}
+	switch m := m.(type) {
+	case Arrived:
+		if c.jobs[m.Job] != nil {
+			return
+		}
+		c.jobs[m.Job] = &job{deadline: m.At + m.Budget}
+		e = policy.Event{Kind: policy.JobArrived, Job: m.Job, Class: m.Class, Tenant: m.Tenant,
+			Budget: m.Budget - (now - m.At), Size: m.Size, Slots: m.Slots, Retry: m.Retry}
+	case Left:
+		j := c.jobs[m.Job]
+		if j == nil || j.finished {
+			return
+		}
+		c.finish(m.Job, j)
+		e = policy.Event{Kind: policy.ClientGone, Job: m.Job}
+	case Started:
+		a := c.running(m.Key)
+		if a == nil {
+			return
+		}
+		e = policy.Event{Kind: policy.JobStarted, Job: m.Job, Attempt: m.Attempt, Worker: a.worker}
+	case Progress:
+		a := c.running(m.Key)
+		if a == nil {
+			return
+		}
+		e = policy.Event{Kind: policy.JobProgress, Job: m.Job, Attempt: m.Attempt, Worker: a.worker, Share: m.Share}
+	case Ended:
+		if !c.ended(now, m, &e) {
+			return
+		}
+	case Probed:
+		e = policy.Event{Kind: policy.ProbeEnded, Worker: m.Worker, Result: m.Result, Took: m.Took}
+		e.HasLoad, e.Load = load(m.Load)
+	case Listed:
+		c.version = m.Version
+		e = policy.Event{Kind: policy.WorkerList, Whole: m.Whole, Stale: m.Stale, Workers: c.list(m)}
+	case ListLost:
+		e = policy.Event{Kind: policy.ListLost}
+	default:
+		panic(fmt.Sprintf("dispatch: unknown message %T", m))
+	}
+	c.events = append(c.events, e)
+}
+
+// running finds an upstream request that has not ended.
+func (c *Core) running(k Key) *attempt {
+	j := c.jobs[k.Job]
+	if j == nil || k.Attempt < 0 || k.Attempt >= len(j.attempts) || j.attempts[k.Attempt].ended {
+		return nil
+	}
+	return &j.attempts[k.Attempt]
+}
+
+// ended books the one outcome of an upstream request. A second outcome is dropped.
+func (c *Core) ended(now time.Duration, m Ended, e *policy.Event) bool {
+	a := c.running(m.Key)
+	if a == nil {
+		return false
+	}
+	j := c.jobs[m.Job]
+	a.ended = true
+	j.out--
+	// The first OK has reached the client by itself and finishes the job.
+	if m.Result == policy.OK {
+		j.finished = true
+	}
+	*e = policy.Event{Kind: policy.AttemptEnded, Job: m.Job, Attempt: m.Attempt, Worker: a.worker,
+		Result: m.Result, Took: now - a.sent, Finished: j.finished}
+	e.HasLoad, e.Load = load(m.Load)
+	if j.finished && j.out == 0 {
+		delete(c.jobs, m.Job)
+	}
+	return true
+}
+
+func load(l *policy.Load) (bool, policy.Load) {
+	if l == nil {
+		return false, policy.Load{FreeSlots: -1, Queue: -1, InFlight: -1, Busy: -1, Latency: -1}
+	}
+	return true, *l
+}
+
+func (c *Core) finish(id uint64, j *job) {
+	if j.finished = true; j.out == 0 {
+		delete(c.jobs, id)
+	}
+}
+
+// carry turns one action of the module into a command.
+func (c *Core) carry(now time.Duration, a *policy.Action) {
+	switch a.Kind {
+	case policy.Send:
+		c.send(now, a)
+	case policy.Cancel:
+		k := Key{a.Job, a.Attempt}
+		if c.running(k) != nil {
+			c.out = append(c.out, CancelSend{k})
+		}
+	case policy.Refuse, policy.Fail:
+		j := c.jobs[a.Job]
+		if j == nil || j.finished { // exactly one final answer
+			return
+		}
+		c.finish(a.Job, j)
+		r := LocalReply{Job: a.Job, Refused: a.Kind == policy.Refuse}
+		if r.Refused {
+			r.RetryAfter = a.After
+		}
+		c.out = append(c.out, r)
+	case policy.Probe:
+		if h, ok := c.hosts[a.Worker]; ok {
+			c.out = append(c.out, Probe{Worker: a.Worker, Addr: h.Addr})
+			return
+		}
+		c.events = append(c.events, policy.Event{Kind: policy.ProbeEnded, Worker: a.Worker,
+			Result: policy.ConnectFailed})
+	case policy.Timer:
+		c.alarms = append(c.alarms, alarm{now + a.After, a.Timer})
+	case policy.Watch:
+		c.out = append(c.out, Watch{c.version})
+	case policy.Log:
+		c.out = append(c.out, Log{a.Text})
+	default:
+		panic("dispatch: an action without a command: " + strconv.Itoa(int(a.Kind)))
+	}
+}
+
+// send books an upstream request. One that must not or can't go out has never been sent.
+func (c *Core) send(now time.Duration, a *policy.Action) {
+	j := c.jobs[a.Job]
+	if j == nil {
+		return
+	}
+	k := Key{a.Job, len(j.attempts)}
+	h, known := c.hosts[a.Worker]
+	until := j.deadline
+	if a.After > 0 {
+		until = min(until, now+a.After)
+	}
+	dead := j.finished || !known || len(j.attempts) >= c.maxAttempts || until <= now
+	j.attempts = append(j.attempts, attempt{worker: a.Worker, sent: now, ended: dead})
+	if dead {
+		c.events = append(c.events, policy.Event{Kind: policy.AttemptEnded, Job: a.Job, Attempt: k.Attempt,
+			Worker: a.Worker, Result: policy.NeverSent, Finished: j.finished})
+		return
+	}
+	j.out++
+	c.out = append(c.out, Send{Key: k, Addr: h.Addr, Until: until})
+}
+
+// list turns the cluster's entries into the module's workers, and keeps what the module need not know.
+func (c *Core) list(m Listed) []policy.Worker {
+	if m.Whole {
+		clear(c.hosts)
+	}
+	workers := make([]policy.Worker, 0, len(m.Hosts))
+	for _, h := range m.Hosts {
+		id := WorkerID(h.Name)
+		if old, ok := c.hosts[id]; ok && old.Name != h.Name {
+			// Two hosts with one id would be one worker to the module: the second stays out of use.
+			c.out = append(c.out, Log{fmt.Sprintf("hosts %q and %q have one worker id %d: %q is not used",
+				old.Name, h.Name, id, h.Name)})
+			continue
+		}
+		if c.hosts[id] = h; h.State == policy.Gone {
+			delete(c.hosts, id)
+		}
+		workers = append(workers, policy.Worker{ID: id, Zone: h.Zone, Kind: h.Kind, Cell: h.Cell, State: h.State,
+			Scale: h.Scale, Since: h.Born})
+	}
+	return workers
+}
+
+// WorkerID derives the module's number of a worker from its host's name alone, so that it is alike at all
+// dispatchers, in whatever order they hear of the hosts: eight hex digits after the last dash as they are,
+// else a hash of the name.
+func WorkerID(name string) uint32 {
+	if tail := name[strings.LastIndexByte(name, '-')+1:]; len(tail) == 8 {
+		if v, err := strconv.ParseUint(tail, 16, 32); err == nil {
+			return uint32(v)
+		}
+	}
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return h.Sum32()
+}
--- /dev/null
+++ b/internal/dispatch/messages.go
@@ -0,0 +1,127 @@
+// Package dispatch is the core round the decision module: it turns typed messages into the module's events
+// and the module's actions into typed commands, and keeps the table of jobs and their upstream requests.
+// It does no I/O, reads no clock and knows no protocol, so that a second protocol can go through the same
+// decisions and keep the same rules.
+package dispatch
+
+import (
+	"time"
+
+	"gaugeslip/policy"
+)
+
+// Key names one upstream request: the attempt with number Attempt of a job.
+type Key struct {
+	Job     uint64
+	Attempt int
+}
+
+// Message is one thing that the sockets saw.
+type Message interface{ message() }
+
+// Arrived tells of a new job. Its deadline is Budget after At.
+type Arrived struct {
+	Job           uint64
+	Class, Tenant int // Tenant -1: none
+	At            time.Duration
+	Budget, Size  time.Duration // Size 0: no hint
+	Slots         int
+	Retry         bool
+}
+
+// Left tells that the downstream client has gone: nothing is owed to it any more.
+type Left struct{ Job uint64 }
+
+// Started tells that a job has begun to run.
+type Started struct{ Key }
+
+// Progress tells how much of a job is done.
+type Progress struct {
+	Key
+	Share float64
+}
+
+// Ended is the outcome of an upstream request; each Send has exactly one.
+type Ended struct {
+	Key
+	Result policy.Result
+	Load   *policy.Load // nil: none came along
+}
+
+// Probed is the outcome of a Probe.
+type Probed struct {
+	Worker uint32
+	Result policy.Result
+	Took   time.Duration
+	Load   *policy.Load
+}
+
+// Listed brings the cluster's list or its changes.
+type Listed struct {
+	Version uint64
+	Whole   bool
+	Stale   bool // a copy from before this start
+	Hosts   []Host
+}
+
+// ListLost tells that a call for the list failed or that the watch broke.
+type ListLost struct{}
+
+func (Arrived) message()  {}
+func (Left) message()     {}
+func (Started) message()  {}
+func (Progress) message() {}
+func (Ended) message()    {}
+func (Probed) message()   {}
+func (Listed) message()   {}
+func (ListLost) message() {}
+
+// Host is one entry of the cluster's list.
+type Host struct {
+	Name, Addr string
+	Zone, Kind int // -1: not in the settings
+	Cell       int
+	State      policy.State
+	Scale      float64
+	Born       time.Duration // last start, on the clock of Step; 0: long ago
+}
+
+// Command is one thing for the sockets to do.
+type Command interface{ command() }
+
+// Send starts an upstream request, to be given up at Until.
+type Send struct {
+	Key
+	Addr  string
+	Until time.Duration
+}
+
+// CancelSend gives up an upstream request.
+type CancelSend struct{ Key }
+
+// LocalReply is the final answer to a job that no upstream host served. Refused promises that a repeat is
+// harmless, and only then may RetryAfter advise when to come back.
+type LocalReply struct {
+	Job        uint64
+	Refused    bool
+	RetryAfter time.Duration
+}
+
+// Probe asks an upstream host for its load.
+type Probe struct {
+	Worker uint32
+	Addr   string
+}
+
+// Watch asks the cluster for all changes after Version.
+type Watch struct{ Version uint64 }
+
+// Log is a line for the log.
+type Log struct{ Text string }
+
+func (Send) command()       {}
+func (CancelSend) command() {}
+func (LocalReply) command() {}
+func (Probe) command()      {}
+func (Watch) command()      {}
+func (Log) command()        {}
--- /dev/null
+++ b/internal/net/loop/loop.go
@@ -0,0 +1,303 @@
+// Package loop runs the one goroutine that owns the core and its decision module. Socket code reaches it
+// through a queue only; what has come in is drained into one Step.
+package loop
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/net/cluster"
+	"gaugeslip/internal/net/upstream"
+	"gaugeslip/internal/settings"
+	"gaugeslip/policy"
+)
+
+const (
+	queueLen = 4096 // messages waiting for the loop; a full queue makes the sockets wait
+	batchLen = 1024
+)
+
+// Answer is the final answer to one downstream request.
+type Answer struct {
+	Served     bool
+	Refused    bool          // not Served: a repeat is harmless
+	Body       []byte        // of Served
+	RetryAfter time.Duration // of Refused; 0: no advice
+}
+
+// Ticket is one downstream request on its way through the dispatcher.
+type Ticket struct {
+	Job     dispatch.Arrived // Job and At are filled in by Submit
+	Forward upstream.Request // Addr is filled in for each upstream request
+	Arrived time.Time
+
+	done   atomic.Bool
+	answer chan Answer
+}
+
+// Answer gives the one final answer, which comes exactly once.
+func (t *Ticket) Answer() <-chan Answer { return t.answer }
+
+// settle passes on the first final answer; false: there was one already.
+func (t *Ticket) settle(a Answer) bool {
+	if !t.done.CompareAndSwap(false, true) {
+		return false
+	}
+	t.answer <- a // its buffer holds one
+	return true
+}
+
+// Upstream is what the loop needs of the upstream side.
+type Upstream interface {
+	Do(ctx context.Context, q *upstream.Request, w upstream.Watcher)
+	Probe(ctx context.Context, addr string) upstream.Outcome
+}
+
+// envelope is what waits in the queue; a message about a new job comes with its ticket.
+type envelope struct {
+	msg    dispatch.Message
+	ticket *Ticket
+}
+
+// Loop owns the core. Run is its goroutine.
+type Loop struct {
+	core     *dispatch.Core
+	set      *settings.Settings
+	upstream Upstream
+	source   cluster.Source
+	clock    Clock
+	queue    chan envelope
+	nextJob  atomic.Uint64
+	held     atomic.Int64
+	stopped  chan struct{}
+	work     sync.WaitGroup
+
+	// Owned by Run.
+	tickets map[uint64]*Ticket
+	cancels map[dispatch.Key]context.CancelFunc
+	watch   context.CancelFunc
+}
+
+// New makes a loop round a core.
+func New(core *dispatch.Core, set *settings.Settings, up Upstream, source cluster.Source, clock Clock) *Loop {
+	return &Loop{core: core, set: set, upstream: up, source: source, clock: clock,
+		queue: make(chan envelope, queueLen), stopped: make(chan struct{}),
+		tickets: map[uint64]*Ticket{}, cancels: map[dispatch.Key]context.CancelFunc{}}
+}
+
+// Post puts a message in the queue.
+func (l *Loop) Post(m dispatch.Message) { l.post(envelope{msg: m}) }
+
+func (l *Loop) post(e envelope) {
+	select {
+	case l.queue <- e:
+	case <-l.stopped:
+	}
+}
+
+// ErrFull says that the dispatcher holds as many requests as it may.
+var ErrFull = errors.New("loop: as many requests are held as may be")
+
+// Submit hands in a downstream request. Its answer comes on t.Answer; when the client goes first, Leave
+// must be called.
+func (l *Loop) Submit(t *Ticket) error {
+	if n := l.held.Add(1); l.set.MostHeld > 0 && n > int64(l.set.MostHeld) {
+		l.held.Add(-1)
+		return ErrFull
+	}
+	t.answer = make(chan Answer, 1)
+	t.Job.Job, t.Job.At = l.nextJob.Add(1), l.clock.Since(t.Arrived)
+	l.post(envelope{msg: t.Job, ticket: t})
+	return nil
+}
+
+// Release tells that a submitted request is over for the downstream side; with left, the client went
+// before it had its answer.
+func (l *Loop) Release(t *Ticket, left bool) {
+	l.held.Add(-1)
+	if left {
+		l.Post(dispatch.Left{Job: t.Job.Job})
+	}
+}
+
+// Run drains the queue until ctx ends. It returns when all that it started has ended.
+func (l *Loop) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer l.work.Wait()
+	defer close(l.stopped)
+	defer cancel()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	batch := make([]dispatch.Message, 0, batchLen)
+	for {
+		batch = batch[:0]
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-l.queue:
+			batch = l.drain(append(batch, l.open(e)))
+		case <-timer.C:
+			batch = l.drain(batch)
+		}
+		if err := l.step(ctx, batch); err != nil {
+			return err
+		}
+		if at, ok := l.core.Wake(); ok {
+			timer.Reset(max(0, at-l.clock.Now()))
+		}
+	}
+}
+
+// open takes a message out of its envelope.
+func (l *Loop) open(e envelope) dispatch.Message {
+	if a, ok := e.msg.(dispatch.Arrived); ok {
+		l.tickets[a.Job] = e.ticket
+	}
+	return e.msg
+}
+
+func (l *Loop) drain(batch []dispatch.Message) []dispatch.Message {
+	for len(batch) < batchLen {
+		select {
+		case e := <-l.queue:
+			batch = append(batch, l.open(e))
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// step lets the core decide and carries out what it says. A panic in the decisions ends the loop, and what
+// is open gets its answer from here.
+func (l *Loop) step(ctx context.Context, batch []dispatch.Message) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("loop: panic in the decisions: %v\n%s", p, debug.Stack())
+			for _, t := range l.tickets {
+				t.settle(Answer{}) // it may have run: a failure, not a refusal
+			}
+		}
+	}()
+	for _, c := range l.core.Step(l.clock.Now(), batch) {
+		l.carry(ctx, c)
+	}
+	for _, m := range batch { // a ticket is of no more use once its job is over
+		switch m := m.(type) {
+		case dispatch.Left:
+			delete(l.tickets, m.Job)
+		case dispatch.Ended:
+			delete(l.cancels, m.Key)
+			if m.Result == policy.OK {
+				delete(l.tickets, m.Job)
+			}
+		}
+	}
+	return nil
+}
+
+// carry does one command.
+func (l *Loop) carry(ctx context.Context, c dispatch.Command) {
+	switch c := c.(type) {
+	case dispatch.Send:
+		l.send(ctx, c)
+	case dispatch.CancelSend:
+		if cancel := l.cancels[c.Key]; cancel != nil {
+			cancel()
+		}
+	case dispatch.LocalReply:
+		if t := l.tickets[c.Job]; t != nil {
+			delete(l.tickets, c.Job)
+			a := Answer{Refused: c.Refused}
+			if l.set.RetryAfter {
+				a.RetryAfter = c.RetryAfter
+			}
+			t.settle(a)
+		}
+	case dispatch.Probe:
+		l.work.Go(func() {
+			o := l.upstream.Probe(ctx, c.Addr)
+			l.Post(dispatch.Probed{Worker: c.Worker, Result: o.Result, Took: o.Took, Load: l.load(o.Load)})
+		})
+	case dispatch.Watch:
+		l.startWatch(ctx, c)
+	case dispatch.Log:
+		slog.Debug(c.Text)
+	default:
+		panic(fmt.Sprintf("loop: unknown command %T", c))
+	}
+}
+
+// send starts an upstream request, with a goroutine of its own for as long as it is out.
+func (l *Loop) send(ctx context.Context, c dispatch.Send) {
+	t := l.tickets[c.Job]
+	if t == nil { // the core sends for open jobs only
+		panic(fmt.Sprintf("loop: a request for job %d, which is over", c.Job))
+	}
+	ctx, cancel := context.WithDeadline(ctx, l.clock.Time(c.Until))
+	l.cancels[c.Key] = cancel
+	q := t.Forward
+	q.Addr = c.Addr
+	l.work.Go(func() {
+		defer cancel()
+		l.upstream.Do(ctx, &q, &follower{l, t, c.Key})
+	})
+}
+
+// follower passes on what comes of one upstream request.
+type follower struct {
+	loop   *Loop
+	ticket *Ticket
+	key    dispatch.Key
+}
+
+func (f *follower) Started()           { f.loop.Post(dispatch.Started{Key: f.key}) }
+func (f *follower) Progress(s float64) { f.loop.Post(dispatch.Progress{Key: f.key, Share: s}) }
+
+// Ended passes the first result on to the client at once; a late one only the loop hears of.
+func (f *follower) Ended(o upstream.Outcome) {
+	if o.Result == policy.OK {
+		f.ticket.settle(Answer{Served: true, Body: o.Body})
+	}
+	f.loop.Post(dispatch.Ended{Key: f.key, Result: o.Result, Load: f.loop.load(o.Load)})
+}
+
+// load turns a report by names into the module's.
+func (l *Loop) load(r upstream.Report) *policy.Load {
+	if r == nil {
+		return nil
+	}
+	out := settings.NoLoad()
+	for name, v := range r {
+		l.set.SetLoad(&out, name, v)
+	}
+	return &out
+}
+
+// startWatch follows the cluster from a version on, in place of any watch before. Each watch that breaks
+// makes one ListLost.
+func (l *Loop) startWatch(ctx context.Context, c dispatch.Watch) {
+	if l.watch != nil {
+		l.watch()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	l.watch = cancel
+	l.work.Go(func() {
+		defer cancel()
+		err := l.source.Watch(ctx, c.Version, func(m dispatch.Listed) { l.Post(m) })
+		if ctx.Err() == nil {
+			slog.Info("watch lost", "error", err)
+			l.Post(dispatch.ListLost{})
+		}
+	})
+}
+
+// Stopped is closed when Run has ended: no answer comes any more.
+func (l *Loop) Stopped() <-chan struct{} { return l.stopped }
--- /dev/null
+++ b/internal/net/upstream/pool.go
@@ -0,0 +1,183 @@
+// Package upstream makes upstream requests and probes: HTTP/1.1 written on net.Conn, one request at a time on
+// a connection, over a pool of idle connections for each upstream host. It never sends a request twice.
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// errBudget says that all descriptors meant for upstream hosts are in use.
+var errBudget = errors.New("upstream: no descriptor left")
+
+// Config is what a Pool must keep to.
+type Config struct {
+	ConnectTimeout time.Duration
+	ConnIdle       time.Duration // an upstream host closes a connection that has stood idle this long
+	ProbeTimeout   time.Duration
+	MaxConns       int // connections at once, idle ones included
+}
+
+// conn is a connection with its reader; both live as long as the connection.
+type conn struct {
+	net.Conn
+	r     *bufio.Reader
+	addr  string
+	since time.Time // idle since
+}
+
+// Pool holds the connections to all upstream hosts.
+type Pool struct {
+	cfg  Config
+	mu   sync.Mutex
+	idle map[string][]*conn // by address, the longest idle first
+	held int                // connections open or being opened
+}
+
+// NewPool makes an empty pool.
+func NewPool(cfg Config) *Pool { return &Pool{cfg: cfg, idle: map[string][]*conn{}} }
+
+// keepFor is how long a connection may stand idle here: well under the host's limit, since a request written
+// as the host closes ends as a reset, which a job that must not run twice can't recover from.
+func (p *Pool) keepFor() time.Duration { return p.cfg.ConnIdle * 2 / 3 }
+
+// get takes an idle connection that is known to be alive, or opens one.
+func (p *Pool) get(ctx context.Context, addr string) (*conn, error) {
+	for {
+		c := p.takeIdle(addr)
+		if c == nil {
+			break
+		}
+		if time.Since(c.since) < p.keepFor() && alive(c) {
+			return c, nil
+		}
+		p.drop(c)
+	}
+	if !p.reserve() {
+		return nil, errBudget
+	}
+	d := net.Dialer{Timeout: p.cfg.ConnectTimeout, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.release()
+		return nil, err
+	}
+	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, 4096), addr: addr}, nil
+}
+
+func (p *Pool) takeIdle(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	if p.idle[addr] = list[:len(list)-1]; len(list) == 1 {
+		delete(p.idle, addr)
+	}
+	return c
+}
+
+// reserve books a descriptor for a new connection; where all are in use, an idle connection to any host
+// makes room.
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.held >= p.cfg.MaxConns {
+		for addr, list := range p.idle {
+			list[0].Close()
+			p.held--
+			if p.idle[addr] = list[1:]; len(list) == 1 {
+				delete(p.idle, addr)
+			}
+			break
+		}
+	}
+	if p.held >= p.cfg.MaxConns {
+		return false
+	}
+	p.held++
+	return true
+}
+
+func (p *Pool) release() {
+	p.mu.Lock()
+	p.held--
+	p.mu.Unlock()
+}
+
+// drop closes a connection for good.
+func (p *Pool) drop(c *conn) {
+	c.Close()
+	p.release()
+}
+
+// put gives back a connection on which nothing more is to come.
+func (p *Pool) put(c *conn) {
+	if c.r.Buffered() > 0 || c.SetDeadline(time.Time{}) != nil {
+		p.drop(c)
+		return
+	}
+	c.since = time.Now()
+	p.mu.Lock()
+	p.idle[c.addr] = append(p.idle[c.addr], c)
+	p.mu.Unlock()
+}
+
+// Sweep closes connections that have stood idle for long, until ctx ends; then it closes all idle ones.
+func (p *Pool) Sweep(ctx context.Context) {
+	t := time.NewTicker(max(p.keepFor()/4, 10*time.Millisecond))
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.retire(0)
+			return
+		case <-t.C:
+			p.retire(p.keepFor())
+		}
+	}
+}
+
+func (p *Pool) retire(after time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for addr, list := range p.idle {
+		n := 0
+		for n < len(list) && time.Since(list[n].since) >= after {
+			list[n].Close()
+			n++
+		}
+		p.held -= n
+		if p.idle[addr] = list[n:]; n == len(list) {
+			delete(p.idle, addr)
+		}
+	}
+}
+
+// alive tells whether an idle connection is still open and silent: its host may have died or closed it, and
+// a request written to it then could not be told from one that ran.
+func alive(c *conn) bool {
+	sc, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = err == syscall.EAGAIN || err == syscall.EWOULDBLOCK
+		return true
+	})
+	return err == nil && quiet
+}
--- /dev/null
+++ b/internal/net/upstream/request.go
@@ -0,0 +1,309 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"gaugeslip/policy"
+)
+
+const (
+	maxLine  = 128 << 10 // a line of an answer: a body of 64 KiB, escaped
+	maxProbe = 4 << 10
+	drainFor = time.Second // how long the end of an answer may take after its last line
+)
+
+// Request is one upstream request. Its deadline is that of the context it is sent with.
+type Request struct {
+	Addr                       string
+	Method, URI, Host, TraceID string
+	Body                       []byte
+}
+
+// Report is a load report: values by name.
+type Report map[string]float64
+
+// Outcome is how an upstream request or a probe ended.
+type Outcome struct {
+	Result policy.Result
+	Body   []byte // of OK
+	Load   Report // nil: none came along
+	Took   time.Duration
+}
+
+// Watcher hears of an upstream request while it is out. Ended comes once, last, before the connection is
+// given back.
+type Watcher interface {
+	Started()
+	Progress(share float64)
+	Ended(Outcome)
+}
+
+// line is one object of an answer.
+type line struct {
+	ID     string          `json:"id"`
+	State  string          `json:"state"`
+	Share  float64         `json:"share"`
+	Result json.RawMessage `json:"result"`
+	Load   json.RawMessage `json:"load"`
+}
+
+// Do sends a request and tells w what comes of it. It returns after w.Ended.
+func (p *Pool) Do(ctx context.Context, q *Request, w Watcher) {
+	start := time.Now()
+	end := func(o Outcome) {
+		o.Took = time.Since(start)
+		w.Ended(o)
+	}
+	c, err := p.get(ctx, q.Addr)
+	if err != nil {
+		end(Outcome{Result: notSent(ctx, err)})
+		return
+	}
+	stop := p.interrupt(ctx, c)
+	defer stop()
+	msg := q.encode(ctx)
+	if n, err := c.Write(msg); err != nil && n < len(msg) {
+		p.drop(c) // the last byte was not written: the protocol's proof that the job never ran
+		end(Outcome{Result: policy.ConnectFailed})
+		return
+	}
+	o, resp := q.read(c.r, w)
+	if o.Result == policy.ConnectionLost && ctx.Err() != nil {
+		o = Outcome{Result: gaveUp(ctx)}
+	}
+	end(o)
+	p.recycle(c, resp, stop)
+}
+
+// interrupt ends reads and writes of c when ctx does; the function it returns calls that off.
+func (p *Pool) interrupt(ctx context.Context, c *conn) func() bool {
+	return context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
+}
+
+// recycle gives back a connection whose answer has been read to its very end, and closes any other. The
+// interruption is called off first: one that came later would hit the connection's next request.
+func (p *Pool) recycle(c *conn, resp *http.Response, stop func() bool) {
+	if !stop() || resp == nil || resp.Close {
+		p.drop(c)
+		return
+	}
+	c.SetReadDeadline(time.Now().Add(drainFor))
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxLine))
+	if err != nil || n == maxLine {
+		p.drop(c)
+		return
+	}
+	p.put(c)
+}
+
+// gaveUp is the outcome of a request that was written and then given up.
+func gaveUp(ctx context.Context) policy.Result {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return policy.TimedOut
+	}
+	return policy.Cancelled
+}
+
+// notSent is the outcome of a request that found no connection: the host is to blame unless the time ran
+// out, the request was called off or no descriptor was left.
+func notSent(ctx context.Context, err error) policy.Result {
+	if ctx.Err() != nil || errors.Is(err, errBudget) {
+		return policy.NeverSent
+	}
+	return policy.ConnectFailed
+}
+
+// encode writes the request once, as one message.
+func (q *Request) encode(ctx context.Context) []byte {
+	b := bytes.NewBuffer(make([]byte, 0, 256+len(q.URI)+len(q.Body)))
+	for _, s := range []string{q.Method, " ", q.URI, " HTTP/1.1\r\nHost: ", q.Host, "\r\nX-Trace-Id: ", q.TraceID} {
+		b.WriteString(s)
+	}
+	if at, ok := ctx.Deadline(); ok {
+		b.WriteString("\r\nX-Expires-In-Ms: ")
+		b.WriteString(strconv.FormatInt(max(0, time.Until(at).Milliseconds()), 10))
+	}
+	b.WriteString("\r\nContent-Length: ")
+	b.WriteString(strconv.Itoa(len(q.Body)))
+	b.WriteString("\r\n\r\n")
+	b.Write(q.Body)
+	return b.Bytes()
+}
+
+// read follows an answer to the line that ends it. The response is nil where the connection is of no more use.
+func (q *Request) read(r *bufio.Reader, w Watcher) (Outcome, *http.Response) {
+	resp, err := http.ReadResponse(r, &http.Request{Method: q.Method})
+	if err != nil {
+		return Outcome{Result: policy.ConnectionLost}, nil
+	}
+	load := headerLoad(resp.Header)
+	if resp.StatusCode != http.StatusOK {
+		return Outcome{Result: statusResult(resp), Load: load}, resp
+	}
+	lines := bufio.NewReader(io.LimitReader(resp.Body, 4*maxLine))
+	for {
+		text, err := readLine(lines)
+		if err != nil {
+			return Outcome{Result: policy.ConnectionLost}, nil
+		}
+		if len(bytes.TrimSpace(text)) == 0 {
+			continue
+		}
+		var l line
+		if json.Unmarshal(text, &l) != nil || l.ID != q.TraceID {
+			// Not a line for this request: what became of the job is not known.
+			return Outcome{Result: policy.ConnectionLost}, nil
+		}
+		if l.Load != nil {
+			load = ParseLoad(string(l.Load))
+		}
+		switch l.State {
+		case "started":
+			w.Started()
+		case "running":
+			w.Progress(l.Share)
+		case "done":
+			return Outcome{Result: policy.OK, Body: l.body(), Load: load}, resp
+		case "failed":
+			return Outcome{Result: policy.AppError, Load: load}, resp
+		case "returned":
+			return Outcome{Result: policy.Full, Load: load}, resp
+		case "lost":
+			return Outcome{Result: policy.ConnectionLost, Load: load}, resp
+		}
+	}
+}
+
+// body is the result as bytes: a string's text, any other value as it stands.
+func (l *line) body() []byte {
+	var s string
+	if json.Unmarshal(l.Result, &s) == nil {
+		return []byte(s)
+	}
+	return l.Result
+}
+
+// readLine reads one line of bounded length.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	var long []byte
+	for {
+		part, err := r.ReadSlice('\n')
+		if err == nil && long == nil {
+			return part, nil
+		}
+		if long = append(long, part...); err == nil {
+			return long, nil
+		}
+		if err != bufio.ErrBufferFull {
+			return nil, err
+		}
+		if len(long) > maxLine {
+			return nil, errors.New("upstream: a line is too long")
+		}
+	}
+}
+
+// statusResult is what an answer without lines means: only a 503 or 504 that says so proves that the job
+// never ran.
+func statusResult(resp *http.Response) policy.Result {
+	switch resp.StatusCode {
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if resp.Header.Get("X-Never-Ran") == "1" {
+			return policy.Full
+		}
+	}
+	return policy.AppError
+}
+
+// Probe asks a host for its load.
+func (p *Pool) Probe(ctx context.Context, addr string) Outcome {
+	ctx, cancel := context.WithTimeout(ctx, p.cfg.ProbeTimeout)
+	defer cancel()
+	start := time.Now()
+	c, err := p.get(ctx, addr)
+	if err != nil {
+		return Outcome{Result: policy.ConnectFailed, Took: time.Since(start)}
+	}
+	stop := p.interrupt(ctx, c)
+	defer stop()
+	resp, body, err := c.probe(addr)
+	o := Outcome{Result: policy.OK, Took: time.Since(start)}
+	switch {
+	case err != nil && ctx.Err() != nil:
+		o.Result = policy.TimedOut
+	case err != nil:
+		o.Result = policy.ConnectionLost
+	case resp.StatusCode == http.StatusServiceUnavailable:
+		o.Result = policy.Full
+	case resp.StatusCode != http.StatusOK:
+		o.Result = policy.AppError
+	default:
+		if o.Load = ParseLoad(string(body)); o.Load == nil {
+			o.Load = headerLoad(resp.Header)
+		}
+	}
+	if err != nil {
+		p.drop(c)
+		return o
+	}
+	p.recycle(c, resp, stop)
+	return o
+}
+
+func (c *conn) probe(addr string) (*http.Response, []byte, error) {
+	if _, err := io.WriteString(c, "GET /metrics/load HTTP/1.1\r\nHost: "+addr+"\r\n\r\n"); err != nil {
+		return nil, nil, err
+	}
+	resp, err := http.ReadResponse(c.r, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxProbe))
+	return resp, body, err
+}
+
+func headerLoad(h http.Header) Report {
+	if v := h.Get("Endpoint-Load-Metrics"); v != "" {
+		return ParseLoad(v)
+	}
+	return nil
+}
+
+// ParseLoad reads a load report, "TEXT name=value, name=value" or "JSON {...}"; the first word may be
+// missing. A value that is no number is skipped; where none is left the report is nil.
+func ParseLoad(s string) Report {
+	s = strings.TrimSpace(s)
+	s = strings.TrimSpace(strings.TrimPrefix(strings.TrimPrefix(s, "TEXT "), "JSON "))
+	r := Report{}
+	if strings.HasPrefix(s, "{") {
+		var all map[string]any
+		if json.Unmarshal([]byte(s), &all) != nil {
+			return nil
+		}
+		for k, v := range all {
+			if f, ok := v.(float64); ok {
+				r[k] = f
+			}
+		}
+	} else {
+		for _, part := range strings.Split(s, ",") {
+			k, v, _ := strings.Cut(strings.TrimSpace(part), "=")
+			if f, err := strconv.ParseFloat(v, 64); err == nil && f-f == 0 {
+				r[k] = f
+			}
+		}
+	}
+	if len(r) == 0 {
+		return nil
+	}
+	return r
+}
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -13,7 +13,8 @@
 	"strings"
 	"time"
 
-	"archgw/policy"
+	"gaugeslip/internal/settings"
+	"gaugeslip/policy"
 )
 
 // lists is how many numbered worker lists the wire keeps.
@@ -27,7 +28,7 @@
 
 type instance struct {
 	id     int
-	names  *names
+	names  *settings.Settings
 	d      *policy.Dispatcher
 	events []policy.Event
 	queued bool
@@ -145,7 +146,7 @@
 	return v
 }
 
-func (f *fields) ms(i int, field string) time.Duration { return millis(f.num(i, field, 0)) }
+func (f *fields) ms(i int, field string) time.Duration { return settings.Millis(f.num(i, field, 0)) }
 
 func (f *fields) bool(i int, field string) bool {
 	switch f.parts[i] {
@@ -253,15 +254,13 @@
 	switch name {
 	case "INIT":
 		seed := f.uint(0, "entropy", math.MaxUint64)
-		cfg, n, err := settings(parts[1])
+		n, err := settings.Parse([]byte(parts[1]))
 		if err == nil {
 			in.names = n
-			if in.d, err = policy.New(cfg, seed); err != nil {
-				err = fmt.Errorf("INIT env: %v", err)
-			}
+			in.d, err = policy.New(n.Policy, seed)
 		}
 		if err != nil && f.err == nil {
-			f.err = err
+			f.err = fmt.Errorf("INIT env: %w", err)
 		}
 	case "SHUTDOWN":
 		in.d, in.events = nil, in.events[:0]
@@ -283,10 +282,10 @@
 	switch f.name {
 	case "SUBMIT":
 		e = policy.Event{Kind: policy.JobArrived, Job: f.uint(0, "xid", maxID), Tenant: -1,
-			Class: pick(f, 1, "qos", n.classes, -1), Budget: f.ms(4, "budget"), Size: f.ms(5, "estimate"),
+			Class: pick(f, 1, "qos", n.Classes, -1), Budget: f.ms(4, "budget"), Size: f.ms(5, "estimate"),
 			Slots: int(f.num(6, "cores-needed", 1)), Retry: f.bool(8, "retry")}
 		if f.parts[2] != "0" {
-			e.Tenant = pick(f, 2, "realm", n.tenants, -1)
+			e.Tenant = pick(f, 2, "realm", n.Tenants, -1)
 		}
 		if e.Class < 0 {
 			f.bad("qos", "-")
@@ -301,7 +300,7 @@
 			Attempt: int(f.uint(2, "n", maxWorker)), Finished: f.bool(3, "last"),
 			Result: pick(f, 4, "outcome", outcomes, policy.AppError), Took: f.ms(5, "wait-time"),
 			Worker: uint32(f.uint(6, "worker", maxWorker))}
-		e.HasLoad, e.Load = n.load(f, 7)
+		e.HasLoad, e.Load = load(n, f, 7)
 	case "NOTICE":
 		e = policy.Event{Kind: policy.JobStarted, Job: f.uint(0, "xid", maxID),
 			Attempt: int(f.uint(1, "n", maxWorker)), Worker: uint32(f.uint(2, "worker", maxWorker))}
@@ -319,7 +318,7 @@
 	case "HEALTH":
 		e = policy.Event{Kind: policy.ProbeEnded, Worker: uint32(f.uint(0, "worker", maxWorker)),
 			Result: pick(f, 1, "outcome", outcomes, policy.AppError), Took: f.ms(2, "wait-time")}
-		e.HasLoad, e.Load = n.load(f, 3)
+		e.HasLoad, e.Load = load(n, f, 3)
 	case "ALARM":
 		e = policy.Event{Kind: policy.TimerFired, Timer: f.uint(0, "cookie", math.MaxUint64)}
 	case "INBOX": // peers share nothing here
@@ -348,24 +347,16 @@
 		e.Workers = make([]policy.Worker, 0, len(h.lists[set]))
 		for _, x := range h.lists[set] {
 			w := x.worker
-			w.Zone, w.Kind = n.find(n.zones, x.zone), n.find(n.kinds, x.kind)
+			w.Zone, w.Kind = settings.Find(n.Zones, x.zone), settings.Find(n.Kinds, x.kind)
 			e.Workers = append(e.Workers, w)
 		}
 	}
 	return e, true, f.err
 }
 
-// find numbers a name that a list may hold though the settings do not: -1.
-func (n *names) find(m map[string]int, name string) int {
-	if v, ok := m[name]; ok {
-		return v
-	}
-	return -1
-}
-
 // load reads a load report by the order of the settings' fields.
-func (n *names) load(f *fields, i int) (bool, policy.Load) {
-	l := policy.Load{FreeSlots: -1, Queue: -1, InFlight: -1, Busy: -1, Latency: -1}
+func load(n *settings.Settings, f *fields, i int) (bool, policy.Load) {
+	l := settings.NoLoad()
 	rest := f.parts[i]
 	if rest == "-" || rest == "" {
 		return false, l
@@ -381,20 +372,8 @@
 			f.bad("telemetry", f.parts[i])
 			return false, l
 		}
-		if k >= len(n.fields) {
-			continue
-		}
-		switch n.fields[k] {
-		case "x0":
-			l.FreeSlots = v
-		case "q":
-			l.Queue = v
-		case "rif":
-			l.InFlight = v
-		case "busy":
-			l.Busy = v
-		case "lat_ms":
-			l.Latency = millis(v)
+		if k < len(n.Fields) {
+			n.SetLoad(&l, n.Fields[k], v)
 		}
 	}
 	return true, l
--- a/internal/wire/host_test.go
+++ b/internal/wire/host_test.go
@@ -5,7 +5,7 @@
 	"strings"
 	"testing"
 
-	"archgw/policy"
+	"gaugeslip/policy"
 )
 
 const testEnv = `{"family-info":{"class-stretch":[2.0],"tells-start":true,"report-x0":"free slots"},"kinds":["k"],` +
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"archgw/policy"
+	"gaugeslip/policy"
 )
 
 // A scheduler keeps one Dispatcher. It calls Step with its clock and what has happened, carries out the
