Test the dispatcher round the module, and keep going after a panic in it

Bodies and answers have time limits of their own, since one on the connection would also end the wait for the answer. - loop.go: a panic in the decisions ended the process. Now all that is open fails (it may have run), and a new module starts with the hosts known as a list that may be old. - cluster.go: the limit for a silent watch is a field, so that its test need not wait.

--- /dev/null
+++ b/cmd/gaugeslip/main_test.go
@@ -0,0 +1,184 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/net/nettest"
+)
+
+// TestMain lets the test binary be the program, so that the tests start the real thing.
+func TestMain(m *testing.M) {
+	if os.Getenv("GAUGESLIP_TEST_PROGRAM") != "" {
+		main()
+	}
+	os.Exit(m.Run())
+}
+
+// entry is one host as discovery lists it.
+func entry(name, addr, health string) string {
+	return fmt.Sprintf(`{"host":%q,"dial":%q,"site":"z","class":"k","health":%q,"share":1,"born_ms":0}`,
+		name, addr, health)
+}
+
+func list(seq int, whole bool, entries ...string) string {
+	return fmt.Sprintf(`{"seq":%d,"whole":%v,"hosts":[%s]}`, seq, whole, strings.Join(entries, ","))
+}
+
+// program starts a dispatcher that knows a list and has a discovery, and waits until it is up.
+func program(t *testing.T, known, discovery string) (addr string, cmd *exec.Cmd, log *bytes.Buffer) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0") // a port that is free
+	require.NoError(t, err)
+	addr = ln.Addr().String()
+	ln.Close()
+	config, err := json.Marshal(map[string]any{"name": "n0", "listen": addr, "discovery": discovery,
+		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+		"known": json.RawMessage(known), "settings": json.RawMessage(nettest.SettingsJSON)})
+	require.NoError(t, err)
+	path := filepath.Join(t.TempDir(), "config.json")
+	require.NoError(t, os.WriteFile(path, config, 0o600))
+	cmd, log = exec.Command(os.Args[0], "serve"), &bytes.Buffer{}
+	cmd.Env = append(os.Environ(), "GAUGESLIP_TEST_PROGRAM=1", "NODE_CONFIG="+path)
+	cmd.Stderr = log
+	require.NoError(t, cmd.Start())
+	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	}, nettest.Patience, 5*time.Millisecond)
+	return addr, cmd, log
+}
+
+func served(c *nettest.Call) {
+	c.Say(nettest.Chunked(`{"id":"`+c.Header.Get("X-Trace-Id")+`","state":"started"}`,
+		`{"id":"`+c.Header.Get("X-Trace-Id")+`","state":"done","result":"`+c.Text+`"}`))
+}
+
+// The program follows discovery's list: it serves over a host that the list brings, and stops sending once
+// the list says that the host drains.
+func TestFollowsTheCluster(t *testing.T) {
+	host := nettest.Listen(t, served)
+	news := make(chan string)
+	discovery := nettest.Listen(t, func(c *nettest.Call) {
+		c.Say(nettest.Chunks())
+		for l := range news {
+			c.Say(nettest.Chunk(l))
+		}
+	})
+	defer close(news)
+	addr, _, _ := program(t, list(1, true), discovery.Addr)
+	assert.Equal(t, "/discovery/hosts?stream=1&index=1", nettest.Wait(t, discovery.Calls).RequestURI)
+	c, n := nettest.Dial(t, addr), 0
+	until := func(status int) {
+		for {
+			n++
+			c.Post("/plot-load/7", fmt.Sprint("t", n), "X-Expires-In-Ms: 15000\r\n", "body")
+			if resp, _ := c.Answer(); resp.StatusCode == status {
+				return
+			}
+			time.Sleep(time.Millisecond)
+		}
+	}
+	until(429) // no host: a refusal
+	assert.Empty(t, host.Calls)
+	news <- list(2, false, entry("s-0000000a", host.Addr, "in_service"))
+	until(200)
+	news <- list(3, false, entry("s-0000000a", host.Addr, "terminating"))
+	until(429)
+	calls := len(host.Calls)
+	until(429)
+	assert.Len(t, host.Calls, calls)
+}
+
+// SIGTERM: what was taken is answered, and the exit code is 0.
+func TestTerminates(t *testing.T) {
+	hold := make(chan struct{})
+	host := nettest.Listen(t, func(c *nettest.Call) { <-hold; served(c) })
+	discovery := nettest.Listen(t, func(*nettest.Call) {})
+	release := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(release) // before the host ends, which waits for its script
+	addr, cmd, log := program(t, list(1, true, entry("s-0000000a", host.Addr, "in_service")), discovery.Addr)
+	c := nettest.Dial(t, addr)
+	c.Post("/harvest-sale/7", "t1", "X-Expires-In-Ms: 15000\r\n", "body")
+	nettest.Wait(t, host.Calls)
+	require.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
+	require.Eventually(t, func() bool { // it stops accepting
+		c, err := net.Dial("tcp", addr)
+		if err == nil {
+			c.Close()
+		}
+		return err != nil
+	}, nettest.Patience, 5*time.Millisecond)
+	release()
+	resp, body := c.Answer()
+	assert.Equal(t, "200 body", resp.Status[:3]+" "+body)
+	require.NoError(t, cmd.Wait(), log)
+	assert.Contains(t, log.String(), "stopped")
+}
+
+func TestCommandLine(t *testing.T) {
+	t.Setenv("NODE_CONFIG", "")
+	bad := filepath.Join(t.TempDir(), "bad.json")
+	require.NoError(t, os.WriteFile(bad, []byte(`{"name":"n","listen":"127.0.0.1:1","discovery":"nowhere"}`), 0o600))
+	for _, c := range []struct {
+		args     string
+		code     int
+		out, err string
+	}{
+		{"", exitUsage, "", "usage:"},
+		{"--help", exitOK, "usage:", ""},
+		{"dance", exitUsage, "", `unknown command "dance"`},
+		{"version", exitOK, "gaugeslip", ""},
+		{"version now", exitUsage, "", `unexpected argument "now"`},
+		{"serve --colour", exitUsage, "", "unknown flag"},
+		{"serve --help", exitOK, "", "--config"},
+		{"serve", exitFailed, "", "NODE_CONFIG"},
+		{"check-config --config " + bad, exitFailed, "", "NODE_DISCOVERY"},
+	} {
+		var out, errs bytes.Buffer
+		assert.Equal(t, c.code, run(strings.Fields(c.args), &out, &errs), c.args)
+		assert.Contains(t, out.String(), c.out, c.args)
+		assert.Contains(t, errs.String(), c.err, c.args)
+	}
+}
+
+func TestCheckConfig(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "c.json")
+	text := `{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","known":` +
+		list(1, true, entry("a", "127.0.0.1:3", "in_service")) + `,"settings":` + nettest.SettingsJSON + `}`
+	for text, want := range map[string]struct {
+		code int
+		say  string
+	}{text: {exitOK, "1 known hosts"}, strings.Replace(text, "in_service", "well", 1): {exitFailed, "known: "}} {
+		require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+		var out bytes.Buffer
+		assert.Equal(t, want.code, run([]string{"check-config", "--config", path}, &out, &out))
+		assert.Contains(t, out.String(), want.say)
+	}
+}
+
+// The shares of the descriptors leave room for what is neither downstream nor upstream.
+func TestBudget(t *testing.T) {
+	for _, sockets := range []int{64, 1024} {
+		down, up := budget(sockets)
+		assert.Positive(t, up)
+		assert.Greater(t, down, up)
+		assert.LessOrEqual(t, down+up, sockets-6)
+	}
+}
--- a/cmd/gaugeslip/serve.go
+++ b/cmd/gaugeslip/serve.go
@@ -72,10 +72,11 @@
 	down, up := budget(cfg.Limits.Sockets)
 	pool := upstream.NewPool(upstream.Config{ConnectTimeout: cfg.Settings.Policy.ConnectTimeout,
 		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, MaxConns: up})
-	l := loop.New(core, cfg.Settings, pool, &cluster.Discovery{Addr: cfg.Discovery, Settings: cfg.Settings},
-		loop.NewClock())
+	source := &cluster.Discovery{Addr: cfg.Discovery, Stall: cluster.StallAfter, Settings: cfg.Settings}
+	l := loop.New(core, cfg.Settings, pool, source, loop.NewClock())
 	l.Post(known)
-	server := downstream.New(downstream.Config{Listen: cfg.Listen, MaxConns: down}, cfg.Settings, l)
+	server := downstream.New(downstream.Config{Listen: cfg.Listen, MaxConns: down,
+		AcceptFor: downstream.AcceptFor}, cfg.Settings, l)
 	ln, err := server.Listen()
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,77 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{"name":"n1","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"10","more":1,
+"limits":{"cores":1.5,"memory_mb":100,"sockets":512},"known":{"seq":1},"settings":{"profiles":[{"name":"a"}]}}`
+
+func env(pairs ...string) func(string) string {
+	return func(k string) string {
+		for i := 0; i < len(pairs); i += 2 {
+			if pairs[i] == k {
+				return pairs[i+1]
+			}
+		}
+		return ""
+	}
+}
+
+func TestLoad(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "c.json")
+	if err := os.WriteFile(path, []byte(good), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, err := Load(env("NODE_CONFIG", path, "NODE_LISTEN", "127.0.0.9:9"), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n1" || c.Listen != "127.0.0.9:9" || c.Discovery != "127.0.0.1:2" || c.Seed != 16 ||
+		c.Limits.Procs() != 2 || c.Limits.MemoryBytes() != 75<<20 || string(c.Known) != `{"seq":1}` {
+		t.Errorf("%+v", c)
+	}
+}
+
+func TestDefaults(t *testing.T) {
+	c, err := parse(env("NODE_NAME", "n", "NODE_LISTEN", "127.0.0.1:1", "NODE_DISCOVERY", "127.0.0.1:2"),
+		[]byte(`{"settings":{"profiles":[{"name":"a"}]}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Limits != (Limits{1, 192, 1024}) || c.Limits.Procs() != 1 {
+		t.Errorf("%+v", c.Limits)
+	}
+}
+
+func TestErrorsNameTheKey(t *testing.T) {
+	swap := func(old, new string) string { return strings.Replace(good, old, new, 1) }
+	for _, c := range []struct{ text, key string }{
+		{`[`, "config"},
+		{swap(`"n1"`, `""`), "NODE_NAME"},
+		{swap(`"n1"`, `7`), "config: name"},
+		{swap(`127.0.0.1:1`, `localhost:1`), "NODE_LISTEN"},
+		{swap(`127.0.0.1:1`, `127.0.0.1`), "NODE_LISTEN"},
+		{swap(`127.0.0.1:2`, `127.0.0.1:99999`), "NODE_DISCOVERY"},
+		{swap(`1.5`, `-1`), "limits.cores"},
+		{swap(`100`, `-1`), "limits.memory_mb"},
+		{swap(`512`, `12`), "limits.sockets"},
+		{swap(`512`, `"many"`), "config: limits.sockets"},
+		{swap(`"settings"`, `"sittings"`), "settings"},
+		{swap(`{"name":"a"}`, `{"effect":"x"}`), "settings: profiles.effect"},
+		{swap(`{"name":"a"}`, ``), "settings"},
+	} {
+		if _, err := parse(env(), []byte(c.text)); err == nil || !strings.HasPrefix(err.Error(), c.key) {
+			t.Errorf("%s: error %v, want it to begin with %q", c.text, err, c.key)
+		}
+	}
+	if _, err := Load(env(), ""); err == nil || !strings.HasPrefix(err.Error(), "NODE_CONFIG") {
+		t.Error(err)
+	}
+	if _, err := Load(env("NODE_CONFIG", "/nonexistent"), ""); err == nil || !strings.HasPrefix(err.Error(), "NODE_CONFIG") {
+		t.Error(err)
+	}
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -33,6 +34,8 @@
 // Core owns the decision module. It is not safe for use by more than one goroutine.
 type Core struct {
 	d           *policy.Dispatcher
+	cfg         policy.Config
+	seed        uint64
 	maxAttempts int
 	jobs        map[uint64]*job
 	hosts       map[uint32]Host
@@ -49,7 +52,19 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Core{d: d, maxAttempts: max(cfg.MaxAttempts, 1), jobs: map[uint64]*job{}, hosts: map[uint32]Host{}}, nil
+	return &Core{d: d, cfg: cfg, seed: seed, maxAttempts: max(cfg.MaxAttempts, 1), jobs: map[uint64]*job{},
+		hosts: map[uint32]Host{}}, nil
+}
+
+// Renew makes a Core for when a panic has left this one's module in doubt, and the list to begin it with.
+func (c *Core) Renew() (*Core, Listed, error) {
+	n, err := New(c.cfg, c.seed+1)
+	known := Listed{Version: c.version, Whole: true, Stale: true}
+	for _, h := range c.hosts {
+		known.Hosts = append(known.Hosts, h)
+	}
+	slices.SortFunc(known.Hosts, func(a, b Host) int { return strings.Compare(a.Name, b.Name) })
+	return n, known, err
 }
 
 // Open is how many jobs the table holds, answered ones with requests still out included.
@@ -62,11 +77,11 @@
 	for _, m := range in {
 		c.take(now, m)
 	}
-	c.alarms = keep(c.alarms, func(a alarm) bool {
+	c.alarms = slices.DeleteFunc(c.alarms, func(a alarm) bool {
 		if a.at <= now {
 			c.events = append(c.events, policy.Event{Kind: policy.TimerFired, Timer: a.id})
 		}
-		return a.at > now
+		return a.at <= now
 	})
 	// A Send that can't be carried out ends at once, which is news for the module in turn: each round uses
 	// up an attempt of some job, so the rounds end.
@@ -90,16 +105,6 @@
 	return at, ok
 }
 
-func keep[T any](s []T, f func(T) bool) []T {
-	n := 0
-	for _, x := range s {
-		if f(x) {
-			s[n], n = x, n+1
-		}
-	}
-	return s[:n]
-}
-
 // take turns one message into an event.
 func (c *Core) take(now time.Duration, m Message) {
 	e := policy.Event{}
@@ -181,7 +186,7 @@
 
 func load(l *policy.Load) (bool, policy.Load) {
 	if l == nil {
-		return false, policy.Load{FreeSlots: -1, Queue: -1, InFlight: -1, Busy: -1, Latency: -1}
+		return false, policy.Load{}
 	}
 	return true, *l
 }
--- a/internal/net/cluster/cluster.go
+++ b/internal/net/cluster/cluster.go
@@ -18,12 +18,11 @@
 	"gaugeslip/policy"
 )
 
-const (
-	// stallAfter is how long a watch may stay silent: it sends a line every 2 s, and what it has to tell
-	// counts as told 6 s later though it never arrives.
-	stallAfter = 4500 * time.Millisecond
-	maxLine    = 1 << 20
-)
+// StallAfter is how long a watch may stay silent: it sends a line every 2 s, and what it has to tell
+// counts as told 6 s later though it never arrives.
+const StallAfter = 4500 * time.Millisecond
+
+const maxLine = 1 << 20
 
 // Source is where the list of upstream hosts comes from.
 type Source interface {
@@ -85,12 +84,13 @@
 // Discovery is the Source that speaks HTTP.
 type Discovery struct {
 	Addr     string
+	Stall    time.Duration // how long it may stay silent, see StallAfter
 	Settings *settings.Settings
 }
 
 // Watch opens the stream of changes and follows it.
 func (d *Discovery) Watch(ctx context.Context, after uint64, each func(dispatch.Listed)) error {
-	dialer := net.Dialer{Timeout: stallAfter, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: d.Stall, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", d.Addr)
 	if err != nil {
 		return fmt.Errorf("cluster: %w", err)
@@ -98,7 +98,7 @@
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	// Each read has its own limit: a machine that vanishes leaves the connection open and silent.
-	live := &limited{Conn: conn}
+	live := &limited{conn, d.Stall}
 	req := "GET /discovery/hosts?stream=1&index=" + strconv.FormatUint(after, 10) +
 		" HTTP/1.1\r\nHost: " + d.Addr + "\r\n\r\n"
 	if _, err := io.WriteString(live, req); err != nil {
@@ -126,10 +126,15 @@
 	return errors.Join(errors.New("cluster: the watch ended"), lines.Err())
 }
 
-// limited gives each read and write stallAfter.
-type limited struct{ net.Conn }
+// limited gives each read and the write before it a time limit of its own.
+type limited struct {
+	net.Conn
+	limit time.Duration
+}
 
 func (l *limited) Read(b []byte) (int, error) {
-	l.SetDeadline(time.Now().Add(stallAfter))
+	if err := l.SetDeadline(time.Now().Add(l.limit)); err != nil {
+		return 0, err
+	}
 	return l.Conn.Read(b)
 }
--- a/internal/net/downstream/decode.go
+++ b/internal/net/downstream/decode.go
@@ -43,7 +43,7 @@
 		return nil, &fault{http.StatusMethodNotAllowed, "jobs come by POST"}
 	}
 	t := &loop.Ticket{Arrived: arrived, Job: dispatch.Arrived{Class: class, Tenant: -1, Slots: 1},
-		Forward: upstream.Request{Method: r.Method, URI: r.RequestURI, Host: r.Host,
+		Forward: upstream.Request{Method: r.Method, URI: target(r), Host: r.Host,
 			TraceID: r.Header.Get("X-Trace-Id")}}
 	j := &t.Job
 	if t.Forward.TraceID == "" {
@@ -82,6 +82,14 @@
 	return t, nil
 }
 
+// target is the path and query as the client wrote them, without the authority of an absolute form.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
 // number reads a header that holds a count of units, an hour's worth at most; absent: 0.
 func number(r *http.Request, name string, unit time.Duration) (time.Duration, error) {
 	s := r.Header.Get(name)
--- /dev/null
+++ b/internal/net/downstream/downstream_test.go
@@ -0,0 +1,209 @@
+package downstream
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/net/loop"
+	"gaugeslip/internal/net/nettest"
+	"gaugeslip/internal/net/upstream"
+)
+
+// none is a cluster of which nothing is heard.
+type none struct{}
+
+func (none) Watch(ctx context.Context, _ uint64, _ func(dispatch.Listed)) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// dispatcher runs a whole downstream side over one upstream host, listed twice; stop begins its shutdown, and ended
+// closes when that is over.
+func dispatcher(t *testing.T, acceptFor time.Duration, script func(*nettest.Call)) (
+	addr string, host *nettest.Peer, stop func(), ended chan struct{}) {
+	host = nettest.Listen(t, script)
+	set := nettest.Settings(t)
+	core, err := dispatch.New(set.Policy, 1)
+	require.NoError(t, err)
+	pool := upstream.NewPool(upstream.Config{ConnectTimeout: nettest.Patience, ConnIdle: time.Minute, MaxConns: 9})
+	l := loop.New(core, set, pool, none{}, loop.NewClock())
+	l.Post(dispatch.Listed{Whole: true, Stale: true,
+		Hosts: []dispatch.Host{{Name: "s-0000000a", Addr: host.Addr, Scale: 1},
+			{Name: "s-0000000b", Addr: host.Addr, Scale: 1}}})
+	s := New(Config{Listen: "127.0.0.1:0", MaxConns: 99, AcceptFor: acceptFor}, set, l)
+	ln, err := s.Listen()
+	require.NoError(t, err)
+	inner, halt := context.WithCancel(context.Background())
+	outer, stop := context.WithCancel(context.Background())
+	looped, ended := make(chan struct{}), make(chan struct{})
+	go func() { defer close(looped); l.Run(inner) }()
+	go func() { defer close(ended); assert.NoError(t, s.Serve(outer, ln)) }()
+	t.Cleanup(func() {
+		stop()
+		host.Close() // ends what is still out
+		nettest.Wait(t, ended)
+		halt()
+		nettest.Wait(t, looped)
+	})
+	return ln.Addr().String(), host, stop, ended
+}
+
+// serve answers with the request's own body.
+func serve(c *nettest.Call) {
+	c.Say(nettest.Chunked(`{"id":"` + c.Header.Get("X-Trace-Id") + `","state":"done","result":"` + c.Text + `"}`))
+}
+
+func TestServes(t *testing.T) {
+	addr, _, _, _ := dispatcher(t, 0, serve)
+	c := nettest.Dial(t, addr)
+	for _, body := range []string{"a", "", "b"} { // one connection carries one request after the other
+		c.Post("/plot-load/x", "t"+body, "X-Expires-In-Ms: 15000\r\nX-Size-Hint: 1000\r\nX-Qos: plot-load\r\n", body)
+		resp, got := c.Answer()
+		assert.Equal(t, 200, resp.StatusCode)
+		assert.Equal(t, body, got)
+	}
+}
+
+// Bad input gets its own status, never one that promises anything about a job.
+func TestBadInput(t *testing.T) {
+	addr, host, _, _ := dispatcher(t, 0, serve)
+	post := func(path, headers string) string {
+		return "POST " + path + " HTTP/1.1\r\nHost: h\r\n" + headers + "Content-Length: 0\r\n\r\n"
+	}
+	for name, c := range map[string]struct {
+		text string
+		want int
+	}{
+		"no such path":     {post("/render", "X-Trace-Id: a\r\n"), 404},
+		"root":             {post("/", "X-Trace-Id: a\r\n"), 404},
+		"wrong method":     {"GET /plot-load HTTP/1.1\r\nHost: h\r\n\r\n", 405},
+		"POST to /up":      {post("/up", ""), 405},
+		"no id":            {post("/plot-load", ""), 400},
+		"another class":    {post("/plot-load", "X-Trace-Id: a\r\nX-Qos: harvest-sale\r\n"), 400},
+		"no number":        {post("/plot-load", "X-Trace-Id: a\r\nX-Expires-In-Ms: soon\r\n"), 400},
+		"not a number":     {post("/plot-load", "X-Trace-Id: a\r\nX-Expires-In-Ms: NaN\r\n"), 400},
+		"negative":         {post("/plot-load", "X-Trace-Id: a\r\nX-Expires-In-Ms: -5\r\n"), 400},
+		"too far":          {post("/plot-load", "X-Trace-Id: a\r\nX-Expires-In-Ms: 1e18\r\n"), 400},
+		"bad hint":         {post("/plot-load", "X-Trace-Id: a\r\nX-Size-Hint: big\r\n"), 400},
+		"bad slots":        {post("/plot-load", "X-Trace-Id: a\r\nX-Props: memory=1,slots=x\r\n"), 400},
+		"not HTTP":         {"HELLO\r\n\r\n", 400},
+		"too long":         {"POST /plot-load HTTP/1.1\r\nHost: h\r\nX-Trace-Id: a\r\nContent-Length: 65537\r\n\r\n" + strings.Repeat("x", 65537), 413},
+		"too long, chunks": {"POST /plot-load HTTP/1.1\r\nHost: h\r\nX-Trace-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + strings.Repeat("x", 65537) + "\r\n0\r\n\r\n", 413},
+	} {
+		cl := nettest.Dial(t, addr)
+		cl.Send(c.text)
+		resp, _ := cl.Answer()
+		assert.Equal(t, c.want, resp.StatusCode, name)
+	}
+	assert.Empty(t, host.Calls)
+}
+
+func TestLongestBody(t *testing.T) {
+	addr, host, _, _ := dispatcher(t, 0, serve)
+	body := strings.Repeat("x", maxBody)
+	c := nettest.Dial(t, addr)
+	c.Post("/harvest-sale", "t1", "", body)
+	_, got := c.Answer()
+	assert.Equal(t, body, got)
+	assert.Equal(t, body, nettest.Wait(t, host.Calls).Text)
+}
+
+// Where the figures lie: a job's slots among its other ones, its time in whole milliseconds.
+func TestDecodeFigures(t *testing.T) {
+	r, err := http.NewRequest("POST", "http://h/harvest-sale/9?q=1", strings.NewReader("b"))
+	require.NoError(t, err)
+	r.RequestURI = r.URL.String() // the absolute form
+	for k, v := range map[string]string{"X-Trace-Id": "t", "X-Expires-In-Ms": "480", "X-Size-Hint": "2500",
+		"X-Props": "memory=0.5, slots=2", "X-Second-Try": "1", "X-Customer": "nobody"} {
+		r.Header.Set(k, v)
+	}
+	k, err := decode(nil, r, nettest.Settings(t), time.Now())
+	require.NoError(t, err)
+	assert.Equal(t, dispatch.Arrived{Class: 1, Tenant: -1, Budget: 480 * time.Millisecond, Retry: true,
+		Size: 2500 * time.Microsecond, Slots: 2}, k.Job)
+	assert.Equal(t, "/harvest-sale/9?q=1", k.Forward.URI)
+}
+
+// A refusal says that a repeat is harmless: never of a job that may have run.
+func TestAnswers(t *testing.T) {
+	for class, want := range map[string]int{"plot-load": 429, "harvest-sale": 500} {
+		addr, _, _, _ := dispatcher(t, 0, func(c *nettest.Call) { c.Reset() })
+		c := nettest.Dial(t, addr)
+		c.Post("/"+class, "t1", "X-Expires-In-Ms: 15000\r\n", "")
+		resp, _ := c.Answer()
+		assert.Equal(t, want, resp.StatusCode, class)
+		if want == 429 {
+			assert.Equal(t, "1.5", resp.Header.Get("Retry-After"))
+		} else {
+			assert.Empty(t, resp.Header.Get("Retry-After"))
+		}
+	}
+}
+
+// A handler that panics still answers, and not with a refusal.
+func TestPanic(t *testing.T) {
+	s := New(Config{Listen: "127.0.0.1:0", MaxConns: 9}, nil, nil) // no settings: decode panics
+	ln, err := s.Listen()
+	require.NoError(t, err)
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Serve(ctx, ln) }()
+	c := nettest.Dial(t, ln.Addr().String())
+	c.Post("/plot-load", "t1", "", "")
+	resp, _ := c.Answer()
+	assert.Equal(t, 500, resp.StatusCode)
+	stop()
+	assert.NoError(t, nettest.Wait(t, ended))
+}
+
+// A shutdown: /up says no, what comes is still served, each answer asks to close, and what was taken
+// before is waited for.
+func TestShutdown(t *testing.T) {
+	hold := make(chan struct{})
+	addr, host, stop, ended := dispatcher(t, 3*time.Second, func(c *nettest.Call) { // a slow machine has that long
+		if c.Text == "slow" {
+			<-hold
+		}
+		serve(c)
+	})
+	release := sync.OnceFunc(func() { close(hold) })
+	t.Cleanup(release) // before the host ends, which waits for its script
+	slow, idle := nettest.Dial(t, addr), nettest.Dial(t, addr)
+	up := func(c *nettest.Client) int {
+		c.Send("GET /up HTTP/1.1\r\nHost: h\r\n\r\n")
+		resp, _ := c.Answer()
+		return resp.StatusCode
+	}
+	require.Equal(t, 200, up(idle))
+	slow.Post("/harvest-sale", "t1", "X-Expires-In-Ms: 15000\r\n", "slow")
+	nettest.Wait(t, host.Calls)
+	stop()
+	for up(nettest.Dial(t, addr)) != 503 {
+		time.Sleep(time.Millisecond)
+	}
+	late := nettest.Dial(t, addr)
+	late.Post("/plot-load", "t2", "X-Expires-In-Ms: 15000\r\n", "late")
+	resp, _ := late.Answer()
+	assert.Equal(t, 200, resp.StatusCode)
+	assert.True(t, resp.Close)
+	late.Closed()
+	idle.Closed() // nothing is accepted from here on
+	select {
+	case <-ended:
+		t.Error("ended with a request unanswered")
+	default:
+	}
+	release()
+	resp, body := slow.Answer()
+	assert.Equal(t, "200 slow", resp.Status[:3]+" "+body)
+	slow.Closed()
+	nettest.Wait(t, ended)
+}
--- a/internal/net/downstream/server.go
+++ b/internal/net/downstream/server.go
@@ -21,19 +21,23 @@
 )
 
 const (
-	// acceptFor is how long after the start of a shutdown clients still come: new connections go on for up
-	// to 0.4 s, and what comes within 0.7 s has to be served.
-	acceptFor      = 900 * time.Millisecond
 	headerTimeout  = 10 * time.Second
-	bodyTimeout    = 30 * time.Second
-	idleTimeout    = 5 * time.Minute
+	bodyTimeout    = 10 * time.Second
+	writeTimeout   = 10 * time.Second
+	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 32 << 10
 )
 
+// AcceptFor is how long after the start of a shutdown clients still come: new connections go on for up to
+// 0.4 s, and what comes within 0.7 s has to be served. What came later and is still unanswered when the
+// platform kills the process counts as lost, so nothing is read beyond that.
+const AcceptFor = 700 * time.Millisecond
+
 // Config is what a Server must keep to.
 type Config struct {
-	Listen   string
-	MaxConns int // connections at once; more wait in the listen queue
+	Listen    string
+	MaxConns  int           // connections at once; more wait in the listen queue
+	AcceptFor time.Duration // see the constant
 }
 
 // Server is the downstream side.
@@ -76,7 +80,7 @@
 	select {
 	case err := <-failed:
 		return fmt.Errorf("downstream: %w", err)
-	case <-time.After(acceptFor):
+	case <-time.After(s.cfg.AcceptFor):
 	}
 	if err := s.http.Shutdown(context.Background()); err != nil {
 		return fmt.Errorf("downstream: %w", err)
@@ -101,7 +105,11 @@
 		s.up(w, r)
 		return
 	}
+	// Only the body has a limit of its own: one on the connection would end the wait for the answer too.
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(arrived.Add(bodyTimeout))
 	t, err := decode(w, r, s.set, arrived)
+	control.SetReadDeadline(time.Time{})
 	if err != nil {
 		var f *fault
 		if !errors.As(err, &f) {
@@ -173,6 +181,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	// A client that does not read must not hold its descriptor, or a shutdown, for ever.
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(status)
 	w.Write(body)
 }
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -83,6 +83,7 @@
 	tickets map[uint64]*Ticket
 	cancels map[dispatch.Key]context.CancelFunc
 	watch   context.CancelFunc
+	renewed []dispatch.Message // for a core that took the place of one that panicked
 }
 
 // New makes a loop round a core.
@@ -137,7 +138,8 @@
 	defer timer.Stop()
 	batch := make([]dispatch.Message, 0, batchLen)
 	for {
-		batch = batch[:0]
+		batch = append(batch[:0], l.renewed...)
+		l.renewed = nil
 		select {
 		case <-ctx.Done():
 			return nil
@@ -149,7 +151,9 @@
 		if err := l.step(ctx, batch); err != nil {
 			return err
 		}
-		if at, ok := l.core.Wake(); ok {
+		if l.renewed != nil {
+			timer.Reset(0)
+		} else if at, ok := l.core.Wake(); ok {
 			timer.Reset(max(0, at-l.clock.Now()))
 		}
 	}
@@ -175,15 +179,13 @@
 	return batch
 }
 
-// step lets the core decide and carries out what it says. A panic in the decisions ends the loop, and what
-// is open gets its answer from here.
+// step lets the core decide and carries out what it says. A panic in the decisions must not end the process,
+// which would drop all that it has taken.
 func (l *Loop) step(ctx context.Context, batch []dispatch.Message) (err error) {
 	defer func() {
 		if p := recover(); p != nil {
-			err = fmt.Errorf("loop: panic in the decisions: %v\n%s", p, debug.Stack())
-			for _, t := range l.tickets {
-				t.settle(Answer{}) // it may have run: a failure, not a refusal
-			}
+			slog.Error("panic in the decisions, starting them anew", "panic", p, "stack", string(debug.Stack()))
+			err = l.renew()
 		}
 	}()
 	for _, c := range l.core.Step(l.clock.Now(), batch) {
@@ -203,6 +205,28 @@
 	return nil
 }
 
+// renew answers all that is open and puts a new core in the old one's place. What is open may have run, so
+// it has failed and is not refused.
+func (l *Loop) renew() error {
+	for _, t := range l.tickets {
+		t.settle(Answer{})
+	}
+	for _, cancel := range l.cancels {
+		cancel()
+	}
+	if l.watch != nil {
+		l.watch()
+	}
+	clear(l.tickets)
+	clear(l.cancels)
+	core, known, err := l.core.Renew()
+	if err != nil {
+		return fmt.Errorf("loop: %w", err)
+	}
+	l.core, l.renewed = core, []dispatch.Message{known}
+	return nil
+}
+
 // carry does one command.
 func (l *Loop) carry(ctx context.Context, c dispatch.Command) {
 	switch c := c.(type) {
--- /dev/null
+++ b/internal/net/loop/loop_test.go
@@ -0,0 +1,171 @@
+package loop
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/net/nettest"
+	"gaugeslip/internal/net/upstream"
+	"gaugeslip/policy"
+)
+
+// sent is an upstream request that the fake upstream side holds until the test ends it.
+type sent struct {
+	upstream.Watcher
+	*upstream.Request
+	ctx context.Context
+	end chan upstream.Outcome
+}
+
+// side stands for the upstream side and the cluster.
+type side struct {
+	sends   chan *sent
+	watches chan uint64
+	breaks  chan error
+}
+
+func (s *side) Do(ctx context.Context, q *upstream.Request, w upstream.Watcher) {
+	x := &sent{w, q, ctx, make(chan upstream.Outcome)}
+	s.sends <- x
+	select {
+	case o := <-x.end:
+		w.Ended(o)
+	case <-ctx.Done():
+		w.Ended(upstream.Outcome{Result: policy.TimedOut})
+	}
+}
+
+func (s *side) Probe(context.Context, string) upstream.Outcome { return upstream.Outcome{} }
+
+func (s *side) Watch(ctx context.Context, after uint64, each func(dispatch.Listed)) error {
+	s.watches <- after
+	select {
+	case err := <-s.breaks:
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+var host = dispatch.Host{Name: "s-0000000a", Addr: "127.0.0.1:1", Scale: 1}
+
+// run starts a loop with one known host; it must end with the test and leave nothing behind.
+func run(t *testing.T) (*Loop, *side) {
+	s := &side{make(chan *sent, 9), make(chan uint64, 9), make(chan error)}
+	set := nettest.Settings(t)
+	core, err := dispatch.New(set.Policy, 1)
+	require.NoError(t, err)
+	l := New(core, set, s, s, NewClock())
+	l.Post(dispatch.Listed{Version: 5, Whole: true, Stale: true, Hosts: []dispatch.Host{host}})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NoError(t, nettest.Wait(t, ended))
+	})
+	return l, s
+}
+
+func submit(t *testing.T, l *Loop, class int, budget time.Duration) *Ticket {
+	k := &Ticket{Arrived: time.Now(), Forward: upstream.Request{TraceID: "t1"},
+		Job: dispatch.Arrived{Class: class, Tenant: -1, Budget: budget, Size: 100 * time.Millisecond, Slots: 1}}
+	require.NoError(t, l.Submit(k))
+	return k
+}
+
+// The first result reaches the client as it comes, and nothing that comes after it.
+func TestServesOnce(t *testing.T) {
+	l, s := run(t)
+	k := submit(t, l, 0, 15*time.Second)
+	x := nettest.Wait(t, s.sends)
+	assert.Equal(t, host.Addr+" t1", x.Addr+" "+x.TraceID)
+	at, ok := x.ctx.Deadline()
+	assert.True(t, ok)
+	assert.WithinDuration(t, k.Arrived.Add(15*time.Second), at, time.Millisecond, "the deadline counts from arrival")
+	x.end <- upstream.Outcome{Result: policy.OK, Body: []byte("r")}
+	assert.Equal(t, Answer{Served: true, Body: []byte("r")}, nettest.Wait(t, k.Answer()))
+	assert.False(t, k.settle(Answer{Refused: true}))
+	l.Release(k, false)
+	assert.Empty(t, k.Answer())
+}
+
+// What may have run has failed; what can be repeated is refused with the module's advice, at once.
+func TestLocalReplies(t *testing.T) {
+	l, s := run(t)
+	for class, want := range []Answer{{Refused: true, RetryAfter: 1500 * time.Millisecond}, {}} {
+		k := submit(t, l, class, 15*time.Second)
+		for range l.set.Policy.MaxAttempts {
+			select {
+			case x := <-s.sends:
+				x.end <- upstream.Outcome{Result: policy.AppError}
+			case a := <-k.Answer():
+				k.answer <- a
+			}
+		}
+		assert.Equal(t, want, nettest.Wait(t, k.Answer()))
+	}
+	k := submit(t, l, 1, time.Millisecond) // too little time to be worth anything: it never ran
+	assert.True(t, nettest.Wait(t, k.Answer()).Refused)
+}
+
+// An upstream request goes on when its client has left: the module counts on its outcome.
+func TestClientLeaves(t *testing.T) {
+	l, s := run(t)
+	k := submit(t, l, 0, 15*time.Second)
+	x := nettest.Wait(t, s.sends)
+	l.Release(k, true)
+	next := submit(t, l, 0, 15*time.Second)
+	require.NoError(t, x.ctx.Err())
+	x.end <- upstream.Outcome{Result: policy.OK}
+	nettest.Wait(t, s.sends).end <- upstream.Outcome{Result: policy.OK}
+	assert.True(t, nettest.Wait(t, next.Answer()).Served)
+}
+
+// As many requests as the settings allow are held, and room comes back.
+func TestMostHeld(t *testing.T) {
+	l, _ := run(t)
+	l.set.MostHeld = 1
+	k := submit(t, l, 0, 15*time.Second)
+	require.ErrorIs(t, l.Submit(&Ticket{}), ErrFull)
+	l.Release(k, true)
+	submit(t, l, 0, 15*time.Second)
+}
+
+// Each broken watch makes one loss, and the module asks again after the version it has.
+func TestWatchesAgain(t *testing.T) {
+	l, s := run(t)
+	assert.Equal(t, uint64(5), nettest.Wait(t, s.watches))
+	l.Post(dispatch.Listed{Version: 6})
+	s.breaks <- errors.New("broken")
+	assert.Equal(t, uint64(6), nettest.Wait(t, s.watches))
+}
+
+// A panic in the decisions fails what is open and no more: the loop goes on with a new module that knows
+// the hosts.
+func TestPanicInDecisions(t *testing.T) {
+	l, s := run(t)
+	k := submit(t, l, 1, 15*time.Second)
+	x := nettest.Wait(t, s.sends)
+	wrong := submit(t, l, 99, 15*time.Second) // no such class: it panics
+	assert.Equal(t, Answer{}, nettest.Wait(t, k.Answer()))
+	assert.Equal(t, Answer{}, nettest.Wait(t, wrong.Answer()))
+	nettest.Wait(t, x.ctx.Done())
+	next := submit(t, l, 0, 15*time.Second)
+	nettest.Wait(t, s.sends).end <- upstream.Outcome{Result: policy.OK}
+	assert.True(t, nettest.Wait(t, next.Answer()).Served)
+}
+
+// Starts that the cluster tells in Unix time and deadlines share one mapping.
+func TestClock(t *testing.T) {
+	c := NewClock()
+	now := time.Now()
+	assert.InDelta(t, float64(now.UnixNano()), float64(c.Since(now)), float64(time.Second))
+	assert.Equal(t, c.Since(now)+time.Minute, c.Since(c.Time(c.Since(now)+time.Minute)))
+}
--- /dev/null
+++ b/internal/net/nettest/nettest.go
@@ -0,0 +1,205 @@
+// Package nettest is the one helper that the tests of the network code share: scripted peers on loopback
+// sockets, and settings to run a dispatcher by.
+package nettest
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/settings"
+)
+
+// Patience is how long a test waits for an event that has to come.
+const Patience = 20 * time.Second
+
+// SettingsJSON is the settings of a small deployment: a class that is safe to repeat and one that is not.
+const SettingsJSON = `{"family-info":{"class-stretch":[2.0,2.0],"report-x0":"free slots","tells-start":true},
+"kinds":["k"],"limits":{"conn-idle":30000.0,"connect-timeout":250.0,"max-attempts":3,"max-retry-after":1500.0,
+"most-held":100,"retry-after":true,"probes":false},"localities":["z"],"locality":"z","ordinal":0,
+"replicas-of-me":1,"profiles":[
+{"credit":5.0,"deadline":20000.0,"effect":"retryable","name":"plot-load","on-time":15000.0},
+{"credit":9.0,"deadline":20000.0,"effect":"fragile","name":"harvest-sale","on-time":15000.0}],
+"registry-mode":"ask","report":{"fields":["q","rif","x0"],"how":"pull"},"value-by":"work"}`
+
+// Settings is SettingsJSON, read.
+func Settings(t testing.TB) *settings.Settings {
+	t.Helper()
+	s, err := settings.Parse([]byte(SettingsJSON))
+	require.NoError(t, err)
+	return s
+}
+
+// Call is one request that a Peer has read whole.
+type Call struct {
+	*http.Request
+	Text string // its body
+	Conn net.Conn
+	Nth  int // its number on its connection, from 0
+}
+
+// Say writes raw text back.
+func (c *Call) Say(text string) { io.WriteString(c.Conn, text) }
+
+// Reset ends the connection with a RST.
+func (c *Call) Reset() {
+	c.Conn.(*net.TCPConn).SetLinger(0)
+	c.Conn.Close()
+}
+
+// Peer listens on a loopback address and plays a script for each request that comes.
+type Peer struct {
+	Addr  string
+	Calls chan *Call // every request, in the order read
+	ln    net.Listener
+	mu    sync.Mutex
+	conns []net.Conn
+	work  sync.WaitGroup
+}
+
+// Listen starts a peer; script answers a request, and may leave it unanswered. The peer ends with the test.
+func Listen(t testing.TB, script func(*Call)) *Peer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &Peer{Addr: ln.Addr().String(), Calls: make(chan *Call, 100), ln: ln}
+	p.work.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.mu.Lock()
+			p.conns = append(p.conns, c)
+			p.mu.Unlock()
+			p.work.Go(func() { p.follow(c, script) })
+		}
+	})
+	t.Cleanup(p.Close)
+	return p
+}
+
+// Close ends the peer and all its connections.
+func (p *Peer) Close() {
+	p.ln.Close()
+	p.Hangup()
+	p.work.Wait()
+}
+
+// Hangup ends the connections that are open.
+func (p *Peer) Hangup() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.Close()
+	}
+	p.conns = nil
+}
+
+// Conns is how many connections have been accepted since the last Hangup.
+func (p *Peer) Conns() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.conns)
+}
+
+func (p *Peer) follow(c net.Conn, script func(*Call)) {
+	r := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		call := &Call{Request: req, Text: string(body), Conn: c, Nth: n}
+		p.Calls <- call
+		script(call)
+	}
+}
+
+// Wait receives what has to come.
+func Wait[T any](t testing.TB, c <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-c:
+		return v
+	case <-time.After(Patience):
+		require.FailNow(t, "waited in vain")
+		panic("unreachable")
+	}
+}
+
+// Chunked is a whole chunked answer with one chunk for each line.
+func Chunked(lines ...string) string { return Chunks(lines...) + "0\r\n\r\n" }
+
+// Chunks is a chunked answer whose end is still to come.
+func Chunks(lines ...string) string {
+	text := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, l := range lines {
+		text += Chunk(l)
+	}
+	return text
+}
+
+// Chunk is one chunk that holds a line.
+func Chunk(l string) string { return fmt.Sprintf("%x\r\n%s\n\r\n", len(l)+1, l) }
+
+// Client is one client's connection.
+type Client struct {
+	net.Conn
+	t testing.TB
+	r *bufio.Reader
+}
+
+// Dial connects to a dispatcher; the connection ends with the test.
+func Dial(t testing.TB, addr string) *Client {
+	t.Helper()
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return &Client{c, t, bufio.NewReader(c)}
+}
+
+// Send writes raw text.
+func (c *Client) Send(text string) {
+	c.t.Helper()
+	_, err := io.WriteString(c, text)
+	require.NoError(c.t, err)
+}
+
+// Post sends a job.
+func (c *Client) Post(path, id, headers, body string) {
+	c.t.Helper()
+	c.Send("POST " + path + " HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: " + id + "\r\n" + headers +
+		"Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body)
+}
+
+// Answer reads one answer.
+func (c *Client) Answer() (*http.Response, string) {
+	c.t.Helper()
+	c.SetReadDeadline(time.Now().Add(Patience))
+	resp, err := http.ReadResponse(c.r, nil)
+	require.NoError(c.t, err)
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(c.t, err)
+	return resp, string(body)
+}
+
+// Closed waits for the other side to close.
+func (c *Client) Closed() {
+	c.t.Helper()
+	c.SetReadDeadline(time.Now().Add(Patience))
+	_, err := c.r.ReadByte()
+	require.ErrorIs(c.t, err, io.EOF)
+}
--- a/internal/net/upstream/request.go
+++ b/internal/net/upstream/request.go
@@ -73,7 +73,7 @@
 	msg := q.encode(ctx)
 	if n, err := c.Write(msg); err != nil && n < len(msg) {
 		p.drop(c) // the last byte was not written: the protocol's proof that the job never ran
-		end(Outcome{Result: policy.ConnectFailed})
+		end(Outcome{Result: notSent(ctx, err)})
 		return
 	}
 	o, resp := q.read(c.r, w)
