Keep a job in the table until its Step is over, so that no lane is lost

With an attempt's end and the client's leaving in one batch, the module still sends the job again before it reads the second event; that send found no entry and was dropped without a word, and the module counted the lane as taken for ever. The new test shows it: with the old lines the next job on that host is not sent. Entries now leave the table at the end of the Step, and a send for an unknown job is a panic, which the loop turns into a new module.

Also: X-Expires-In-Ms: 0 was read as absent; a collision of worker ids was logged at the debug level only; the refusal at limits.most-held carries Retry-After; absent connect-timeout and conn-idle get defaults in internal/config.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"gaugeslip/internal/settings"
 	"gaugeslip/policy"
@@ -31,6 +32,12 @@
 	leastSockets    = 64 // fewer cannot be shared out between the parts
 )
 
+// Defaults of the settings that bind connections to upstream hosts, where the settings leave them out.
+const (
+	defaultConnectTimeout = 250 * time.Millisecond
+	defaultConnIdle       = 10 * time.Second
+)
+
 // Config is what a dispatcher is told at its start.
 type Config struct {
 	Name      string
@@ -110,6 +117,12 @@
 	if c.Settings, err = settings.Parse(f.Settings); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
+	if c.Settings.Policy.ConnectTimeout <= 0 {
+		c.Settings.Policy.ConnectTimeout = defaultConnectTimeout
+	}
+	if c.Settings.ConnIdle <= 0 {
+		c.Settings.ConnIdle = defaultConnIdle
+	}
 	if _, err = policy.New(c.Settings.Policy, c.Seed); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -42,8 +42,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Limits != (Limits{1, 192, 1024}) || c.Limits.Procs() != 1 {
-		t.Errorf("%+v", c.Limits)
+	if c.Limits != (Limits{1, 192, 1024}) || c.Limits.Procs() != 1 || c.Settings.ConnIdle != defaultConnIdle ||
+		c.Settings.Policy.ConnectTimeout != defaultConnectTimeout {
+		t.Errorf("%+v, %+v", c.Limits, c.Settings)
 	}
 }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -39,6 +39,7 @@
 	maxAttempts int
 	jobs        map[uint64]*job
 	hosts       map[uint32]Host
+	over        []uint64 // jobs that may leave the table when the Step is over
 	alarms      []alarm
 	version     uint64
 	events      []policy.Event
@@ -92,6 +93,14 @@
 			c.carry(now, &c.actions[i])
 		}
 	}
+	// Not earlier: the module may yet send a job whose end is told later in the same batch, and then has to
+	// hear that this was never sent, or it counts the lane as taken for good.
+	for _, id := range c.over {
+		if j := c.jobs[id]; j != nil && j.finished && j.out == 0 {
+			delete(c.jobs, id)
+		}
+	}
+	c.over = c.over[:0]
 	return c.out
 }
 
@@ -178,9 +187,7 @@
 	*e = policy.Event{Kind: policy.AttemptEnded, Job: m.Job, Attempt: m.Attempt, Worker: a.worker,
 		Result: m.Result, Took: now - a.sent, Finished: j.finished}
 	e.HasLoad, e.Load = load(m.Load)
-	if j.finished && j.out == 0 {
-		delete(c.jobs, m.Job)
-	}
+	c.over = append(c.over, m.Job)
 	return true
 }
 
@@ -192,9 +199,8 @@
 }
 
 func (c *Core) finish(id uint64, j *job) {
-	if j.finished = true; j.out == 0 {
-		delete(c.jobs, id)
-	}
+	j.finished = true
+	c.over = append(c.over, id)
 }
 
 // carry turns one action of the module into a command.
@@ -230,7 +236,7 @@
 	case policy.Watch:
 		c.out = append(c.out, Watch{c.version})
 	case policy.Log:
-		c.out = append(c.out, Log{a.Text})
+		c.out = append(c.out, Log{Text: a.Text})
 	default:
 		panic("dispatch: an action without a command: " + strconv.Itoa(int(a.Kind)))
 	}
@@ -239,8 +245,8 @@
 // send books an upstream request. One that must not or can't go out has never been sent.
 func (c *Core) send(now time.Duration, a *policy.Action) {
 	j := c.jobs[a.Job]
-	if j == nil {
-		return
+	if j == nil { // a job is in the table for as long as the module may send it
+		panic(fmt.Sprintf("dispatch: a send for job %d, which is not known", a.Job))
 	}
 	k := Key{a.Job, len(j.attempts)}
 	h, known := c.hosts[a.Worker]
@@ -269,8 +275,8 @@
 		id := WorkerID(h.Name)
 		if old, ok := c.hosts[id]; ok && old.Name != h.Name {
 			// Two hosts with one id would be one worker to the module: the second stays out of use.
-			c.out = append(c.out, Log{fmt.Sprintf("hosts %q and %q have one worker id %d: %q is not used",
-				old.Name, h.Name, id, h.Name)})
+			c.out = append(c.out, Log{Warn: true, Text: fmt.Sprintf(
+				"hosts %q and %q have one worker id %d: %q is not used", old.Name, h.Name, id, h.Name)})
 			continue
 		}
 		if c.hosts[id] = h; h.State == policy.Gone {
--- a/internal/dispatch/core_test.go
+++ b/internal/dispatch/core_test.go
@@ -112,6 +112,20 @@
 	}
 }
 
+// A client that leaves in the very batch in which its attempt ends: the module sends again and is told that
+// this never went, so the lane is free for the next job.
+func TestLeftWithTheEndOfAnAttempt(t *testing.T) {
+	c := newCore(t, one)
+	c.Step(start, []Message{arrival(1, 0)})
+	out := c.Step(start+ms, []Message{Ended{Key: Key{1, 0}, Result: policy.AppError}, Left{Job: 1}})
+	if len(of[Send](out)) != 0 || c.Open() != 0 {
+		t.Fatalf("commands %v, %d jobs open", out, c.Open())
+	}
+	if out = c.Step(start+2*ms, []Message{arrival(2, 0)}); len(of[Send](out)) != 1 {
+		t.Fatalf("the next job is not sent: %v", out)
+	}
+}
+
 // Ids come from names alone: the module's shares of a cold host need them alike at every dispatcher.
 func TestWorkerID(t *testing.T) {
 	for name, want := range map[string]uint32{"s-0badcafe": 0x0badcafe, "a-b-0000000a": 10} {
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -116,8 +116,11 @@
 // Watch asks the cluster for all changes after Version.
 type Watch struct{ Version uint64 }
 
-// Log is a line for the log.
-type Log struct{ Text string }
+// Log is a line for the log; Warn: one that somebody should see.
+type Log struct {
+	Text string
+	Warn bool
+}
 
 func (Send) command()       {}
 func (CancelSend) command() {}
--- a/internal/net/downstream/decode.go
+++ b/internal/net/downstream/decode.go
@@ -62,8 +62,8 @@
 	if j.Budget, err = number(r, "X-Expires-In-Ms", time.Millisecond); err != nil {
 		return nil, err
 	}
-	if limit := s.Policy.Classes[class].Deadline; j.Budget == 0 {
-		j.Budget = limit // not said: the class's own
+	if r.Header.Get("X-Expires-In-Ms") == "" { // not said: the class's own
+		j.Budget = s.Policy.Classes[class].Deadline
 	}
 	if j.Size, err = number(r, "X-Size-Hint", time.Microsecond); err != nil {
 		return nil, err
--- a/internal/net/downstream/downstream_test.go
+++ b/internal/net/downstream/downstream_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -132,6 +134,31 @@
 	assert.Equal(t, "/harvest-sale/9?q=1", k.Forward.URI)
 }
 
+// A request with no time left is not worth sending, and one that does not say how long it waits has the
+// class's own time.
+func TestExpiry(t *testing.T) {
+	for headers, want := range map[string]time.Duration{"0": 0, "": 20 * time.Second, "480": 480 * time.Millisecond} {
+		r, err := http.NewRequest("POST", "/plot-load", strings.NewReader(""))
+		require.NoError(t, err)
+		r.Header.Set("X-Trace-Id", "t")
+		r.Header.Set("X-Expires-In-Ms", headers)
+		k, err := decode(nil, r, nettest.Settings(t), time.Now())
+		require.NoError(t, err)
+		assert.Equal(t, want, k.Job.Budget)
+	}
+}
+
+// Beyond the hard limit a request is refused, with advice when to come back.
+func TestMostHeld(t *testing.T) {
+	set := nettest.Settings(t)
+	set.MostHeld = 1
+	l := loop.New(nil, set, nil, nil, loop.NewClock())
+	require.NoError(t, l.Submit(&loop.Ticket{}))
+	w := httptest.NewRecorder()
+	New(Config{}, set, l).await(w, httptest.NewRequest("POST", "/plot-load", nil), &loop.Ticket{})
+	assert.Equal(t, "429 1.5", strconv.Itoa(w.Code)+" "+w.Header().Get("Retry-After"))
+}
+
 // A refusal says that a repeat is harmless: never of a job that may have run.
 func TestAnswers(t *testing.T) {
 	for class, want := range map[string]int{"plot-load": 429, "harvest-sale": 500} {
--- a/internal/net/downstream/server.go
+++ b/internal/net/downstream/server.go
@@ -140,7 +140,12 @@
 // await hands a ticket in and sends its answer.
 func (s *Server) await(w http.ResponseWriter, r *http.Request, t *loop.Ticket) {
 	if err := s.loop.Submit(t); err != nil {
-		s.reply(w, http.StatusServiceUnavailable, err.Error()) // nothing was sent: a repeat is harmless
+		// A hard limit. Nothing was sent: a repeat is harmless.
+		a := loop.Answer{Refused: true}
+		if s.set.RetryAfter {
+			a.RetryAfter = s.set.Policy.MaxRetryAfter
+		}
+		s.answer(w, a)
 		return
 	}
 	left := false
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -253,7 +253,11 @@
 	case dispatch.Watch:
 		l.startWatch(ctx, c)
 	case dispatch.Log:
-		slog.Debug(c.Text)
+		level := slog.LevelDebug
+		if c.Warn {
+			level = slog.LevelWarn
+		}
+		slog.Log(ctx, level, c.Text)
 	default:
 		panic(fmt.Sprintf("loop: unknown command %T", c))
 	}
