Look on for an idle lane before a job queues behind others on a busy worker

Its own comment wants a neighbour's idle lane before a queue, whose worth it halves. Now it goes beyond tries() until a place is worth more than half the job, that is idle.

--- a/policy/decisions_test.go
+++ b/policy/decisions_test.go
@@ -431,8 +431,9 @@
 		t.Fatalf("%d tries, want one: jobs are seldom", w.d.tries())
 	}
 	for i := range 20 { // one worker of two lanes ends 8 of them in time
-		if _, acts := w.arrive(0, 100*ms, 3*time.Second); slices.Contains(kinds(acts), Refuse) {
-			t.Fatalf("job %d: %+v", i, acts)
+		_, acts := w.arrive(0, 100*ms, 3*time.Second)
+		if slices.Contains(kinds(acts), Refuse) || i < 8 && !slices.Contains(kinds(acts), Send) {
+			t.Fatalf("job %d: %+v, and eight lanes were idle", i, acts)
 		}
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -177,7 +177,8 @@
 // settle admits a job or answers it. It looks at the first workers of the job's range, own zone first, then
 // of the other range, until one is worth enough; else the best is taken. Worth is the chance to end in time,
 // by the slack over peers' delay and the noise of runs. A wait behind own jobs halves it: a neighbour's idle
-// lane comes before a queue in the own range, or one range is refused while others idle. Crossing costs.
+// lane comes before a queue in the own range, or one range is refused while others idle. Crossing costs. It
+// looks beyond tries until it has found such a lane: a refusal comes only if no worker passes.
 // What half the expected delay makes late is refused: in others' overload own lanes look free.
 func (d *Dispatcher) settle(j *job) {
 	best, found := 0.0, (*worker)(nil)
@@ -187,7 +188,7 @@
 			if len(w.held) >= 8*w.lanes || !d.allowed(j, w) {
 				continue
 			}
-			if left--; left < 0 && found != nil || best >= enough*j.value {
+			if left--; left < 0 && best > 0.5*j.value || best >= enough*j.value {
 				break
 			}
 			end, ok := d.admit(j, w)
