Give bad clients an error or a close in time, and pass on nothing that hides a request

Checked, by reading net/http and by tests on sockets: - net/http deletes a Content-Length beside a Transfer-Encoding, then reads the next request out of what the client meant as body (downstream.decode never saw it). Now: 2 s for a head, 2.5 s from the accept for a first request; rejects answer at once, full duplex, and close; the gate accepts always and closes first whoever has sent no whole head, then the answered, then the idle, never one that is owed an answer or whose bytes wait unread; strict digits, ids and paths; an id stays taken until its request's time is up; long bodies together take an eighth of the memory, and none is kept while its job runs.

--- a/cmd/gaugeslip/serve.go
+++ b/cmd/gaugeslip/serve.go
@@ -76,7 +76,7 @@
 	l := loop.New(core, cfg.Settings, pool, source, loop.NewClock())
 	l.Post(known)
 	server := downstream.New(downstream.Config{Listen: cfg.Listen, MaxConns: down,
-		AcceptFor: downstream.AcceptFor}, cfg.Settings, l)
+		MaxBodies: cfg.Limits.BodyBytes(), AcceptFor: downstream.AcceptFor}, cfg.Settings, l)
 	ln, err := server.Listen()
 	if err != nil {
 		return err
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -157,6 +157,10 @@
 // MemoryBytes is what the Go runtime may use: the rest of the limit is for what it does not count.
 func (l *Limits) MemoryBytes() int64 { return int64(l.MemoryMB * 0.75 * (1 << 20)) }
 
+// BodyBytes is what the bodies of requests may take together. Each is held twice while it is written to an
+// upstream host, and the runtime with its connections needs 10 to 15 MB whatever comes.
+func (l *Limits) BodyBytes() int64 { return int64(l.MemoryMB / 8 * (1 << 20)) }
+
 // checkAddr wants an address of numbers: there is no DNS.
 func checkAddr(s string) error {
 	host, port, err := net.SplitHostPort(s)
--- a/internal/net/downstream/decode.go
+++ b/internal/net/downstream/decode.go
@@ -1,9 +1,7 @@
 package downstream
 
 import (
-	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -18,6 +16,7 @@
 const (
 	maxBody  = 64 << 10
 	maxSlots = 1 << 10
+	maxID    = 64
 )
 
 // fault is a request that can't be taken: the status of the local reply and why.
@@ -32,8 +31,21 @@
 	return &fault{http.StatusBadRequest, fmt.Sprintf(format, args...)}
 }
 
-// decode reads a request into a ticket, once. Every error is a *fault.
-func decode(w http.ResponseWriter, r *http.Request, s *settings.Settings, arrived time.Time) (*loop.Ticket, error) {
+// once names the headers that a job may carry one time only: with two, the host might read the other one.
+var once = []string{"X-Trace-Id", "X-Qos", "X-Expires-In-Ms", "X-Size-Hint", "X-Props", "X-Customer"}
+
+// framed wants a body whose length only Content-Length gives. net/http drops a Content-Length that stands beside
+// a Transfer-Encoding before a handler sees it, so that the two can't be told from chunks alone; and whatever is
+// not plainly of one length may hide another request, to be served as if a client had sent it.
+func framed(r *http.Request) error {
+	if len(r.TransferEncoding) > 0 || r.ContentLength < 0 {
+		return &fault{http.StatusLengthRequired, "Content-Length alone gives a body's length here"}
+	}
+	return nil
+}
+
+// decode reads a request's head into a ticket, once. Every error is a *fault.
+func decode(r *http.Request, s *settings.Settings, arrived time.Time) (*loop.Ticket, error) {
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	class, ok := s.Classes[first]
 	if !ok {
@@ -42,12 +54,23 @@
 	if r.Method != http.MethodPost {
 		return nil, &fault{http.StatusMethodNotAllowed, "jobs come by POST"}
 	}
+	if r.ContentLength > maxBody {
+		return nil, &fault{http.StatusRequestEntityTooLarge, "a body holds 64 KiB at most"}
+	}
+	for _, name := range once {
+		if len(r.Header[name]) > 1 {
+			return nil, bad("%s: more than one", name)
+		}
+	}
 	t := &loop.Ticket{Arrived: arrived, Job: dispatch.Arrived{Class: class, Tenant: -1, Slots: 1},
 		Forward: upstream.Request{Method: r.Method, URI: target(r), Host: r.Host,
 			TraceID: r.Header.Get("X-Trace-Id")}}
 	j := &t.Job
-	if t.Forward.TraceID == "" {
-		return nil, bad("X-Trace-Id: missing")
+	if !token(t.Forward.TraceID, maxID) {
+		return nil, bad("X-Trace-Id: missing or malformed")
+	}
+	if !visible(t.Forward.URI) {
+		return nil, bad("the path holds what no URL may")
 	}
 	if q := r.Header.Get("X-Qos"); q != "" && q != first {
 		return nil, bad("X-Qos: %q does not go with the path", q)
@@ -58,12 +81,12 @@
 		}
 	}
 	j.Retry = r.Header.Get("X-Second-Try") == "1"
+	j.Budget = s.Policy.Classes[class].Deadline // where none is said
 	var err error
-	if j.Budget, err = number(r, "X-Expires-In-Ms", time.Millisecond); err != nil {
-		return nil, err
-	}
-	if r.Header.Get("X-Expires-In-Ms") == "" { // not said: the class's own
-		j.Budget = s.Policy.Classes[class].Deadline
+	if said := r.Header["X-Expires-In-Ms"]; len(said) > 0 {
+		if j.Budget, err = digits(said[0]); err != nil {
+			return nil, bad("X-Expires-In-Ms: bad value %q", said[0])
+		}
 	}
 	if j.Size, err = number(r, "X-Size-Hint", time.Microsecond); err != nil {
 		return nil, err
@@ -71,15 +94,38 @@
 	if j.Slots, err = slots(r.Header.Get("X-Props")); err != nil {
 		return nil, err
 	}
-	t.Forward.Body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
-	var long *http.MaxBytesError
-	if errors.As(err, &long) {
-		return nil, &fault{http.StatusRequestEntityTooLarge, "a body holds 64 KiB at most"}
+	return t, nil
+}
+
+// token tells whether an id is 1 to n letters, digits, dashes, dots or underscores: what any host can read.
+func token(s string, n int) bool {
+	for _, b := range []byte(s) {
+		if !('a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || '0' <= b && b <= '9' ||
+			b == '-' || b == '_' || b == '.') {
+			return false
+		}
+	}
+	return len(s) > 0 && len(s) <= n
+}
+
+// visible tells whether a request target is ASCII that can be seen: a host closes on what it can't read.
+func visible(s string) bool {
+	for _, b := range []byte(s) {
+		if b <= ' ' || b > '~' {
+			return false
+		}
 	}
-	if err != nil {
-		return nil, bad("body: %v", err)
+	return true
+}
+
+// digits reads whole milliseconds, an hour's worth at most: digits alone, where ParseFloat would take a sign,
+// an exponent, hex figures or NaN too.
+func digits(s string) (time.Duration, error) {
+	v, err := strconv.ParseUint(s, 10, 32) // takes no sign
+	if err != nil || v > uint64(time.Hour/time.Millisecond) {
+		return 0, strconv.ErrRange
 	}
-	return t, nil
+	return time.Duration(v) * time.Millisecond, nil
 }
 
 // target is the path and query as the client wrote them, without the authority of an absolute form.
--- /dev/null
+++ b/internal/net/downstream/gate.go
@@ -0,0 +1,167 @@
+package downstream
+
+import (
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// phase says what a connection is doing, in the order in which connections have to make room for new ones.
+type phase int
+
+const (
+	unread  phase = iota // no whole head has come yet: silent, or dribbling
+	parting              // answered with a local reply that closes it
+	idle                 // between requests: a close here costs a client no more than a new connection
+	busy                 // a request is being read or is owed its answer: never closed for others
+	phases
+)
+
+// gate is the listener of the downstream side. It accepts whatever comes, so that nobody waits unseen in the
+// listen queue behind a crowd that says nothing, and keeps to its limit by closing what can be spared.
+type gate struct {
+	net.Listener
+	max int
+
+	mu    sync.Mutex
+	conns [phases]map[*client]struct{}
+}
+
+// client is one connection of the gate. Its fields belong to the gate's lock.
+type client struct {
+	net.Conn
+	gate     *gate
+	accepted time.Time
+	phase    phase
+	since    time.Time // in this phase
+	closed   bool
+}
+
+func newGate(ln net.Listener, limit int) *gate {
+	g := &gate{Listener: ln, max: limit}
+	for p := range g.conns {
+		g.conns[p] = map[*client]struct{}{}
+	}
+	return g
+}
+
+// Accept takes the next connection. At the limit the one that can best be spared is closed for it; where
+// every other is owed an answer it is the new one.
+func (g *gate) Accept() (net.Conn, error) {
+	for {
+		nc, err := g.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := g.admit(nc); c != nil {
+			return c, nil
+		}
+		nc.Close()
+	}
+}
+
+func (g *gate) admit(nc net.Conn) *client {
+	g.mu.Lock()
+	held := 0
+	for _, set := range g.conns {
+		held += len(set)
+	}
+	var victim *client
+	if held >= g.max {
+		if victim = g.spare(); victim == nil {
+			g.mu.Unlock()
+			return nil
+		}
+		g.forget(victim)
+	}
+	now := time.Now()
+	c := &client{Conn: nc, gate: g, accepted: now, since: now}
+	g.conns[unread][c] = struct{}{}
+	g.mu.Unlock()
+	if victim != nil {
+		victim.Conn.Close()
+	}
+	return c
+}
+
+// spare finds the connection that has been longest in the first phase that may make room. One whose request
+// has come and only waits to be read is none: in a crowd that would shed the clients that speak.
+func (g *gate) spare() *client {
+	for p := unread; p < busy; p++ {
+		list := slices.SortedFunc(maps.Keys(g.conns[p]), func(a, b *client) int { return a.since.Compare(b.since) })
+		for _, c := range list {
+			if !pending(c.Conn) {
+				return c
+			}
+		}
+	}
+	return nil
+}
+
+// pending tells whether a connection has bytes that nobody has read yet.
+func pending(nc net.Conn) bool {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
+func (g *gate) forget(c *client) {
+	delete(g.conns[c.phase], c)
+	c.closed = true
+}
+
+// move notes what a connection is doing now.
+func (g *gate) move(c *client, p phase) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !c.closed {
+		delete(g.conns[c.phase], c)
+		c.phase, c.since = p, time.Now()
+		g.conns[p][c] = struct{}{}
+	}
+}
+
+// state follows net/http's own view; a connection is active for it once a whole head has come.
+func (g *gate) state(nc net.Conn, s http.ConnState) {
+	if c, ok := nc.(*client); ok {
+		switch s {
+		case http.StateActive:
+			g.move(c, busy)
+		case http.StateIdle:
+			g.move(c, idle)
+		}
+	}
+}
+
+// Close frees the connection's place.
+func (c *client) Close() error {
+	err := c.Conn.Close()
+	c.gate.mu.Lock()
+	c.gate.forget(c)
+	c.gate.mu.Unlock()
+	return err
+}
+
+// CloseWrite lets net/http end its sending before it closes, so that an answer is not lost with what the
+// client still sends.
+func (c *client) CloseWrite() error {
+	if t, ok := c.Conn.(*net.TCPConn); ok {
+		return t.CloseWrite()
+	}
+	return nil
+}
--- a/internal/net/downstream/server.go
+++ b/internal/net/downstream/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"net/http"
@@ -14,18 +15,18 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"gaugeslip/internal/net/loop"
 	"gaugeslip/internal/settings"
 )
 
+// A client that cannot be understood is owed an error or a close within 3 s of connecting.
 const (
-	headerTimeout  = 10 * time.Second
-	bodyTimeout    = 10 * time.Second
+	headTimeout    = 2 * time.Second         // from the accept, or from a later request's first byte
+	requestTimeout = 2500 * time.Millisecond // from the accept to the last byte of the first request
+	bodyTimeout    = 700 * time.Millisecond  // what a body has at least, after its head
 	writeTimeout   = 10 * time.Second
 	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 32 << 10
+	maxHeaderBytes = 8 << 10
 )
 
 // AcceptFor is how long after the start of a shutdown clients still come: new connections go on for up to
@@ -36,7 +37,8 @@
 // Config is what a Server must keep to.
 type Config struct {
 	Listen    string
-	MaxConns  int           // connections at once; more wait in the listen queue
+	MaxConns  int           // connections at once; beyond, the one that can best be spared is closed
+	MaxBodies int64         // bytes of long bodies held at once; a request beyond that is refused
 	AcceptFor time.Duration // see the constant
 }
 
@@ -46,14 +48,18 @@
 	set      *settings.Settings
 	loop     *loop.Loop
 	http     *http.Server
+	gate     *gate
+	bodies   atomic.Int64 // see Config.MaxBodies
 	stopping atomic.Bool
 }
 
 // New makes a server that hands its requests to a loop.
 func New(cfg Config, set *settings.Settings, l *loop.Loop) *Server {
 	s := &Server{cfg: cfg, set: set, loop: l}
-	s.http = &http.Server{Handler: s, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderBytes, ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
+	s.http = &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
+		MaxHeaderBytes: maxHeaderBytes, ConnContext: withClient,
+		ConnState: func(nc net.Conn, state http.ConnState) { s.gate.state(nc, state) },
+		ErrorLog:  slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
 	return s
 }
 
@@ -63,7 +69,21 @@
 	if err != nil {
 		return nil, fmt.Errorf("downstream: %w", err)
 	}
-	return netutil.LimitListener(ln, s.cfg.MaxConns), nil
+	s.gate = newGate(ln, s.cfg.MaxConns)
+	return s.gate, nil
+}
+
+// clientKey finds a request's connection in its context.
+type clientKey struct{}
+
+func withClient(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, clientKey{}, nc)
+}
+
+// clientOf is the connection that a request came on; nil: it came on none of the gate's.
+func clientOf(r *http.Request) *client {
+	c, _ := r.Context().Value(clientKey{}).(*client)
+	return c
 }
 
 // Serve serves until ctx ends, then goes on for as long as clients still come and until all that was taken
@@ -101,29 +121,86 @@
 			s.reply(w, http.StatusInternalServerError, "internal error")
 		}
 	}()
+	control := http.NewResponseController(w)
+	control.SetReadDeadline(bodyBy(clientOf(r), arrived))
+	if err := framed(r); err != nil {
+		s.reject(w, r, err)
+		return
+	}
 	if r.URL.Path == "/up" {
 		s.up(w, r)
 		return
 	}
-	// Only the body has a limit of its own: one on the connection would end the wait for the answer too.
-	control := http.NewResponseController(w)
-	control.SetReadDeadline(arrived.Add(bodyTimeout))
-	t, err := decode(w, r, s.set, arrived)
-	control.SetReadDeadline(time.Time{})
+	t, err := decode(r, s.set, arrived)
+	if err == nil {
+		long := charge(r)
+		held := s.bodies.Add(long)
+		defer s.bodies.Add(-long)
+		t.Forward.Body, err = readBody(r, held <= s.cfg.MaxBodies)
+	}
 	if err != nil {
-		var f *fault
-		if !errors.As(err, &f) {
-			f = &fault{http.StatusBadRequest, err.Error()}
-		}
-		if f.status == http.StatusMethodNotAllowed {
-			w.Header().Set("Allow", http.MethodPost)
-		}
-		s.reply(w, f.status, f.why)
+		s.reject(w, r, err)
 		return
 	}
+	// Only the body has a limit: one on the connection would end the wait for the answer too.
+	control.SetReadDeadline(time.Time{})
 	s.await(w, r, t)
 }
 
+// bodyBy is when the last byte of a request has to be there.
+func bodyBy(c *client, arrived time.Time) time.Time {
+	by := arrived.Add(bodyTimeout)
+	if c != nil && by.Before(c.accepted.Add(requestTimeout)) {
+		by = c.accepted.Add(requestTimeout)
+	}
+	return by
+}
+
+// freeBody is how long a body may be without being counted: short ones are bounded by the connections.
+const freeBody = 4 << 10
+
+// charge is what a request's body counts for in Config.MaxBodies.
+func charge(r *http.Request) int64 {
+	if r.ContentLength <= freeBody {
+		return 0
+	}
+	return r.ContentLength
+}
+
+// readBody reads a body of known length, where there is room for it.
+func readBody(r *http.Request, room bool) ([]byte, error) {
+	if !room && charge(r) > 0 {
+		return nil, &fault{http.StatusServiceUnavailable, "too many long bodies at once"}
+	}
+	b := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, b); err != nil {
+		return nil, bad("body: %v", err)
+	}
+	return b, nil
+}
+
+// reject answers what can't be taken, at once and without waiting for the rest of it, and closes: what follows
+// on the connection may be part of it.
+func (s *Server) reject(w http.ResponseWriter, r *http.Request, err error) {
+	var f *fault
+	if !errors.As(err, &f) {
+		f = &fault{http.StatusBadRequest, err.Error()}
+	}
+	switch f.status {
+	case http.StatusMethodNotAllowed:
+		w.Header().Set("Allow", http.MethodPost)
+	case http.StatusServiceUnavailable:
+		s.advise(w, s.set.Policy.MaxRetryAfter)
+	}
+	// Else net/http reads the rest of the body before it answers.
+	http.NewResponseController(w).EnableFullDuplex()
+	w.Header().Set("Connection", "close")
+	s.reply(w, f.status, f.why)
+	if c := clientOf(r); c != nil {
+		c.gate.move(c, parting)
+	}
+}
+
 // up tells the front whether requests can be served here.
 func (s *Server) up(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
@@ -145,12 +222,12 @@
 // await hands a ticket in and sends its answer.
 func (s *Server) await(w http.ResponseWriter, r *http.Request, t *loop.Ticket) {
 	if err := s.loop.Submit(t); err != nil {
-		// A hard limit. Nothing was sent: a repeat is harmless.
-		a := loop.Answer{Refused: true}
-		if s.set.RetryAfter {
-			a.RetryAfter = s.set.Policy.MaxRetryAfter
+		if errors.Is(err, loop.ErrOpen) {
+			s.reject(w, r, &fault{http.StatusConflict, err.Error()})
+			return
 		}
-		s.answer(w, a)
+		// A hard limit. Nothing was sent: a repeat is harmless.
+		s.answer(w, loop.Answer{Refused: true, RetryAfter: s.set.Policy.MaxRetryAfter})
 		return
 	}
 	left := false
@@ -171,15 +248,20 @@
 		w.Header().Set("Content-Type", "application/octet-stream")
 		s.write(w, http.StatusOK, a.Body)
 	case a.Refused:
-		if a.RetryAfter > 0 {
-			w.Header().Set("Retry-After", strconv.FormatFloat(a.RetryAfter.Seconds(), 'f', -1, 64))
-		}
+		s.advise(w, a.RetryAfter)
 		s.reply(w, http.StatusTooManyRequests, "refused")
 	default:
 		s.reply(w, http.StatusInternalServerError, "failed")
 	}
 }
 
+// advise tells a refused client when to come back; 0: no advice.
+func (s *Server) advise(w http.ResponseWriter, after time.Duration) {
+	if after > 0 && s.set.RetryAfter {
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+	}
+}
+
 // reply sends a local reply.
 func (s *Server) reply(w http.ResponseWriter, status int, text string) {
 	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -76,6 +76,7 @@
 	queue    chan envelope
 	nextJob  atomic.Uint64
 	held     atomic.Int64
+	ids      ids
 	stopped  chan struct{}
 	work     sync.WaitGroup
 
@@ -89,7 +90,7 @@
 // New makes a loop round a core.
 func New(core *dispatch.Core, set *settings.Settings, up Upstream, source cluster.Source, clock Clock) *Loop {
 	return &Loop{core: core, set: set, upstream: up, source: source, clock: clock,
-		queue: make(chan envelope, queueLen), stopped: make(chan struct{}),
+		queue: make(chan envelope, queueLen), ids: ids{until: map[string]time.Time{}}, stopped: make(chan struct{}),
 		tickets: map[uint64]*Ticket{}, cancels: map[dispatch.Key]context.CancelFunc{}}
 }
 
@@ -106,13 +107,20 @@
 // ErrFull says that the dispatcher holds as many requests as it may.
 var ErrFull = errors.New("loop: as many requests are held as may be")
 
-// Submit hands in a downstream request. Its answer comes on t.Answer; when the client goes first, Leave
-// must be called.
+// ErrOpen says that a request's id is that of one which is open, or whose upstream requests may still be.
+var ErrOpen = errors.New("loop: a request with this id is already open")
+
+// Submit hands in a downstream request. Its answer comes on t.Answer; when the request is over Release must be
+// called.
 func (l *Loop) Submit(t *Ticket) error {
 	if n := l.held.Add(1); l.set.MostHeld > 0 && n > int64(l.set.MostHeld) {
 		l.held.Add(-1)
 		return ErrFull
 	}
+	if err := l.ids.claim(t.Forward.TraceID, t.Arrived, t.Job.Budget); err != nil {
+		l.held.Add(-1)
+		return err
+	}
 	t.answer = make(chan Answer, 1)
 	t.Job.Job, t.Job.At = l.nextJob.Add(1), l.clock.Since(t.Arrived)
 	l.post(envelope{msg: t.Job, ticket: t})
--- a/internal/net/upstream/request.go
+++ b/internal/net/upstream/request.go
@@ -71,7 +71,10 @@
 	stop := p.interrupt(ctx, c)
 	defer stop()
 	msg := q.encode(ctx)
-	if n, err := c.Write(msg); err != nil && n < len(msg) {
+	n, err := c.Write(msg)
+	whole := n == len(msg)
+	q.Body, msg = nil, nil // not held for as long as the job runs
+	if err != nil && !whole {
 		p.drop(c) // the last byte was not written: the protocol's proof that the job never ran
 		end(Outcome{Result: notSent(ctx, err)})
 		return
