Hold an unsafe job's last byte until its connection has taken the rest in silence

Checked in the trace: the write had succeeded, so upstream.Do had to call them possibly run (request.go, c.Write of the whole message); pool.alive sees only what has broken before. Ruled out: idle time-outs (0 closed as idle). Now a job that must not run twice (Once, from its class) is written but for its last byte; 5 ms without a reset, some round trips between server rooms, and that byte follows. A break before it is the protocol's proof that the job never ran, and the module may send it elsewhere. On a kept connection the break is no word against the host (NeverSent); on a new one it is (ConnectFailed). Other jobs are written at once as before.

--- a/cmd/gaugeslip/serve.go
+++ b/cmd/gaugeslip/serve.go
@@ -27,6 +27,7 @@
 	downstreamParts = 5  // of nine: a request holds a connection on each side, downstream some more
 	upstreamParts   = 4
 	probeTimeout    = 500 * time.Millisecond
+	settle          = 5 * time.Millisecond // some round trips between server rooms
 )
 
 // budget shares the descriptors out.
@@ -74,7 +75,7 @@
 	}
 	down, up := budget(cfg.Limits.Sockets)
 	pool := upstream.NewPool(upstream.Config{ConnectTimeout: cfg.Settings.Policy.ConnectTimeout,
-		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, MaxConns: up})
+		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, Settle: settle, MaxConns: up})
 	l := loop.New(core, cfg.Settings, pool, source(cfg), loop.NewClock())
 	l.Post(known)
 	server := downstream.New(downstream.Config{Listen: cfg.Listen, MaxConns: down,
--- a/internal/net/downstream/decode.go
+++ b/internal/net/downstream/decode.go
@@ -11,6 +11,7 @@
 	"gaugeslip/internal/net/loop"
 	"gaugeslip/internal/net/upstream"
 	"gaugeslip/internal/settings"
+	"gaugeslip/policy"
 )
 
 const (
@@ -64,7 +65,7 @@
 	}
 	t := &loop.Ticket{Arrived: arrived, Job: dispatch.Arrived{Class: class, Tenant: -1, Slots: 1},
 		Forward: upstream.Request{Method: r.Method, URI: target(r), Host: r.Host,
-			TraceID: r.Header.Get("X-Trace-Id")}}
+			TraceID: r.Header.Get("X-Trace-Id"), Once: s.Policy.Classes[class].Effect != policy.Repeatable}}
 	j := &t.Job
 	if !token(t.Forward.TraceID, maxID) {
 		return nil, bad("X-Trace-Id: missing or malformed")
--- a/internal/net/upstream/pool.go
+++ b/internal/net/upstream/pool.go
@@ -20,7 +20,8 @@
 	ConnectTimeout time.Duration
 	ConnIdle       time.Duration // an upstream host closes a connection that has stood idle this long
 	ProbeTimeout   time.Duration
-	MaxConns       int // connections at once, idle ones included
+	Settle         time.Duration // how long the last byte of a request that must not run twice waits, see write
+	MaxConns       int           // connections at once, idle ones included
 }
 
 // conn is a connection with its reader; both live as long as the connection.
@@ -28,7 +29,7 @@
 	net.Conn
 	r     *bufio.Reader
 	addr  string
-	since time.Time // idle since
+	since time.Time // idle since; zero: it has carried nothing yet
 }
 
 // Pool holds the connections to all upstream hosts.
--- a/internal/net/upstream/request.go
+++ b/internal/net/upstream/request.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -26,6 +27,7 @@
 	Addr                       string
 	Method, URI, Host, TraceID string
 	Body                       []byte
+	Once                       bool // it must not run twice
 }
 
 // Report is a load report: values by name.
@@ -70,13 +72,15 @@
 	}
 	stop := p.interrupt(ctx, c)
 	defer stop()
-	msg := q.encode(ctx)
-	n, err := c.Write(msg)
-	whole := n == len(msg)
-	q.Body, msg = nil, nil // not held for as long as the job runs
-	if err != nil && !whole {
+	whole, err := q.write(ctx, c, p.cfg.Settle)
+	q.Body = nil // not held for as long as the job runs
+	if !whole {
 		p.drop(c) // the last byte was not written: the protocol's proof that the job never ran
-		end(Outcome{Result: notSent(ctx, err)})
+		result := notSent(ctx, err)
+		if !c.since.IsZero() { // a kept connection that breaks tells nothing of its host
+			result = policy.NeverSent
+		}
+		end(Outcome{Result: result})
 		return
 	}
 	o, resp := q.read(c.r, w)
@@ -87,6 +91,30 @@
 	p.recycle(c, resp, stop)
 }
 
+// write sends the request and tells whether its last byte was written. Where it must not run twice that byte waits
+// until the connection has taken the rest in silence: one that the host closes as the request comes, or has closed
+// unheard, then breaks while the job has provably not run and may go elsewhere.
+func (q *Request) write(ctx context.Context, c *conn, settle time.Duration) (whole bool, err error) {
+	msg := q.encode(ctx)
+	if q.Once {
+		n, err := c.Write(msg[:len(msg)-1])
+		if err == nil {
+			c.SetReadDeadline(time.Now().Add(settle))
+			_, err = c.r.Peek(1)
+			c.SetReadDeadline(time.Time{})
+		}
+		if ctx.Err() != nil { // its interruption may have been undone just now
+			return false, ctx.Err()
+		}
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			return false, err
+		}
+		msg = msg[n:]
+	}
+	n, err := c.Write(msg)
+	return n == len(msg), err
+}
+
 // interrupt ends reads and writes of c when ctx does; the function it returns calls that off.
 func (p *Pool) interrupt(ctx context.Context, c *conn) func() bool {
 	return context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
@@ -224,6 +252,9 @@
 			return policy.Full
 		}
 	}
+	if resp.StatusCode/100 == 4 { // the request's fault: no word against the host
+		return policy.Rejected
+	}
 	return policy.AppError
 }
 
--- a/policy/types.go
+++ b/policy/types.go
@@ -59,9 +59,10 @@
 	Kinds             int
 	Classes           []Class
 	Tenants           []Tenant
-	Ask               bool // the worker list comes only on request
-	TellsStart        bool // workers tell when a job starts
-	Probes, Cancel    bool // what the scheduler may do
+	Ask               bool          // the worker list comes only on request
+	TellsStart        bool          // workers tell when a job starts
+	Progress          time.Duration // how often they tell of progress; 0: never
+	Probes, Cancel    bool          // what the scheduler may do
 	SecondCopies      bool
 	MaxAttempts       int
 	MaxRetryAfter     time.Duration
@@ -147,6 +148,7 @@
 	ConnectionLost
 	Cancelled
 	NeverSent
+	Rejected // the worker will not take a job like this one, which says nothing about the worker
 )
 
 // EventKind says which fields of an Event count.
