Ask a worker again before a send when what is known of it is old

Checked: believed load against the workers' own reports. ask() probes the first few workers of the job's range only; settle() and pump() then took workers beyond those, and workers of held jobs, on news that had run out (free() forgets what peers hold after half a mean run). Ruled out: lanes and speeds, which were right; the size estimate. Now: the worker that a job is to go to is asked first where the news is older than a quarter of a mean run, for jobs that were held too, at most four times a job; with that fewer workers are asked at arrival (0.6 points, 1 before).

--- a/policy/decisions_test.go
+++ b/policy/decisions_test.go
@@ -588,6 +588,24 @@
 	}
 }
 
+// A worker of which nothing new is known is asked before it is sent to, also by a job that was held for it: what looks
+// like an idle lane may have a queue behind it by now.
+func TestOldNewsIsAskedAnew(t *testing.T) {
+	w := fixture(t, 1, func(c *Config) { c.Probes, c.ReportInProbes = true, true })
+	x := w.d.order[0]
+	idle := Event{Kind: ProbeEnded, Worker: x.ID, HasLoad: true, Load: Load{FreeSlots: 1, Queue: 0}}
+	x.lanes = 1
+	first, acts := w.arrive(0, 100*ms, 3*time.Second)
+	want(t, "asked", acts, Probe)
+	want(t, "told", w.step(idle), Send)
+	_, acts = w.arrive(0, 100*ms, 3*time.Second)
+	want(t, "held", acts)
+	w.step(Event{Kind: JobStarted, Job: first, Worker: x.ID})
+	w.now += 100 * ms
+	want(t, "its turn", w.end(first, 0, OK), Probe)
+	want(t, "told again", w.step(idle), Send)
+}
+
 // A job waits for the probes of its workers, but not for one that does not come.
 func TestJobWaitsForProbes(t *testing.T) {
 	w := fixture(t, 2, func(c *Config) { c.Probes, c.ReportInProbes = true, true })
--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"math"
+	"time"
 )
 
 // What is learned of sizes, speeds, load and the delay by peers.
@@ -90,3 +91,18 @@
 		w.wait, w.waitAt = max(0, e.Load.Queue-0.5)*d.meanRun/float64(w.lanes), d.now
 	}
 }
+
+// power is what a lane of a worker does at a time, cold start included.
+func (d *Dispatcher) power(w *worker, at time.Duration) float64 {
+	if w.Since <= 0 || d.cfg.WarmUp <= 0 {
+		return w.speed
+	}
+	age := min(max(float64(at-w.Since)/float64(d.cfg.WarmUp), 0), 1)
+	return w.speed * (d.cfg.ColdFrom + (1-d.cfg.ColdFrom)*age)
+}
+
+// stale tells whether a worker is to be asked before it is sent to.
+func (d *Dispatcher) stale(w *worker) bool {
+	old := d.now - time.Duration(d.meanRun/4)
+	return d.cfg.Probes && d.cfg.ReportInProbes && len(w.askers) == 0 && w.probed < old
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -51,7 +51,7 @@
 				break
 			}
 			for _, j := range w.askers {
-				j.asked--
+				j.asked = max(0, j.asked-1)
 			}
 			if w.askers = w.askers[:0]; e.Result == OK {
 				d.report(w, e)
@@ -94,26 +94,35 @@
 	d.ask(j)
 }
 
-// ask probes the first workers of the job's range, for a point of the worth at most: the job waits for
-// their answers, but no longer than it can well spare.
+// ask probes the first workers of the job's range, for 0.6 points of the worth at most, since the one chosen
+// is asked anyway: the job waits for their answers, but no longer than it can well spare.
 func (d *Dispatcher) ask(j *job) {
-	left, old := int(0.01/max(d.cfg.PriceProbe, 0.001)), d.now-time.Duration(d.meanRun/4)
-	for k := 0; k < 2 && d.cfg.Probes && d.cfg.ReportInProbes; k++ {
+	left := int(0.006 / max(d.cfg.PriceProbe, 0.001))
+	for k := range 2 {
 		list := d.near[j.part+k]
 		for _, w := range list[:min(len(list), d.tries())] {
-			if left--; left >= 0 && w.probed < old {
-				w.probed, j.asked = d.now, j.asked+1
-				w.askers = append(w.askers, j)
-				d.act = append(d.act, Action{Kind: Probe, Worker: w.ID})
+			if left--; left >= 0 {
+				d.probe(j, w)
 			}
 		}
 	}
 	if j.asked == 0 {
 		d.settle(j)
-		return
 	}
-	j.until = d.now + max(0, j.due-d.now-time.Duration(j.size))/20
-	d.asking = append(d.asking, j)
+}
+
+// probe asks a worker of which nothing is known that is new enough, and has the job wait; false: it need not.
+func (d *Dispatcher) probe(j *job, w *worker) bool {
+	if !d.stale(w) {
+		return false
+	}
+	w.probed, w.askers = d.now, append(w.askers, j)
+	d.act = append(d.act, Action{Kind: Probe, Worker: w.ID})
+	if j.asked++; j.asked == 1 {
+		j.until = d.now + max(0, j.due-d.now-time.Duration(j.size))/20
+		d.asking = append(d.asking, j)
+	}
+	return true
 }
 
 // remap moves the bound of the two size ranges to where half of the work lies on each side. A third range
@@ -175,6 +184,11 @@
 		d.finish(j)
 		return
 	}
+	// Beyond the first workers what is known is old, or nothing: a lane taken for idle may have a queue.
+	if j.rounds < 4 && d.probe(j, found) {
+		j.rounds++
+		return
+	}
 	if !found.active {
 		found.active, d.active = true, append(d.active, found)
 	}
@@ -218,15 +232,6 @@
 	return found
 }
 
-// power is what a lane of a worker does at a time, cold start included.
-func (d *Dispatcher) power(w *worker, at time.Duration) float64 {
-	if w.Since <= 0 || d.cfg.WarmUp <= 0 {
-		return w.speed
-	}
-	age := min(max(float64(at-w.Since)/float64(d.cfg.WarmUp), 0), 1)
-	return w.speed * (d.cfg.ColdFrom + (1-d.cfg.ColdFrom)*age)
-}
-
 // free fills d.lanes with the times at which the lanes of a worker free, earliest first: those that
 // peers are believed to hold, the backlog of peers, then the own attempts.
 func (d *Dispatcher) free(w *worker) []time.Duration {
@@ -303,7 +308,7 @@
 		if d.wake = min(d.wake, start); lost && !move || !lost && start > d.now {
 			return
 		}
-		if w.held, j.on = w.held[1:], nil; lost {
+		if w.held, j.on = w.held[1:], nil; lost || j.rounds < 4 && d.stale(w) {
 			d.settle(j)
 		} else {
 			d.send(j, w)
@@ -523,16 +528,16 @@
 			d.act = append(d.act, Action{Kind: Watch})
 		}
 	}
-	d.asking = slices.DeleteFunc(d.asking, func(j *job) bool {
+	waiting := d.asking
+	d.asking = nil
+	for _, j := range waiting {
 		if !j.closed && j.asked > 0 && d.now < j.until {
-			d.wake = min(d.wake, j.until)
-			return false
+			d.wake, d.asking = min(d.wake, j.until), append(d.asking, j)
+		} else if !j.closed {
+			j.asked = 0
+			d.settle(j) // it may ask again
 		}
-		if !j.closed {
-			d.settle(j)
-		}
-		return true
-	})
+	}
 	for _, w := range d.active {
 		for _, a := range w.out {
 			took := float64(d.now - a.sent - w.net)
