Refuse at once what comes during a shutdown and would be cut off by the platform's kill

At fault: downstream.ServeHTTP handed in the client's own budget, though the process will not be there to answer. Now the module is told the time that is left until the kill (min(longest deadline, 3 s) + 0.7 s, the protocol's figures), less 0.3 s: its own check refuses what can't end by then, with the usual advice, while the client can go elsewhere, and still serves short jobs. Decisions stay with the module; only the time is new to it. Checked by a test on sockets that fails without it (200 instead of 429 for a job of 9 s).

--- a/cmd/gaugeslip/serve.go
+++ b/cmd/gaugeslip/serve.go
@@ -79,7 +79,8 @@
 	l := loop.New(core, cfg.Settings, pool, source(cfg), loop.NewClock())
 	l.Post(known)
 	server := downstream.New(downstream.Config{Listen: cfg.Listen, MaxConns: down,
-		MaxBodies: cfg.Limits.BodyBytes(), AcceptFor: downstream.AcceptFor}, cfg.Settings, l)
+		MaxBodies: cfg.Limits.BodyBytes(), AcceptFor: downstream.AcceptFor,
+		KilledAfter: downstream.KilledAfter(cfg.Settings)}, cfg.Settings, l)
 	ln, err := server.Listen()
 	if err != nil {
 		return err
--- a/internal/net/downstream/downstream_test.go
+++ b/internal/net/downstream/downstream_test.go
@@ -42,7 +42,8 @@
 	l.Post(dispatch.Listed{Whole: true, Stale: true,
 		Hosts: []dispatch.Host{{Name: "s-0000000a", Addr: host.Addr, Scale: 1},
 			{Name: "s-0000000b", Addr: host.Addr, Scale: 1}}})
-	s := New(Config{Listen: "127.0.0.1:0", MaxConns: maxConns, MaxBodies: maxBody, AcceptFor: acceptFor}, set, l)
+	s := New(Config{Listen: "127.0.0.1:0", MaxConns: maxConns, MaxBodies: maxBody, AcceptFor: acceptFor,
+		KilledAfter: KilledAfter(set)}, set, l)
 	ln, err := s.Listen()
 	require.NoError(t, err)
 	inner, halt := context.WithCancel(context.Background())
@@ -286,6 +287,24 @@
 	assert.NoError(t, nettest.Wait(t, ended))
 }
 
+// During a shutdown a job that the platform's kill would cut off is refused at once; a short one is still served.
+func TestTooLongForAShutdown(t *testing.T) {
+	for hint, want := range map[string]int{"50000": 200, "9000000": 429} {
+		addr, _, stop, _ := dispatcher(t, 3*time.Second, serve)
+		stop()
+		for status := 200; status != 503; {
+			up := nettest.Dial(t, addr)
+			up.Send("GET /up HTTP/1.1\r\nHost: h\r\n\r\n")
+			resp, _ := up.Answer()
+			status = resp.StatusCode
+		}
+		c := nettest.Dial(t, addr)
+		c.Post("/harvest-sale", "t1", "X-Expires-In-Ms: 20000\r\nX-Size-Hint: "+hint+"\r\n", "")
+		resp, _ := c.Answer()
+		assert.Equal(t, want, resp.StatusCode, hint)
+	}
+}
+
 // A shutdown: /up says no, what comes is still served, each answer asks to close, and what was taken
 // before is waited for.
 func TestShutdown(t *testing.T) {
--- a/internal/net/downstream/server.go
+++ b/internal/net/downstream/server.go
@@ -34,12 +34,28 @@
 // platform kills the process counts as lost, so nothing is read beyond that.
 const AcceptFor = 700 * time.Millisecond
 
+// KilledAfter is how long after the start of a shutdown the platform leaves a dispatcher to answer: the longest
+// deadline of its classes, counted as 3 s where it is longer, and the time for which clients still come. What comes
+// during a shutdown is told the module with no more time than that, less a margin: a job that would be cut off is
+// refused at once, where its client can still go elsewhere, and not begun.
+func KilledAfter(set *settings.Settings) time.Duration {
+	longest := time.Duration(0)
+	for _, c := range set.Policy.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, 3*time.Second) + AcceptFor
+}
+
+const killMargin = 300 * time.Millisecond
+
 // Config is what a Server must keep to.
 type Config struct {
 	Listen    string
 	MaxConns  int           // connections at once; beyond, the one that can best be spared is closed
 	MaxBodies int64         // bytes of long bodies held at once; a request beyond that is refused
 	AcceptFor time.Duration // see the constant
+
+	KilledAfter time.Duration // see the function
 }
 
 // Server is the downstream side.
@@ -51,6 +67,7 @@
 	gate     *gate
 	bodies   atomic.Int64 // see Config.MaxBodies
 	stopping atomic.Bool
+	killed   time.Time // when the platform ends the process; set before stopping is
 }
 
 // New makes a server that hands its requests to a loop.
@@ -96,6 +113,7 @@
 		return fmt.Errorf("downstream: %w", err)
 	case <-ctx.Done():
 	}
+	s.killed = time.Now().Add(s.cfg.KilledAfter)
 	s.stopping.Store(true)
 	select {
 	case err := <-failed:
@@ -144,6 +162,9 @@
 	}
 	// Only the body has a limit: one on the connection would end the wait for the answer too.
 	control.SetReadDeadline(time.Time{})
+	if s.stopping.Load() {
+		t.Job.Budget = min(t.Job.Budget, max(0, s.killed.Sub(arrived)-killMargin))
+	}
 	s.await(w, r, t)
 }
 
