--- a/cmd/gaugeslip/main.go
+++ b/cmd/gaugeslip/main.go
@@ -7,8 +7,9 @@
 	"fmt"
 	"io"
 	"os"
+	"strings"
 
-	"github.com/spf13/pflag"
+	"github.com/spf13/cobra"
 )
 
 // Exit codes.
@@ -18,67 +19,57 @@
 	exitUsage  = 2
 )
 
-const usage = `usage: gaugeslip COMMAND [flags]
-
-commands:
-  serve          run a dispatcher
-  check-config   read the configuration, say what is wrong with it or what it holds
-  version        print the version
-
-gaugeslip COMMAND --help lists the flags of a command.
-`
-
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
 
-// run carries out one sub-command and returns the exit code.
+// usageError is a command line that can't be carried out.
+type usageError struct{ error }
+
+// run carries out one command line and returns the exit code.
 func run(args []string, stdout, stderr io.Writer) int {
-	commands := map[string]func([]string, io.Writer, io.Writer) error{
-		"serve": serve, "check-config": checkConfig, "version": version}
+	root := command(stdout, stderr)
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
 	if len(args) == 0 {
-		fmt.Fprint(stderr, usage)
+		root.SetOut(stderr)
+		root.Usage()
 		return exitUsage
 	}
-	if args[0] == "--help" || args[0] == "-h" || args[0] == "help" {
-		fmt.Fprint(stdout, usage)
+	err := root.Execute()
+	if err == nil {
 		return exitOK
 	}
-	command, ok := commands[args[0]]
-	if !ok {
-		fmt.Fprintf(stderr, "gaugeslip: unknown command %q\n%s", args[0], usage)
-		return exitUsage
-	}
-	err := command(args[1:], stdout, stderr)
-	var wrong usageError
-	switch {
-	case err == nil || errors.Is(err, pflag.ErrHelp):
-		return exitOK
-	case errors.As(err, &wrong):
-		fmt.Fprintln(stderr, "gaugeslip:", err)
+	fmt.Fprintln(stderr, "gaugeslip:", err)
+	// Cobra has no type of its own for a command that it does not know.
+	if errors.As(err, &usageError{}) || strings.HasPrefix(err.Error(), "unknown command") {
 		return exitUsage
 	}
-	fmt.Fprintln(stderr, "gaugeslip:", err)
 	return exitFailed
 }
 
-// usageError is a command line that can't be carried out.
-type usageError struct{ error }
-
-// flags makes the flag set of a sub-command.
-func flags(name string, out io.Writer) *pflag.FlagSet {
-	f := pflag.NewFlagSet("gaugeslip "+name, pflag.ContinueOnError)
-	f.SetOutput(out)
-	return f
+// command is the whole tree of commands.
+func command(stdout, stderr io.Writer) *cobra.Command {
+	root := &cobra.Command{Use: "gaugeslip", Short: "A job dispatcher", SilenceErrors: true, SilenceUsage: true,
+		Long: "gaugeslip serves jobs from downstream clients over a cluster of upstream hosts.\n" +
+			"Exit codes: 0 for a planned end, 1 for a failure, 2 for a command line that can't be read."}
+	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
+	root.SetUsageTemplate(strings.Replace(root.UsageTemplate(), "Usage:", "usage:", 1))
+	root.AddCommand(serveCommand(stderr), checkCommand(stdout), versionCommand(stdout), jobsCommand(stdout))
+	return root
 }
 
-// parse reads a sub-command's flags, which takes no other arguments.
-func parse(f *pflag.FlagSet, args []string) error {
-	if err := f.Parse(args); errors.Is(err, pflag.ErrHelp) {
-		return err
-	} else if err != nil {
-		return usageError{err}
-	}
-	if f.NArg() > 0 {
-		return usageError{fmt.Errorf("%s: unexpected argument %q", f.Name(), f.Arg(0))}
+// none is cobra.NoArgs with our kind of error.
+func none(c *cobra.Command, args []string) error { return arity(0, 0)(c, args) }
+
+// arity wants from least to most arguments.
+func arity(least, most int) cobra.PositionalArgs {
+	return func(c *cobra.Command, args []string) error {
+		switch {
+		case len(args) > most:
+			return usageError{fmt.Errorf("%s: unexpected argument %q", c.CommandPath(), args[most])}
+		case len(args) < least:
+			return usageError{fmt.Errorf("%s: %d arguments, %d wanted", c.CommandPath(), len(args), least)}
+		}
+		return nil
 	}
-	return nil
 }
--- a/cmd/gaugeslip/main_test.go
+++ b/cmd/gaugeslip/main_test.go
@@ -211,7 +211,7 @@
 		{"version", exitOK, "gaugeslip", ""},
 		{"version now", exitUsage, "", `unexpected argument "now"`},
 		{"serve --colour", exitUsage, "", "unknown flag"},
-		{"serve --help", exitOK, "", "--config"},
+		{"serve --help", exitOK, "--config", ""},
 		{"serve", exitFailed, "", "NODE_CONFIG"},
 		{"check-config --config " + bad, exitFailed, "", "discovery"},
 	} {
--- a/cmd/gaugeslip/serve.go
+++ b/cmd/gaugeslip/serve.go
@@ -12,12 +12,15 @@
 	"syscall"
 	"time"
 
+	"github.com/spf13/cobra"
+
 	"gaugeslip/internal/config"
 	"gaugeslip/internal/dispatch"
 	"gaugeslip/internal/net/cluster"
 	"gaugeslip/internal/net/downstream"
 	"gaugeslip/internal/net/loop"
 	"gaugeslip/internal/net/upstream"
+	"gaugeslip/internal/site"
 )
 
 // The budget of descriptors: what is not downstream's or upstream's is for discovery, standard streams, the
@@ -36,23 +39,27 @@
 	return part * downstreamParts, part * upstreamParts
 }
 
-// serve runs a dispatcher until SIGTERM or SIGINT, and then until all that it has taken is answered.
-func serve(args []string, _, stderr io.Writer) error {
+// serveCommand runs a dispatcher until SIGTERM or SIGINT, and then until all that it has taken is answered.
+func serveCommand(stderr io.Writer) *cobra.Command {
+	var f files
+	verbose := false
+	c := &cobra.Command{Use: "serve", Short: "Run a dispatcher", Args: none,
+		RunE: func(*cobra.Command, []string) error { return serve(&f, verbose, stderr) }}
+	f.add(c)
+	c.Flags().BoolVar(&verbose, "verbose", false, "log the module's verdicts too")
+	return c
+}
+
+func serve(f *files, verbose bool, stderr io.Writer) error {
 	// Before anything else: SIGHUP ends a process that does not ask for it. It is never given back either.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	f := flags("serve", stderr)
-	path := f.String("config", "", "configuration file, in place of the one that NODE_CONFIG names")
-	verbose := f.Bool("verbose", false, "log the module's verdicts too")
-	if err := parse(f, args); err != nil {
-		return err
-	}
 	level := slog.LevelInfo
-	if *verbose {
+	if verbose {
 		level = slog.LevelDebug
 	}
 	slog.SetDefault(slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level})))
-	cfg, err := config.Load(os.Getenv, *path)
+	cfg, own, err := f.load()
 	if err != nil {
 		return err
 	}
@@ -60,11 +67,11 @@
 	debug.SetMemoryLimit(cfg.Limits.MemoryBytes())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return dispatcher(ctx, cfg, *path, hup)
+	return dispatcher(ctx, cfg, own, f, hup)
 }
 
 // dispatcher wires the parts together and runs them. Each signal on hup makes it read its configuration again.
-func dispatcher(ctx context.Context, cfg *config.Config, path string, hup <-chan os.Signal) error {
+func dispatcher(ctx context.Context, cfg *config.Config, own *site.Site, f *files, hup <-chan os.Signal) error {
 	known, err := cluster.Known(cfg.Known, cfg.Settings)
 	if err != nil {
 		return fmt.Errorf("known: %w", err)
@@ -76,11 +83,15 @@
 	down, up := budget(cfg.Limits.Sockets)
 	pool := upstream.NewPool(upstream.Config{ConnectTimeout: cfg.Settings.Policy.ConnectTimeout,
 		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, Settle: settle, MaxConns: up})
-	l := loop.New(core, cfg.Settings, pool, source(cfg), loop.NewClock())
+	var room *dispatch.WaitingGate
+	if own.Waiting != nil {
+		room = dispatch.NewWaitingGate(*own.Waiting, cfg.Settings.Policy)
+	}
+	l := loop.New(dispatch.NewChain(core, room), cfg.Settings, pool, source(cfg), loop.NewClock())
 	l.Post(known)
 	server := downstream.New(downstream.Config{Listen: cfg.Listen, MaxConns: down,
 		MaxBodies: cfg.Limits.BodyBytes(), AcceptFor: downstream.AcceptFor,
-		KilledAfter: downstream.KilledAfter(cfg.Settings)}, cfg.Settings, l)
+		KilledAfter: downstream.KilledAfter(cfg.Settings), Waiting: room != nil}, cfg.Settings, l)
 	ln, err := server.Listen()
 	if err != nil {
 		return err
@@ -94,7 +105,7 @@
 	swept, looped := make(chan struct{}), make(chan error, 1)
 	reloaded := make(chan struct{})
 	go func() { defer close(swept); pool.Sweep(inner) }()
-	go func() { defer close(reloaded); reload(inner, cfg, path, hup, l) }()
+	go func() { defer close(reloaded); reload(inner, cfg, own, f, hup, l) }()
 	go func() { looped <- l.Run(inner); stop() }()
 	err = server.Serve(outer, ln)
 	halt()
@@ -103,6 +114,11 @@
 	if lerr := <-looped; lerr != nil {
 		return lerr
 	}
+	if room != nil { // the loop has ended: nobody else looks at it
+		if n := room.Room().Held(); n > 0 {
+			slog.Warn("waiting jobs are lost with the process, which keeps them in memory alone", "jobs", n)
+		}
+	}
 	if err == nil {
 		slog.Info("stopped")
 	}
@@ -113,9 +129,9 @@
 	return &cluster.Discovery{Addr: cfg.Discovery, Stall: cluster.StallAfter, Settings: cfg.Settings}
 }
 
-// reload reads the configuration again at each signal until ctx ends, and moves the watch to where discovery is
-// now. A faulty file changes nothing.
-func reload(ctx context.Context, cfg *config.Config, path string, hup <-chan os.Signal, l *loop.Loop) {
+// reload reads the configuration and our own settings again at each signal until ctx ends, and moves the watch to where
+// discovery is now. A fault in either file changes nothing.
+func reload(ctx context.Context, cfg *config.Config, own *site.Site, f *files, hup <-chan os.Signal, l *loop.Loop) {
 	at := cfg.Discovery
 	for {
 		select {
@@ -123,12 +139,22 @@
 			return
 		case <-hup:
 		}
-		newer, err := config.Reload(os.Getenv, path)
+		newer, err := config.Reload(os.Getenv, f.config)
+		var settings *site.Site
+		if err == nil {
+			settings, err = site.Load(os.Getenv, f.site)
+		}
 		if err != nil {
 			slog.Error("configuration not reloaded, the old one holds", "error", err)
 			continue
 		}
-		if keys := cfg.Fixed(newer); len(keys) > 0 {
+		keys := cfg.Fixed(newer)
+		if (settings.Waiting == nil) != (own.Waiting == nil) {
+			keys = append(keys, "waiting")
+		} else if settings.Waiting != nil {
+			l.Post(dispatch.Tuned{Waiting: *settings.Waiting})
+		}
+		if len(keys) > 0 {
 			slog.Warn("changes that count from the next start on", "keys", keys)
 		}
 		slog.Info("configuration reloaded", "discovery", newer.Discovery)
--- /dev/null
+++ b/deploy/site.hcl
@@ -0,0 +1,18 @@
+# Settings of our own, beside the platform's JSON: one block a subject. A subject whose block is missing is off.
+# `gaugeslip serve --site deploy/site.hcl`, or NODE_SITE, names the file; `gaugeslip check-config --site` checks it.
+# Lines that begin with "#: " show the defaults; take that sign off the whole block to switch it on.
+
+# Jobs that wait for a time or for other jobs: docs/operators/waiting.md.
+#: waiting {
+#:   max_jobs       = 10000    # that wait, are ready or are out, at once
+#:   max_kept       = 10000    # final ones remembered
+#:   max_bytes      = "4MiB"   # of bodies that wait and results that are kept
+#:   retention      = "10m"    # of a final state and its result
+#:   default_due    = "30s"    # how long a ready job may take to go out, where it does not say
+#:   max_due        = "1h"     # the longest X-Due-Ms
+#:   max_delay      = "24h"    # the longest X-Not-Before-Ms
+#:   share          = 0.5      # of the fleet, for waiting jobs, while fresh ones are refused
+#:   client_share   = 0.25     # of max_jobs, for one client
+#:   on_failure     = "fail"   # of a job that it waited for: "fail" ends it with 424, "run" lets it run
+#:   remember_fresh = true     # jobs that don't wait can be waited for, too
+#: }
--- /dev/null
+++ b/internal/dispatch/chain.go
@@ -0,0 +1,144 @@
+package dispatch
+
+import "time"
+
+// Gate is a pure subject wrapped so that it sees the messages on their way to the core and the commands on their way
+// back, in the same Step and by the same clock. It decides when a job comes before the module and with how much of its
+// time; which host, whether to retry and what to turn away stays the module's.
+//
+// The rules are checked at the end of the chain, so a gate that answers a job must neither let it go on nor answer it
+// again, and may let a refused one in once more only where the module's own answer proves that this is harmless.
+type Gate interface {
+	// In takes the messages of a Step, in order. What it hands to p.On goes on; what it hands to p.Do is done.
+	In(now time.Duration, in []Message, p *Pass)
+	// Out takes the commands that came of them, in order, and hands to p.Do what is to be done. What it hands to
+	// p.On goes in once more, in the same Step.
+	Out(now time.Duration, out []Command, p *Pass)
+	// Wake tells when the gate's next Step is due though nothing happens.
+	Wake() (at time.Duration, ok bool)
+	// Detached counts the jobs without a connection that are before the module or at a host.
+	Detached() int
+	// Crashed tells that the module has forgotten what was before it. Keeps then tells of a job whether it is the
+	// gate's alone, and goes on.
+	Crashed(now time.Duration)
+	Keeps(job uint64) bool
+}
+
+// Pass is what a gate hands on.
+type Pass struct {
+	on []Message
+	do []Command
+}
+
+// On sends a message on towards the core.
+func (p *Pass) On(m Message) { p.on = append(p.on, m) }
+
+// Do sends a command on towards the sockets.
+func (p *Pass) Do(c Command) { p.do = append(p.do, c) }
+
+// Chain is a Core with gates round it. Like a Core it is not safe for use by more than one goroutine. With no gates it
+// costs nothing and changes nothing.
+type Chain struct {
+	core   *Core
+	gates  []Gate // the outermost first
+	passes []Pass // one a gate
+	inCore bool   // a Step is in the core, not in a gate
+}
+
+// NewChain puts gates round a core. The order of gates is written down here alone: the waiting room is the outermost,
+// since what waits is for no later gate to count yet.
+func NewChain(core *Core, room *WaitingGate) *Chain {
+	c := &Chain{core: core}
+	if room != nil {
+		c.gates = append(c.gates, room)
+	}
+	c.passes = make([]Pass, len(c.gates))
+	return c
+}
+
+// Step is Core.Step through the gates. The result is valid until the next Step.
+func (c *Chain) Step(now time.Duration, in []Message) []Command {
+	if len(c.gates) == 0 {
+		c.inCore = true
+		return c.core.Step(now, in)
+	}
+	return c.pass(now, 0, in)
+}
+
+// pass takes a Step through the gates from number n on. A gate may send messages in again for what came out; it must
+// see to it that this ends.
+func (c *Chain) pass(now time.Duration, n int, in []Message) []Command {
+	if n == len(c.gates) {
+		c.inCore = true
+		out := c.core.Step(now, in)
+		c.inCore = false
+		return out
+	}
+	g, p := c.gates[n], &c.passes[n]
+	p.do, p.on = p.do[:0], p.on[:0]
+	g.In(now, in, p)
+	for {
+		out := c.pass(now, n+1, p.on)
+		p.on = p.on[:0]
+		if g.Out(now, out, p); len(p.on) == 0 {
+			return p.do
+		}
+	}
+}
+
+// Wake tells when the next Step is due though nothing happens.
+func (c *Chain) Wake() (at time.Duration, ok bool) {
+	at, ok = c.core.Wake()
+	for _, g := range c.gates {
+		if t, there := g.Wake(); there && (!ok || t < at) {
+			at, ok = t, true
+		}
+	}
+	return at, ok
+}
+
+// Detached counts the jobs without a connection that are before the module or at a host.
+func (c *Chain) Detached() (n int) {
+	for _, g := range c.gates {
+		n += g.Detached()
+	}
+	return n
+}
+
+// Open is how many jobs the core's table holds.
+func (c *Chain) Open() int { return c.core.Open() }
+
+// Version is that of the newest list taken in.
+func (c *Chain) Version() uint64 { return c.core.Version() }
+
+// Renew makes a Chain for when a panic has left this one in doubt, and the list to begin it with. Gates go on with what
+// is theirs alone where the panic was in the module; keeps tells which jobs that are. After one in a gate nothing
+// of it is trusted.
+func (c *Chain) Renew(now time.Duration) (n *Chain, known Listed, keeps func(job uint64) bool, err error) {
+	core, known, err := c.core.Renew()
+	if err != nil {
+		return nil, Listed{}, nil, err
+	}
+	n = &Chain{core: core}
+	if c.inCore {
+		n.gates = c.gates
+		for _, g := range n.gates {
+			g.Crashed(now)
+		}
+	} else {
+		for _, g := range c.gates {
+			if w, ok := g.(*WaitingGate); ok {
+				n.gates = append(n.gates, w.anew())
+			}
+		}
+	}
+	n.passes = make([]Pass, len(n.gates))
+	return n, known, func(job uint64) bool {
+		for _, g := range n.gates {
+			if g.Keeps(job) {
+				return true
+			}
+		}
+		return false
+	}, nil
+}
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -14,6 +14,7 @@
 // job is one entry of the table: a request that is owed an answer, or whose upstream requests are still out.
 type job struct {
 	deadline time.Duration
+	base     int // sends in earlier turns; attempts counts on from there
 	attempts []attempt
 	out      int
 	finished bool
@@ -125,9 +126,10 @@
 		if c.jobs[m.Job] != nil {
 			return
 		}
-		c.jobs[m.Job] = &job{deadline: m.At + m.Budget}
+		c.jobs[m.Job] = &job{deadline: m.At + m.Budget, base: m.Tried}
 		e = policy.Event{Kind: policy.JobArrived, Job: m.Job, Class: m.Class, Tenant: m.Tenant,
-			Budget: m.Budget - (now - m.At), Size: m.Size, Slots: m.Slots, Retry: m.Retry}
+			Budget: m.Budget - (now - m.At), Size: m.Size, Slots: m.Slots, Retry: m.Retry,
+			Waited: m.Waited}
 	case Left:
 		j := c.jobs[m.Job]
 		if j == nil || j.finished {
@@ -136,17 +138,17 @@
 		c.finish(m.Job, j)
 		e = policy.Event{Kind: policy.ClientGone, Job: m.Job}
 	case Started:
-		a := c.running(m.Key)
+		a, n := c.running(m.Key)
 		if a == nil {
 			return
 		}
-		e = policy.Event{Kind: policy.JobStarted, Job: m.Job, Attempt: m.Attempt, Worker: a.worker}
+		e = policy.Event{Kind: policy.JobStarted, Job: m.Job, Attempt: n, Worker: a.worker}
 	case Progress:
-		a := c.running(m.Key)
+		a, n := c.running(m.Key)
 		if a == nil {
 			return
 		}
-		e = policy.Event{Kind: policy.JobProgress, Job: m.Job, Attempt: m.Attempt, Worker: a.worker, Share: m.Share}
+		e = policy.Event{Kind: policy.JobProgress, Job: m.Job, Attempt: n, Worker: a.worker, Share: m.Share}
 	case Ended:
 		if !c.ended(now, m, &e) {
 			return
@@ -159,24 +161,30 @@
 		e = policy.Event{Kind: policy.WorkerList, Whole: m.Whole, Stale: m.Stale, Workers: c.list(m)}
 	case ListLost:
 		e = policy.Event{Kind: policy.ListLost}
+	case Asked, Unasked, Closing, Tuned: // for gates
+		return
 	default:
 		panic(fmt.Sprintf("dispatch: unknown message %T", m))
 	}
 	c.events = append(c.events, e)
 }
 
-// running finds an upstream request that has not ended.
-func (c *Core) running(k Key) *attempt {
+// running finds an upstream request that has not ended, and the module's number of it.
+func (c *Core) running(k Key) (*attempt, int) {
 	j := c.jobs[k.Job]
-	if j == nil || k.Attempt < 0 || k.Attempt >= len(j.attempts) || j.attempts[k.Attempt].ended {
-		return nil
+	if j == nil {
+		return nil, 0
+	}
+	n := k.Attempt - j.base
+	if n < 0 || n >= len(j.attempts) || j.attempts[n].ended {
+		return nil, 0
 	}
-	return &j.attempts[k.Attempt]
+	return &j.attempts[n], n
 }
 
 // ended books the one outcome of an upstream request. A second outcome is dropped.
 func (c *Core) ended(now time.Duration, m Ended, e *policy.Event) bool {
-	a := c.running(m.Key)
+	a, n := c.running(m.Key)
 	if a == nil {
 		return false
 	}
@@ -187,7 +195,7 @@
 	if m.Result == policy.OK {
 		j.finished = true
 	}
-	*e = policy.Event{Kind: policy.AttemptEnded, Job: m.Job, Attempt: m.Attempt, Worker: a.worker,
+	*e = policy.Event{Kind: policy.AttemptEnded, Job: m.Job, Attempt: n, Worker: a.worker,
 		Result: m.Result, Took: now - a.sent, Finished: j.finished}
 	e.HasLoad, e.Load = load(m.Load)
 	c.over = append(c.over, m.Job)
@@ -212,8 +220,12 @@
 	case policy.Send:
 		c.send(now, a)
 	case policy.Cancel:
-		k := Key{a.Job, a.Attempt}
-		if c.running(k) != nil {
+		j := c.jobs[a.Job]
+		if j == nil {
+			return
+		}
+		k := Key{a.Job, j.base + a.Attempt}
+		if a, _ := c.running(k); a != nil {
 			c.out = append(c.out, CancelSend{k})
 		}
 	case policy.Refuse, policy.Fail:
@@ -251,16 +263,17 @@
 	if j == nil { // a job is in the table for as long as the module may send it
 		panic(fmt.Sprintf("dispatch: a send for job %d, which is not known", a.Job))
 	}
-	k := Key{a.Job, len(j.attempts)}
+	n := len(j.attempts)
+	k := Key{a.Job, j.base + n}
 	h, known := c.hosts[a.Worker]
 	until := j.deadline
 	if a.After > 0 {
 		until = min(until, now+a.After)
 	}
-	dead := j.finished || !known || len(j.attempts) >= c.maxAttempts || until <= now
+	dead := j.finished || !known || k.Attempt >= c.maxAttempts || until <= now
 	j.attempts = append(j.attempts, attempt{worker: a.Worker, sent: now, ended: dead})
 	if dead {
-		c.events = append(c.events, policy.Event{Kind: policy.AttemptEnded, Job: a.Job, Attempt: k.Attempt,
+		c.events = append(c.events, policy.Event{Kind: policy.AttemptEnded, Job: a.Job, Attempt: n,
 			Worker: a.Worker, Result: policy.NeverSent, Finished: j.finished})
 		return
 	}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -7,6 +7,7 @@
 import (
 	"time"
 
+	"gaugeslip/internal/waiting"
 	"gaugeslip/policy"
 )
 
@@ -27,6 +28,20 @@
 	Budget, Size  time.Duration // Size 0: no hint
 	Slots         int
 	Retry         bool
+
+	Name, Client string        // its id and who sent it, for gates
+	Bytes        int           // of its body
+	Wait         *Wait         // what it asks of the waiting room; nil: nothing
+	Tried        int           // sends of it in earlier turns: its Keys count on from there
+	Waited       time.Duration // of Budget, spent by its client's own wish
+}
+
+// Wait is what a job asks of the waiting room.
+type Wait struct {
+	NotBefore time.Duration // from its arrival
+	Due       time.Duration // from when it is ready; 0: as the settings say
+	After     []string      // names of earlier jobs
+	Detached  bool          // it lives on without its connection
 }
 
 // Left tells that the downstream client has gone: nothing is owed to it any more.
@@ -46,6 +61,7 @@
 	Key
 	Result policy.Result
 	Load   *policy.Load // nil: none came along
+	Body   []byte       // of OK, for gates that keep it
 }
 
 // Probed is the outcome of a Probe.
@@ -67,6 +83,22 @@
 // ListLost tells that a call for the list failed or that the watch broke.
 type ListLost struct{}
 
+// Asked is a question about a job that waits or has waited, or with no Name about all. It is answered by one Told.
+type Asked struct{ waiting.Ask }
+
+// Unasked tells that the one who asked has gone.
+type Unasked struct{ Ask uint64 }
+
+// Closing tells that the program ends and gives answers until By.
+type Closing struct{ By time.Duration }
+
+// Tuned brings new limits of the waiting room.
+type Tuned struct{ Waiting waiting.Limits }
+
+func (Asked) message()    {}
+func (Unasked) message()  {}
+func (Closing) message()  {}
+func (Tuned) message()    {}
 func (Arrived) message()  {}
 func (Left) message()     {}
 func (Started) message()  {}
@@ -105,6 +137,19 @@
 	Job        uint64
 	Refused    bool
 	RetryAfter time.Duration
+	Status     int    // what HTTP calls it; 0: as Refused says
+	Why        string // in words
+}
+
+// Accepted promises that a job lives on without its connection.
+type Accepted struct{ Job uint64 }
+
+// Told is the answer to an Asked.
+type Told struct {
+	Ask    uint64
+	Status int
+	Info   *waiting.Info  // of one job
+	Board  *waiting.Board // of all
 }
 
 // Probe asks an upstream host for its load.
@@ -128,3 +173,5 @@
 func (Probe) command()      {}
 func (Watch) command()      {}
 func (Log) command()        {}
+func (Accepted) command()   {}
+func (Told) command()       {}
--- a/internal/net/downstream/downstream_test.go
+++ b/internal/net/downstream/downstream_test.go
@@ -38,7 +38,7 @@
 	core, err := dispatch.New(set.Policy, 1)
 	require.NoError(t, err)
 	pool := upstream.NewPool(upstream.Config{ConnectTimeout: nettest.Patience, ConnIdle: time.Minute, MaxConns: 9})
-	l := loop.New(core, set, pool, none{}, loop.NewClock())
+	l := loop.New(dispatch.NewChain(core, nil), set, pool, none{}, loop.NewClock())
 	l.Post(dispatch.Listed{Whole: true, Stale: true,
 		Hosts: []dispatch.Host{{Name: "s-0000000a", Addr: host.Addr, Scale: 1},
 			{Name: "s-0000000b", Addr: host.Addr, Scale: 1}}})
@@ -241,7 +241,7 @@
 	l := loop.New(nil, set, nil, nil, loop.NewClock())
 	require.NoError(t, l.Submit(&loop.Ticket{}))
 	w := httptest.NewRecorder()
-	New(Config{}, set, l).await(w, httptest.NewRequest("POST", "/plot-load", nil), &loop.Ticket{})
+	New(Config{}, set, l).await(w, httptest.NewRequest("POST", "/plot-load", nil), &loop.Ticket{}, prefer{})
 	assert.Equal(t, "429 1.5", strconv.Itoa(w.Code)+" "+w.Header().Get("Retry-After"))
 }
 
--- /dev/null
+++ b/internal/net/downstream/jobs.go
@@ -0,0 +1,264 @@
+package downstream
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/url"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+	"unicode/utf8"
+
+	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/net/loop"
+	"gaugeslip/internal/waiting"
+)
+
+// The clients' side of waiting jobs: headers on a job's POST, and /jobs to look and call off. Both are off unless
+// Config.Waiting is set.
+
+// Jobs is the path below which waiting jobs are found by their ids.
+const Jobs = "/jobs"
+
+const (
+	maxAfter   = 16
+	maxAskWait = 5 * time.Minute
+	maxPage    = 1000
+	maxFar     = 366 * 24 * time.Hour // what a header may name; the settings bound it further
+)
+
+// onceWaiting names the headers of waiting jobs that may stand one time only.
+var onceWaiting = []string{"X-Not-Before-Ms", "X-Due-Ms", "X-After"}
+
+// prefer is what a request's Prefer headers ask for (RFC 7240): of what is defined there, respond-async and wait.
+type prefer struct {
+	async bool
+	wait  time.Duration
+}
+
+// preferences reads them. As the RFC has it, what is not understood is passed over, and the first of a name counts.
+func preferences(h http.Header) (p prefer, err error) {
+	waits := false
+	for _, part := range strings.Split(strings.Join(h["Prefer"], ","), ",") {
+		part, _, _ = strings.Cut(part, ";") // parameters mean nothing here
+		name, value, _ := strings.Cut(part, "=")
+		switch strings.ToLower(strings.TrimSpace(name)) {
+		case "respond-async":
+			p.async = true
+		case "wait":
+			if waits {
+				continue
+			}
+			waits = true
+			v, err := strconv.ParseUint(strings.Trim(strings.TrimSpace(value), `"`), 10, 31)
+			if err != nil {
+				return p, bad("Prefer: wait: %q is no number of seconds", value)
+			}
+			p.wait = min(time.Duration(v)*time.Second, maxAskWait)
+		}
+	}
+	return p, nil
+}
+
+// decodeWait reads what a job's head asks of the waiting room, into the ticket.
+func decodeWait(r *http.Request, t *loop.Ticket) (p prefer, err error) {
+	for _, name := range onceWaiting {
+		if len(r.Header[name]) > 1 {
+			return p, bad("%s: more than one", name)
+		}
+	}
+	if p, err = preferences(r.Header); err != nil {
+		return p, err
+	}
+	if t.Job.Client = r.Header.Get("X-Customer"); t.Job.Client == "" {
+		t.Job.Client, _, _ = net.SplitHostPort(r.RemoteAddr)
+	}
+	w := dispatch.Wait{Detached: p.async}
+	asks := p.async
+	for _, f := range []struct {
+		name string
+		to   *time.Duration
+	}{{"X-Not-Before-Ms", &w.NotBefore}, {"X-Due-Ms", &w.Due}} {
+		said, there := r.Header[f.name]
+		if !there {
+			continue
+		}
+		asks = true
+		v, err := strconv.ParseUint(said[0], 10, 63) // takes no sign
+		if err != nil || v > uint64(maxFar/time.Millisecond) {
+			return p, bad("%s: bad value %q", f.name, said[0])
+		}
+		if *f.to = time.Duration(v) * time.Millisecond; v == 0 && f.to == &w.Due {
+			return p, bad("X-Due-Ms: must be more than 0")
+		}
+	}
+	if said, there := r.Header["X-After"]; there {
+		asks = true
+		for _, id := range strings.Split(said[0], ",") {
+			if id = strings.TrimSpace(id); !token(id, maxID) {
+				return p, bad("X-After: %q is no id", id)
+			}
+			if !slices.Contains(w.After, id) {
+				w.After = append(w.After, id)
+			}
+		}
+		if len(w.After) > maxAfter {
+			return p, bad("X-After: %d ids, %d at most", len(w.After), maxAfter)
+		}
+	}
+	if asks {
+		t.Job.Wait = &w
+	}
+	return p, nil
+}
+
+// accepted answers the POST of a job that lives on without its connection; a client that prefers to wait a while for
+// the end first may have that instead.
+func (s *Server) accepted(w http.ResponseWriter, r *http.Request, id string, p prefer) {
+	if p.wait > 0 {
+		if told, ok := s.ask(r, waiting.Ask{Name: id}, p.wait); ok && told.Info != nil && told.Info.State.Final() {
+			s.outcome(w, told.Info)
+			return
+		}
+	}
+	w.Header().Set("Location", Jobs+"/"+id)
+	w.Header().Set("Preference-Applied", "respond-async")
+	s.json(w, http.StatusAccepted, &Job{ID: id, State: waiting.Waiting.String()})
+}
+
+// outcome answers a POST with what has become of its job.
+func (s *Server) outcome(w http.ResponseWriter, i *waiting.Info) {
+	switch i.State {
+	case waiting.Served:
+		s.answer(w, loop.Answer{Served: true, Body: i.Result})
+	case waiting.Refused:
+		s.answer(w, loop.Answer{Refused: true, Status: i.Status, Why: i.State.String()})
+	default:
+		s.answer(w, loop.Answer{Status: i.Status, Why: i.State.String()})
+	}
+}
+
+// Job is what is told of a job, as JSON.
+type Job struct {
+	ID       string  `json:"id"`
+	State    string  `json:"state"`
+	Class    string  `json:"class,omitempty"`
+	DueMS    int64   `json:"due_ms,omitempty"`
+	WaitedMS int64   `json:"waited_ms,omitempty"`
+	Attempts int     `json:"attempts"`
+	Status   int     `json:"status,omitempty"` // of a final one
+	Result   *string `json:"result,omitempty"` // of a served one
+	Binary   []byte  `json:"result_base64,omitempty"`
+	Shed     bool    `json:"result_shed,omitempty"` // there was a result; room for it was needed
+}
+
+// Page is one page of the list of jobs, as JSON.
+type Page struct {
+	Jobs []Job          `json:"jobs"`
+	Next string         `json:"next,omitempty"` // the next page's "from"
+	Room *waiting.Stats `json:"room"`
+}
+
+func view(i *waiting.Info) *Job {
+	j := &Job{ID: i.Name, State: i.State.String(), Class: i.Class, DueMS: i.Due.Milliseconds(),
+		WaitedMS: i.Waited.Milliseconds(), Attempts: i.Attempts, Status: i.Status, Shed: i.Shed}
+	if i.State == waiting.Served && !i.Shed {
+		if text := string(i.Result); utf8.ValidString(text) {
+			j.Result = &text
+		} else {
+			j.Binary = i.Result
+		}
+	}
+	return j
+}
+
+// ask puts a question to the room and waits for its end where wait says so.
+func (s *Server) ask(r *http.Request, q waiting.Ask, wait time.Duration) (dispatch.Told, bool) {
+	q.Until = s.loop.Clock().Now() + wait
+	return s.loop.Ask(r.Context(), dispatch.Asked{Ask: q})
+}
+
+// jobs serves what is below Jobs.
+func (s *Server) jobs(w http.ResponseWriter, r *http.Request) {
+	id := strings.TrimPrefix(strings.TrimPrefix(r.URL.Path, Jobs), "/")
+	q := waiting.Ask{Name: id}
+	var wait time.Duration
+	switch {
+	case id == "" && r.Method == http.MethodGet:
+		query, err := url.ParseQuery(r.URL.RawQuery)
+		if err == nil {
+			q.From, q.Most = query.Get("from"), maxPage
+			if said := query.Get("most"); said != "" {
+				var n uint64
+				if n, err = strconv.ParseUint(said, 10, 16); n < 1 || n > maxPage {
+					err = strconv.ErrRange
+				}
+				q.Most = int(n)
+			}
+		}
+		if err != nil {
+			s.reject(w, r, bad("most: 1 to %d", maxPage))
+			return
+		}
+	case id != "" && !token(id, maxID):
+		s.reject(w, r, &fault{http.StatusNotFound, "no such job"})
+		return
+	case id != "" && r.Method == http.MethodGet:
+		p, err := preferences(r.Header)
+		if err != nil {
+			s.reject(w, r, err)
+			return
+		}
+		wait = p.wait
+	case id != "" && r.Method == http.MethodDelete:
+		q.Cancel = true
+	default:
+		w.Header().Set("Allow", map[bool]string{true: "GET", false: "GET, DELETE"}[id == ""])
+		s.reply(w, http.StatusMethodNotAllowed, "not this method")
+		return
+	}
+	told, ok := s.ask(r, q, wait)
+	switch {
+	case !ok && r.Context().Err() != nil:
+	case !ok || told.Status == waiting.StatusFull:
+		s.advise(w, s.set.Policy.MaxRetryAfter)
+		s.reply(w, http.StatusServiceUnavailable, "stopping")
+	case told.Status == waiting.StatusUnknown:
+		s.reply(w, http.StatusNotFound, "no such job")
+	case told.Board != nil:
+		page := Page{Jobs: make([]Job, 0, len(told.Board.Jobs)), Room: &told.Board.Stats}
+		for i := range told.Board.Jobs {
+			j := view(&told.Board.Jobs[i])
+			j.Result = nil
+			page.Jobs = append(page.Jobs, *j)
+		}
+		if n := len(page.Jobs); n == q.Most {
+			page.Next = page.Jobs[n-1].ID
+		}
+		s.json(w, http.StatusOK, &page)
+	default:
+		if wait > 0 {
+			w.Header().Set("Preference-Applied", "wait="+strconv.Itoa(int(wait/time.Second)))
+		}
+		s.json(w, told.Status, view(told.Info))
+	}
+}
+
+func (s *Server) json(w http.ResponseWriter, status int, v any) {
+	text, err := json.Marshal(v)
+	if err != nil {
+		s.reply(w, http.StatusInternalServerError, "internal error")
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	s.write(w, status, append(text, '\n'))
+}
+
+// closing tells the room that the program ends, and when its answers have to be out.
+func (s *Server) closing() {
+	if s.cfg.Waiting {
+		s.loop.Post(dispatch.Closing{By: s.loop.Clock().Since(s.killed.Add(-killMargin))})
+	}
+}
--- a/internal/net/downstream/server.go
+++ b/internal/net/downstream/server.go
@@ -3,6 +3,7 @@
 package downstream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +13,7 @@
 	"net/http"
 	"runtime/debug"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -56,6 +58,7 @@
 	AcceptFor time.Duration // see the constant
 
 	KilledAfter time.Duration // see the function
+	Waiting     bool          // the loop has a waiting room
 }
 
 // Server is the downstream side.
@@ -115,6 +118,7 @@
 	}
 	s.killed = time.Now().Add(s.cfg.KilledAfter)
 	s.stopping.Store(true)
+	s.closing()
 	select {
 	case err := <-failed:
 		return fmt.Errorf("downstream: %w", err)
@@ -126,6 +130,11 @@
 	if err := <-failed; !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("downstream: %w", err)
 	}
+	if s.cfg.Waiting { // jobs without a connection that are out may still end
+		ctx, cancel := context.WithDeadline(context.Background(), s.killed.Add(-killMargin))
+		defer cancel()
+		s.loop.Idle(ctx)
+	}
 	return nil
 }
 
@@ -149,7 +158,16 @@
 		s.up(w, r)
 		return
 	}
+	if s.cfg.Waiting && (r.URL.Path == Jobs || strings.HasPrefix(r.URL.Path, Jobs+"/")) {
+		control.SetReadDeadline(time.Time{})
+		s.jobs(w, r)
+		return
+	}
 	t, err := decode(r, s.set, arrived)
+	var p prefer
+	if err == nil && s.cfg.Waiting {
+		p, err = decodeWait(r, t)
+	}
 	if err == nil {
 		long := charge(r)
 		held := s.bodies.Add(long)
@@ -165,7 +183,7 @@
 	if s.stopping.Load() {
 		t.Job.Budget = min(t.Job.Budget, max(0, s.killed.Sub(arrived)-killMargin))
 	}
-	s.await(w, r, t)
+	s.await(w, r, t, p)
 }
 
 // bodyBy is when the last byte of a request has to be there.
@@ -241,7 +259,7 @@
 }
 
 // await hands a ticket in and sends its answer.
-func (s *Server) await(w http.ResponseWriter, r *http.Request, t *loop.Ticket) {
+func (s *Server) await(w http.ResponseWriter, r *http.Request, t *loop.Ticket, p prefer) {
 	if err := s.loop.Submit(t); err != nil {
 		if errors.Is(err, loop.ErrOpen) {
 			s.reject(w, r, &fault{http.StatusConflict, err.Error()})
@@ -255,6 +273,10 @@
 	defer func() { s.loop.Release(t, left) }()
 	select {
 	case a := <-t.Answer():
+		if a.Accepted {
+			s.accepted(w, r, t.Forward.TraceID, p)
+			return
+		}
 		s.answer(w, a)
 	case <-r.Context().Done():
 		left = true
@@ -270,7 +292,9 @@
 		s.write(w, http.StatusOK, a.Body)
 	case a.Refused:
 		s.advise(w, a.RetryAfter)
-		s.reply(w, http.StatusTooManyRequests, "refused")
+		s.reply(w, cmp.Or(a.Status, http.StatusTooManyRequests), cmp.Or(a.Why, "refused"))
+	case a.Status != 0:
+		s.reply(w, a.Status, a.Why)
 	default:
 		s.reply(w, http.StatusInternalServerError, "failed")
 	}
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -16,6 +16,7 @@
 	"gaugeslip/internal/net/cluster"
 	"gaugeslip/internal/net/upstream"
 	"gaugeslip/internal/settings"
+	"gaugeslip/internal/waiting"
 	"gaugeslip/policy"
 )
 
@@ -30,11 +31,14 @@
 	Refused    bool          // not Served: a repeat is harmless
 	Body       []byte        // of Served
 	RetryAfter time.Duration // of Refused; 0: no advice
+	Accepted   bool          // no answer to the job but the promise that it lives on without its connection
+	Status     int           // of a local reply, where it has one of its own; else 0
+	Why        string        // in words, with Status
 }
 
 // Ticket is one downstream request on its way through the dispatcher.
 type Ticket struct {
-	Job     dispatch.Arrived // Job and At are filled in by Submit
+	Job     dispatch.Arrived // Job, Name, Bytes and At are filled in by Submit
 	Forward upstream.Request // Addr is filled in for each upstream request
 	Arrived time.Time
 
@@ -63,20 +67,23 @@
 // envelope is what waits in the queue.
 type envelope struct {
 	msg    dispatch.Message
-	ticket *Ticket        // of a new job
-	watch  uint64         // the number of the watch that the message comes from; 0: from none
-	source cluster.Source // a new source in place of a message
+	ticket *Ticket            // of a new job
+	told   chan dispatch.Told // of an Asked
+	idle   chan struct{}      // to be closed when nothing without a connection is out
+	watch  uint64             // the number of the watch that the message comes from; 0: from none
+	source cluster.Source     // a new source in place of a message
 }
 
 // Loop owns the core. Run is its goroutine.
 type Loop struct {
-	core     *dispatch.Core
+	core     *dispatch.Chain
 	set      *settings.Settings
 	upstream Upstream
 	source   cluster.Source
 	clock    Clock
 	queue    chan envelope
 	nextJob  atomic.Uint64
+	nextAsk  atomic.Uint64
 	held     atomic.Int64
 	ids      ids
 	stopped  chan struct{}
@@ -84,6 +91,8 @@
 
 	// Owned by Run.
 	tickets map[uint64]*Ticket
+	asks    map[uint64]chan dispatch.Told
+	idle    []chan struct{}
 	cancels map[dispatch.Key]context.CancelFunc
 	watch   context.CancelFunc // ends the watch that is on; nil: none is
 	watches uint64             // watches begun; the last one's number
@@ -92,10 +101,10 @@
 }
 
 // New makes a loop round a core.
-func New(core *dispatch.Core, set *settings.Settings, up Upstream, source cluster.Source, clock Clock) *Loop {
+func New(core *dispatch.Chain, set *settings.Settings, up Upstream, source cluster.Source, clock Clock) *Loop {
 	return &Loop{core: core, set: set, upstream: up, source: source, clock: clock,
 		queue: make(chan envelope, queueLen), ids: ids{until: map[string]time.Time{}}, stopped: make(chan struct{}),
-		tickets: map[uint64]*Ticket{}, cancels: map[dispatch.Key]context.CancelFunc{}}
+		asks: map[uint64]chan dispatch.Told{}, tickets: map[uint64]*Ticket{}, cancels: map[dispatch.Key]context.CancelFunc{}}
 }
 
 // Post puts a message in the queue.
@@ -131,6 +140,7 @@
 	}
 	t.answer = make(chan Answer, 1)
 	t.Job.Job, t.Job.At = l.nextJob.Add(1), l.clock.Since(t.Arrived)
+	t.Job.Name, t.Job.Bytes = t.Forward.TraceID, len(t.Forward.Body)
 	l.post(envelope{msg: t.Job, ticket: t})
 	return nil
 }
@@ -144,6 +154,36 @@
 	}
 }
 
+// Ask asks about waiting jobs. What q waits for is over at its Until, on the loop's clock. False: ctx has ended, or the
+// loop has.
+func (l *Loop) Ask(ctx context.Context, q dispatch.Asked) (dispatch.Told, bool) {
+	q.Number = l.nextAsk.Add(1)
+	told := make(chan dispatch.Told, 1)
+	l.post(envelope{msg: q, told: told})
+	select {
+	case t := <-told:
+		return t, true
+	case <-ctx.Done():
+		l.Post(dispatch.Unasked{Ask: q.Number})
+	case <-l.stopped:
+	}
+	return dispatch.Told{}, false
+}
+
+// Clock is the loop's clock.
+func (l *Loop) Clock() Clock { return l.clock }
+
+// Idle waits until no job that lives on without its connection is before the module or at a host, or until ctx ends.
+func (l *Loop) Idle(ctx context.Context) {
+	idle := make(chan struct{})
+	l.post(envelope{idle: idle})
+	select {
+	case <-idle:
+	case <-ctx.Done():
+	case <-l.stopped:
+	}
+}
+
 // Run drains the queue until ctx ends. It returns when all that it started has ended.
 func (l *Loop) Run(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -167,6 +207,7 @@
 		if err := l.step(ctx, batch); err != nil {
 			return err
 		}
+		l.tellIdle()
 		if l.moved { // not before the step: what the old source told last counts
 			l.startWatch(ctx, dispatch.Watch{Version: l.core.Version()})
 		}
@@ -185,12 +226,20 @@
 		l.source, l.moved = e.source, true
 		return batch
 	}
+	if e.idle != nil {
+		l.idle = append(l.idle, e.idle)
+		return batch
+	}
 	if e.watch != 0 && (e.watch != l.watches || l.watch == nil) {
 		return batch
 	}
 	switch m := e.msg.(type) {
 	case dispatch.Arrived:
 		l.tickets[m.Job] = e.ticket
+	case dispatch.Asked:
+		l.asks[m.Number] = e.told
+	case dispatch.Unasked:
+		delete(l.asks, m.Ask)
 	case dispatch.ListLost:
 		l.watch = nil
 	}
@@ -243,8 +292,8 @@
 		return
 	}
 	for _, m := range in {
-		if e, ok := m.(dispatch.Ended); ok && e.Load != nil {
-			e.Load = nil
+		if e, ok := m.(dispatch.Ended); ok {
+			e.Load, e.Body = nil, nil
 			m = e
 		}
 		slog.Debug("in", "message", fmt.Sprintf("%T%+v", m, m))
@@ -254,11 +303,29 @@
 	}
 }
 
-// renew answers all that is open and puts a new core in the old one's place. What is open may have run, so
-// it has failed and is not refused.
+// tellIdle ends the waits for Idle, when it is so.
+func (l *Loop) tellIdle() {
+	if len(l.idle) == 0 || l.core.Detached() > 0 {
+		return
+	}
+	for _, c := range l.idle {
+		close(c)
+	}
+	l.idle = nil
+}
+
+// renew answers all that was before the module and puts a new core in the old one's place. What was may have run, so
+// it has failed and is not refused. What only waits goes on waiting.
 func (l *Loop) renew() error {
-	for _, t := range l.tickets {
-		t.settle(Answer{})
+	core, known, keeps, err := l.core.Renew(l.clock.Now())
+	if err != nil {
+		return fmt.Errorf("loop: %w", err)
+	}
+	for job, t := range l.tickets {
+		if !keeps(job) {
+			t.settle(Answer{})
+			delete(l.tickets, job)
+		}
 	}
 	for _, cancel := range l.cancels {
 		cancel()
@@ -267,12 +334,11 @@
 		l.watch()
 		l.watch = nil
 	}
-	clear(l.tickets)
 	clear(l.cancels)
-	core, known, err := l.core.Renew()
-	if err != nil {
-		return fmt.Errorf("loop: %w", err)
+	for _, told := range l.asks { // the askers may ask again
+		told <- dispatch.Told{Status: waiting.StatusFull}
 	}
+	clear(l.asks)
 	l.core, l.renewed = core, []dispatch.Message{known}
 	return nil
 }
@@ -289,12 +355,21 @@
 	case dispatch.LocalReply:
 		if t := l.tickets[c.Job]; t != nil {
 			delete(l.tickets, c.Job)
-			a := Answer{Refused: c.Refused}
+			a := Answer{Refused: c.Refused, Status: c.Status, Why: c.Why}
 			if l.set.RetryAfter {
 				a.RetryAfter = c.RetryAfter
 			}
 			t.settle(a)
 		}
+	case dispatch.Accepted:
+		if t := l.tickets[c.Job]; t != nil {
+			t.settle(Answer{Accepted: true})
+		}
+	case dispatch.Told:
+		if told := l.asks[c.Ask]; told != nil {
+			delete(l.asks, c.Ask)
+			told <- c // its buffer holds one
+		}
 	case dispatch.Probe:
 		l.spawn(func() {
 			o := l.upstream.Probe(ctx, c.Addr)
@@ -360,7 +435,7 @@
 	if o.Result == policy.OK {
 		f.ticket.settle(Answer{Served: true, Body: o.Body})
 	}
-	f.loop.Post(dispatch.Ended{Key: f.key, Result: o.Result, Load: f.loop.load(o.Load)})
+	f.loop.Post(dispatch.Ended{Key: f.key, Result: o.Result, Load: f.loop.load(o.Load), Body: o.Body})
 }
 
 // load turns a report by names into the module's.
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,244 @@
+// Package site reads our own settings file: HCL, one block a subject. Without a file, and without its block, a subject
+// is off. A file is checked whole before any of it counts, and every error names file, line, column and key.
+package site
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+	"github.com/zclconf/go-cty/cty"
+
+	"gaugeslip/internal/waiting"
+)
+
+// Site is what the file holds.
+type Site struct {
+	Waiting *waiting.Limits // nil: jobs do not wait here
+}
+
+// file is the form of the file. Attributes are read by hand, so that an error can point at them.
+type file struct {
+	Waiting *waitingBlock `hcl:"waiting,block"`
+}
+
+type waitingBlock struct {
+	MaxJobs     *hcl.Attribute `hcl:"max_jobs,optional"`
+	MaxKept     *hcl.Attribute `hcl:"max_kept,optional"`
+	MaxBytes    *hcl.Attribute `hcl:"max_bytes,optional"`
+	Retention   *hcl.Attribute `hcl:"retention,optional"`
+	DefaultDue  *hcl.Attribute `hcl:"default_due,optional"`
+	MaxDue      *hcl.Attribute `hcl:"max_due,optional"`
+	MaxDelay    *hcl.Attribute `hcl:"max_delay,optional"`
+	Share       *hcl.Attribute `hcl:"share,optional"`
+	ClientShare *hcl.Attribute `hcl:"client_share,optional"`
+	OnFailure   *hcl.Attribute `hcl:"on_failure,optional"`
+	Fresh       *hcl.Attribute `hcl:"remember_fresh,optional"`
+	Range       hcl.Range      `hcl:",def_range"`
+}
+
+// Load reads the file that path names, or else the one that NODE_SITE does. With neither, everything is off.
+func Load(getenv func(string) string, path string) (*Site, error) {
+	if path == "" {
+		path = getenv("NODE_SITE")
+	}
+	if path == "" {
+		return &Site{}, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("site: %w", err)
+	}
+	return Parse(text, path)
+}
+
+// Parse reads the text of a file; name is for its errors.
+func Parse(text []byte, name string) (*Site, error) {
+	parsed, diags := hclparse.NewParser().ParseHCL(text, name)
+	if diags.HasErrors() {
+		return nil, faults(diags)
+	}
+	var f file
+	if diags = gohcl.DecodeBody(parsed.Body, nil, &f); diags.HasErrors() {
+		return nil, faults(diags)
+	}
+	s := &Site{}
+	if f.Waiting != nil {
+		lim, err := f.Waiting.limits()
+		if err != nil {
+			return nil, err
+		}
+		s.Waiting = lim
+	}
+	return s, nil
+}
+
+// limits reads the block waiting.
+func (b *waitingBlock) limits() (*waiting.Limits, error) {
+	l := waiting.Defaults()
+	r := reader{}
+	r.integer(b.MaxJobs, &l.MaxJobs)
+	r.integer(b.MaxKept, &l.MaxKept)
+	r.bytes(b.MaxBytes, &l.MaxBytes)
+	r.duration(b.Retention, &l.Retention)
+	r.duration(b.MaxDue, &l.MaxDue)
+	if b.DefaultDue == nil {
+		l.DefaultDue = min(l.DefaultDue, l.MaxDue)
+	}
+	r.duration(b.DefaultDue, &l.DefaultDue)
+	r.duration(b.MaxDelay, &l.MaxDelay)
+	r.number(b.Share, &l.Share)
+	r.number(b.ClientShare, &l.ClientShare)
+	r.boolean(b.Fresh, &l.Fresh)
+	switch word := "fail"; {
+	case r.text(b.OnFailure, &word) && word != "fail" && word != "run":
+		r.fault(b.OnFailure, `%q is neither "fail" nor "run"`, word)
+	default:
+		l.RunOnFailure = word == "run"
+	}
+	if len(r.errs) > 0 {
+		return nil, errors.Join(r.errs...)
+	}
+	if err := l.Check(); err != nil {
+		key, why, _ := strings.Cut(err.Error(), ": ")
+		if a := b.attribute(key); a != nil {
+			return nil, at(a.NameRange, "waiting."+key, why)
+		}
+		return nil, at(b.Range, "waiting."+key, why)
+	}
+	return &l, nil
+}
+
+// attribute finds an attribute by its key; nil: it is not in the file.
+func (b *waitingBlock) attribute(key string) *hcl.Attribute {
+	for _, a := range []*hcl.Attribute{b.MaxJobs, b.MaxKept, b.MaxBytes, b.Retention, b.DefaultDue, b.MaxDue, b.MaxDelay,
+		b.Share, b.ClientShare} {
+		if a != nil && a.Name == key {
+			return a
+		}
+	}
+	return nil
+}
+
+// at is an error with its place and key.
+func at(r hcl.Range, key, why string) error {
+	return fmt.Errorf("%s:%d:%d: %s: %s", r.Filename, r.Start.Line, r.Start.Column, key, why)
+}
+
+// faults turns HCL's own findings into errors of our form.
+func faults(diags hcl.Diagnostics) error {
+	var errs []error
+	for _, d := range diags {
+		if d.Severity != hcl.DiagError {
+			continue
+		}
+		place := hcl.Range{}
+		if d.Subject != nil {
+			place = *d.Subject
+		}
+		errs = append(errs, at(place, strings.ToLower(d.Summary), d.Detail))
+	}
+	return errors.Join(errs...)
+}
+
+// reader reads attributes and collects what is wrong with them. One that is absent leaves its target as it is.
+type reader struct{ errs []error }
+
+func (r *reader) fault(a *hcl.Attribute, why string, args ...any) {
+	r.errs = append(r.errs, at(a.Range, "waiting."+a.Name, fmt.Sprintf(why, args...)))
+}
+
+// value evaluates an attribute as a type.
+func (r *reader) value(a *hcl.Attribute, want cty.Type) (cty.Value, bool) {
+	if a == nil {
+		return cty.NilVal, false
+	}
+	v, diags := a.Expr.Value(nil)
+	if diags.HasErrors() {
+		r.fault(a, "%s", diags[0].Detail)
+		return v, false
+	}
+	if v.IsNull() || !v.IsKnown() || v.Type() != want {
+		r.fault(a, "a %s is wanted", want.FriendlyName())
+		return v, false
+	}
+	return v, true
+}
+
+func (r *reader) number(a *hcl.Attribute, to *float64) bool {
+	v, ok := r.value(a, cty.Number)
+	if ok {
+		*to, _ = v.AsBigFloat().Float64()
+	}
+	return ok
+}
+
+func (r *reader) integer(a *hcl.Attribute, to *int) {
+	var f float64
+	if !r.number(a, &f) {
+		return
+	}
+	if f != math.Trunc(f) || math.Abs(f) > 1<<40 {
+		r.fault(a, "a whole number is wanted")
+		return
+	}
+	*to = int(f)
+}
+
+func (r *reader) boolean(a *hcl.Attribute, to *bool) {
+	if v, ok := r.value(a, cty.Bool); ok {
+		*to = v.True()
+	}
+}
+
+func (r *reader) text(a *hcl.Attribute, to *string) bool {
+	v, ok := r.value(a, cty.String)
+	if ok {
+		*to = v.AsString()
+	}
+	return ok
+}
+
+// duration reads "90s", "10m", "24h".
+func (r *reader) duration(a *hcl.Attribute, to *time.Duration) {
+	var s string
+	if !r.text(a, &s) {
+		return
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil || d < 0 {
+		r.fault(a, `%q is no duration such as "90s" or "10m"`, s)
+		return
+	}
+	*to = d
+}
+
+var units = []struct {
+	name string
+	size int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"B", 1}}
+
+// bytes reads "512KiB", "8MiB", "1GiB".
+func (r *reader) bytes(a *hcl.Attribute, to *int64) {
+	var s string
+	if !r.text(a, &s) {
+		return
+	}
+	for _, u := range units {
+		if n, ok := strings.CutSuffix(s, u.name); ok {
+			if v, err := strconv.ParseUint(strings.TrimSpace(n), 10, 31); err == nil {
+				*to = int64(v) * u.size
+				return
+			}
+			break
+		}
+	}
+	r.fault(a, `%q is no size such as "512KiB" or "8MiB"`, s)
+}
--- /dev/null
+++ b/internal/site/site_test.go
@@ -0,0 +1,94 @@
+package site
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/waiting"
+)
+
+func TestParse(t *testing.T) {
+	s, err := Parse([]byte(`
+waiting {
+  max_jobs       = 50
+  max_bytes      = "512KiB"
+  retention      = "90s"
+  default_due    = "5s"
+  share          = 0.25
+  on_failure     = "run"
+  remember_fresh = false
+}`), "a.hcl")
+	require.NoError(t, err)
+	want := waiting.Defaults()
+	want.MaxJobs, want.MaxBytes, want.Retention, want.DefaultDue = 50, 512<<10, 90*time.Second, 5*time.Second
+	want.Share, want.RunOnFailure, want.Fresh = 0.25, true, false
+	assert.Equal(t, &want, s.Waiting)
+	s, err = Parse([]byte("waiting {}"), "a.hcl")
+	require.NoError(t, err)
+	want = waiting.Defaults()
+	assert.Equal(t, &want, s.Waiting)
+}
+
+// Off unless the block is there.
+func TestOff(t *testing.T) {
+	for _, text := range []string{"", "# nothing\n"} {
+		s, err := Parse([]byte(text), "a.hcl")
+		require.NoError(t, err)
+		assert.Nil(t, s.Waiting)
+	}
+	s, err := Load(func(string) string { return "" }, "")
+	require.NoError(t, err)
+	assert.Nil(t, s.Waiting)
+}
+
+// Every fault has its place and its key.
+func TestFaults(t *testing.T) {
+	for text, want := range map[string]string{
+		"waiting {\n  max_jobs = 0\n}":                          "a.hcl:2:3: waiting.max_jobs: out of range",
+		"waiting {\n  max_jobs = 1.5\n}":                        "a.hcl:2:3: waiting.max_jobs: a whole number",
+		"waiting {\n  max_jobs = \"many\"\n}":                   "a.hcl:2:3: waiting.max_jobs: a number",
+		"waiting {\n  max_bytes = 7\n}":                         "a.hcl:2:3: waiting.max_bytes: a string",
+		"waiting {\n  max_bytes = \"-1MiB\"\n}":                 "waiting.max_bytes",
+		"waiting {\n  retention = \"soon\"\n}":                  "a.hcl:2:3: waiting.retention: \"soon\" is no duration",
+		"waiting {\n  share = 1\n}":                             "a.hcl:2:3: waiting.share: out of range",
+		"waiting {\n  on_failure = \"ask\"\n}":                  "a.hcl:2:3: waiting.on_failure",
+		"waiting {\n  remember_fresh = \"maybe\"\n}":            "waiting.remember_fresh: a bool",
+		"waiting {\n  max_due = \"1s\"\n default_due=\"2s\"\n}": "a.hcl:3:2: waiting.default_due",
+		"waiting {\n  colour = 1\n}":                            "a.hcl:2:3: unsupported argument",
+		"waiting {\n  max_jobs = x\n}":                          "a.hcl:2:3: waiting.max_jobs",
+		"printing {}":                                           "a.hcl:1:1: unsupported block type",
+		"waiting {}\nwaiting {}":                                "a.hcl:2:1: duplicate waiting block",
+		"waiting {":                                             "a.hcl:1:",
+	} {
+		_, err := Parse([]byte(text), "a.hcl")
+		if assert.Error(t, err, text) {
+			assert.Contains(t, err.Error(), want, text)
+		}
+	}
+}
+
+// The example that is handed out is sound, and off.
+func TestExample(t *testing.T) {
+	path := filepath.Join("..", "..", "deploy", "site.hcl")
+	s, err := Load(func(k string) string { return map[string]string{"NODE_SITE": path}[k] }, "")
+	require.NoError(t, err)
+	assert.Nil(t, s.Waiting)
+	text, err := os.ReadFile(path)
+	require.NoError(t, err)
+	on := uncomment(string(text))
+	s, err = Parse([]byte(on), path)
+	require.NoError(t, err, on)
+	want := waiting.Defaults()
+	assert.Equal(t, &want, s.Waiting, "the example names the defaults")
+}
+
+// uncomment takes the sign off the lines that are switched off by "#: ".
+func uncomment(text string) string {
+	return strings.ReplaceAll(text, "#: ", "")
+}
--- /dev/null
+++ b/internal/waiting/asks.go
@@ -0,0 +1,124 @@
+package waiting
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Asked answers a question: at once, or when the job ends, or when the question's time is over.
+func (r *Room) Asked(now time.Duration, q *Ask) {
+	if q.Name == "" {
+		r.list(now, q)
+		return
+	}
+	i := r.names[q.Name]
+	if i == 0 {
+		r.do(Action{Kind: Tell, Ask: q.Number, Status: StatusUnknown})
+		return
+	}
+	e := r.all.at(i)
+	status := StatusServed
+	switch {
+	case q.Cancel && e.state == Cancelled: // said twice is no mistake
+	case q.Cancel && (e.state.Final() || e.is(fresh|maybe) || e.out > 0):
+		status = StatusConflict
+	case q.Cancel:
+		if e.state == Released {
+			r.do(Action{Kind: Withdraw, Job: Job{Number: e.number}})
+		}
+		r.finish(now, i, Cancelled, StatusCancelled, "cancelled", true)
+	case !e.state.Final() && q.Until > now && len(r.asks) < maxAsks && !r.closing:
+		r.asks[q.Number] = &waiter{i, q.Until}
+		r.askers[i] = append(r.askers[i], q.Number)
+		if len(r.asks) == 1 || q.Until < r.asksAt {
+			r.asksAt = q.Until
+		}
+		return
+	}
+	r.do(Action{Kind: Tell, Ask: q.Number, Status: status, Info: r.info(now, i)})
+}
+
+// Unasked forgets a question whose asker has gone.
+func (r *Room) Unasked(number uint64) {
+	if w := r.asks[number]; w != nil {
+		r.unask(number, w)
+	}
+}
+
+func (r *Room) unask(number uint64, w *waiter) {
+	delete(r.asks, number)
+	list := r.askers[w.of]
+	for k, n := range list {
+		if n == number {
+			list = append(list[:k], list[k+1:]...)
+			break
+		}
+	}
+	if r.askers[w.of] = list; len(list) == 0 {
+		delete(r.askers, w.of)
+	}
+}
+
+// overdueAsks tells how things stand to those whose time is over.
+func (r *Room) overdueAsks(now time.Duration) {
+	if len(r.asks) == 0 || now < r.asksAt {
+		return
+	}
+	r.asksAt = math.MaxInt64
+	var over []uint64
+	for n, w := range r.asks {
+		if w.until <= now {
+			over = append(over, n)
+		} else {
+			r.asksAt = min(r.asksAt, w.until)
+		}
+	}
+	for _, n := range sorted(over) {
+		w := r.asks[n]
+		r.unask(n, w)
+		r.do(Action{Kind: Tell, Ask: n, Status: StatusServed, Info: r.info(now, w.of)})
+	}
+}
+
+// list tells of up to q.Most jobs that asked to wait, in the order of their entries.
+func (r *Room) list(now time.Duration, q *Ask) {
+	i := uint32(0)
+	if q.From != "" {
+		if i = r.names[q.From]; i == 0 {
+			r.do(Action{Kind: Tell, Ask: q.Number, Status: StatusUnknown})
+			return
+		}
+	}
+	var list []Info
+	for i++; int(i) < r.all.len() && len(list) < q.Most; i++ {
+		if e := r.all.at(i); e.is(indexed) && !e.is(fresh) {
+			info := r.info(now, i)
+			info.Result = nil
+			list = append(list, *info)
+		}
+	}
+	r.do(Action{Kind: Tell, Ask: q.Number, Status: StatusServed, Board: &Board{list, r.Stats()}})
+}
+
+// info is what is told of a job.
+func (r *Room) info(now time.Duration, i uint32) *Info {
+	e := r.all.at(i)
+	n := &Info{Name: e.name, State: e.state, Due: e.due, Attempts: int(e.attempts), Status: int(e.status),
+		Result: e.result, Shed: e.is(shed)}
+	if int(e.class) < len(r.fleet.Classes) {
+		n.Class = r.fleet.Classes[e.class].Name
+	}
+	switch {
+	case e.state.Final() || e.out > 0:
+		n.Waited = max(0, e.sent-e.ready)
+	case e.state != Waiting:
+		n.Waited = now - e.ready
+	}
+	return n
+}
+
+func sorted(n []uint64) []uint64 {
+	slices.Sort(n)
+	return n
+}
--- /dev/null
+++ b/internal/waiting/bench_test.go
@@ -0,0 +1,126 @@
+package waiting
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// filled makes a room with n jobs, each with a set time within the next hour or with a job to wait for.
+func filled(tb testing.TB, n int) *Room {
+	lim := Defaults()
+	lim.MaxJobs, lim.MaxKept, lim.ClientShare, lim.MaxBytes, lim.DefaultDue = 10_000_000, 10_000_000, 1, 1<<40, 55*time.Minute
+	r := New(lim, Fleet{Replicas: 1, MaxAttempts: 6, Classes: []Class{{Name: "plot-load", Deadline: 8 * second}}})
+	r.Hosts(1000)
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i := range n {
+		r.Submit(epoch, &Job{Number: uint64(i + 1), Name: fmt.Sprintf("%016x", i), Client: "c", Slots: 1,
+			NotBefore: epoch + time.Duration(1+rng.IntN(3_600_000))*ms})
+		r.Actions()
+	}
+	return r
+}
+
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// Bytes a waiting job, its id's text counted, at SIZE jobs (100,000 where that is not set).
+func BenchmarkBytesAJob(b *testing.B) {
+	n := size()
+	for range b.N {
+		before := heapBytes()
+		r := filled(b, n)
+		b.ReportMetric((heapBytes()-before)/float64(n), "B/job")
+		runtime.KeepAlive(r)
+	}
+}
+
+func size() int {
+	if n, err := strconv.Atoi(os.Getenv("SIZE")); err == nil {
+		return n
+	}
+	return 100_000
+}
+
+// Submit, release and end of one job among SIZE others.
+func BenchmarkSubmit(b *testing.B) {
+	r := filled(b, size())
+	jobs := make([]Job, b.N)
+	for i := range jobs {
+		jobs[i] = Job{Number: uint64(1e9 + i), Name: fmt.Sprintf("n%015x", i), Client: "c", Slots: 1,
+			NotBefore: epoch + time.Duration(1+i%3_600_000)*ms}
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range jobs {
+		r.Submit(epoch, &jobs[i])
+		r.Actions()
+	}
+}
+
+// All of SIZE jobs, from the timer to the module: each becomes ready and has its turn.
+func BenchmarkRelease(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		r := filled(b, size())
+		r.rule = func(*pacer, float64) (float64, int) { return 1e9, 1 << 30 }
+		b.StartTimer()
+		for now := epoch; r.pace.in < size() && now < epoch+2*time.Hour; now += 100 * ms {
+			for more := true; more; {
+				r.Tick(now)
+				at, ok := r.Wake(now)
+				more = ok && at <= now && len(r.Actions()) > 0
+			}
+		}
+		b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*size()), "ns/job")
+	}
+}
+
+// Send and end of a job that has its turn, among SIZE others.
+func BenchmarkEnd(b *testing.B) {
+	r := filled(b, size())
+	for i := range b.N {
+		r.Submit(epoch, &Job{Number: uint64(1e9 + i), Name: fmt.Sprintf("n%015x", i), Client: "c", Slots: 1})
+	}
+	r.rule = func(*pacer, float64) (float64, int) { return 1e9, 1 << 30 }
+	for r.Stats().Released < b.N {
+		r.Tick(epoch)
+		r.Actions()
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		r.Sent(epoch, uint64(1e9+i))
+		r.Ended(epoch, uint64(1e9+i), OK, nil)
+	}
+}
+
+// The longest Tick while SIZE jobs become ready at one moment.
+func BenchmarkBacklog(b *testing.B) {
+	for range b.N {
+		b.StopTimer()
+		r := filled(b, size())
+		now := epoch + time.Hour
+		longest := time.Duration(0)
+		b.StartTimer()
+		for r.timers.len() > 0 {
+			start := time.Now()
+			r.Tick(now)
+			r.Actions()
+			longest = max(longest, time.Since(start))
+		}
+		start := time.Now() // and one with the whole backlog to count
+		r.Tick(now + time.Minute)
+		b.ReportMetric(float64(time.Since(start))/1e6, "ms/count")
+		b.ReportMetric(float64(longest)/1e6, "ms/longest")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -77,7 +77,7 @@
 	j.size = f.size(j.hint)
 	// A later try of the same client has used up some of its time: the aim counts from the first. What two
 	// advised waits can't have used up is a client's own short patience.
-	spent := d.firstTry[j.class] - e.Budget
+	spent := max(0, d.firstTry[j.class]-e.Budget-e.Waited) // to wait for its time was its own wish
 	if !e.Retry && spent > 2*d.cfg.MaxRetryAfter+500*time.Millisecond {
 		spent = 0
 	}
--- a/policy/types.go
+++ b/policy/types.go
@@ -156,7 +156,7 @@
 
 // The events.
 const (
-	JobArrived   EventKind = iota // Job, Class, Tenant, Budget, Size (0: no hint), Slots, Retry
+	JobArrived   EventKind = iota // Job, Class, Tenant, Budget, Waited, Size (0: no hint), Slots, Retry
 	ClientGone                    // Job: nothing is owed any more
 	AttemptEnded                  // Job, Attempt, Worker, Result, Took, Finished, Load
 	JobStarted                    // Job, Attempt, Worker
@@ -174,6 +174,7 @@
 	Job           uint64
 	Class, Tenant int // Tenant -1: none
 	Budget, Size  time.Duration
+	Waited        time.Duration // of its client's time, spent by the client's own wish
 	Slots         int
 	Retry         bool
 	Attempt       int
