--- a/cmd/gaugeslip/main_test.go
+++ b/cmd/gaugeslip/main_test.go
@@ -41,13 +41,20 @@
 
 // program starts a dispatcher that knows a list and has a discovery, and waits until it is up.
 func program(t *testing.T, known, discovery string, env ...string) (addr string, cmd *exec.Cmd, log *logged) {
+	return programWith(t, nettest.SettingsJSON, known, discovery, env...)
+}
+
+func decodeJSON(text string, to any) error { return json.Unmarshal([]byte(text), to) }
+
+// programWith has settings of its own.
+func programWith(t *testing.T, settings, known, discovery string, env ...string) (addr string, cmd *exec.Cmd, log *logged) {
 	ln, err := net.Listen("tcp", "127.77.0.1:0") // a port that is free, where no other test looks for one
 	require.NoError(t, err)
 	addr = ln.Addr().String()
 	ln.Close()
 	config, err := json.Marshal(map[string]any{"name": "n0", "listen": addr, "discovery": discovery,
 		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"known": json.RawMessage(known), "settings": json.RawMessage(nettest.SettingsJSON)})
+		"known": json.RawMessage(known), "settings": json.RawMessage(settings)})
 	require.NoError(t, err)
 	path := filepath.Join(t.TempDir(), "config.json")
 	require.NoError(t, os.WriteFile(path, config, 0o600))
--- a/internal/net/downstream/downstream_test.go
+++ b/internal/net/downstream/downstream_test.go
@@ -17,6 +17,7 @@
 	"gaugeslip/internal/net/loop"
 	"gaugeslip/internal/net/nettest"
 	"gaugeslip/internal/net/upstream"
+	"gaugeslip/internal/waiting"
 )
 
 // none is a cluster of which nothing is heard.
@@ -32,18 +33,32 @@
 // dispatcher runs a whole downstream side over one upstream host, listed twice; stop begins its shutdown, and ended
 // closes when that is over.
 func dispatcher(t *testing.T, acceptFor time.Duration, script func(*nettest.Call)) (
+	addr string, host *nettest.Peer, stop func(), ended chan struct{}) {
+	return dispatcherWith(t, acceptFor, script, nil)
+}
+
+// running is the loop of the dispatcher that the test has started last.
+var running *loop.Loop
+
+// dispatcherWith has a waiting room where lim says so.
+func dispatcherWith(t *testing.T, acceptFor time.Duration, script func(*nettest.Call), lim *waiting.Limits) (
 	addr string, host *nettest.Peer, stop func(), ended chan struct{}) {
 	host = nettest.Listen(t, script)
 	set := nettest.Settings(t)
 	core, err := dispatch.New(set.Policy, 1)
 	require.NoError(t, err)
 	pool := upstream.NewPool(upstream.Config{ConnectTimeout: nettest.Patience, ConnIdle: time.Minute, MaxConns: 9})
-	l := loop.New(dispatch.NewChain(core, nil), set, pool, none{}, loop.NewClock())
+	var room *dispatch.WaitingGate
+	if lim != nil {
+		room = dispatch.NewWaitingGate(*lim, set.Policy)
+	}
+	l := loop.New(dispatch.NewChain(core, room), set, pool, none{}, loop.NewClock())
 	l.Post(dispatch.Listed{Whole: true, Stale: true,
 		Hosts: []dispatch.Host{{Name: "s-0000000a", Addr: host.Addr, Scale: 1},
 			{Name: "s-0000000b", Addr: host.Addr, Scale: 1}}})
 	s := New(Config{Listen: "127.0.0.1:0", MaxConns: maxConns, MaxBodies: maxBody, AcceptFor: acceptFor,
-		KilledAfter: KilledAfter(set)}, set, l)
+		KilledAfter: KilledAfter(set), Waiting: room != nil}, set, l)
+	running = l
 	ln, err := s.Listen()
 	require.NoError(t, err)
 	inner, halt := context.WithCancel(context.Background())
--- a/internal/net/downstream/jobs.go
+++ b/internal/net/downstream/jobs.go
@@ -132,7 +132,7 @@
 func (s *Server) outcome(w http.ResponseWriter, i *waiting.Info) {
 	switch i.State {
 	case waiting.Served:
-		s.answer(w, loop.Answer{Served: true, Body: i.Result})
+		s.answer(w, loop.Answer{Served: true, Body: []byte(i.Result)})
 	case waiting.Refused:
 		s.answer(w, loop.Answer{Refused: true, Status: i.Status, Why: i.State.String()})
 	default:
@@ -165,10 +165,10 @@
 	j := &Job{ID: i.Name, State: i.State.String(), Class: i.Class, DueMS: i.Due.Milliseconds(),
 		WaitedMS: i.Waited.Milliseconds(), Attempts: i.Attempts, Status: i.Status, Shed: i.Shed}
 	if i.State == waiting.Served && !i.Shed {
-		if text := string(i.Result); utf8.ValidString(text) {
-			j.Result = &text
+		if utf8.ValidString(i.Result) {
+			j.Result = &i.Result
 		} else {
-			j.Binary = i.Result
+			j.Binary = []byte(i.Result)
 		}
 	}
 	return j
--- a/internal/net/loop/ids.go
+++ b/internal/net/loop/ids.go
@@ -16,6 +16,14 @@
 	swept time.Time
 }
 
+// taken tells whether an id is.
+func (s *ids) taken(id string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	until, ok := s.until[id]
+	return ok && !until.Before(now)
+}
+
 // claim takes an id for a request that arrived at now and has budget left.
 func (s *ids) claim(id string, now time.Time, budget time.Duration) error {
 	s.mu.Lock()
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"runtime/debug"
 	"sync"
 	"sync/atomic"
@@ -91,6 +92,7 @@
 
 	// Owned by Run.
 	tickets map[uint64]*Ticket
+	parked  map[uint64]*parked
 	asks    map[uint64]chan dispatch.Told
 	idle    []chan struct{}
 	cancels map[dispatch.Key]context.CancelFunc
@@ -104,7 +106,7 @@
 func New(core *dispatch.Chain, set *settings.Settings, up Upstream, source cluster.Source, clock Clock) *Loop {
 	return &Loop{core: core, set: set, upstream: up, source: source, clock: clock,
 		queue: make(chan envelope, queueLen), ids: ids{until: map[string]time.Time{}}, stopped: make(chan struct{}),
-		asks: map[uint64]chan dispatch.Told{}, tickets: map[uint64]*Ticket{}, cancels: map[dispatch.Key]context.CancelFunc{}}
+		asks: map[uint64]chan dispatch.Told{}, parked: map[uint64]*parked{}, tickets: map[uint64]*Ticket{}, cancels: map[dispatch.Key]context.CancelFunc{}}
 }
 
 // Post puts a message in the queue.
@@ -134,7 +136,7 @@
 		l.held.Add(-1)
 		return ErrFull
 	}
-	if err := l.ids.claim(t.Forward.TraceID, t.Arrived, t.Job.Budget); err != nil {
+	if err := l.claim(t); err != nil {
 		l.held.Add(-1)
 		return err
 	}
@@ -145,6 +147,18 @@
 	return nil
 }
 
+// claim sees to it that no other request has a ticket's id. The ids of jobs that wait the waiting room keeps, for as long
+// as it knows them: here they would fill the table.
+func (l *Loop) claim(t *Ticket) error {
+	if t.Job.Wait == nil {
+		return l.ids.claim(t.Forward.TraceID, t.Arrived, t.Job.Budget)
+	}
+	if l.ids.taken(t.Forward.TraceID, t.Arrived) {
+		return ErrOpen
+	}
+	return nil
+}
+
 // Release tells that a submitted request is over for the downstream side; with left, the client went
 // before it had its answer.
 func (l *Loop) Release(t *Ticket, left bool) {
@@ -330,6 +344,7 @@
 	for _, cancel := range l.cancels {
 		cancel()
 	}
+	maps.DeleteFunc(l.parked, func(job uint64, _ *parked) bool { return !keeps(job) })
 	if l.watch != nil {
 		l.watch()
 		l.watch = nil
@@ -361,8 +376,11 @@
 			}
 			t.settle(a)
 		}
+		delete(l.parked, c.Job)
 	case dispatch.Accepted:
 		if t := l.tickets[c.Job]; t != nil {
+			delete(l.tickets, c.Job)
+			l.parked[c.Job] = park(t)
 			t.settle(Answer{Accepted: true})
 		}
 	case dispatch.Told:
@@ -393,6 +411,11 @@
 // send starts an upstream request, with a goroutine of its own for as long as it is out.
 func (l *Loop) send(ctx context.Context, c dispatch.Send) {
 	t := l.tickets[c.Job]
+	if p := l.parked[c.Job]; t == nil && p != nil {
+		delete(l.parked, c.Job)
+		t = p.ticket()
+		l.tickets[c.Job] = t
+	}
 	if t == nil { // the core sends for open jobs only
 		panic(fmt.Sprintf("loop: a request for job %d, which is over", c.Job))
 	}
--- a/internal/waiting/asks.go
+++ b/internal/waiting/asks.go
@@ -94,7 +94,7 @@
 	for i++; int(i) < r.all.len() && len(list) < q.Most; i++ {
 		if e := r.all.at(i); e.is(indexed) && !e.is(fresh) {
 			info := r.info(now, i)
-			info.Result = nil
+			info.Result = ""
 			list = append(list, *info)
 		}
 	}
@@ -104,7 +104,7 @@
 // info is what is told of a job.
 func (r *Room) info(now time.Duration, i uint32) *Info {
 	e := r.all.at(i)
-	n := &Info{Name: e.name, State: e.state, Due: e.due, Attempts: int(e.attempts), Status: int(e.status),
+	n := &Info{Name: e.name, State: e.state, Due: e.due(), Attempts: int(e.attempts), Status: int(e.status),
 		Result: e.result, Shed: e.is(shed)}
 	if int(e.class) < len(r.fleet.Classes) {
 		n.Class = r.fleet.Classes[e.class].Name
--- a/internal/waiting/room.go
+++ b/internal/waiting/room.go
@@ -28,21 +28,23 @@
 
 // entry is a job that is known. Its number is its place in Room.all.
 type entry struct {
-	name, client                 string
-	number                       uint64
-	result                       []byte
-	arrived, deadline, size      time.Duration // deadline 0: none
-	ready, due                   time.Duration // before it is ready: its set time; how long it may wait then
-	entered, sent                time.Duration // its last turn began; its last send
-	edges, next                  uint32        // its first dependant; the next kept, or the next free
-	bytes                        uint32
-	class, tenant, slots         int16
-	attempts, out, turns, status uint16
-	preds                        uint8 // earlier jobs that have not ended
-	state                        State
-	flags                        uint8
+	name, result            string
+	client                  *share // nil: it counts for nobody
+	number                  uint64
+	arrived, deadline, size time.Duration // deadline 0: none
+	ready                   time.Duration // before it is ready: its set time
+	entered, sent           time.Duration // its last turn began; its last send
+	edges, next             uint32        // its first dependant; the next kept, or the next free
+	bytes, dueMS            uint32        // of its body; how long it may wait once it is ready
+	class, tenant, slots    int16
+	attempts, out, status   uint16
+	preds                   uint8 // earlier jobs that have not ended
+	state                   State
+	flags                   uint8
 }
 
+func (e *entry) due() time.Duration { return time.Duration(e.dueMS) * time.Millisecond }
+
 func (e *entry) is(f uint8) bool { return e.flags&f != 0 }
 
 // edge says that a job waits for the one in whose list it stands.
@@ -62,11 +64,11 @@
 	spare  uint32
 	names  map[string]uint32
 	open   map[uint64]uint32 // by number, those not final
-	shares map[string]int    // jobs held, by client
-	place  slab[uint32]      // in timers, ready or again
-	timers queue             // that wait for their time
-	ready  queue             // whose turn it may be, by the time at which they ought to have gone out
-	again  queue             // that the module has refused, by when they try again
+	shares map[string]*share
+	place  slab[uint32] // in timers, ready or again
+	timers queue        // that wait for their time
+	ready  queue        // whose turn it may be, by the time at which they ought to have gone out
+	again  queue        // that the module has refused, by when they try again
 	endsAt slab[uint32]
 	ends   queue    // by when they must have gone out, or be answered
 	ended  []uint32 // final ones whose dependants have not heard yet
@@ -100,7 +102,7 @@
 
 // New makes an empty Room. The limits must be sound, see Limits.Check.
 func New(lim Limits, fleet Fleet) *Room {
-	r := &Room{lim: lim, fleet: fleet, names: map[string]uint32{}, open: map[uint64]uint32{}, shares: map[string]int{},
+	r := &Room{lim: lim, fleet: fleet, names: map[string]uint32{}, open: map[uint64]uint32{}, shares: map[string]*share{},
 		askers: map[uint32][]uint64{}, asks: map[uint64]*waiter{}, pace: newPacer(), rule: byNeed,
 		patience: make([]time.Duration, len(fleet.Classes))}
 	r.all.push(entry{}) // so that 0 means none
@@ -192,7 +194,7 @@
 func (r *Room) add(j *Job, flags uint8) uint32 {
 	i := r.take()
 	e := r.all.at(i)
-	*e = entry{name: j.Name, client: j.Client, number: j.Number, arrived: j.Arrived, deadline: j.Deadline, size: j.Size,
+	*e = entry{name: j.Name, number: j.Number, arrived: j.Arrived, deadline: j.Deadline, size: j.Size,
 		class: int16(j.Class), tenant: int16(j.Tenant), slots: int16(j.Slots), bytes: uint32(j.Bytes), flags: flags}
 	r.open[j.Number] = i
 	return i
@@ -260,10 +262,10 @@
 	}
 	i := r.add(j, flags)
 	e := r.all.at(i)
-	e.ready, e.due = j.NotBefore, due
+	e.ready, e.dueMS = j.NotBefore, uint32((due+time.Millisecond-1)/time.Millisecond)
 	r.names[e.name] = i
 	r.held++
-	r.shares[e.client]++
+	r.count(e, j.Client)
 	r.bodies += int64(e.bytes)
 	if !met {
 		r.finish(now, i, Failed, StatusDependency, "a job that it waits for was not served", true)
@@ -285,6 +287,23 @@
 	}
 }
 
+// share is how many jobs one client has here.
+type share struct {
+	name string
+	jobs int
+}
+
+// count books a job for its client.
+func (r *Room) count(e *entry, client string) {
+	s := r.shares[client]
+	if s == nil {
+		s = &share{name: client}
+		r.shares[client] = s
+	}
+	s.jobs++
+	e.client = s
+}
+
 // link makes an edge.
 func (r *Room) link(of uint32, number uint64, next uint32) uint32 {
 	x := edge{of, number, next}
@@ -303,7 +322,7 @@
 		return "as many jobs wait as may"
 	case r.bodies+int64(j.Bytes) > r.lim.MaxBytes:
 		return "the bodies of waiting jobs take all the room there is"
-	case r.shares[j.Client] >= max(1, int(r.lim.ClientShare*float64(r.lim.MaxJobs))):
+	case r.shares[j.Client] != nil && r.shares[j.Client].jobs >= max(1, int(r.lim.ClientShare*float64(r.lim.MaxJobs))):
 		return "this client has as many waiting jobs as it may"
 	}
 	return ""
@@ -326,7 +345,7 @@
 func (r *Room) makeReady(now time.Duration, i uint32) {
 	e := r.all.at(i)
 	e.state, e.ready = Ready, now
-	r.ready.push(i, now+e.due)
+	r.ready.push(i, now+e.due())
 	r.arm(i)
 	r.pace.stale = true
 }
@@ -334,7 +353,7 @@
 // arm sets when a job that is ready, or in its turn and not sent, must be answered.
 func (r *Room) arm(i uint32) {
 	e := r.all.at(i)
-	at := e.ready + longWait*e.due
+	at := e.ready + longWait*e.due()
 	if e.deadline > 0 && e.is(attached) {
 		at = min(at, e.deadline-lastCall)
 	}
@@ -370,7 +389,7 @@
 			break
 		}
 		r.again.remove(i)
-		r.ready.push(i, r.all.at(i).ready+r.all.at(i).due)
+		r.ready.push(i, r.all.at(i).ready+r.all.at(i).due())
 	}
 	r.tell(now, &work)
 	r.overdueAsks(now)
@@ -436,8 +455,8 @@
 	if !e.is(fresh) {
 		r.held--
 		r.bodies -= int64(e.bytes)
-		if r.shares[e.client]--; r.shares[e.client] <= 0 {
-			delete(r.shares, e.client)
+		if e.client.jobs--; e.client.jobs == 0 {
+			delete(r.shares, e.client.name)
 		}
 		if r.freedAt > 0 {
 			r.freeGap += (min(now-r.freedAt, time.Minute) - r.freeGap) / 8
@@ -455,7 +474,7 @@
 		}
 	}
 	delete(r.open, e.number)
-	e.state, e.status, e.client, e.bytes = s, uint16(status), "", 0
+	e.state, e.status, e.client, e.bytes = s, uint16(status), nil, 0
 	e.sent = max(e.sent, e.ready)
 	if answer {
 		r.do(Action{Kind: Answer, Job: Job{Number: e.number}, Status: status, Why: why})
@@ -491,7 +510,7 @@
 	if e.is(fresh) {
 		return // its client had it on its connection
 	}
-	e.result = slices.Clone(result)
+	e.result = string(result)
 	r.results += int64(len(result))
 }
 
@@ -501,7 +520,7 @@
 		e := r.all.at(r.shedAt)
 		if len(e.result) > 0 {
 			r.results -= int64(len(e.result))
-			e.result = nil
+			e.result = ""
 			e.flags |= shed
 			r.stats.ResultsShed++
 		}
--- a/internal/waiting/room_test.go
+++ b/internal/waiting/room_test.go
@@ -169,7 +169,7 @@
 			b.hasTurn(n, 1)
 			b.serve(n)
 			b.want("b", Served, 200)
-			if i := b.look("b"); string(i.Result) != "result" || i.Attempts != 1 || i.Class != "plot-load" {
+			if i := b.look("b"); i.Result != "result" || i.Attempts != 1 || i.Class != "plot-load" {
 				t.Errorf("%+v", i)
 			}
 		})
@@ -522,7 +522,7 @@
 	}
 	b.tick(time.Minute)
 	b.serve(n)
-	if a, ok := b.told[1000]; !ok || a.Info.State != Served || string(a.Info.Result) != "result" {
+	if a, ok := b.told[1000]; !ok || a.Info.State != Served || a.Info.Result != "result" {
 		t.Errorf("%+v", a)
 	}
 	if _, ok := b.told[1002]; ok {
@@ -577,7 +577,7 @@
 		b.r.Sent(b.now, n)
 		b.r.Ended(b.now, n, OK, make([]byte, 30<<10))
 	}
-	if i := b.look("0"); i.State != Served || !i.Shed || i.Result != nil {
+	if i := b.look("0"); i.State != Served || !i.Shed || i.Result != "" {
 		t.Errorf("%v %v", i.State, i.Shed)
 	}
 	if i := b.look("2"); i.Shed || len(i.Result) != 30<<10 {
--- a/internal/waiting/turns.go
+++ b/internal/waiting/turns.go
@@ -18,11 +18,11 @@
 	in, unsent, out  int // turns; those not sent yet; sends that are out, of fresh jobs too
 	window           int
 	extra, slow      float64       // window without the floor; where it ceases to double
-	floor            float64       // as last computed
+	floor, lanes     float64       // as last computed; and lanes that turns may take by the floor alone
 	demand           float64       // jobs a second that the due times ask for
 	demandAt         time.Duration // computed last
 	stale            bool          // jobs have become ready since
-	stay             float64       // mean length of a turn, in seconds
+	stay, run        float64       // mean length of a turn, and of the part of it that is spent out, in seconds
 	sent, sentFresh  uint64        // first sends of turns, and of fresh jobs
 	refusedAt, cutAt time.Duration // a fresh job was refused; the window was halved
 	pause, pauseFor  time.Duration // no turn before; and the next pause's length
@@ -45,7 +45,7 @@
 )
 
 func newPacer() pacer {
-	return pacer{extra: unsentMost, slow: math.Inf(1), stay: 1, pauseFor: pauseLeast}
+	return pacer{extra: unsentMost, slow: math.Inf(1), stay: 1, run: 1, pauseFor: pauseLeast}
 }
 
 // release gives jobs their turn, the one that is to go out earliest first.
@@ -64,7 +64,6 @@
 		e := r.all.at(i)
 		e.state, e.entered = Released, now
 		e.flags |= unsent
-		e.turns++
 		p.in++
 		p.unsent++
 		r.stats.Turns++
@@ -94,10 +93,13 @@
 // mayTurn tells whether another job may have its turn now.
 func (r *Room) mayTurn(now time.Duration) bool {
 	p := &r.pace
-	if r.ready.len() == 0 || now < p.pause || p.in >= p.window {
+	switch {
+	case r.ready.len() == 0 || now < p.pause || p.in >= p.window:
 		return false
+	case float64(p.in) >= p.floor:
+		return p.unsent < unsentMost
 	}
-	return float64(p.in) < p.floor || p.unsent < unsentMost
+	return float64(p.in) < p.extra || float64(p.in-p.unsent) < p.lanes
 }
 
 // setWindow finds the floor and the window. Nothing here looks at a job alone: an hour's backlog costs no more than
@@ -109,8 +111,10 @@
 		p.demand, p.demandAt, p.stale = r.need(now), now, false
 	}
 	share := r.lim.Share
-	most := share * max(float64(r.hosts)/float64(max(r.fleet.Replicas, 1)), float64(p.out))
-	p.floor, p.window = r.rule(p, most)
+	// What is out tells how many lanes there are when it matters, when all are taken. Before a lane a turn may wait in
+	// the module: by Little's law it takes more turns, by as much, to keep a share of the lanes.
+	p.lanes = max(1, share*max(float64(r.hosts)/float64(max(r.fleet.Replicas, 1)), float64(p.out)))
+	p.floor, p.window = r.rule(p, p.lanes*max(1, p.stay/p.run))
 }
 
 // byNeed is the rule that is in use: see pacer.
@@ -137,7 +141,7 @@
 	}
 	for k := range uint32(r.again.len()) {
 		e := r.all.at(r.again.nodes.at(k).of)
-		count(e.ready+e.due, 1)
+		count(e.ready+e.due(), 1)
 	}
 	steepest, sum := 0.0, 0
 	for b, n := range bins {
@@ -187,7 +191,7 @@
 	p.sent++
 	p.unsent--
 	p.pause, p.pauseFor = 0, pauseLeast
-	waited := float64(now-e.ready) / float64(e.due)
+	waited := float64(now-e.ready) / float64(e.due())
 	r.stats.Longest = max(r.stats.Longest, waited)
 	if waited > 1 {
 		r.stats.Overdue++
@@ -260,7 +264,7 @@
 		return false
 	}
 	back := r.backoff(now, e)
-	latest := e.ready + longWait*e.due
+	latest := e.ready + longWait*e.due()
 	if e.is(attached) {
 		latest = min(latest, e.deadline-lastCall)
 	}
@@ -283,7 +287,7 @@
 
 // backoff is how long a refused job stands back: the less time it has, the sooner it tries again.
 func (r *Room) backoff(now time.Duration, e *entry) time.Duration {
-	return min(max((e.ready+longWait*e.due-now)/32, backLeast), backMost)
+	return min(max((e.ready+longWait*e.due()-now)/32, backLeast), backMost)
 }
 
 // leave ends a turn, if the job has one.
@@ -302,6 +306,7 @@
 	}
 	if to == Served {
 		p.stay += ((now - e.entered).Seconds() - p.stay) / 16
+		p.run += (max(now-e.sent, time.Millisecond).Seconds() - p.run) / 16
 	}
 }
 
--- a/internal/waiting/types.go
+++ b/internal/waiting/types.go
@@ -176,7 +176,7 @@
 	Waited   time.Duration // from ready to its last send, or to now
 	Attempts int
 	Status   int // of a final one
-	Result   []byte
+	Result   string
 	Shed     bool // there was a result, but no room to keep it
 }
 
