--- a/internal/waiting/room_test.go
+++ b/internal/waiting/room_test.go
@@ -687,3 +687,22 @@
 		t.Errorf("window %d", w)
 	}
 }
+
+// A dependant that has gone leaves nothing by which its predecessor's end could meet the job that has its place now.
+func TestPlacesAreUsedAgain(t *testing.T) {
+	b := newBench(t, func(l *Limits) { l.Retention = second })
+	n := b.submit("a", at(b.now+time.Minute))
+	b.submit("b", after("a"))
+	b.r.Asked(b.now, &Ask{Number: 999, Name: "b", Cancel: true})
+	b.tick(second) // forgotten
+	m := b.submit("c", at(b.now+time.Hour))
+	if b.r.open[m] != 2 {
+		t.Fatalf("c has place %d", b.r.open[m])
+	}
+	b.r.Asked(b.now, &Ask{Number: 999, Name: "a", Cancel: true})
+	b.tick(0)
+	b.want("c", Waiting, 0)
+	if b.answers[n].Status != StatusCancelled || b.answers[m].Status != 0 {
+		t.Errorf("%+v", b.answers)
+	}
+}
