--- a/internal/waiting/room.go
+++ b/internal/waiting/room.go
@@ -16,14 +16,15 @@
 
 // flags of an entry.
 const (
-	attached  uint8 = 1 << iota // its client waits on its connection
-	fresh                       // it went on at once
-	indexed                     // its name is known
-	maybe                       // a send may have run
-	turnedOff                   // a host will not take it, now or later
-	unsent                      // released, and not sent in this turn
-	left                        // nobody waits for it any more, but a send is still out
-	shed                        // there was a result, but no room to keep it
+	attached  uint16 = 1 << iota // its client waits on its connection
+	fresh                        // it went on at once
+	indexed                      // its name is known
+	maybe                        // a send may have run
+	turnedOff                    // a host will not take it, now or later
+	unsent                       // released, and not sent in this turn
+	left                         // nobody waits for it any more, but a send is still out
+	promised                     // accepted, to live on without its connection
+	shed                         // there was a result, but no room to keep it
 )
 
 // entry is a job that is known. Its number is its place in Room.all.
@@ -40,12 +41,12 @@
 	attempts, out, status   uint16
 	preds                   uint8 // earlier jobs that have not ended
 	state                   State
-	flags                   uint8
+	flags                   uint16
 }
 
 func (e *entry) due() time.Duration { return time.Duration(e.dueMS) * time.Millisecond }
 
-func (e *entry) is(f uint8) bool { return e.flags&f != 0 }
+func (e *entry) is(f uint16) bool { return e.flags&f != 0 }
 
 // edge says that a job waits for the one in whose list it stands.
 type edge struct {
@@ -87,6 +88,7 @@
 	pace            pacer
 	rule            func(p *pacer, most float64) (floor float64, window int)
 	stats           Stats
+	records         []Record // nil: none are wanted
 	out, before     []Action
 	advised         int
 	freedAt         time.Duration // a place came free last
@@ -191,7 +193,7 @@
 	return true
 }
 
-func (r *Room) add(j *Job, flags uint8) uint32 {
+func (r *Room) add(j *Job, flags uint16) uint32 {
 	i := r.take()
 	e := r.all.at(i)
 	*e = entry{name: j.Name, number: j.Number, arrived: j.Arrived, deadline: j.Deadline, size: j.Size,
@@ -272,6 +274,15 @@
 		return
 	}
 	if !j.Attached {
+		e.flags |= promised
+		if r.records != nil {
+			kept := *j
+			kept.Due, kept.After = e.due(), nil
+			for _, p := range unmet[:n] {
+				kept.After = append(kept.After, r.all.at(p).name)
+			}
+			r.note(now, e, Record{Kind: Promised, Job: kept})
+		}
 		r.do(Action{Kind: Accept, Job: Job{Number: j.Number}})
 	} else {
 		r.ends.push(i, e.deadline-lastCall)
@@ -345,6 +356,7 @@
 func (r *Room) makeReady(now time.Duration, i uint32) {
 	e := r.all.at(i)
 	e.state, e.ready = Ready, now
+	r.note(now, e, Record{Kind: IsReady})
 	r.ready.push(i, now+e.due())
 	r.arm(i)
 	r.pace.stale = true
@@ -449,6 +461,7 @@
 	}
 	r.pace.out -= int(e.out) // what is still out of it is not heard of any more
 	r.leave(now, i, s)
+	r.note(now, e, Record{Kind: Over, State: s, Status: status, Result: e.result})
 	for _, q := range []*queue{&r.timers, &r.ready, &r.again, &r.ends} {
 		q.remove(i)
 	}
--- a/internal/waiting/turns.go
+++ b/internal/waiting/turns.go
@@ -179,6 +179,7 @@
 	p.out++
 	e.attempts++
 	e.sent = now
+	r.note(now, e, Record{Kind: MayRun, Attempts: int(e.attempts)})
 	r.ends.remove(i)
 	if !e.is(unsent) {
 		return
@@ -233,6 +234,7 @@
 	if e.is(left) {
 		r.gone(now, i)
 	} else if o == NeverRan && !e.is(fresh|maybe) {
+		r.note(now, e, Record{Kind: NotRun})
 		r.arm(i) // it waits again, for the module to send it once more
 	}
 }
