--- /dev/null
+++ b/internal/check/check.go
@@ -0,0 +1,274 @@
+// Package check is the one checker of the rules that every dispatcher has to keep. It reads what was seen, from the lab in
+// virtual time or from the emulator on sockets, and trusts no dispatcher's word: what has run, hosts tell.
+package check
+
+import (
+	"fmt"
+	"time"
+)
+
+// Kind says what an Event tells.
+type Kind uint8
+
+// The kinds. The fields in brackets count.
+const (
+	Taken    Kind = iota // a dispatcher has taken a job (Job, Node, Unsafe, Deadline)
+	Left                 // its client has gone: nothing is owed any more (Job)
+	Sent                 // a send of it begins (Job, Attempt, Node, Host)
+	Ran                  // a host has begun to run it (Job, Attempt, Host)
+	NeverRan             // a send of it is proved not to have run, and its dispatcher knows (Job, Attempt)
+	Answered             // it has an answer (Job, Answer)
+	Killed               // a dispatcher is dead, and what it held is lost (Node)
+	Told                 // a dispatcher was told that a host drains or is gone (Node, Host)
+	Untold               // or that it takes jobs (Node, Host)
+	Worked               // work has come to a host that is cold (Node, Host, Work, Capacity)
+	Reborn               // a host has started anew, and nobody knows yet (Host)
+	Knows                // a dispatcher was told of its present start (Node, Host)
+)
+
+// Answer is what a client has heard.
+type Answer uint8
+
+// The answers.
+const (
+	Served Answer = iota
+	Refused
+	Failed
+)
+
+// Event is one thing that was seen, at a time. Events come in order of time.
+type Event struct {
+	Kind     Kind
+	At       time.Duration
+	Job      uint64
+	Attempt  int
+	Node     int
+	Host     int
+	Unsafe   bool
+	Deadline time.Duration
+	Answer   Answer
+	Work     time.Duration // of a standard lane
+	Capacity float64       // standard lanes that the host is worth at this moment
+}
+
+// Rules are the figures that the rules are counted by.
+type Rules struct {
+	AnswerGrace time.Duration // after its client's deadline an answer still counts
+	DrainGrace  time.Duration
+	TipMultiple float64
+	OverloadFor time.Duration
+	Slack       float64 // of the budget of a cold host, for chance
+}
+
+// Rule names a rule.
+type Rule string
+
+// The rules.
+const (
+	OneAnswer  Rule = "one final answer in time"
+	OneEffect  Rule = "no double effect"
+	Drains     Rule = "nothing new to a host that drains"
+	ColdHosts  Rule = "no cold host pushed over"
+	Harmless   Rule = "refused only where a repeat is harmless"
+	Unexpected Rule = "the record makes sense"
+)
+
+// Breach is a rule that was broken.
+type Breach struct {
+	Rule Rule
+	At   time.Duration
+	What string
+}
+
+func (b Breach) String() string { return fmt.Sprintf("%v: %s: %s", b.At, b.Rule, b.What) }
+
+// job is what is known of one.
+type job struct {
+	node     int
+	unsafe   bool
+	deadline time.Duration
+	answered bool
+	sends    uint64 // a bit for each that is not proved never to have run
+	ran      int
+}
+
+// inflow is the work that has come to a cold host within the window.
+type inflow struct {
+	at   []time.Duration
+	work []float64
+	knew []bool // from a dispatcher that was told of its start
+}
+
+const most = 100 // breaches that are kept; all are counted
+
+// Checker reads events. The zero value is of no use, see New.
+type Checker struct {
+	rules    Rules
+	jobs     map[uint64]*job
+	told     map[[2]int]time.Duration
+	knows    map[[2]int]bool
+	cold     map[int]*inflow
+	breaches []Breach
+	counts   map[Rule]int
+	now      time.Duration
+	checked  int
+}
+
+// New makes a Checker.
+func New(r Rules) *Checker {
+	return &Checker{rules: r, jobs: map[uint64]*job{}, told: map[[2]int]time.Duration{},
+		knows: map[[2]int]bool{}, cold: map[int]*inflow{},
+		counts: map[Rule]int{}}
+}
+
+func (c *Checker) breach(r Rule, what string, args ...any) {
+	c.counts[r]++
+	if len(c.breaches) < most {
+		c.breaches = append(c.breaches, Breach{r, c.now, fmt.Sprintf(what, args...)})
+	}
+}
+
+// See takes in what was seen.
+func (c *Checker) See(e Event) {
+	if e.At < c.now {
+		c.breach(Unexpected, "an event at %v after one at %v", e.At, c.now)
+	}
+	c.now = max(c.now, e.At)
+	switch e.Kind {
+	case Killed:
+		for id, j := range c.jobs {
+			if j.node == e.Node {
+				delete(c.jobs, id)
+			}
+		}
+		for k := range c.told {
+			if k[0] == e.Node {
+				delete(c.told, k)
+			}
+		}
+		return
+	case Told:
+		if _, ok := c.told[[2]int{e.Node, e.Host}]; !ok {
+			c.told[[2]int{e.Node, e.Host}] = e.At
+		}
+		return
+	case Untold:
+		delete(c.told, [2]int{e.Node, e.Host})
+		return
+	case Worked:
+		c.worked(e)
+		return
+	case Reborn:
+		for k := range c.knows {
+			if k[1] == e.Host {
+				delete(c.knows, k)
+			}
+		}
+		delete(c.cold, e.Host)
+		return
+	case Knows:
+		c.knows[[2]int{e.Node, e.Host}] = true
+		return
+	case Taken:
+		if c.jobs[e.Job] != nil {
+			c.breach(Unexpected, "job %d is taken twice", e.Job)
+		}
+		c.jobs[e.Job] = &job{node: e.Node, unsafe: e.Unsafe, deadline: e.Deadline}
+		c.checked++
+		return
+	}
+	j := c.jobs[e.Job]
+	if j == nil {
+		if e.Kind == Answered || e.Kind == Sent {
+			c.breach(OneAnswer, "job %d is not open", e.Job)
+		}
+		return
+	}
+	bit := uint64(1) << min(e.Attempt, 63)
+	switch e.Kind {
+	case Left:
+		j.deadline, j.answered = 0, true
+	case Sent:
+		if j.unsafe && j.sends != 0 {
+			c.breach(OneEffect, "job %d is sent again, and may have run", e.Job)
+		}
+		j.sends |= bit
+		if at, ok := c.told[[2]int{e.Node, e.Host}]; ok && e.At > at+c.rules.DrainGrace {
+			c.breach(Drains, "node %d sends to host %d, told %v ago", e.Node, e.Host, e.At-at)
+		}
+	case NeverRan:
+		j.sends &^= bit
+	case Ran:
+		if j.ran++; j.unsafe && j.ran > 1 {
+			c.breach(OneEffect, "job %d has run %d times", e.Job, j.ran)
+		}
+	case Answered:
+		c.answered(e, j)
+	}
+}
+
+func (c *Checker) answered(e Event, j *job) {
+	if j.answered {
+		c.breach(OneAnswer, "job %d has a second answer", e.Job)
+		return
+	}
+	j.answered = true
+	if e.At > j.deadline+c.rules.AnswerGrace {
+		c.breach(OneAnswer, "job %d is answered %v late", e.Job, e.At-j.deadline)
+	}
+	switch {
+	case e.Answer == Refused && j.unsafe && j.sends != 0:
+		c.breach(Harmless, "job %d may have run", e.Job)
+	case e.Answer == Served && j.ran == 0:
+		c.breach(OneAnswer, "job %d is served and never ran", e.Job)
+	}
+	if !j.unsafe {
+		delete(c.jobs, e.Job) // what else comes of it harms nobody
+	}
+}
+
+// worked counts the budget of a cold host over any window. Whoever could not know that it is cold breaks no rule: the
+// budget is broken by those who were told, if two thirds of the work is theirs.
+func (c *Checker) worked(e Event) {
+	f := c.cold[e.Host]
+	if f == nil {
+		f = &inflow{}
+		c.cold[e.Host] = f
+	}
+	f.at, f.work = append(f.at, e.At), append(f.work, e.Work.Seconds())
+	f.knew = append(f.knew, c.knows[[2]int{e.Node, e.Host}])
+	for f.at[0] <= e.At-c.rules.OverloadFor {
+		f.at, f.work, f.knew = f.at[1:], f.work[1:], f.knew[1:]
+	}
+	sum, known := 0.0, 0.0
+	for i, w := range f.work {
+		if sum += w; f.knew[i] {
+			known += w
+		}
+	}
+	budget := c.rules.TipMultiple * e.Capacity * c.rules.OverloadFor.Seconds()
+	if c.rules.TipMultiple > 0 && sum > budget*(1+c.rules.Slack) && known*3 >= sum*2 {
+		c.breach(ColdHosts, "host %d was sent %.1f s of work in %v, %.1f s are its budget", e.Host, sum,
+			c.rules.OverloadFor, budget)
+		delete(c.cold, e.Host)
+	}
+}
+
+// End tells that all is over at now: whatever has no answer has none.
+func (c *Checker) End(now time.Duration) {
+	c.now = max(c.now, now)
+	for id, j := range c.jobs {
+		if !j.answered && now > j.deadline+c.rules.AnswerGrace {
+			c.breach(OneAnswer, "job %d has no answer", id)
+		}
+	}
+}
+
+// Breaches gives the first of them, Counts all by rule, Checked the jobs that were looked at.
+func (c *Checker) Breaches() []Breach { return c.breaches }
+
+// Counts gives the number of breaches of each rule that has any.
+func (c *Checker) Counts() map[Rule]int { return c.counts }
+
+// Checked is the number of jobs that were taken.
+func (c *Checker) Checked() int { return c.checked }
--- /dev/null
+++ b/internal/check/check_test.go
@@ -0,0 +1,89 @@
+package check
+
+import (
+	"testing"
+	"time"
+)
+
+const second = time.Second
+
+// sound is a record in which every rule is kept, and hard.
+func sound() []Event {
+	return []Event{
+		{Kind: Taken, At: 1 * second, Job: 1, Node: 1, Unsafe: true, Deadline: 10 * second},
+		{Kind: Taken, At: 1 * second, Job: 2, Node: 1, Deadline: 10 * second},
+		{Kind: Taken, At: 1 * second, Job: 3, Node: 2, Unsafe: true, Deadline: 10 * second},
+		{Kind: Told, At: 1 * second, Node: 1, Host: 7},
+		{Kind: Sent, At: 2 * second, Job: 1, Node: 1, Host: 7},
+		{Kind: NeverRan, At: 3 * second, Job: 1},
+		{Kind: Sent, At: 3 * second, Job: 1, Attempt: 1, Node: 1, Host: 8},
+		{Kind: Sent, At: 3 * second, Job: 2, Node: 1, Host: 8},
+		{Kind: Sent, At: 4 * second, Job: 3, Node: 2, Host: 7}, // node 2 was told nothing
+		{Kind: Ran, At: 4 * second, Job: 1, Attempt: 1, Host: 8},
+		{Kind: Ran, At: 4 * second, Job: 2, Host: 8},
+		{Kind: Answered, At: 5 * second, Job: 2, Answer: Refused},
+		{Kind: Answered, At: 5 * second, Job: 1, Answer: Served},
+		{Kind: NeverRan, At: 5 * second, Job: 3},
+		{Kind: Answered, At: 10*second + 5*time.Millisecond, Job: 3, Answer: Refused},
+		{Kind: Knows, At: 11 * second, Node: 1, Host: 9},
+		{Kind: Worked, At: 11 * second, Node: 1, Host: 9, Work: 5 * second, Capacity: 1},
+		{Kind: Worked, At: 13 * second, Node: 1, Host: 9, Work: 5 * second, Capacity: 1},
+		{Kind: Worked, At: 13 * second, Node: 1, Host: 10, Work: 50 * second, Capacity: 1}, // it was not told
+		{Kind: Taken, At: 13 * second, Job: 4, Node: 3, Deadline: 14 * second},
+		{Kind: Killed, At: 13 * second, Node: 3},
+		{Kind: Taken, At: 13 * second, Job: 5, Node: 1, Deadline: 14 * second},
+		{Kind: Left, At: 13 * second, Job: 5},
+	}
+}
+
+var rules = Rules{AnswerGrace: 10 * time.Millisecond, DrainGrace: 3 * second, TipMultiple: 3, OverloadFor: 2 * second}
+
+func verdict(events []Event) *Checker {
+	c := New(rules)
+	for _, e := range events {
+		c.See(e)
+	}
+	c.End(20 * second)
+	return c
+}
+
+func TestSoundRecord(t *testing.T) {
+	if c := verdict(sound()); len(c.Breaches()) > 0 || c.Checked() != 5 {
+		t.Errorf("%d jobs, %v", c.Checked(), c.Breaches())
+	}
+}
+
+// Each rule broken on purpose is found, and nothing else with it.
+func TestMutants(t *testing.T) {
+	for name, m := range map[string]struct {
+		change func([]Event) []Event
+		want   Rule
+	}{
+		"no answer":        {func(e []Event) []Event { return append(e[:11:11], e[12:]...) }, OneAnswer},
+		"two answers":      {func(e []Event) []Event { return append(e[:13:13], e[12:]...) }, OneAnswer},
+		"late":             {func(e []Event) []Event { e[14].At += 6 * time.Millisecond; return e }, OneAnswer},
+		"served, not run":  {func(e []Event) []Event { return append(e[:9:9], e[10:]...) }, OneAnswer},
+		"sent again":       {func(e []Event) []Event { return append(e[:5:5], e[6:]...) }, OneEffect},
+		"run again":        {func(e []Event) []Event { return append(e[:10:10], e[9:]...) }, OneEffect},
+		"refused, may run": {func(e []Event) []Event { return append(e[:13:13], e[14:]...) }, Harmless},
+		"drain":            {func(e []Event) []Event { e[6].Host = 7; e[6].At += 1500 * time.Millisecond; return sorted(e) }, Drains},
+		"cold":             {func(e []Event) []Event { e[17].At = 12 * second; return e }, ColdHosts},
+		"cold, known":      {func(e []Event) []Event { e[18].Host = 9; return e }, ColdHosts},
+		"taken twice":      {func(e []Event) []Event { return append(e[:2:2], e[1:]...) }, Unexpected},
+	} {
+		c := verdict(m.change(sound()))
+		if len(c.Counts()) != 1 || c.Counts()[m.want] != 1 {
+			t.Errorf("%s: %v, want one breach of %q", name, c.Breaches(), m.want)
+		}
+	}
+}
+
+// sorted puts what was moved in time where it belongs.
+func sorted(e []Event) []Event {
+	for i := range e {
+		for k := i; k > 0 && e[k-1].At > e[k].At; k-- {
+			e[k-1], e[k] = e[k], e[k-1]
+		}
+	}
+	return e
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,125 @@
+package lab
+
+import (
+	"path/filepath"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func scenario(t testing.TB, name string) *Scenario {
+	t.Helper()
+	all, err := Load(filepath.Join("..", "..", "scenarios", name+".hcl"))
+	require.NoError(t, err)
+	require.Len(t, all, 1)
+	return all[0]
+}
+
+func play(t testing.TB, sc *Scenario, seed uint64, checked bool) *Report {
+	t.Helper()
+	l, err := New(sc, seed, checked)
+	require.NoError(t, err)
+	r, err := l.Run(t.Context())
+	require.NoError(t, err)
+	return r
+}
+
+// One scenario and seed, one digest, on any number of threads; another seed, another.
+func TestSameSeedSameDigest(t *testing.T) {
+	for _, name := range []string{"vanish-and-errors", "rolling-restart"} {
+		sc := scenario(t, name)
+		first := play(t, sc, 7, true)
+		old := runtime.GOMAXPROCS(1)
+		again := play(t, sc, 7, true)
+		runtime.GOMAXPROCS(old)
+		other := play(t, sc, 8, true)
+		assert.Equal(t, first.Digest, again.Digest, name)
+		assert.NotEqual(t, first.Digest, other.Digest, name)
+		assert.Equal(t, first.Service, again.Service)
+	}
+}
+
+// Every small scenario keeps the rules and what it expects, on a few seeds.
+func TestScenarios(t *testing.T) {
+	paths, err := filepath.Glob(filepath.Join("..", "..", "scenarios", "*.hcl"))
+	require.NoError(t, err)
+	require.NotEmpty(t, paths)
+	for _, p := range paths {
+		if strings.Contains(p, "thousand") {
+			continue // long: gaugelab run --all plays them
+		}
+		all, err := Load(p)
+		require.NoError(t, err)
+		for _, sc := range all {
+			for seed := range uint64(3) {
+				r := play(t, sc, seed+1, true)
+				assert.Empty(t, sc.Missed(r), "%s, seed %d", sc.Name, seed+1)
+				assert.NotZero(t, r.Jobs)
+			}
+		}
+	}
+}
+
+// The conservation of jobs: whoever came was served, refused, failed, cut off, or did not get through.
+func TestNobodyIsLost(t *testing.T) {
+	for _, name := range []string{"calm-friday", "harvest-rush", "silence-and-resets"} {
+		r := play(t, scenario(t, name), 3, true)
+		assert.Equal(t, r.Jobs+r.Retries, r.Served+r.Refused+r.Failed+r.Cut+r.Unreached, "%s: %+v", name, r)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	sound := `scenario "a" {
+  length = "1s"
+  load = 1
+  dispatchers = 1
+  hosts "k" {
+    count = 1
+    lanes = 1
+  }
+  class "c" {
+    part = 1
+    mean = "1s"
+    on_time = "1s"
+    patience = "1s"
+    worth = 1
+  }
+}`
+	_, err := Parse([]byte(sound), "a.hcl")
+	require.NoError(t, err)
+	for change, want := range map[string]string{
+		`length = "1s"|length = "soon"`:     "a.hcl:1:1: length",
+		"load = 1|load = 0":                 "a.hcl:1:1: load",
+		"count = 1|count = 0":               "a.hcl:5:3: count",
+		"lanes = 1|lanes = \"x\"":           "a.hcl:7:14:",
+		"lanes = 1|":                        "a.hcl:5:13: missing required argument",
+		"patience = \"1s\"|patience = \"\"": "a.hcl:9:3: patience",
+		"worth = 1|worth = 1\n colour = 2":  "a.hcl:15:2: unsupported argument",
+		"dispatchers = 1|dispatchers = 1\ntrouble \"rain\" { at = \"0s\" }": "a.hcl:5:1: trouble",
+		"part = 1|part = ": "a.hcl:10:",
+	} {
+		from, to, _ := strings.Cut(change, "|")
+		_, err := Parse([]byte(strings.Replace(sound, from, to, 1)), "a.hcl")
+		if assert.Error(t, err, change) {
+			assert.Contains(t, err.Error(), want, change)
+		}
+	}
+}
+
+// BenchmarkLab is jobs a second of wall time on one core, at 100 workers and 3 dispatchers.
+func BenchmarkLab(b *testing.B) {
+	sc := scenario(b, "calm-friday")
+	sc.Hosts[0].Count, sc.Hosts[1].Count = 50, 50
+	for _, checked := range []bool{false, true} {
+		b.Run(map[bool]string{false: "plain", true: "checked"}[checked], func(b *testing.B) {
+			jobs := 0
+			for i := range b.N {
+				jobs += play(b, sc, uint64(i), checked).Jobs
+			}
+			b.ReportMetric(float64(jobs)/b.Elapsed().Seconds(), "jobs/s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/lab/report.go
@@ -0,0 +1,178 @@
+package lab
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"gaugeslip/internal/check"
+)
+
+// Report is what came of a run. Service is the worth answered in time over the worth asked for.
+type Report struct {
+	Scenario    string             `json:"scenario"`
+	Seed        uint64             `json:"seed"`
+	Hosts       int                `json:"hosts"`
+	Dispatchers int                `json:"dispatchers"`
+	Service     float64            `json:"service"`
+	Worst       float64            `json:"worst_window"` // of 5 s
+	Classes     map[string]float64 `json:"classes"`
+	Windows     []float64          `json:"windows"` // service in each 5 s; -1: nothing was asked for
+	Jobs        int                `json:"jobs"`
+	Served      int                `json:"served"`
+	InTime      int                `json:"in_time"`
+	Refused     int                `json:"refused"` // tries
+	Failed      int                `json:"failed"`  // tries
+	Cut         int                `json:"cut"`     // tries that a killed dispatcher held
+	Unreached   int                `json:"unreached"`
+	Retries     int                `json:"retries"`
+	Sends       int                `json:"sends"`
+	Crossed     int                `json:"crossed"` // sends from one room to another
+	Handshakes  int                `json:"handshakes"`
+	Probes      int                `json:"probes"`
+	Toppled     int                `json:"toppled"`
+	Used        float64            `json:"used"` // of what the hosts could do
+	Steps       int                `json:"steps"`
+	Events      uint64             `json:"events"`
+	Breaches    map[check.Rule]int `json:"breaches"`
+	First       []string           `json:"first_breaches,omitempty"`
+	Digest      string             `json:"digest"`
+	Wall        float64            `json:"wall_s"`
+	JobsASecond float64            `json:"jobs_a_second"`
+
+	hist map[int]*hdrhistogram.Histogram
+	P50  map[string]float64 `json:"p50_ms"`
+	P99  map[string]float64 `json:"p99_ms"`
+}
+
+func (r *Report) latency(class int, d time.Duration) {
+	if r.hist == nil {
+		r.hist = map[int]*hdrhistogram.Histogram{}
+	}
+	if r.hist[class] == nil {
+		r.hist[class] = hdrhistogram.New(1, int64(time.Hour/time.Microsecond), 3)
+	}
+	r.hist[class].RecordValue(int64(d / time.Microsecond))
+}
+
+// Curve is the share of a class's served jobs that were answered within a time, for a plot.
+func (r *Report) Curve(class int) (ms, share []float64) {
+	h := r.hist[class]
+	if h == nil {
+		return nil, nil
+	}
+	for _, b := range h.CumulativeDistribution() {
+		ms, share = append(ms, float64(b.ValueAt)/1000), append(share, b.Quantile/100)
+	}
+	return ms, share
+}
+
+func (l *Lab) report(wall time.Duration) *Report {
+	r := &l.rep
+	r.Scenario, r.Seed, r.Hosts, r.Dispatchers = l.sc.Name, l.seed, len(l.hosts), len(l.nodes)
+	r.Classes, r.P50, r.P99 = map[string]float64{}, map[string]float64{}, map[string]float64{}
+	var asked, inTime float64
+	for i, k := range l.cls {
+		name := l.sc.Classes[i].Name
+		asked, inTime, r.Jobs = asked+k.asked, inTime+k.inTime, r.Jobs+k.jobs
+		r.Classes[name] = ratio(k.inTime, k.asked)
+		if h := r.hist[i]; h != nil {
+			r.P50[name], r.P99[name] = float64(h.ValueAtQuantile(50))/1000, float64(h.ValueAtQuantile(99))/1000
+		}
+	}
+	r.Service, r.Worst = ratio(inTime, asked), 1
+	for _, w := range l.windows {
+		x := -1.0
+		if w.asked > 0 {
+			x = w.inTime / w.asked
+			r.Worst = min(r.Worst, x)
+		}
+		r.Windows = append(r.Windows, x)
+	}
+	worked := 0.0
+	for _, h := range l.hosts {
+		worked += h.Worked
+	}
+	r.Used = worked / (l.sc.capacity() * l.sc.length.Seconds())
+	for _, n := range l.nodes {
+		r.Steps += n.steps
+	}
+	r.Events, r.Digest = l.events, fmt.Sprintf("%016x", l.digest.Sum64())
+	r.Wall = wall.Seconds()
+	r.JobsASecond = float64(r.Jobs) / max(r.Wall, 1e-9)
+	if l.check != nil {
+		l.check.End(l.now)
+		r.Breaches = l.check.Counts()
+		for _, b := range l.check.Breaches()[:min(len(l.check.Breaches()), 10)] {
+			b.At -= epoch
+			r.First = append(r.First, b.String())
+		}
+	}
+	return r
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// Broken is how many breaches there are in all.
+func (r *Report) Broken() (n int) {
+	for _, c := range r.Breaches {
+		n += c
+	}
+	return n
+}
+
+// Missed says what of an expectation was not met.
+func (sc *Scenario) Missed(r *Report) (all []string) {
+	if n := r.Broken(); n > 0 {
+		all = append(all, fmt.Sprintf("%d rules broken: %v", n, r.First))
+	}
+	e := sc.Expect
+	if e == nil {
+		return all
+	}
+	if r.Service < e.Service {
+		all = append(all, fmt.Sprintf("service %.3f, %.3f was expected", r.Service, e.Service))
+	}
+	for name, x := range r.Classes {
+		if x < e.Class {
+			all = append(all, fmt.Sprintf("class %s %.3f, %.3f was expected", name, x, e.Class))
+		}
+	}
+	if share := float64(r.Refused) / math.Max(1, float64(r.Jobs)); e.Refused > 0 && share > e.Refused {
+		all = append(all, fmt.Sprintf("%.3f refused a job, %.3f at most was expected", share, e.Refused))
+	}
+	if r.Toppled > e.Toppled {
+		all = append(all, fmt.Sprintf("%d hosts fell over, %d at most were expected", r.Toppled, e.Toppled))
+	}
+	return all
+}
+
+// Print writes a report for people.
+func (r *Report) Print(w io.Writer) {
+	fmt.Fprintf(w, "%s, seed %d: %d hosts, %d dispatchers\n", r.Scenario, r.Seed, r.Hosts, r.Dispatchers)
+	fmt.Fprintf(w, "  service %.3f, worst 5 s %.3f", r.Service, r.Worst)
+	for name, x := range r.Classes {
+		fmt.Fprintf(w, ", %s %.3f (p50 %.0f ms, p99 %.0f ms)", name, x, r.P50[name], r.P99[name])
+	}
+	fmt.Fprintf(w, "\n  %d jobs, %d served, %d in time; tries: %d refused, %d failed, %d cut off, %d unreached, %d repeated\n",
+		r.Jobs, r.Served, r.InTime, r.Refused, r.Failed, r.Cut, r.Unreached, r.Retries)
+	fmt.Fprintf(w, "  %d sends, %d across rooms, %d handshakes, %d probes, %d hosts fell over, %.2f of the fleet used\n", r.Sends,
+		r.Crossed, r.Handshakes, r.Probes, r.Toppled, r.Used)
+	fmt.Fprintf(w, "  %d rules broken; digest %s; %d events, %.2f s, %.0f jobs a second\n", r.Broken(), r.Digest, r.Events,
+		r.Wall, r.JobsASecond)
+	for _, b := range r.First {
+		fmt.Fprintf(w, "    %s\n", b)
+	}
+}
+
+// JSON writes it for programs.
+func (r *Report) JSON(w io.Writer) error { return json.NewEncoder(w).Encode(r) }
--- /dev/null
+++ b/internal/lab/scenario.go
@@ -0,0 +1,312 @@
+// Package lab runs real dispatchers (core, gates and decision module) against the model of internal/fleet in one
+// deterministic event loop of virtual time. The same scenario and seed give the same digest of all events.
+package lab
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+
+	"gaugeslip/policy"
+)
+
+// Scenario is one day to be played. Times in it are texts such as "90s".
+type Scenario struct {
+	Name        string    `hcl:"name,label"`
+	About       string    `hcl:"about,optional"`
+	Length      string    `hcl:"length"`
+	Load        float64   `hcl:"load"` // offered work, as a share of what the hosts can do
+	Dispatchers int       `hcl:"dispatchers"`
+	Rooms       int       `hcl:"rooms,optional"`
+	Delay       string    `hcl:"delay,optional"` // one way between rooms; a tenth of it within one
+	Skew        float64   `hcl:"skew,optional"`  // how much more traffic the first room has than its share
+	Hosts       []Hosts   `hcl:"hosts,block"`
+	Classes     []Class   `hcl:"class,block"`
+	Clients     *Clients  `hcl:"clients,block"`
+	World       *World    `hcl:"world,block"`
+	Troubles    []Trouble `hcl:"trouble,block"`
+	Expect      *Expect   `hcl:"expect,block"`
+	Range       hcl.Range `hcl:",def_range"`
+
+	length, delay time.Duration
+}
+
+// Hosts is a number of hosts of one kind.
+type Hosts struct {
+	Kind  string    `hcl:"kind,label"`
+	Count int       `hcl:"count"`
+	Lanes int       `hcl:"lanes"`
+	Speed float64   `hcl:"speed,optional"` // of a lane; 1 where it is not said
+	Range hcl.Range `hcl:",def_range"`
+}
+
+// Class is a class of jobs.
+type Class struct {
+	Name     string    `hcl:"name,label"`
+	Part     float64   `hcl:"part"`           // of all jobs
+	Mean     string    `hcl:"mean"`           // work of one, on a standard lane
+	Sigma    float64   `hcl:"sigma,optional"` // of the logarithm of its size
+	OnTime   string    `hcl:"on_time"`
+	Stretch  float64   `hcl:"stretch,optional"`
+	Patience string    `hcl:"patience"`
+	Worth    float64   `hcl:"worth"`
+	Once     bool      `hcl:"once,optional"`
+	Range    hcl.Range `hcl:",def_range"`
+
+	mean, onTime, patience time.Duration
+}
+
+// Clients is how clients behave.
+type Clients struct {
+	Retries   int       `hcl:"retries,optional"`
+	After     string    `hcl:"after,optional"` // "none", "now" or "wait": for the advice, else a second
+	HintSigma float64   `hcl:"hint_sigma,optional"`
+	Burst     float64   `hcl:"burst,optional"` // in every tenth second the rate is this many times the usual
+	Range     hcl.Range `hcl:",def_range"`
+}
+
+// World is what hosts and lists are like.
+type World struct {
+	Queue       int       `hcl:"queue,optional"`
+	ColdFrom    float64   `hcl:"cold_from,optional"`
+	WarmUp      string    `hcl:"warm_up,optional"`
+	Tip         float64   `hcl:"tip,optional"`
+	OverloadFor string    `hcl:"overload_for,optional"`
+	ReportEvery string    `hcl:"report_every,optional"`
+	Progress    string    `hcl:"progress,optional"`
+	ListLate    string    `hcl:"list_late,optional"`
+	MaxConns    int       `hcl:"max_conns,optional"`
+	StartCold   bool      `hcl:"start_cold,optional"`
+	Range       hcl.Range `hcl:",def_range"`
+
+	warmUp, overloadFor, reportEvery, progress, listLate time.Duration
+}
+
+// Trouble is something that goes wrong. Troubles may overlap.
+type Trouble struct {
+	Kind  string    `hcl:"kind,label"`
+	At    string    `hcl:"at"`
+	For   string    `hcl:"for,optional"`
+	Part  float64   `hcl:"part,optional"`  // of the hosts, or of a class's jobs
+	Share float64   `hcl:"share,optional"` // of the jobs or sends that it meets
+	Times float64   `hcl:"times,optional"` // how many times the usual work
+	Class string    `hcl:"class,optional"`
+	Range hcl.Range `hcl:",def_range"`
+
+	at, length time.Duration
+}
+
+// Expect is what has to come of a scenario; what is not said is not looked at.
+type Expect struct {
+	Service  float64   `hcl:"service,optional"` // at least
+	Class    float64   `hcl:"class,optional"`   // of the worst class, at least
+	Refused  float64   `hcl:"refused,optional"` // share of the jobs, at most; 0: any
+	Toppled  int       `hcl:"toppled,optional"` // hosts, at most
+	Range    hcl.Range `hcl:",def_range"`
+	breaches int
+}
+
+type scenarios struct {
+	All []*Scenario `hcl:"scenario,block"`
+}
+
+var kinds = map[string]bool{"vanish": true, "errors": true, "heavy": true, "kill": true, "silence": true, "reset": true,
+	"stale_list": true, "discovery": true, "drain": true, "restart": true}
+
+// Load reads the scenarios of files.
+func Load(paths ...string) (all []*Scenario, err error) {
+	for _, p := range paths {
+		text, err := os.ReadFile(p)
+		if err != nil {
+			return nil, fmt.Errorf("scenario: %w", err)
+		}
+		s, err := Parse(text, p)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s...)
+	}
+	return all, nil
+}
+
+// Parse reads the text of a file. Errors name file, line, column and key.
+func Parse(text []byte, name string) ([]*Scenario, error) {
+	f, diags := hclparse.NewParser().ParseHCL(text, name)
+	var all scenarios
+	if !diags.HasErrors() {
+		diags = gohcl.DecodeBody(f.Body, nil, &all)
+	}
+	if diags.HasErrors() {
+		var errs []error
+		for _, d := range diags {
+			at := hcl.Range{}
+			if d.Subject != nil {
+				at = *d.Subject
+			}
+			errs = append(errs, fault(at, strings.ToLower(d.Summary), "%s", d.Detail))
+		}
+		return nil, errors.Join(errs...)
+	}
+	for _, s := range all.All {
+		if err := s.check(); err != nil {
+			return nil, err
+		}
+	}
+	return all.All, nil
+}
+
+func fault(r hcl.Range, key, why string, args ...any) error {
+	return fmt.Errorf("%s:%d:%d: %s: %s", r.Filename, r.Start.Line, r.Start.Column, key, fmt.Sprintf(why, args...))
+}
+
+// checker reads texts and keeps the first fault.
+type checker struct{ err error }
+
+func (c *checker) want(ok bool, r hcl.Range, key, why string, args ...any) {
+	if !ok && c.err == nil {
+		c.err = fault(r, key, why, args...)
+	}
+}
+
+// time reads a duration; an empty text is without.
+func (c *checker) time(r hcl.Range, key, text string, without time.Duration) time.Duration {
+	if text == "" {
+		return without
+	}
+	d, err := time.ParseDuration(text)
+	c.want(err == nil && d >= 0, r, key, "%q is no duration such as \"90s\"", text)
+	return d
+}
+
+func (s *Scenario) check() error {
+	c := &checker{}
+	s.length = c.time(s.Range, "length", s.Length, 0)
+	s.delay = c.time(s.Range, "delay", s.Delay, 500*time.Microsecond)
+	s.Rooms = max(s.Rooms, 1)
+	c.want(s.length > 0 && s.length <= 24*time.Hour, s.Range, "length", "more than 0 and at most 24h")
+	c.want(s.Load > 0 && s.Load <= 100, s.Range, "load", "more than 0 and at most 100")
+	c.want(s.Dispatchers > 0 && s.Dispatchers <= 1000, s.Range, "dispatchers", "1 to 1000")
+	c.want(len(s.Hosts) > 0, s.Range, "hosts", "at least one block is needed")
+	c.want(len(s.Classes) > 0, s.Range, "class", "at least one block is needed")
+	total := 0
+	for i := range s.Hosts {
+		h := &s.Hosts[i]
+		if total += h.Count; h.Speed == 0 {
+			h.Speed = 1
+		}
+		c.want(h.Count > 0, h.Range, "count", "more than 0")
+		c.want(h.Lanes > 0, h.Range, "lanes", "more than 0")
+		c.want(h.Speed > 0, h.Range, "speed", "more than 0")
+	}
+	c.want(total <= 100_000, s.Range, "hosts", "%d, at most 100000", total)
+	parts := 0.0
+	for i := range s.Classes {
+		k := &s.Classes[i]
+		k.mean = c.time(k.Range, "mean", k.Mean, 0)
+		k.onTime = c.time(k.Range, "on_time", k.OnTime, 0)
+		k.patience = c.time(k.Range, "patience", k.Patience, 0)
+		c.want(k.mean > 0, k.Range, "mean", "more than 0s")
+		c.want(k.patience > 0, k.Range, "patience", "more than 0s")
+		c.want(k.Part > 0, k.Range, "part", "more than 0")
+		c.want(k.Worth > 0, k.Range, "worth", "more than 0")
+		c.want(k.Sigma >= 0 && k.Sigma <= 3, k.Range, "sigma", "0 to 3")
+		parts += k.Part
+	}
+	for i := range s.Classes {
+		s.Classes[i].Part /= max(parts, 1e-9)
+	}
+	if s.Clients == nil {
+		s.Clients = &Clients{}
+	}
+	cl := s.Clients
+	c.want(cl.After == "" || cl.After == "none" || cl.After == "now" || cl.After == "wait", cl.Range, "after",
+		`%q is none of "none", "now", "wait"`, cl.After)
+	c.want(cl.Retries >= 0 && cl.Retries <= 10, cl.Range, "retries", "0 to 10")
+	c.want(cl.HintSigma >= 0 && cl.HintSigma <= 3, cl.Range, "hint_sigma", "0 to 3")
+	if s.World == nil {
+		s.World = &World{}
+	}
+	w := s.World
+	w.warmUp = c.time(w.Range, "warm_up", w.WarmUp, 24*time.Second)
+	w.overloadFor = c.time(w.Range, "overload_for", w.OverloadFor, 2*time.Second)
+	w.reportEvery = c.time(w.Range, "report_every", w.ReportEvery, 150*time.Millisecond)
+	w.progress = c.time(w.Range, "progress", w.Progress, time.Second)
+	w.listLate = c.time(w.Range, "list_late", w.ListLate, time.Second)
+	if w.Queue == 0 {
+		w.Queue = 16
+	}
+	if w.ColdFrom == 0 {
+		w.ColdFrom = 0.12
+	}
+	if w.Tip == 0 {
+		w.Tip = 3
+	}
+	c.want(w.ColdFrom > 0 && w.ColdFrom <= 1, w.Range, "cold_from", "more than 0 and at most 1")
+	c.want(w.Queue > 0, w.Range, "queue", "more than 0")
+	for i := range s.Troubles {
+		t := &s.Troubles[i]
+		t.at = c.time(t.Range, "at", t.At, 0)
+		t.length = c.time(t.Range, "for", t.For, 10*time.Second)
+		c.want(kinds[t.Kind], t.Range, "trouble", "%q is not known", t.Kind)
+		c.want(t.at < s.length, t.Range, "at", "the day is over by then")
+		c.want(t.Part >= 0 && t.Part <= 1, t.Range, "part", "0 to 1")
+		c.want(t.Share >= 0 && t.Share <= 1, t.Range, "share", "0 to 1")
+		if t.Kind == "heavy" {
+			c.want(s.class(t.Class) >= 0, t.Range, "class", "%q is not a class", t.Class)
+			c.want(t.Times > 0, t.Range, "times", "more than 0")
+		}
+	}
+	return c.err
+}
+
+func (s *Scenario) class(name string) int {
+	for i := range s.Classes {
+		if s.Classes[i].Name == name {
+			return i
+		}
+	}
+	return -1
+}
+
+// capacity is what all hosts can do, in standard lanes.
+func (s *Scenario) capacity() (lanes float64) {
+	for _, h := range s.Hosts {
+		lanes += float64(h.Count*h.Lanes) * h.Speed
+	}
+	return lanes
+}
+
+// rate is the jobs a second that are offered.
+func (s *Scenario) rate() float64 {
+	work := 0.0
+	for _, k := range s.Classes {
+		work += k.Part * k.mean.Seconds()
+	}
+	return s.Load * s.capacity() / work
+}
+
+// config is what dispatcher number n is told.
+func (s *Scenario) config(n int) policy.Config {
+	w := s.World
+	c := policy.Config{Ordinal: n, Replicas: s.Dispatchers, Zone: n % s.Rooms, Zones: s.Rooms, Kinds: len(s.Hosts), Ask: true,
+		TellsStart: true, Progress: w.progress, Probes: true, Cancel: true, SecondCopies: true, MaxAttempts: 6,
+		MaxRetryAfter: 2 * time.Second, ConnectTimeout: 250 * time.Millisecond, WorthByWork: true, PriceCross: 0.018,
+		PriceWaste: 0.02, PriceProbe: 0.002, ReportInProbes: true, DrainGrace: 3 * time.Second, AskWithin: 10 * time.Second,
+		AnswerGrace: 8 * time.Millisecond, ColdFrom: w.ColdFrom, WarmUp: w.warmUp, TipMultiple: w.Tip,
+		OverloadFor: w.overloadFor}
+	for _, k := range s.Classes {
+		effect := policy.Repeatable
+		if k.Once {
+			effect = policy.Unsafe
+		}
+		c.Classes = append(c.Classes, policy.Class{Name: k.Name, OnTime: k.onTime, Stretch: k.Stretch, Deadline: k.patience,
+			Effect: effect, Worth: k.Worth, Kind: -1})
+	}
+	return c
+}
--- /dev/null
+++ b/scenarios/rolling-restart.hcl
@@ -0,0 +1,57 @@
+# All three dispatchers are restarted, one after the other, under load.
+scenario "rolling-restart" {
+  about       = "All three dispatchers are restarted, one after the other, under load."
+  length      = "90s"
+  load        = 0.75
+  dispatchers = 3
+  rooms       = 3
+  delay       = "500us"
+
+  hosts "small-box" {
+    count = 5
+    lanes = 2
+    speed = 1.0
+  }
+
+  hosts "wide-box" {
+    count = 5
+    lanes = 3
+    speed = 0.75
+  }
+
+  class "plot-load" {
+    part     = 0.62
+    mean     = "700ms"
+    sigma    = 0.4
+    on_time  = "400ms"
+    stretch  = 1.75
+    patience = "8s"
+    worth    = 5
+  }
+
+  class "harvest-sale" {
+    part     = 0.38
+    mean     = "4s"
+    sigma    = 0.4
+    on_time  = "2s"
+    stretch  = 2
+    patience = "25s"
+    worth    = 10
+    once     = true
+  }
+
+  clients {
+    retries    = 2
+    after      = "wait"
+    hint_sigma = 0.3
+  }
+
+  trouble "restart" {
+    at = "20s"
+    for = "30s"
+  }
+
+  expect {
+    service = 0.8
+  }
+}
