--- /dev/null
+++ b/cmd/gaugelab/demo.go
@@ -0,0 +1,263 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gaugeslip/internal/check"
+	"gaugeslip/internal/emulator"
+	"gaugeslip/internal/fleet"
+	"gaugeslip/internal/node"
+)
+
+// deployment is the fleet that demo and emulate put on sockets: five hosts of each kind, as in scenarios/calm-friday.hcl, ten
+// times as fast.
+func deployment(hosts int) (specs []emulator.Spec, p fleet.Params) {
+	for i := range hosts {
+		s := emulator.Spec{Kind: "small-box", Room: "bole-room", Lanes: 2, Speed: 1}
+		if i%2 == 1 {
+			s.Kind, s.Lanes, s.Speed = "wide-box", 3, 0.75
+		}
+		specs = append(specs, s)
+	}
+	return specs, fleet.Params{Queue: 16, ColdFrom: 0.12, WarmUp: 5 * time.Second, TipMultiple: 3, OverloadFor: 2 * time.Second,
+		ReportEvery: 50 * time.Millisecond, Progress: time.Second, ProbeWork: 75 * time.Microsecond}
+}
+
+// settings is what the demo's dispatcher is told, in the platform's form.
+const settings = `{"family-info":{"class-stretch":[1.75,2.0],"report-x0":"free slots","tells-start":true,"progress":1000.0},
+"kinds":["small-box","wide-box"],"limits":{"cancel":true,"conn-idle":30000.0,"connect-timeout":250.0,"max-attempts":6,
+"max-retry-after":2000.0,"most-held":20000,"probes":true,"retry-after":true},"localities":["bole-room"],"locality":"bole-room",
+"ordinal":0,"replicas-of-me":1,"prices":{"probe":0.002,"waste":0.02},"profiles":[
+{"credit":5.0,"deadline":4000.0,"effect":"retryable","name":"plot-load","on-time":200.0},
+{"credit":10.0,"deadline":8000.0,"effect":"fragile","name":"harvest-sale","on-time":500.0}],
+"registry-mode":"ask","report":{"fields":["q","rif","x0"],"how":"pull"},"rules":{"cold-from":0.12,"warm-up":5000.0,
+"tip-multiple":3.0,"overload-for":2000.0,"drain-grace":3000.0},"value-by":"work"}`
+
+// classes are the jobs that are sent, and meanWork the mean work of one, in seconds.
+func classes() ([]emulator.LoadClass, float64) {
+	return []emulator.LoadClass{
+		{Name: "plot-load", Part: 0.62, Mean: 70 * time.Millisecond, Sigma: 0.4, OnTime: 200 * time.Millisecond, Stretch: 1.75,
+			Patience: 4 * time.Second, Worth: 5},
+		{Name: "harvest-sale", Part: 0.38, Mean: 400 * time.Millisecond, Sigma: 0.4, OnTime: 500 * time.Millisecond, Stretch: 2,
+			Patience: 8 * time.Second, Worth: 10}}, 0.62*0.07 + 0.38*0.4
+}
+
+// dispatcher starts a real one on a free loopback address, inside this process. stop ends it as SIGTERM would, and waits.
+func dispatcher(ctx context.Context, f *emulator.Fleet) (addr string, stop func() error, err error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	addr = ln.Addr().String()
+	ln.Close()
+	dir, err := os.MkdirTemp("", "gaugelab")
+	if err != nil {
+		return "", nil, err
+	}
+	text, err := json.Marshal(map[string]any{"name": "n0", "listen": addr, "discovery": f.Discovery, "seed": "1",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": json.RawMessage(f.List()),
+		"settings": json.RawMessage(settings)})
+	if err == nil {
+		err = os.WriteFile(filepath.Join(dir, "config.json"), text, 0o600)
+	}
+	if err != nil {
+		return "", nil, errors.Join(err, os.RemoveAll(dir))
+	}
+	files := &node.Files{Config: filepath.Join(dir, "config.json")}
+	cfg, own, err := files.Load()
+	if err != nil {
+		return "", nil, errors.Join(err, os.RemoveAll(dir))
+	}
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	ended := make(chan error, 1)
+	go func() { ended <- node.Run(inner, cfg, own, files, nil) }()
+	stop = func() error {
+		cancel()
+		return errors.Join(<-ended, os.RemoveAll(dir))
+	}
+	up, done := context.WithTimeout(ctx, 10*time.Second)
+	defer done()
+	if err := emulator.Await(up, addr); err != nil {
+		return "", nil, errors.Join(err, stop())
+	}
+	return addr, stop, nil
+}
+
+// witness feeds the checker with what hosts ran and clients heard. On sockets only what both tell can be seen: one answer to each
+// job, and one run of each that must not run twice.
+type witness struct {
+	mu   sync.Mutex
+	c    *check.Checker
+	ids  map[string]uint64
+	t0   time.Time
+	next uint64
+}
+
+func newWitness() *witness {
+	return &witness{c: check.New(check.Rules{AnswerGrace: time.Second}), ids: map[string]uint64{}, t0: time.Now()}
+}
+
+// see books an event about a job now; the first to see a job has it taken. The lock is held.
+func (w *witness) see(id string, e check.Event) {
+	e.At = time.Since(w.t0)
+	if w.ids[id] == 0 {
+		w.next++
+		w.ids[id] = w.next
+		w.c.See(check.Event{Kind: check.Taken, At: e.At, Job: w.next, Deadline: e.At + 10*time.Second,
+			Unsafe: strings.HasPrefix(id, "harvest-sale")}) // a Load's ids begin with their class
+	}
+	e.Job = w.ids[id]
+	w.c.See(e)
+}
+
+func (w *witness) ran(id, _ string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.see(id, check.Event{Kind: check.Ran})
+}
+
+func (w *witness) seen(id, _ string, status int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	answer := check.Failed
+	switch status {
+	case 200:
+		answer = check.Served
+	case 429, 503:
+		answer = check.Refused
+	}
+	w.see(id, check.Event{Kind: check.Answered, Answer: answer})
+}
+
+func demoCommand() *cobra.Command {
+	var length time.Duration
+	var rate float64
+	var hosts int
+	var calm bool
+	c := &cobra.Command{Use: "demo", Short: "Start a fleet, discovery, a dispatcher and load on loopback, break something, and report",
+		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+			slog.SetDefault(slog.New(slog.DiscardHandler)) // the view speaks for the dispatcher
+			ctx, out := cmd.Context(), cmd.OutOrStdout()
+			specs, p := deployment(hosts)
+			w := newWitness()
+			f, err := emulator.Start(specs, p, 1, w.ran)
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			addr, stop, err := dispatcher(ctx, f)
+			if err != nil {
+				return err
+			}
+			kinds, work := classes()
+			lanes := 0.0
+			for _, s := range specs {
+				lanes += float64(s.Lanes) * s.Speed
+			}
+			fmt.Fprintf(out, "%d game workers, discovery at %s, a dispatcher at %s; %.0f jobs a second for %v\n", hosts, f.Discovery, addr,
+				rate*lanes/work, length)
+			l := &emulator.Load{Addr: addr, Rate: rate * lanes / work, Length: length, Classes: kinds, Seed: 1, MaxOpen: 500, Seen: w.seen,
+				Progress: func(r *emulator.Result) { r.Print(out) }}
+			if !calm {
+				go func() {
+					for _, x := range []struct {
+						at   time.Duration
+						what string
+						do   func()
+					}{
+						{length / 4, "one game worker goes silent", func() { f.Hosts[0].Vanish() }},
+						{length / 2, "another is killed, and a third drains", func() { f.Hosts[1].Kill(); f.Hosts[2].Drain() }},
+						{3 * length / 4, "the first two come back, cold", func() { f.Hosts[0].Restart(); f.Hosts[1].Restart() }},
+					} {
+						select {
+						case <-ctx.Done():
+							return
+						case <-time.After(time.Until(w.t0.Add(x.at))):
+							fmt.Fprintln(out, "-- "+x.what)
+							x.do()
+						}
+					}
+				}()
+			}
+			r := l.Run(ctx)
+			fmt.Fprintln(out, "== report")
+			r.Print(out)
+			err = stop()
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			fmt.Fprintf(out, "%d jobs checked, %d broken rules\n", w.c.Checked(), len(w.c.Breaches()))
+			for _, b := range w.c.Breaches() {
+				fmt.Fprintln(out, "  ", b)
+			}
+			return err
+		}}
+	c.Flags().DurationVar(&length, "for", 12*time.Second, "how long")
+	c.Flags().Float64Var(&rate, "load", 0.6, "offered work, as a share of what the fleet can do")
+	c.Flags().IntVar(&hosts, "hosts", 10, "game workers")
+	c.Flags().BoolVar(&calm, "calm", false, "break nothing")
+	return c
+}
+
+func emulateCommand() *cobra.Command {
+	var hosts int
+	var length time.Duration
+	c := &cobra.Command{Use: "emulate", Short: "Put game workers and discovery on loopback until interrupted", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			specs, p := deployment(hosts)
+			f, err := emulator.Start(specs, p, 1, nil)
+			if err != nil {
+				return err
+			}
+			defer f.Close()
+			fmt.Fprintf(cmd.OutOrStdout(), "discovery %s\n", f.Discovery)
+			for _, h := range f.Hosts {
+				fmt.Fprintf(cmd.OutOrStdout(), "%s %s\n", h.Name, h.Addr)
+			}
+			select {
+			case <-cmd.Context().Done():
+			case <-time.After(length):
+			}
+			return nil
+		}}
+	c.Flags().IntVar(&hosts, "hosts", 10, "game workers")
+	c.Flags().DurationVar(&length, "for", time.Hour, "at most so long")
+	return c
+}
+
+func loadCommand() *cobra.Command {
+	var addr string
+	var rate float64
+	var length time.Duration
+	var seed uint64
+	c := &cobra.Command{Use: "load", Short: "Send jobs to a dispatcher at a rate, whatever becomes of those before", Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			host, _, err := net.SplitHostPort(addr)
+			if ip := net.ParseIP(host); err != nil || ip == nil || !ip.IsLoopback() {
+				return usageError{fmt.Errorf("load: --addr: %q is no loopback address", addr)}
+			}
+			kinds, _ := classes()
+			l := &emulator.Load{Addr: addr, Rate: rate, Length: length, Classes: kinds, Seed: seed, MaxOpen: 2000,
+				Progress: func(r *emulator.Result) {
+					fmt.Fprintf(cmd.ErrOrStderr(), "%.0f s, service %.3f\n", r.Elapsed.Seconds(), r.Service())
+				}}
+			l.Run(cmd.Context()).Print(cmd.OutOrStdout())
+			return nil
+		}}
+	c.Flags().StringVar(&addr, "addr", "", "the dispatcher's address")
+	c.Flags().Float64Var(&rate, "rate", 50, "jobs a second")
+	c.Flags().DurationVar(&length, "for", 10*time.Second, "how long")
+	c.Flags().Uint64Var(&seed, "seed", 1, "the seed")
+	return c
+}
--- a/cmd/gaugeslip/info.go
+++ b/cmd/gaugeslip/info.go
@@ -3,14 +3,12 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"runtime/debug"
 
 	"github.com/spf13/cobra"
 
-	"gaugeslip/internal/config"
 	"gaugeslip/internal/net/cluster"
-	"gaugeslip/internal/site"
+	"gaugeslip/internal/node"
 )
 
 // versionCommand prints what this program was built from.
@@ -32,26 +30,24 @@
 		}}
 }
 
-// files are the flags that name what the program is told.
-type files struct{ config, site string }
-
-func (f *files) add(c *cobra.Command) {
-	c.Flags().StringVar(&f.config, "config", "", "configuration file, in place of the one that NODE_CONFIG names")
-	c.Flags().StringVar(&f.site, "site", "", "settings file of our own (HCL), in place of the one that NODE_SITE names")
+// addFiles adds the flags that name what the program is told.
+func addFiles(c *cobra.Command, f *node.Files) {
+	c.Flags().StringVar(&f.Config, "config", "", "configuration file, in place of the one that NODE_CONFIG names")
+	c.Flags().StringVar(&f.Site, "site", "", "settings file of our own (HCL), in place of the one that NODE_SITE names")
 }
 
 // checkCommand reads the configuration as serve does, and prints what serve would work with.
 func checkCommand(stdout io.Writer) *cobra.Command {
-	var f files
+	var f node.Files
 	c := &cobra.Command{Use: "check-config", Args: none,
 		Short: "Read the configuration, say what is wrong with it or what it holds",
 		RunE:  func(*cobra.Command, []string) error { return checkConfig(&f, stdout) }}
-	f.add(c)
+	addFiles(c, &f)
 	return c
 }
 
-func checkConfig(f *files, stdout io.Writer) error {
-	c, s, err := f.load()
+func checkConfig(f *node.Files, stdout io.Writer) error {
+	c, s, err := f.Load()
 	if err != nil {
 		return err
 	}
@@ -59,7 +55,7 @@
 	if err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
-	down, up := budget(c.Limits.Sockets)
+	down, up := node.Budget(c.Limits.Sockets)
 	fmt.Fprintf(stdout, "%s: listens on %s, discovery at %s\n", c.Name, c.Listen, c.Discovery)
 	fmt.Fprintf(stdout, "%d classes, %d kinds of host, %d known hosts\n",
 		len(c.Settings.Classes), len(c.Settings.Kinds), len(known.Hosts))
@@ -70,19 +66,3 @@
 	}
 	return nil
 }
-
-// load reads and checks both files, also what only the two together can get wrong.
-func (f *files) load() (*config.Config, *site.Site, error) {
-	c, err := config.Load(os.Getenv, f.config)
-	if err != nil {
-		return nil, nil, err
-	}
-	s, err := site.Load(os.Getenv, f.site)
-	if err != nil {
-		return nil, nil, err
-	}
-	if _, taken := c.Settings.Classes["jobs"]; taken && s.Waiting != nil {
-		return nil, nil, fmt.Errorf("site: waiting: a class is named \"jobs\", and waiting jobs are found below /jobs")
-	}
-	return c, s, nil
-}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,151 @@
+// Package node wires the parts of one dispatcher together: the sockets on both sides, the loop with its core and gates, the
+// cluster, and what a signal changes. It is what the program and the lab's demo both start.
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"os"
+	"time"
+
+	"gaugeslip/internal/config"
+	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/net/cluster"
+	"gaugeslip/internal/net/downstream"
+	"gaugeslip/internal/net/loop"
+	"gaugeslip/internal/net/upstream"
+	"gaugeslip/internal/site"
+)
+
+// The budget of descriptors: what is not downstream's or upstream's is for discovery, standard streams, the
+// listener, the poller and a margin.
+const (
+	reserveShare    = 10 // one part in ten
+	downstreamParts = 5  // of nine: a request holds a connection on each side, downstream some more
+	upstreamParts   = 4
+	probeTimeout    = 500 * time.Millisecond
+	settle          = 5 * time.Millisecond // some round trips between server rooms
+)
+
+// Budget shares the descriptors out.
+func Budget(sockets int) (down, up int) {
+	part := (sockets - sockets/reserveShare) / (downstreamParts + upstreamParts)
+	return part * downstreamParts, part * upstreamParts
+}
+
+// Files name what a dispatcher is told; empty: what NODE_CONFIG and NODE_SITE name.
+type Files struct{ Config, Site string }
+
+// Load reads and checks both files, also what only the two together can get wrong.
+func (f *Files) Load() (*config.Config, *site.Site, error) {
+	c, err := config.Load(os.Getenv, f.Config)
+	if err != nil {
+		return nil, nil, err
+	}
+	s, err := site.Load(os.Getenv, f.Site)
+	if err != nil {
+		return nil, nil, err
+	}
+	if _, taken := c.Settings.Classes["jobs"]; taken && s.Waiting != nil {
+		return nil, nil, fmt.Errorf("site: waiting: a class is named \"jobs\", and waiting jobs are found below /jobs")
+	}
+	return c, s, nil
+}
+
+// Run wires the parts together and runs them until ctx ends and all that was taken is answered. Each signal on hup makes it read its configuration again.
+func Run(ctx context.Context, cfg *config.Config, own *site.Site, f *Files, hup <-chan os.Signal) error {
+	known, err := cluster.Known(cfg.Known, cfg.Settings)
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	core, err := dispatch.New(cfg.Settings.Policy, cfg.Seed)
+	if err != nil {
+		return err
+	}
+	down, up := Budget(cfg.Limits.Sockets)
+	pool := upstream.NewPool(upstream.Config{ConnectTimeout: cfg.Settings.Policy.ConnectTimeout,
+		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, Settle: settle, MaxConns: up})
+	var room *dispatch.WaitingGate
+	if own.Waiting != nil {
+		room = dispatch.NewWaitingGate(*own.Waiting, cfg.Settings.Policy)
+	}
+	l := loop.New(dispatch.NewChain(core, room), cfg.Settings, pool, source(cfg), loop.NewClock())
+	l.Post(known)
+	server := downstream.New(downstream.Config{Listen: cfg.Listen, MaxConns: down,
+		MaxBodies: cfg.Limits.BodyBytes(), AcceptFor: downstream.AcceptFor,
+		KilledAfter: downstream.KilledAfter(cfg.Settings), Waiting: room != nil}, cfg.Settings, l)
+	ln, err := server.Listen()
+	if err != nil {
+		return err
+	}
+	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "hosts", len(known.Hosts))
+
+	// The loop and the pool outlive the downstream side, which needs them for what it still owes.
+	inner, halt := context.WithCancel(context.Background())
+	outer, stop := context.WithCancel(ctx)
+	defer stop()
+	swept, looped := make(chan struct{}), make(chan error, 1)
+	reloaded := make(chan struct{})
+	go func() { defer close(swept); pool.Sweep(inner) }()
+	go func() { defer close(reloaded); reload(inner, cfg, own, f, hup, l) }()
+	go func() { looped <- l.Run(inner); stop() }()
+	err = server.Serve(outer, ln)
+	halt()
+	<-swept
+	<-reloaded
+	if lerr := <-looped; lerr != nil {
+		return lerr
+	}
+	if room != nil { // the loop has ended: nobody else looks at it
+		if n := room.Room().Held(); n > 0 {
+			slog.Warn("waiting jobs are lost with the process, which keeps them in memory alone", "jobs", n)
+		}
+	}
+	if err == nil {
+		slog.Info("stopped")
+	}
+	return err
+}
+
+func source(cfg *config.Config) cluster.Source {
+	return &cluster.Discovery{Addr: cfg.Discovery, Stall: cluster.StallAfter, Settings: cfg.Settings}
+}
+
+// reload reads the configuration and our own settings again at each signal until ctx ends, and moves the watch to where
+// discovery is now. A fault in either file changes nothing.
+func reload(ctx context.Context, cfg *config.Config, own *site.Site, f *Files, hup <-chan os.Signal, l *loop.Loop) {
+	at := cfg.Discovery
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+		}
+		newer, err := config.Reload(os.Getenv, f.Config)
+		var settings *site.Site
+		if err == nil {
+			settings, err = site.Load(os.Getenv, f.Site)
+		}
+		if err != nil {
+			slog.Error("configuration not reloaded, the old one holds", "error", err)
+			continue
+		}
+		keys := cfg.Fixed(newer)
+		if (settings.Waiting == nil) != (own.Waiting == nil) {
+			keys = append(keys, "waiting")
+		} else if settings.Waiting != nil {
+			l.Post(dispatch.Tuned{Waiting: *settings.Waiting})
+		}
+		if len(keys) > 0 {
+			slog.Warn("changes that count from the next start on", "keys", keys)
+		}
+		slog.Info("configuration reloaded", "discovery", newer.Discovery)
+		if newer.Discovery != at {
+			at = newer.Discovery
+			moved := *cfg // what is fixed stays
+			moved.Discovery = at
+			l.Move(source(&moved))
+		}
+	}
+}
