--- a/cmd/gaugelab/run.go
+++ b/cmd/gaugelab/run.go
@@ -21,6 +21,12 @@
 
 // play runs a scenario on seeds, as many at a time as there are cores, and gives the reports in the order of the seeds.
 func play(ctx context.Context, sc *lab.Scenario, first uint64, seeds int, checked bool, done func(*lab.Report)) ([]*lab.Report, error) {
+	return playOn(ctx, first, seeds, done, func(seed uint64) (*lab.Lab, error) { return lab.New(sc, seed, checked) })
+}
+
+// playOn runs what start gives for each seed.
+func playOn(ctx context.Context, first uint64, seeds int, done func(*lab.Report), start func(seed uint64) (*lab.Lab, error)) (
+	[]*lab.Report, error) {
 	reports, errs := make([]*lab.Report, seeds), make([]error, seeds)
 	free := make(chan struct{}, runtime.GOMAXPROCS(0))
 	var all sync.WaitGroup
@@ -29,7 +35,7 @@
 		free <- struct{}{}
 		all.Go(func() {
 			defer func() { <-free }()
-			l, err := lab.New(sc, first+uint64(i), checked)
+			l, err := start(first + uint64(i))
 			if err == nil {
 				reports[i], err = l.Run(ctx)
 			}
@@ -48,7 +54,7 @@
 	var seeds int
 	var first uint64
 	var dir string
-	var asJSON, everything, fast bool
+	var asJSON, everything, fast, ideal bool
 	c := &cobra.Command{Use: "run [SCENARIO.hcl ...]", Short: "Play scenarios in virtual time and say whether they keep what they expect",
 		RunE: func(cmd *cobra.Command, args []string) error {
 			if everything {
@@ -70,9 +76,13 @@
 				if !asJSON {
 					fmt.Fprintf(cmd.ErrOrStderr(), "%s: %s\n", sc.Name, sc.About)
 				}
-				reports, err := play(cmd.Context(), sc, first, seeds, !fast, func(r *lab.Report) {
+				start := func(seed uint64) (*lab.Lab, error) { return lab.New(sc, seed, !fast) }
+				if ideal {
+					start = func(seed uint64) (*lab.Lab, error) { return lab.NewIdeal(sc, seed) }
+				}
+				reports, err := playOn(cmd.Context(), first, seeds, func(r *lab.Report) {
 					fmt.Fprintf(cmd.ErrOrStderr(), "  seed %d done, service %.3f, %.1f s\n", r.Seed, r.Service, r.Wall)
-				})
+				}, start)
 				for _, r := range reports {
 					if r == nil {
 						continue
@@ -102,6 +112,7 @@
 	c.Flags().StringVar(&dir, "dir", "scenarios", "with --all: where the scenarios are")
 	c.Flags().BoolVar(&everything, "all", false, "play every scenario of a folder")
 	c.Flags().BoolVar(&asJSON, "json", false, "print one JSON object a run")
+	c.Flags().BoolVar(&ideal, "ideal", false, "no dispatchers: one decision that sees all")
 	c.Flags().BoolVar(&fast, "fast", false, "do not check the rules")
 	return c
 }
--- a/internal/fleet/host.go
+++ b/internal/fleet/host.go
@@ -117,6 +117,18 @@
 // Reachable tells whether the host can be heard.
 func (h *Host) Reachable() bool { return h.up && !h.silent }
 
+// Busy and Waiting are the lanes in use and the jobs that wait; Draining and Failing what is wrong with it.
+func (h *Host) Busy() int { return h.busy }
+
+// Waiting is how many jobs wait at the host.
+func (h *Host) Waiting() int { return len(h.queue) }
+
+// Draining tells whether it takes no more.
+func (h *Host) Draining() bool { return h.draining }
+
+// Failing tells whether it fails jobs at once.
+func (h *Host) Failing() bool { return h.failing > 0 }
+
 // Toppled tells whether it fell over.
 func (h *Host) Toppled() bool { return h.toppled }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -112,6 +112,8 @@
 	cls                     []classTally
 	windows                 []tally
 	events                  uint64
+	wall                    time.Duration
+	ideal                   []lane // by when it is free; not nil: no dispatcher decides
 }
 
 type tally struct{ asked, inTime float64 }
@@ -201,7 +203,14 @@
 
 // Run plays the day until its end and until all is answered, or until ctx ends.
 func (l *Lab) Run(ctx context.Context) (*Report, error) {
+	_, err := l.Advance(ctx, l.sc.length+24*time.Hour)
+	return l.Report(), err
+}
+
+// Advance plays the day up to a time since its begin. True: all is over. When ctx ends so does it.
+func (l *Lab) Advance(ctx context.Context, to time.Duration) (over bool, err error) {
 	began := time.Now()
+	defer func() { l.wall += time.Since(began) }()
 	until := epoch + l.sc.length
 	longest := time.Duration(0)
 	for _, k := range l.sc.Classes {
@@ -210,24 +219,27 @@
 	until += 2 * longest
 	for n := 0; len(l.cal.list) > 0 || len(l.dirty) > 0; n++ {
 		if n&0xffff == 0 && ctx.Err() != nil {
-			break
+			return true, ctx.Err()
 		}
 		if len(l.dirty) > 0 && (len(l.cal.list) == 0 || l.cal.list[0].at > l.now) {
 			l.stepAll()
 			continue
 		}
-		e := l.cal.pop()
-		if e.at > until {
-			break
+		if l.cal.list[0].at > until {
+			return true, nil
 		}
+		if l.cal.list[0].at > epoch+to {
+			return false, nil
+		}
+		e := l.cal.pop()
 		l.now = e.at
 		l.events++
 		l.note(e.kind, uint64(uint32(e.a))<<32|uint64(uint32(e.b)))
 		if err := l.do(&e); err != nil {
-			return nil, err
+			return true, err
 		}
 	}
-	return l.report(time.Since(began)), ctx.Err()
+	return true, nil
 }
 
 // note adds to the digest.
@@ -391,6 +403,10 @@
 	o := t.order
 	o.tries++
 	c := &l.sc.Classes[o.class]
+	if l.ideal != nil {
+		l.assign(o)
+		return
+	}
 	var there []int
 	for _, same := range []bool{true, false} {
 		for i, n := range l.nodes {
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -71,8 +71,10 @@
 	return ms, share
 }
 
-func (l *Lab) report(wall time.Duration) *Report {
+// Report tells what came of the run so far.
+func (l *Lab) Report() *Report {
 	r := &l.rep
+	r.Windows, r.Steps, r.First = nil, 0, nil
 	r.Scenario, r.Seed, r.Hosts, r.Dispatchers = l.sc.Name, l.seed, len(l.hosts), len(l.nodes)
 	r.Classes, r.P50, r.P99 = map[string]float64{}, map[string]float64{}, map[string]float64{}
 	var asked, inTime float64
@@ -102,7 +104,7 @@
 		r.Steps += n.steps
 	}
 	r.Events, r.Digest = l.events, fmt.Sprintf("%016x", l.digest.Sum64())
-	r.Wall = wall.Seconds()
+	r.Wall = l.wall.Seconds()
 	r.JobsASecond = float64(r.Jobs) / max(r.Wall, 1e-9)
 	if l.check != nil {
 		l.check.End(l.now)
