--- a/cmd/gaugelab/main_test.go
+++ b/cmd/gaugelab/main_test.go
@@ -140,3 +140,20 @@
 	}()
 	assert.Contains(t, nettest.Wait(t, done), "== report")
 }
+
+// The same scenario at two sizes, beside the ideal; a size that can't be read is named.
+func TestScale(t *testing.T) {
+	code, out, errs := call(t.Context(), "scale", scenarios+"calm-friday.hcl", "--sizes", "10x3,20x3", "--length", "5s", "--seeds", "1",
+		"--json", "--out", t.TempDir())
+	require.Equal(t, exitOK, code, errs)
+	var all []Size
+	require.NoError(t, json.Unmarshal([]byte(out), &all))
+	require.Len(t, all, 2)
+	for _, x := range all {
+		assert.GreaterOrEqual(t, x.Ideal, x.Service)
+		assert.Positive(t, x.JobsASecond)
+	}
+	code, _, errs = call(t.Context(), "scale", scenarios+"calm-friday.hcl", "--sizes", "10")
+	assert.Equal(t, exitUsage, code)
+	assert.Contains(t, errs, `"10" is no HOSTSxDISPATCHERS`)
+}
--- /dev/null
+++ b/cmd/gaugelab/scale.go
@@ -0,0 +1,142 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"gaugeslip/internal/lab"
+)
+
+// Size is a fleet at one size, and what came of it.
+type Size struct {
+	Hosts       int     `json:"hosts"`
+	Dispatchers int     `json:"dispatchers"`
+	Service     float64 `json:"service"`
+	Ideal       float64 `json:"ideal"` // of one decision that sees all, on the same seeds
+	Refused     float64 `json:"refused"`
+	Crossed     float64 `json:"crossed"` // sends to another room, of all
+	Probes      float64 `json:"probes"`  // a job
+	JobsASecond float64 `json:"jobs_a_second"`
+}
+
+// sizes reads "10x3,100x30".
+func sizes(text string) (all []Size, err error) {
+	for _, part := range strings.Split(text, ",") {
+		h, d, ok := strings.Cut(strings.TrimSpace(part), "x")
+		hosts, err1 := strconv.Atoi(h)
+		nodes, err2 := strconv.Atoi(d)
+		if !ok || err1 != nil || err2 != nil || hosts < 1 || nodes < 1 {
+			return nil, usageError{fmt.Errorf("scale: --sizes: %q is no HOSTSxDISPATCHERS", part)}
+		}
+		all = append(all, Size{Hosts: hosts, Dispatchers: nodes})
+	}
+	return all, nil
+}
+
+func scaleCommand() *cobra.Command {
+	var text, out string
+	var seeds int
+	var load float64
+	var length time.Duration
+	var asJSON bool
+	c := &cobra.Command{Use: "scale SCENARIO.hcl", Short: "Play a scenario at several sizes of its fleet, beside an ideal that sees all",
+		Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+			all, err := sizes(text)
+			if err != nil {
+				return err
+			}
+			for i := range all {
+				x := &all[i]
+				scenario, err := lab.Load(args[0])
+				if err != nil {
+					return err
+				}
+				if len(scenario) != 1 {
+					return usageError{errors.New("scale: one scenario is wanted")}
+				}
+				sc := scenario[0]
+				if err := sc.Resize(x.Hosts, x.Dispatchers, load, length); err != nil {
+					return usageError{fmt.Errorf("scale: %w", err)}
+				}
+				real, err := play(cmd.Context(), sc, 1, seeds, false, nil)
+				if err != nil {
+					return err
+				}
+				ideal, err := playOn(cmd.Context(), 1, seeds, nil, func(seed uint64) (*lab.Lab, error) { return lab.NewIdeal(sc, seed) })
+				if err != nil {
+					return err
+				}
+				n := float64(seeds)
+				for k, r := range real {
+					x.Service += r.Service / n
+					x.Ideal += ideal[k].Service / n
+					x.Refused += float64(r.Refused) / float64(max(r.Jobs, 1)) / n
+					x.Crossed += float64(r.Crossed) / float64(max(r.Sends, 1)) / n
+					x.Probes += float64(r.Probes) / float64(max(r.Jobs, 1)) / n
+					x.JobsASecond += r.JobsASecond / n
+				}
+				fmt.Fprintf(cmd.ErrOrStderr(), "  %d hosts, %d dispatchers: service %.3f, ideal %.3f\n", x.Hosts, x.Dispatchers, x.Service, x.Ideal)
+			}
+			if out != "" {
+				if err := plotSizes(all, out); err != nil {
+					return err
+				}
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(all)
+			}
+			w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(w, "hosts\tdispatchers\tservice\tideal\trefused a job\tcrossed\tprobes a job\tjobs/s")
+			for _, x := range all {
+				fmt.Fprintf(w, "%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.0f\n", x.Hosts, x.Dispatchers, x.Service, x.Ideal, x.Refused,
+					x.Crossed, x.Probes, x.JobsASecond)
+			}
+			return w.Flush()
+		}}
+	c.Flags().StringVar(&text, "sizes", "10x3,100x3,100x30,1000x30,1000x100", "fleets, as HOSTSxDISPATCHERS")
+	c.Flags().IntVar(&seeds, "seeds", 3, "how many seeds")
+	c.Flags().Float64Var(&load, "load", 0.95, "offered work, as a share of what the fleet can do")
+	c.Flags().DurationVar(&length, "length", 20*time.Second, "of the day")
+	c.Flags().StringVar(&out, "out", "", "folder for a plot of jobs a second; none where it is empty")
+	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return c
+}
+
+// plotSizes draws the lab's own pace over the size of the fleet, a curve for each number of dispatchers.
+func plotSizes(all []Size, out string) error {
+	if err := os.MkdirAll(out, 0o755); err != nil {
+		return err
+	}
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "The lab's pace", "game workers", "jobs a second of wall time, one core a run"
+	p.X.Scale, p.X.Tick.Marker, p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}, plot.LogScale{}, plot.LogTicks{Prec: -1}
+	curves, order := map[int]plotter.XYs{}, []int(nil)
+	for _, x := range all {
+		if curves[x.Dispatchers] == nil {
+			order = append(order, x.Dispatchers)
+		}
+		curves[x.Dispatchers] = append(curves[x.Dispatchers], plotter.XY{X: float64(x.Hosts), Y: x.JobsASecond})
+	}
+	for i, n := range order {
+		l, s, err := plotter.NewLinePoints(curves[n])
+		if err != nil {
+			return fmt.Errorf("plot: %w", err)
+		}
+		l.Color, s.Color = plotutil.Color(i), plotutil.Color(i)
+		p.Add(l, s)
+		p.Legend.Add(fmt.Sprintf("%d dispatchers", n), l, s)
+	}
+	return p.Save(18*vg.Centimeter, 11*vg.Centimeter, out+"/scale.png")
+}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -380,6 +380,9 @@
 	}
 	c := &l.sc.Classes[k]
 	size := float64(c.mean) * l.spread[k].Rand()
+	if c.most > 0 {
+		size = min(size, float64(c.most))
+	}
 	o := &order{class: k, room: room, first: l.now, size: time.Duration(size)}
 	o.hint = time.Duration(size * l.hints.Rand())
 	if t, ok := l.heavy[k]; ok && l.chance.Float64() < t.Share {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -57,9 +57,10 @@
 	Patience string    `hcl:"patience"`
 	Worth    float64   `hcl:"worth"`
 	Once     bool      `hcl:"once,optional"`
+	Most     string    `hcl:"most,optional"` // work of the largest; without: any
 	Range    hcl.Range `hcl:",def_range"`
 
-	mean, onTime, patience time.Duration
+	mean, onTime, patience, most time.Duration
 }
 
 // Clients is how clients behave.
@@ -211,6 +212,7 @@
 		k.mean = c.time(k.Range, "mean", k.Mean, 0)
 		k.onTime = c.time(k.Range, "on_time", k.OnTime, 0)
 		k.patience = c.time(k.Range, "patience", k.Patience, 0)
+		k.most = c.time(k.Range, "most", k.Most, 0)
 		c.want(k.mean > 0, k.Range, "mean", "more than 0s")
 		c.want(k.patience > 0, k.Range, "patience", "more than 0s")
 		c.want(k.Part > 0, k.Range, "part", "more than 0")
@@ -310,3 +312,22 @@
 	}
 	return c
 }
+
+// Resize makes the fleet one of so many hosts, of its kinds in their proportions, and changes dispatchers, load and length.
+func (s *Scenario) Resize(hosts, dispatchers int, load float64, length time.Duration) error {
+	total := 0
+	for _, h := range s.Hosts {
+		total += h.Count
+	}
+	left := hosts
+	for i := range s.Hosts {
+		n := hosts * s.Hosts[i].Count / total
+		if i == len(s.Hosts)-1 {
+			n = left
+		}
+		s.Hosts[i].Count = n
+		left -= n
+	}
+	s.Dispatchers, s.Load, s.Length = dispatchers, load, length.String()
+	return s.check()
+}
