Count the load's latencies from each job's own intended time, and lock the emulator's addresses

Cause: the race detector over gaugelab's tests found that a request's goroutine read the intended time of a later job (internal/emulator/load.go, the closure over next), so that latencies on sockets came out too short; and that a restarted host set its address while discovery read it. Change: the time is fixed before the goroutine starts; address and server are set and read under the host's lock.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -34,7 +34,6 @@
 	mu         sync.Mutex
 	jobs       map[uint64]*waiting
 	wake       *time.Timer
-	ln         net.Listener
 	server     *http.Server
 	faults     Faults
 	state      string // of discovery's list
@@ -122,7 +121,7 @@
 			h.wake.Stop()
 		}
 		h.mu.Unlock()
-		h.server.Close()
+		h.shut()
 	}
 	f.served.Wait()
 }
@@ -224,13 +223,24 @@
 	if err != nil {
 		return fmt.Errorf("emulator: %w", err)
 	}
-	h.ln, h.Addr = ln, ln.Addr().String()
-	h.server = &http.Server{Handler: h}
-	server := h.server
+	server := &http.Server{Handler: h}
+	h.mu.Lock()
+	if h.server = server; h.Addr == "" { // it never changes
+		h.Addr = ln.Addr().String()
+	}
+	h.mu.Unlock()
 	h.owner.served.Go(func() { server.Serve(ln) })
 	return nil
 }
 
+// shut closes its address and its connections.
+func (h *Host) shut() {
+	h.mu.Lock()
+	server := h.server
+	h.mu.Unlock()
+	server.Close()
+}
+
 // Fault sets the faults on its connections.
 func (h *Host) Fault(x Faults) {
 	h.mu.Lock()
@@ -285,16 +295,14 @@
 // Kill ends its process: connections are reset, new ones refused; the list tells.
 func (h *Host) Kill() {
 	h.do(func(now time.Duration) { h.model.Kill(now); h.state = "terminated" })
-	h.server.Close()
+	h.shut()
 	h.owner.change()
 }
 
 // Restart starts it anew, cold; the list tells.
 func (h *Host) Restart() error {
-	if h.model.Up() {
-		h.do(h.model.Kill)
-		h.server.Close()
-	}
+	h.do(h.model.Kill)
+	h.shut()
 	h.do(func(now time.Duration) { h.model.Start(now); h.state = "in_service" })
 	if err := h.listen(h.Addr); err != nil {
 		return err
--- a/internal/emulator/load.go
+++ b/internal/emulator/load.go
@@ -101,10 +101,11 @@
 		}
 		c := &l.Classes[k]
 		size := float64(c.Mean) * distuv.LogNormal{Mu: -c.Sigma * c.Sigma / 2, Sigma: c.Sigma, Src: rng}.Rand()
+		meant := start.Add(next) // the goroutine below outlives this round
 		id := fmt.Sprintf("%s-%x-%x", c.Name, l.Seed, n)
 		select {
 		case <-ctx.Done():
-		case <-time.After(time.Until(start.Add(next))):
+		case <-time.After(time.Until(meant)):
 		}
 		if ctx.Err() != nil {
 			break
@@ -126,7 +127,7 @@
 		}
 		all.Go(func() {
 			defer func() { <-open }()
-			l.one(ctx, client, res, c, id, time.Duration(size), start.Add(next))
+			l.one(ctx, client, res, c, id, time.Duration(size), meant)
 		})
 	}
 	all.Wait()
