Let the lab's dispatchers have a waiting room, and play a season's close with it

Need: a gate has to run unchanged in the lab, over several dispatchers that share nothing. Change: a scenario's block waiting puts the room before every core and says which jobs wait; they are counted apart from the fresh ones.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -7,6 +7,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -39,6 +40,8 @@
 	tries       int
 	over        bool
 	worth       float64
+	wait        *dispatch.Wait // nil: it is fresh
+	sent        time.Duration  // its last send
 }
 
 // try is one request of a client.
@@ -185,7 +188,11 @@
 	if err != nil {
 		return err
 	}
-	n.chain, n.up, n.watching, n.open, n.inbox, n.wakeAt = dispatch.NewChain(core, nil), true, false, map[uint64]*try{}, nil, 0
+	var gate *dispatch.WaitingGate
+	if w := l.sc.Waiting; w != nil {
+		gate = dispatch.NewWaitingGate(w.lim, l.sc.config(i))
+	}
+	n.chain, n.up, n.watching, n.open, n.inbox, n.wakeAt = dispatch.NewChain(core, gate), true, false, map[uint64]*try{}, nil, 0
 	n.stopping = 0
 	clear(n.idle)
 	l.tell(i, dispatch.Listed{Version: 0, Whole: true, Stale: true, Hosts: slices.Clone(n.known)})
@@ -217,6 +224,9 @@
 		longest = max(longest, k.patience)
 	}
 	until += 2 * longest
+	if w := l.sc.Waiting; w != nil {
+		until += w.delay + 2*w.lim.DefaultDue
+	}
 	for n := 0; len(l.cal.list) > 0 || len(l.dirty) > 0; n++ {
 		if n&0xffff == 0 && ctx.Err() != nil {
 			return true, ctx.Err()
@@ -373,6 +383,23 @@
 
 func (l *Lab) arrive(room int) {
 	l.nextArrival(room)
+	o := l.draw(room)
+	o.worth = l.sc.Classes[o.class].Worth * o.size.Seconds()
+	k := &l.cls[o.class]
+	k.asked += o.worth
+	k.jobs++
+	l.windows[min(int((l.now-epoch)/window), len(l.windows)-1)].asked += o.worth
+	l.attempt(o, l.now)
+	if w := l.sc.Waiting; w != nil && l.sizes.Float64() < w.Part {
+		o := l.draw(room)
+		o.wait = &dispatch.Wait{Detached: true, NotBefore: time.Duration(l.sizes.Float64() * float64(w.delay))}
+		l.rep.Waiting++
+		l.attempt(o, l.now)
+	}
+}
+
+// draw makes an order.
+func (l *Lab) draw(room int) *order {
 	k, x := 0, l.arrivals.Float64()
 	for k < len(l.sc.Classes)-1 && x >= l.sc.Classes[k].Part {
 		x -= l.sc.Classes[k].Part
@@ -389,11 +416,7 @@
 		o.size = time.Duration(float64(o.size) * t.Times)
 	}
 	o.size, o.hint = max(o.size, time.Millisecond), max(o.hint, time.Millisecond)
-	o.worth = c.Worth * o.size.Seconds()
-	l.cls[k].asked += o.worth
-	l.cls[k].jobs++
-	l.windows[min(int((l.now-epoch)/window), len(l.windows)-1)].asked += o.worth
-	l.attempt(o, l.now)
+	return o
 }
 
 // attempt sends a client's next try through the front to a dispatcher of its room, or of any where none is there.
@@ -423,6 +446,10 @@
 	}
 	left := o.first + c.patience - l.now
 	if len(there) == 0 || left <= 0 {
+		if o.wait != nil {
+			l.rep.WaitingLost++
+			return
+		}
 		l.rep.Unreached++
 		l.again(o, 0, true)
 		return
@@ -430,17 +457,24 @@
 	t.node = there[l.arrivals.IntN(len(there))]
 	n := l.nodes[t.node]
 	t.life, t.deadline = n.life, l.now+left
+	m := dispatch.Arrived{Job: t.id, Class: o.class, Tenant: -1, At: l.now, Budget: left, Size: o.hint, Slots: 1,
+		Retry: o.tries > 1}
+	if l.sc.Waiting != nil {
+		m.Name, m.Wait = strconv.FormatUint(t.id, 16), o.wait
+	}
+	if o.wait != nil { // twice its due time once it may run, and then it runs
+		t.deadline += o.wait.NotBefore + 2*l.sc.Waiting.lim.DefaultDue
+	}
 	n.open[t.id] = t
 	l.see(check.Event{Kind: check.Taken, Job: t.id, Node: t.node, Unsafe: c.Once, Deadline: t.deadline})
-	l.tell(t.node, dispatch.Arrived{Job: t.id, Class: o.class, Tenant: -1, At: l.now, Budget: left, Size: o.hint, Slots: 1,
-		Retry: o.tries > 1})
+	l.tell(t.node, m)
 }
 
 // again has a client try once more, where it does so.
 func (l *Lab) again(o *order, advice time.Duration, harmless bool) {
 	cl := l.sc.Clients
 	c := &l.sc.Classes[o.class]
-	if o.over || o.tries > cl.Retries || cl.After == "" || cl.After == "none" || c.Once && !harmless {
+	if o.over || o.wait != nil || o.tries > cl.Retries || cl.After == "" || cl.After == "none" || c.Once && !harmless {
 		return
 	}
 	at := l.now + time.Millisecond
@@ -473,8 +507,13 @@
 		answer := check.Failed
 		if c.Refused {
 			answer = check.Refused
+		}
+		switch {
+		case t.order.wait != nil:
+			l.rep.WaitingLost++
+		case c.Refused:
 			l.rep.Refused++
-		} else {
+		default:
 			l.rep.Failed++
 		}
 		l.answer(t, answer)
@@ -550,6 +589,7 @@
 	l.sends[s.id] = s
 	l.see(check.Event{Kind: check.Sent, Job: c.Job, Attempt: c.Attempt, Node: i, Host: h})
 	l.rep.Sends++
+	t.order.sent = l.now
 	if l.hosts[h].Room != n.room {
 		l.rep.Crossed++
 	}
@@ -716,6 +756,12 @@
 	}
 	o := t.order
 	o.over = true
+	if o.wait != nil {
+		l.rep.WaitingServed++
+		waited := o.sent - o.first - o.wait.NotBefore
+		l.rep.LongestWait = max(l.rep.LongestWait, waited.Seconds()/l.sc.Waiting.lim.DefaultDue.Seconds())
+		return
+	}
 	k := &l.cls[o.class]
 	k.served++
 	l.rep.Served++
@@ -742,6 +788,10 @@
 	for _, id := range ids {
 		t := n.open[id]
 		t.answered = true
+		if t.order.wait != nil { // it lives in memory alone
+			l.rep.WaitingLost++
+			continue
+		}
 		l.rep.Cut++
 		l.again(t.order, 0, false)
 	}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -71,6 +71,20 @@
 	}
 }
 
+// The waiting room at every dispatcher, under more fresh work than the fleet can do: each waiting job has its end, none that was
+// served has waited longer than twice its due time, and the rules hold.
+func TestWaitingInTheLab(t *testing.T) {
+	sc := scenario(t, "season-close")
+	for seed := range uint64(3) {
+		r := play(t, sc, seed+1, true)
+		assert.Empty(t, sc.Missed(r), "seed %d", seed+1)
+		assert.Equal(t, r.Waiting, r.WaitingServed+r.WaitingLost, "seed %d", seed+1)
+		assert.LessOrEqual(t, r.LongestWait, 2.0, "seed %d", seed+1)
+		assert.Less(t, float64(r.WaitingLost), 0.05*float64(r.Waiting), "seed %d", seed+1)
+		assert.Equal(t, r.Jobs+r.Retries, r.Served+r.Refused+r.Failed+r.Cut+r.Unreached, "seed %d", seed+1)
+	}
+}
+
 func TestFaults(t *testing.T) {
 	sound := `scenario "a" {
   length = "1s"
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -35,6 +35,12 @@
 	Handshakes  int                `json:"handshakes"`
 	Probes      int                `json:"probes"`
 	Toppled     int                `json:"toppled"`
+
+	Waiting       int     `json:"waiting"` // jobs that asked to wait, counted nowhere else
+	WaitingServed int     `json:"waiting_served"`
+	WaitingLost   int     `json:"waiting_lost"` // refused, failed, or gone with their dispatcher
+	LongestWait   float64 `json:"longest_wait"` // of those served, in due times
+
 	Used        float64            `json:"used"` // of what the hosts could do
 	Steps       int                `json:"steps"`
 	Events      uint64             `json:"events"`
@@ -169,6 +175,10 @@
 		r.Jobs, r.Served, r.InTime, r.Refused, r.Failed, r.Cut, r.Unreached, r.Retries)
 	fmt.Fprintf(w, "  %d sends, %d across rooms, %d handshakes, %d probes, %d hosts fell over, %.2f of the fleet used\n", r.Sends,
 		r.Crossed, r.Handshakes, r.Probes, r.Toppled, r.Used)
+	if r.Waiting > 0 {
+		fmt.Fprintf(w, "  %d waiting jobs: %d served, %d lost or refused, longest wait %.2f due times\n", r.Waiting, r.WaitingServed,
+			r.WaitingLost, r.LongestWait)
+	}
 	fmt.Fprintf(w, "  %d rules broken; digest %s; %d events, %.2f s, %.0f jobs a second\n", r.Broken(), r.Digest, r.Events,
 		r.Wall, r.JobsASecond)
 	for _, b := range r.First {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -13,6 +13,7 @@
 	"github.com/hashicorp/hcl/v2/gohcl"
 	"github.com/hashicorp/hcl/v2/hclparse"
 
+	"gaugeslip/internal/waiting"
 	"gaugeslip/policy"
 )
 
@@ -30,6 +31,7 @@
 	Classes     []Class   `hcl:"class,block"`
 	Clients     *Clients  `hcl:"clients,block"`
 	World       *World    `hcl:"world,block"`
+	Waiting     *Waiting  `hcl:"waiting,block"`
 	Troubles    []Trouble `hcl:"trouble,block"`
 	Expect      *Expect   `hcl:"expect,block"`
 	Range       hcl.Range `hcl:",def_range"`
@@ -89,6 +91,18 @@
 	warmUp, overloadFor, reportEvery, progress, listLate time.Duration
 }
 
+// Waiting switches the waiting room on at every dispatcher, and says which jobs use it.
+type Waiting struct {
+	Part  float64   `hcl:"part"`           // jobs that wait, as a share of those that don't
+	Delay string    `hcl:"delay"`          // each has a set time, at most so far ahead
+	Due   string    `hcl:"due"`            // once it may run
+	Share float64   `hcl:"share,optional"` // of the fleet, while fresh jobs are refused
+	Range hcl.Range `hcl:",def_range"`
+
+	delay time.Duration
+	lim   waiting.Limits
+}
+
 // Trouble is something that goes wrong. Troubles may overlap.
 type Trouble struct {
 	Kind  string    `hcl:"kind,label"`
@@ -251,6 +265,18 @@
 	}
 	c.want(w.ColdFrom > 0 && w.ColdFrom <= 1, w.Range, "cold_from", "more than 0 and at most 1")
 	c.want(w.Queue > 0, w.Range, "queue", "more than 0")
+	if x := s.Waiting; x != nil {
+		x.lim = waiting.Defaults()
+		x.lim.MaxJobs, x.lim.MaxKept, x.lim.MaxBytes, x.lim.ClientShare = 10_000_000, 100_000, 1<<40, 1
+		x.lim.DefaultDue = c.time(x.Range, "due", x.Due, 0)
+		if x.delay = c.time(x.Range, "delay", x.Delay, 0); x.Share != 0 {
+			x.lim.Share = x.Share
+		}
+		c.want(x.Part > 0 && x.Part <= 10, x.Range, "part", "more than 0 and at most 10")
+		if err := x.lim.Check(); err != nil {
+			c.want(false, x.Range, "waiting", "%v", err)
+		}
+	}
 	for i := range s.Troubles {
 		t := &s.Troubles[i]
 		t.at = c.time(t.Range, "at", t.At, 0)
