--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -494,7 +494,7 @@
 	case dispatch.Send:
 		l.send(i, c)
 	case dispatch.CancelSend:
-		for _, s := range l.sendsOf(c.Key, i) {
+		if s := l.sends[sendID(c.Key)]; s != nil && s.node == i {
 			l.hosts[s.host].Drop(l.now, s.id)
 			l.plan(s.host)
 			l.outcome(s, policy.Cancelled)
@@ -569,15 +569,6 @@
 	l.tell(i, e.msg)
 }
 
-// sendsOf finds a send that is out.
-func (l *Lab) sendsOf(k dispatch.Key, i int) []*send {
-	s := l.sends[sendID(k)]
-	if s == nil || s.node != i {
-		return nil
-	}
-	return []*send{s}
-}
-
 // sendID names a send: a try has few.
 func sendID(k dispatch.Key) uint64 { return k.Job<<8 | uint64(k.Attempt&255) }
 
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -119,12 +119,11 @@
 
 // Expect is what has to come of a scenario; what is not said is not looked at.
 type Expect struct {
-	Service  float64   `hcl:"service,optional"` // at least
-	Class    float64   `hcl:"class,optional"`   // of the worst class, at least
-	Refused  float64   `hcl:"refused,optional"` // share of the jobs, at most; 0: any
-	Toppled  int       `hcl:"toppled,optional"` // hosts, at most
-	Range    hcl.Range `hcl:",def_range"`
-	breaches int
+	Service float64   `hcl:"service,optional"` // at least
+	Class   float64   `hcl:"class,optional"`   // of the worst class, at least
+	Refused float64   `hcl:"refused,optional"` // share of the jobs, at most; 0: any
+	Toppled int       `hcl:"toppled,optional"` // hosts, at most
+	Range   hcl.Range `hcl:",def_range"`
 }
 
 type scenarios struct {
