Serve on the listening socket that the platform hands on in NODE_INHERITED_FD

The platform keeps the clients' socket and hands it to every process as descriptor 7; the program bound the address itself (downstream.Server.Listen), so even the first process could not start.

Now config reads NODE_INHERITED_FD (a descriptor above 2) and the key ops with NODE_OPS (checked, not yet served), and downstream takes the socket with net.FileListener.

--- a/cmd/gaugeslip/main_test.go
+++ b/cmd/gaugeslip/main_test.go
@@ -52,21 +52,7 @@
 	require.NoError(t, err)
 	addr = ln.Addr().String()
 	ln.Close()
-	config, err := json.Marshal(map[string]any{"name": "n0", "listen": addr, "discovery": discovery,
-		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-		"known": json.RawMessage(known), "settings": json.RawMessage(settings)})
-	require.NoError(t, err)
-	path := filepath.Join(t.TempDir(), "config.json")
-	require.NoError(t, os.WriteFile(path, config, 0o600))
-	deploy, err := os.ReadFile("../../deploy/balancer.toml")
-	require.NoError(t, err)
-	run := regexp.MustCompile(`(?m)^run = "(.*)bin/gaugeslip serve"$`).FindStringSubmatch(string(deploy))
-	require.NotNil(t, run, "the platform's command")
-	cmd, log = exec.Command("/bin/sh", "-c", run[1]+`"$0" serve`, os.Args[0]), &logged{}
-	cmd.Env = append(append(os.Environ(), "GAUGESLIP_TEST_PROGRAM=1", "NODE_CONFIG="+path), env...)
-	cmd.Stderr = log
-	require.NoError(t, cmd.Start())
-	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	cmd, log = launch(t, launching{settings: settings, known: known, discovery: discovery, listen: addr, env: env})
 	require.Eventually(t, func() bool {
 		c, err := net.Dial("tcp", addr)
 		if err == nil {
@@ -77,6 +63,37 @@
 	return addr, cmd, log
 }
 
+// launching is what a dispatcher is started with.
+type launching struct {
+	settings, known, discovery, listen string
+	env                                []string
+	files                              []*os.File // descriptors 3 and on
+	config                             string     // the configuration's path; empty: a new one
+}
+
+// launch starts a dispatcher as the platform does, and kills it at the end of the test if it is still there.
+func launch(t *testing.T, l launching) (cmd *exec.Cmd, log *logged) {
+	path := l.config
+	if path == "" {
+		config, err := json.Marshal(map[string]any{"name": "n0", "listen": l.listen, "discovery": l.discovery,
+			"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+			"known": json.RawMessage(l.known), "settings": json.RawMessage(l.settings)})
+		require.NoError(t, err)
+		path = filepath.Join(t.TempDir(), "config.json")
+		require.NoError(t, os.WriteFile(path, config, 0o600))
+	}
+	deploy, err := os.ReadFile("../../deploy/balancer.toml")
+	require.NoError(t, err)
+	run := regexp.MustCompile(`(?m)^run = "(.*)bin/gaugeslip serve"$`).FindStringSubmatch(string(deploy))
+	require.NotNil(t, run, "the platform's command")
+	cmd, log = exec.Command("/bin/sh", "-c", run[1]+`"$0" serve`, os.Args[0]), &logged{}
+	cmd.Env = append(append(os.Environ(), "GAUGESLIP_TEST_PROGRAM=1", "NODE_CONFIG="+path), l.env...)
+	cmd.Stderr, cmd.ExtraFiles = log, l.files
+	require.NoError(t, cmd.Start())
+	t.Cleanup(func() { cmd.Process.Kill(); cmd.Wait() })
+	return cmd, log
+}
+
 func served(c *nettest.Call) {
 	c.Say(nettest.Chunked(`{"id":"`+c.Header.Get("X-Trace-Id")+`","state":"started"}`,
 		`{"id":"`+c.Header.Get("X-Trace-Id")+`","state":"done","result":"`+c.Text+`"}`))
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -49,6 +49,12 @@
 	Limits    Limits
 	Known     json.RawMessage // the list of upstream hosts as this dispatcher last had it
 	Settings  *settings.Settings
+
+	// Ops is the operators' door, from NODE_OPS or the key ops; empty: there is none.
+	Ops string
+	// Inherited is the descriptor of the clients' listening socket that the platform hands on, from
+	// NODE_INHERITED_FD; 0: none, the dispatcher opens Listen itself.
+	Inherited int
 }
 
 // file is the form of the configuration file; unknown keys are ignored.
@@ -60,6 +66,7 @@
 	Limits    Limits          `json:"limits"`
 	Known     json.RawMessage `json:"known"`
 	Settings  json.RawMessage `json:"settings"`
+	Ops       string          `json:"ops"`
 }
 
 // Load reads the configuration. getenv looks up a variable; path, if not empty, stands for NODE_CONFIG.
@@ -91,6 +98,7 @@
 		"name":     c.Name == newer.Name,
 		"listen":   c.Listen == newer.Listen,
 		"limits":   c.Limits == newer.Limits,
+		"ops":      c.Ops == newer.Ops,
 		"settings": reflect.DeepEqual(c.Settings, newer.Settings),
 	} {
 		if !same {
@@ -134,6 +142,21 @@
 			}
 		}
 	}
+	if c.Ops = getenv("NODE_OPS"); c.Ops == "" {
+		c.Ops = f.Ops
+	}
+	if c.Ops != "" {
+		if err := checkAddr(c.Ops); err != nil {
+			return nil, fmt.Errorf("ops: %w", err)
+		}
+	}
+	if fd := getenv("NODE_INHERITED_FD"); fd != "" {
+		n, err := strconv.Atoi(fd)
+		if err != nil || n < 3 {
+			return nil, fmt.Errorf("NODE_INHERITED_FD: %q is not a descriptor above the standard streams", fd)
+		}
+		c.Inherited = n
+	}
 	c.Seed = seed(f.Seed, c.Name)
 	if err := c.Limits.check(); err != nil {
 		return nil, err
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -100,3 +100,35 @@
 		}
 	}
 }
+
+// The operators' door and the inherited listener: the variables stand above the file, a faulty value is named.
+func TestOpsAndInherited(t *testing.T) {
+	withOps := strings.Replace(good, `"seed"`, `"ops":"127.0.0.1:7","seed"`, 1)
+	for _, c := range []struct {
+		text      string
+		vars      []string
+		ops       string
+		inherited int
+		fault     string
+	}{
+		{good, nil, "", 0, ""},
+		{withOps, nil, "127.0.0.1:7", 0, ""},
+		{withOps, []string{"NODE_OPS", "127.0.0.2:8", "NODE_INHERITED_FD", "7"}, "127.0.0.2:8", 7, ""},
+		{good, []string{"NODE_OPS", "here:8"}, "", 0, "ops"},
+		{strings.Replace(good, `"seed"`, `"ops":"127.0.0.1","seed"`, 1), nil, "", 0, "ops"},
+		{good, []string{"NODE_INHERITED_FD", "seven"}, "", 0, "NODE_INHERITED_FD"},
+		{good, []string{"NODE_INHERITED_FD", "1"}, "", 0, "NODE_INHERITED_FD"},
+	} {
+		got, err := parse(env(c.vars...), []byte(c.text), false)
+		switch {
+		case c.fault != "":
+			if err == nil || !strings.HasPrefix(err.Error(), c.fault) {
+				t.Errorf("%v: error %v, want it to begin with %q", c.vars, err, c.fault)
+			}
+		case err != nil:
+			t.Errorf("%v: %v", c.vars, err)
+		case got.Ops != c.ops || got.Inherited != c.inherited:
+			t.Errorf("%v: ops %q, inherited %d; want %q and %d", c.vars, got.Ops, got.Inherited, c.ops, c.inherited)
+		}
+	}
+}
--- a/internal/net/downstream/gate.go
+++ b/internal/net/downstream/gate.go
@@ -120,6 +120,23 @@
 	return err == nil && n > 0
 }
 
+// shed closes the idle connections on which nothing waits to be read: a close between requests costs their
+// clients a new connection and nothing else.
+func (g *gate) shed() {
+	g.mu.Lock()
+	var out []*client
+	for c := range g.conns[idle] {
+		if !pending(c.Conn) {
+			g.forget(c)
+			out = append(out, c)
+		}
+	}
+	g.mu.Unlock()
+	for _, c := range out {
+		c.Conn.Close()
+	}
+}
+
 func (g *gate) forget(c *client) {
 	delete(g.conns[c.phase], c)
 	c.closed = true
--- a/internal/net/downstream/server.go
+++ b/internal/net/downstream/server.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"runtime/debug"
 	"strconv"
 	"strings"
@@ -53,6 +54,7 @@
 // Config is what a Server must keep to.
 type Config struct {
 	Listen    string
+	Inherited int           // the descriptor of a listening socket to take over in place of opening Listen; 0: none
 	MaxConns  int           // connections at once; beyond, the one that can best be spared is closed
 	MaxBodies int64         // bytes of long bodies held at once; a request beyond that is refused
 	AcceptFor time.Duration // see the constant
@@ -83,9 +85,10 @@
 	return s
 }
 
-// Listen opens the one address that the dispatcher listens on.
+// Listen opens the one address that the dispatcher listens on, or takes over the socket that the platform keeps
+// for it. Such a socket outlives the process: a successor accepts on it while this one ends.
 func (s *Server) Listen() (net.Listener, error) {
-	ln, err := net.Listen("tcp", s.cfg.Listen)
+	ln, err := s.listen()
 	if err != nil {
 		return nil, fmt.Errorf("downstream: %w", err)
 	}
@@ -93,6 +96,22 @@
 	return s.gate, nil
 }
 
+func (s *Server) listen() (net.Listener, error) {
+	if s.cfg.Inherited == 0 {
+		return net.Listen("tcp", s.cfg.Listen)
+	}
+	f := os.NewFile(uintptr(s.cfg.Inherited), "inherited listener")
+	if f == nil {
+		return nil, fmt.Errorf("inherited descriptor %d: not open", s.cfg.Inherited)
+	}
+	defer f.Close() // FileListener holds a copy of its own
+	ln, err := net.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("inherited descriptor %d: %w", s.cfg.Inherited, err)
+	}
+	return ln, nil
+}
+
 // clientKey finds a request's connection in its context.
 type clientKey struct{}
 
@@ -119,10 +138,17 @@
 	s.killed = time.Now().Add(s.cfg.KilledAfter)
 	s.stopping.Store(true)
 	s.closing()
-	select {
-	case err := <-failed:
-		return fmt.Errorf("downstream: %w", err)
-	case <-time.After(s.cfg.AcceptFor):
+	if s.cfg.Inherited == 0 {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("downstream: %w", err)
+		case <-time.After(s.cfg.AcceptFor):
+		}
+	} else {
+		// The socket is the platform's: whoever comes now waits in its queue for the successor, which is
+		// serving already, and not for a process that ends. Idle connections go now, unless a request is
+		// already on its way on them, so that clients open new ones there.
+		s.gate.shed()
 	}
 	if err := s.http.Shutdown(context.Background()); err != nil {
 		return fmt.Errorf("downstream: %w", err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,7 +72,7 @@
 	}
 	l := loop.New(dispatch.NewChain(core, room), cfg.Settings, pool, paced(cfg), loop.NewClock())
 	l.Post(known)
-	server := downstream.New(downstream.Config{Listen: cfg.Listen, MaxConns: down,
+	server := downstream.New(downstream.Config{Listen: cfg.Listen, Inherited: cfg.Inherited, MaxConns: down,
 		MaxBodies: cfg.Limits.BodyBytes(), AcceptFor: downstream.AcceptFor,
 		KilledAfter: downstream.KilledAfter(cfg.Settings), Waiting: room != nil}, cfg.Settings, l)
 	ln, err := server.Listen()
