Open the operators' door: healthcheck, Prometheus figures, game workers out by hand

internal/ops serves GET /healthcheck (yes once downstream serves and the loop runs), GET /stats (client_golang, edge_node_*), POST /game-workers/ID/maint|ready, one call a connection, a bounded listener that closes the oldest silent caller at its limit. Counts: served, refused, failed by class where downstream writes the final answer, attempts where upstream writes the last byte; in_flight, known and excluded from atomics the loop stores after each Step. Hand drains go to the core by an urgent queue; the core tells the module such a host drains and, when it is back, that it has just started (policy/view.go only reads the module's own suspicion, for the figures). The set is kept in TMPDIR, written by rename, read at start and followed every 250 ms.

Tests: internal/ops (calls, bad input, the text of /stats, forty silent callers before one that calls, a stuck loop is a no, the store read and followed, torn and foreign files) and dispatch (out by hand against the list, two out one back, unknown names, a cold return, the set kept over a renewal).

--- a/internal/dispatch/chain.go
+++ b/internal/dispatch/chain.go
@@ -142,3 +142,9 @@
 		return false
 	}, nil
 }
+
+// Workers counts the listed hosts and those that the dispatcher keeps away from; see Core.Workers.
+func (c *Chain) Workers() (known, excluded int) { return c.core.Workers() }
+
+// Hands lists the hosts that are out by hand.
+func (c *Chain) Hands() []string { return c.core.Hands() }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -40,6 +40,8 @@
 	maxAttempts int
 	jobs        map[uint64]*job
 	hosts       map[uint32]Host
+	hands       map[string]struct{}      // hosts out by hand, by name
+	back        map[string]time.Duration // when hosts came back from a stay out by hand
 	over        []uint64 // jobs that may leave the table when the Step is over
 	alarms      []alarm
 	version     uint64
@@ -55,12 +57,15 @@
 		return nil, err
 	}
 	return &Core{d: d, cfg: cfg, seed: seed, maxAttempts: max(cfg.MaxAttempts, 1), jobs: map[uint64]*job{},
-		hosts: map[uint32]Host{}}, nil
+		hosts: map[uint32]Host{}, hands: map[string]struct{}{}, back: map[string]time.Duration{}}, nil
 }
 
 // Renew makes a Core for when a panic has left this one's module in doubt, and the list to begin it with.
 func (c *Core) Renew() (*Core, Listed, error) {
 	n, err := New(c.cfg, c.seed+1)
+	if err == nil { // what was done by hand is not in doubt
+		n.hands, n.back = c.hands, c.back
+	}
 	known := Listed{Version: c.version, Whole: true, Stale: true}
 	for _, h := range c.hosts {
 		known.Hosts = append(known.Hosts, h)
@@ -161,6 +166,16 @@
 		e = policy.Event{Kind: policy.WorkerList, Whole: m.Whole, Stale: m.Stale, Workers: c.list(m)}
 	case ListLost:
 		e = policy.Event{Kind: policy.ListLost}
+	case Hand:
+		known := c.knows(m.Name)
+		if known {
+			c.hand(now, m.Name, m.Out)
+		}
+		c.out = append(c.out, Handed{Ask: m.Ask, Known: known})
+		return
+	case HandSet:
+		c.handSet(now, m.Names)
+		return
 	case Asked, Unasked, Closing, Tuned: // for gates
 		return
 	default:
@@ -297,9 +312,9 @@
 		}
 		if c.hosts[id] = h; h.State == policy.Gone {
 			delete(c.hosts, id)
+			delete(c.back, h.Name)
 		}
-		workers = append(workers, policy.Worker{ID: id, Zone: h.Zone, Kind: h.Kind, Cell: h.Cell, State: h.State,
-			Scale: h.Scale, Since: h.Born})
+		workers = append(workers, c.worker(h))
 	}
 	return workers
 }
--- a/internal/net/downstream/server.go
+++ b/internal/net/downstream/server.go
@@ -61,8 +61,12 @@
 
 	KilledAfter time.Duration // see the function
 	Waiting     bool          // the loop has a waiting room
+	Tally       Tally         // counts final answers; nil: none
 }
 
+// Tally counts the final answers to jobs where they are written, by class and by their status as the client sees it.
+type Tally interface{ Answered(class, status int) }
+
 // Server is the downstream side.
 type Server struct {
 	cfg      Config
@@ -201,7 +205,10 @@
 		t.Forward.Body, err = readBody(r, held <= s.cfg.MaxBodies)
 	}
 	if err != nil {
-		s.reject(w, r, err)
+		status := s.reject(w, r, err)
+		if t != nil {
+			s.tally(t.Job.Class, status)
+		}
 		return
 	}
 	// Only the body has a limit: one on the connection would end the wait for the answer too.
@@ -245,8 +252,8 @@
 }
 
 // reject answers what can't be taken, at once and without waiting for the rest of it, and closes: what follows
-// on the connection may be part of it.
-func (s *Server) reject(w http.ResponseWriter, r *http.Request, err error) {
+// on the connection may be part of it. It returns the status.
+func (s *Server) reject(w http.ResponseWriter, r *http.Request, err error) int {
 	var f *fault
 	if !errors.As(err, &f) {
 		f = &fault{http.StatusBadRequest, err.Error()}
@@ -264,6 +271,14 @@
 	if c := clientOf(r); c != nil {
 		c.gate.move(c, parting)
 	}
+	return f.status
+}
+
+// tally counts a final answer.
+func (s *Server) tally(class, status int) {
+	if s.cfg.Tally != nil {
+		s.cfg.Tally.Answered(class, status)
+	}
 }
 
 // up tells the front whether requests can be served here.
@@ -273,26 +288,23 @@
 		s.reply(w, http.StatusMethodNotAllowed, "GET only")
 		return
 	}
-	select {
-	case <-s.loop.Stopped():
-	default:
-		if !s.stopping.Load() {
-			s.reply(w, http.StatusOK, "up")
-			return
-		}
+	if s.Serving() {
+		s.reply(w, http.StatusOK, "up")
+		return
 	}
 	s.reply(w, http.StatusServiceUnavailable, "stopping")
 }
 
 // await hands a ticket in and sends its answer.
 func (s *Server) await(w http.ResponseWriter, r *http.Request, t *loop.Ticket, p prefer) {
+	class := t.Job.Class
 	if err := s.loop.Submit(t); err != nil {
 		if errors.Is(err, loop.ErrOpen) {
-			s.reject(w, r, &fault{http.StatusConflict, err.Error()})
+			s.tally(class, s.reject(w, r, &fault{http.StatusConflict, err.Error()}))
 			return
 		}
 		// A hard limit. Nothing was sent: a repeat is harmless.
-		s.answer(w, loop.Answer{Refused: true, RetryAfter: s.set.Policy.MaxRetryAfter})
+		s.tally(class, s.answer(w, loop.Answer{Refused: true, RetryAfter: s.set.Policy.MaxRetryAfter}))
 		return
 	}
 	left := false
@@ -303,26 +315,43 @@
 			s.accepted(w, r, t.Forward.TraceID, p)
 			return
 		}
-		s.answer(w, a)
+		s.tally(class, s.answer(w, a))
 	case <-r.Context().Done():
 		left = true
 	case <-s.loop.Stopped():
 		s.reply(w, http.StatusInternalServerError, "stopped")
+		s.tally(class, http.StatusInternalServerError)
 	}
 }
 
-func (s *Server) answer(w http.ResponseWriter, a loop.Answer) {
+// answer sends a final answer and returns its status.
+func (s *Server) answer(w http.ResponseWriter, a loop.Answer) int {
 	switch {
 	case a.Served:
 		w.Header().Set("Content-Type", "application/octet-stream")
 		s.write(w, http.StatusOK, a.Body)
+		return http.StatusOK
 	case a.Refused:
 		s.advise(w, a.RetryAfter)
-		s.reply(w, cmp.Or(a.Status, http.StatusTooManyRequests), cmp.Or(a.Why, "refused"))
+		status := cmp.Or(a.Status, http.StatusTooManyRequests)
+		s.reply(w, status, cmp.Or(a.Why, "refused"))
+		return status
 	case a.Status != 0:
 		s.reply(w, a.Status, a.Why)
+		return a.Status
 	default:
 		s.reply(w, http.StatusInternalServerError, "failed")
+		return http.StatusInternalServerError
+	}
+}
+
+// Serving tells whether requests can be served here: the loop runs and no shutdown has begun.
+func (s *Server) Serving() bool {
+	select {
+	case <-s.loop.Stopped():
+		return false
+	default:
+		return !s.stopping.Load()
 	}
 }
 
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -22,8 +22,9 @@
 )
 
 const (
-	queueLen = 4096 // messages waiting for the loop; a full queue makes the sockets wait
-	batchLen = 1024
+	queueLen  = 4096 // messages waiting for the loop; a full queue makes the sockets wait
+	urgentLen = 64   // the operators' messages, which come before all others
+	batchLen  = 1024
 )
 
 // Answer is the final answer to one downstream request.
@@ -70,6 +71,7 @@
 	msg    dispatch.Message
 	ticket *Ticket            // of a new job
 	told   chan dispatch.Told // of an Asked
+	handed chan bool          // of a Hand
 	idle   chan struct{}      // to be closed when nothing without a connection is out
 	watch  uint64             // the number of the watch that the message comes from; 0: from none
 	source cluster.Source     // a new source in place of a message
@@ -83,9 +85,13 @@
 	source   cluster.Source
 	clock    Clock
 	queue    chan envelope
+	urgent   chan envelope
 	nextJob  atomic.Uint64
 	nextAsk  atomic.Uint64
 	held     atomic.Int64
+	known    atomic.Int64 // hosts listed, as of the last Step
+	excluded atomic.Int64 // of those, the ones kept away from
+	nextHand atomic.Uint64
 	ids      ids
 	stopped  chan struct{}
 	work     sync.WaitGroup
@@ -94,6 +100,7 @@
 	tickets map[uint64]*Ticket
 	parked  map[uint64]*parked
 	asks    map[uint64]chan dispatch.Told
+	hands   map[uint64]chan bool
 	idle    []chan struct{}
 	cancels map[dispatch.Key]context.CancelFunc
 	watch   context.CancelFunc // ends the watch that is on; nil: none is
@@ -105,7 +112,7 @@
 // New makes a loop round a core.
 func New(core *dispatch.Chain, set *settings.Settings, up Upstream, source cluster.Source, clock Clock) *Loop {
 	return &Loop{core: core, set: set, upstream: up, source: source, clock: clock,
-		queue: make(chan envelope, queueLen), ids: ids{until: map[string]time.Time{}}, stopped: make(chan struct{}),
+		queue: make(chan envelope, queueLen), urgent: make(chan envelope, urgentLen), hands: map[uint64]chan bool{}, ids: ids{until: map[string]time.Time{}}, stopped: make(chan struct{}),
 		asks: map[uint64]chan dispatch.Told{}, parked: map[uint64]*parked{}, tickets: map[uint64]*Ticket{}, cancels: map[dispatch.Key]context.CancelFunc{}}
 }
 
@@ -119,6 +126,47 @@
 	}
 }
 
+// Hand takes a host out by hand, or puts it back. Known: a host of that name is listed or out by hand; else nothing
+// is changed. Once it returns with known, the module has heard of it. False and an error: ctx or the loop has ended
+// first, and the change may yet be made.
+func (l *Loop) Hand(ctx context.Context, name string, out bool) (known bool, err error) {
+	m := dispatch.Hand{Ask: l.nextHand.Add(1), Name: name, Out: out}
+	handed := make(chan bool, 1)
+	select {
+	case l.urgent <- envelope{msg: m, handed: handed}:
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case <-l.stopped:
+		return false, ErrStopped
+	}
+	select {
+	case known = <-handed:
+		return known, nil
+	case <-ctx.Done():
+		return false, ctx.Err()
+	case <-l.stopped:
+		return false, ErrStopped
+	}
+}
+
+// HandSet makes the set of hosts out by hand the one given, as it is kept outside the process.
+func (l *Loop) HandSet(names []string) {
+	select {
+	case l.urgent <- envelope{msg: dispatch.HandSet{Names: names}}:
+	case <-l.stopped:
+	}
+}
+
+// ErrStopped says that the loop has ended.
+var ErrStopped = errors.New("loop: stopped")
+
+// Held is how many downstream requests have been submitted and not yet released.
+func (l *Loop) Held() int64 { return l.held.Load() }
+
+// Workers counts the listed hosts and those of them that are kept away from, by hand or by the module, as of the
+// last Step.
+func (l *Loop) Workers() (known, excluded int64) { return l.known.Load(), l.excluded.Load() }
+
 // Move puts another source of the list in the old one's place. A watch on it begins at once, after the newest
 // version that is known, whether the module waits to ask or not.
 func (l *Loop) Move(source cluster.Source) { l.post(envelope{source: source}) }
@@ -213,6 +261,8 @@
 		select {
 		case <-ctx.Done():
 			return nil
+		case e := <-l.urgent:
+			batch = l.drain(l.open(batch, e))
 		case e := <-l.queue:
 			batch = l.drain(l.open(batch, e))
 		case <-timer.C:
@@ -252,6 +302,8 @@
 		l.tickets[m.Job] = e.ticket
 	case dispatch.Asked:
 		l.asks[m.Number] = e.told
+	case dispatch.Hand:
+		l.hands[m.Ask] = e.handed
 	case dispatch.Unasked:
 		delete(l.asks, m.Ask)
 	case dispatch.ListLost:
@@ -262,6 +314,12 @@
 
 func (l *Loop) drain(batch []dispatch.Message) []dispatch.Message {
 	for len(batch) < batchLen {
+		select {
+		case e := <-l.urgent:
+			batch = l.open(batch, e)
+			continue
+		default:
+		}
 		select {
 		case e := <-l.queue:
 			batch = l.open(batch, e)
@@ -282,6 +340,9 @@
 		}
 	}()
 	commands := l.core.Step(l.clock.Now(), batch)
+	known, excluded := l.core.Workers()
+	l.known.Store(int64(known))
+	l.excluded.Store(int64(excluded))
 	l.trace(ctx, batch, commands)
 	for _, c := range commands {
 		l.carry(ctx, c)
@@ -362,6 +423,7 @@
 		told <- dispatch.Told{Status: waiting.StatusFull}
 	}
 	clear(l.asks)
+	clear(l.hands) // their callers give up by their own deadlines
 	l.core, l.renewed = core, []dispatch.Message{known}
 	return nil
 }
@@ -391,6 +453,11 @@
 			l.parked[c.Job] = park(t)
 			t.settle(Answer{Accepted: true})
 		}
+	case dispatch.Handed:
+		if handed := l.hands[c.Ask]; handed != nil {
+			delete(l.hands, c.Ask)
+			handed <- c.Known // its buffer holds one
+		}
 	case dispatch.Told:
 		if told := l.asks[c.Ask]; told != nil {
 			delete(l.asks, c.Ask)
--- a/internal/net/upstream/pool.go
+++ b/internal/net/upstream/pool.go
@@ -22,6 +22,7 @@
 	ProbeTimeout   time.Duration
 	Settle         time.Duration // how long the last byte of a request that must not run twice waits, see write
 	MaxConns       int           // connections at once, idle ones included
+	Written        func()        // called for each upstream request whose last byte has been written; nil: none
 }
 
 // conn is a connection with its reader; both live as long as the connection.
--- a/internal/net/upstream/request.go
+++ b/internal/net/upstream/request.go
@@ -83,6 +83,9 @@
 		end(Outcome{Result: result})
 		return
 	}
+	if p.cfg.Written != nil {
+		p.cfg.Written()
+	}
 	o, resp := q.read(c.r, w)
 	if o.Result == policy.ConnectionLost && ctx.Err() != nil {
 		o = Outcome{Result: gaveUp(ctx)}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"net"
 	"os"
 	"time"
 
@@ -15,6 +16,7 @@
 	"gaugeslip/internal/net/downstream"
 	"gaugeslip/internal/net/loop"
 	"gaugeslip/internal/net/upstream"
+	"gaugeslip/internal/ops"
 	"gaugeslip/internal/site"
 )
 
@@ -34,6 +36,18 @@
 	return part * downstreamParts, part * upstreamParts
 }
 
+// OpsConns is how many connections the operators' door holds at once, out of the clients' share of descriptors.
+func OpsConns(sockets int) int { return min(max(sockets/32, 4), 32) }
+
+// classes are the names of the settings' classes, by number.
+func classes(cfg *config.Config) []string {
+	names := make([]string, len(cfg.Settings.Policy.Classes))
+	for i, c := range cfg.Settings.Policy.Classes {
+		names[i] = c.Name
+	}
+	return names
+}
+
 // Files name what a dispatcher is told; empty: what NODE_CONFIG and NODE_SITE name.
 type Files struct{ Config, Site string }
 
@@ -64,36 +78,69 @@
 		return err
 	}
 	down, up := Budget(cfg.Limits.Sockets)
+	door := 0
+	if cfg.Ops != "" {
+		door = OpsConns(cfg.Limits.Sockets)
+		down -= door
+	}
+	var l *loop.Loop
+	figures := ops.NewFigures(classes(cfg), ops.Gauges{
+		InFlight: func() float64 { return float64(l.Held()) },
+		Workers: func() (float64, float64) {
+			known, excluded := l.Workers()
+			return float64(known), float64(excluded)
+		}})
 	pool := upstream.NewPool(upstream.Config{ConnectTimeout: cfg.Settings.Policy.ConnectTimeout,
-		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, Settle: settle, MaxConns: up})
+		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, Settle: settle, MaxConns: up,
+		Written: figures.Attempt})
 	var room *dispatch.WaitingGate
 	if own.Waiting != nil {
 		room = dispatch.NewWaitingGate(*own.Waiting, cfg.Settings.Policy)
 	}
-	l := loop.New(dispatch.NewChain(core, room), cfg.Settings, pool, paced(cfg), loop.NewClock())
+	l = loop.New(dispatch.NewChain(core, room), cfg.Settings, pool, paced(cfg), loop.NewClock())
 	l.Post(known)
 	server := downstream.New(downstream.Config{Listen: cfg.Listen, Inherited: cfg.Inherited, MaxConns: down,
 		MaxBodies: cfg.Limits.BodyBytes(), AcceptFor: downstream.AcceptFor,
-		KilledAfter: downstream.KilledAfter(cfg.Settings), Waiting: room != nil}, cfg.Settings, l)
+		KilledAfter: downstream.KilledAfter(cfg.Settings), Waiting: room != nil, Tally: figures}, cfg.Settings, l)
 	ln, err := server.Listen()
 	if err != nil {
 		return err
 	}
-	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "hosts", len(known.Hosts))
+	var opsDoor *ops.Door
+	var opsLn net.Listener
+	if cfg.Ops != "" {
+		opsDoor = ops.NewDoor(ops.Config{Addr: cfg.Ops, MaxConns: door, Ready: server.Serving, Figures: figures,
+			Core: l, Store: ops.NewStore(os.TempDir(), cfg.Name)})
+		if opsLn, err = opsDoor.Listen(); err != nil {
+			ln.Close()
+			return err
+		}
+		opsDoor.Restore() // before the loop's first Step: what is out stays out from the first send on
+	}
+	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "ops", cfg.Ops, "hosts", len(known.Hosts))
 
 	// The loop and the pool outlive the downstream side, which needs them for what it still owes.
 	inner, halt := context.WithCancel(context.Background())
 	outer, stop := context.WithCancel(ctx)
 	defer stop()
 	swept, looped := make(chan struct{}), make(chan error, 1)
-	reloaded := make(chan struct{})
+	reloaded, opened := make(chan struct{}), make(chan struct{})
 	go func() { defer close(swept); pool.Sweep(inner) }()
+	go func() {
+		defer close(opened)
+		if opsDoor != nil {
+			if err := opsDoor.Serve(inner, opsLn); err != nil {
+				slog.Error("the operators' door is shut", "error", err)
+			}
+		}
+	}()
 	go func() { defer close(reloaded); reload(inner, cfg, own, f, hup, l) }()
 	go func() { looped <- l.Run(inner); stop() }()
 	err = server.Serve(outer, ln)
 	halt()
 	<-swept
 	<-reloaded
+	<-opened
 	if lerr := <-looped; lerr != nil {
 		return lerr
 	}
--- /dev/null
+++ b/internal/ops/door.go
@@ -0,0 +1,301 @@
+package ops
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// The door's bounds. A caller waits 1 s for its answer, however busy the dispatcher is.
+const (
+	headTimeout  = 2 * time.Second // from the accept to the end of the head; silent callers go then
+	writeTimeout = 2 * time.Second
+	handFor      = 800 * time.Millisecond // what the loop has to take a call by hand in
+	bodyMost     = 4 << 10                // calls carry no body to speak of
+	pollEvery    = 250 * time.Millisecond // for changes of the file by another process
+)
+
+// Core is what the door needs of the loop.
+type Core interface {
+	// Hand takes a host out by hand, or puts it back; known: the name is that of a listed host or of one out by
+	// hand. Once it returns, the module has heard of it.
+	Hand(ctx context.Context, name string, out bool) (known bool, err error)
+	// HandSet makes the set of hosts out by hand the one given.
+	HandSet(names []string)
+}
+
+// Config is what a Door must keep to.
+type Config struct {
+	Addr     string
+	MaxConns int         // connections at once; at the limit the oldest that has not sent a whole call is closed
+	Ready    func() bool // the process can serve
+	Figures  *Figures
+	Core     Core
+	Store    *Store // nil: what is done by hand is not kept beyond the process
+}
+
+// Door is the operators' door. Each call has a connection of its own: every answer closes it.
+type Door struct {
+	cfg  Config
+	http *http.Server
+	gate *limit
+	mu   sync.Mutex // of the store
+}
+
+// NewDoor makes a door.
+func NewDoor(cfg Config) *Door {
+	d := &Door{cfg: cfg}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /healthcheck", d.health)
+	mux.Handle("GET /stats", promhttp.HandlerFor(cfg.Figures.Gatherer(), promhttp.HandlerOpts{
+		ErrorHandling: promhttp.ContinueOnError, MaxRequestsInFlight: 4, Timeout: time.Second}))
+	mux.HandleFunc("POST /game-workers/{id}/maint", func(w http.ResponseWriter, r *http.Request) { d.hand(w, r, true) })
+	mux.HandleFunc("POST /game-workers/{id}/ready", func(w http.ResponseWriter, r *http.Request) { d.hand(w, r, false) })
+	d.http = &http.Server{Handler: framed(mux), ReadHeaderTimeout: headTimeout, ReadTimeout: headTimeout,
+		WriteTimeout: writeTimeout, MaxHeaderBytes: 8 << 10,
+		ConnState: func(nc net.Conn, s http.ConnState) { d.gate.state(nc, s) },
+		ErrorLog:  slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
+	d.http.SetKeepAlivesEnabled(false)
+	return d
+}
+
+// Listen opens the door's address.
+func (d *Door) Listen() (net.Listener, error) {
+	ln, err := net.Listen("tcp", d.cfg.Addr)
+	if err != nil {
+		return nil, fmt.Errorf("ops: %w", err)
+	}
+	d.gate = newLimit(ln, d.cfg.MaxConns)
+	return d.gate, nil
+}
+
+// Restore tells the core what the store holds, at a start. A file that can't be read is named in the log and
+// counts as none.
+func (d *Door) Restore() {
+	if d.cfg.Store == nil {
+		return
+	}
+	d.mu.Lock()
+	names, err := d.cfg.Store.Load()
+	d.mu.Unlock()
+	if err != nil {
+		slog.Error("hosts out by hand: the file is not read, none are out", "error", err)
+	}
+	if len(names) > 0 {
+		slog.Info("hosts out by hand, as kept", "hosts", names)
+	}
+	d.cfg.Core.HandSet(names)
+}
+
+// Serve answers calls until ctx ends, and follows the changes that another process makes to the store.
+func (d *Door) Serve(ctx context.Context, ln net.Listener) error {
+	failed := make(chan error, 1)
+	go func() { failed <- d.http.Serve(ln) }()
+	tick := time.NewTicker(pollEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case err := <-failed:
+			return fmt.Errorf("ops: %w", err)
+		case <-ctx.Done():
+			d.http.Close()
+			<-failed
+			return nil
+		case <-tick.C:
+			d.follow()
+		}
+	}
+}
+
+// follow takes in what another process of the same dispatcher has written to the store.
+func (d *Door) follow() {
+	if d.cfg.Store == nil {
+		return
+	}
+	d.mu.Lock()
+	if !d.cfg.Store.Changed() {
+		d.mu.Unlock()
+		return
+	}
+	names, err := d.cfg.Store.Load()
+	d.mu.Unlock()
+	if err != nil {
+		slog.Error("hosts out by hand: the file is not read, what is out stays so", "error", err)
+		return
+	}
+	d.cfg.Core.HandSet(names)
+}
+
+// framed refuses bodies that are framed twice or too long, before any handler.
+func framed(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch {
+		case len(r.TransferEncoding) > 0 || r.Header.Get("Content-Length") != "" && r.Header.Get("Transfer-Encoding") != "":
+			say(w, http.StatusBadRequest, "no Transfer-Encoding here")
+			return
+		case r.ContentLength > bodyMost:
+			say(w, http.StatusRequestEntityTooLarge, "calls carry no body")
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (d *Door) health(w http.ResponseWriter, _ *http.Request) {
+	if d.cfg.Ready() {
+		say(w, http.StatusOK, "ok")
+		return
+	}
+	say(w, http.StatusServiceUnavailable, "not serving")
+}
+
+// hand takes a game worker out, or puts it back. A name that nobody has gets a 404 and changes nothing.
+func (d *Door) hand(w http.ResponseWriter, r *http.Request, out bool) {
+	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, bodyMost)); err != nil {
+		say(w, http.StatusBadRequest, "body: "+err.Error())
+		return
+	}
+	name := r.PathValue("id")
+	if !ValidName(name) {
+		say(w, http.StatusBadRequest, "not a game worker's name")
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), handFor)
+	defer cancel()
+	known, err := d.cfg.Core.Hand(ctx, name, out)
+	switch {
+	case err != nil:
+		say(w, http.StatusServiceUnavailable, "not taken in time; ask again")
+		return
+	case !known:
+		say(w, http.StatusNotFound, "no game worker of that name")
+		return
+	}
+	d.keep(name, out)
+	verb := map[bool]string{true: "out", false: "back"}[out]
+	slog.Info("game worker "+verb+" by hand", "host", name)
+	say(w, http.StatusOK, verb)
+}
+
+// keep writes a change to the store, on top of what is there now: another process may have written it last.
+func (d *Door) keep(name string, out bool) {
+	if d.cfg.Store == nil {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	names, err := d.cfg.Store.Load()
+	if err != nil {
+		slog.Error("hosts out by hand: the file is not read, it is written anew", "error", err)
+	}
+	kept := names[:0:0]
+	for _, n := range names {
+		if n != name {
+			kept = append(kept, n)
+		}
+	}
+	if out {
+		kept = append(kept, name)
+	}
+	if err := d.cfg.Store.Save(kept); err != nil {
+		slog.Error("hosts out by hand: not kept for a successor", "error", err)
+	}
+}
+
+// say sends a short answer and closes.
+func say(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)+1))
+	w.Header().Set("Connection", "close")
+	w.WriteHeader(status)
+	io.WriteString(w, text+"\n")
+}
+
+// limit is the door's listener: it holds so many connections at once, and at the limit closes the one that has
+// waited longest without a whole call, so that callers who say nothing take no place from those who do.
+type limit struct {
+	net.Listener
+	max   int
+	mu    sync.Mutex
+	conns map[*caller]struct{}
+}
+
+type caller struct {
+	net.Conn
+	l        *limit
+	accepted time.Time
+	spoken   bool // a whole head has come
+	gone     bool
+}
+
+func newLimit(ln net.Listener, most int) *limit {
+	return &limit{Listener: ln, max: max(most, 2), conns: map[*caller]struct{}{}}
+}
+
+// Accept takes the next connection and makes room for it.
+func (l *limit) Accept() (net.Conn, error) {
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c := l.admit(nc); c != nil {
+			return c, nil
+		}
+	}
+}
+
+// admit finds a place for a connection; nil: every place is owed an answer, and it is closed.
+func (l *limit) admit(nc net.Conn) *caller {
+	c := &caller{Conn: nc, l: l, accepted: time.Now()}
+	var victim *caller
+	l.mu.Lock()
+	if len(l.conns) >= l.max {
+		for o := range l.conns {
+			if !o.spoken && (victim == nil || o.accepted.Before(victim.accepted)) {
+				victim = o
+			}
+		}
+		if victim != nil {
+			delete(l.conns, victim)
+			victim.gone = true
+		}
+	}
+	full := len(l.conns) >= l.max
+	if !full {
+		l.conns[c] = struct{}{}
+	}
+	l.mu.Unlock()
+	if victim != nil {
+		victim.Conn.Close()
+	}
+	if full { // this caller may ask again
+		nc.Close()
+		return nil
+	}
+	return c
+}
+
+func (l *limit) state(nc net.Conn, s http.ConnState) {
+	if c, ok := nc.(*caller); ok && s == http.StateActive {
+		l.mu.Lock()
+		c.spoken = true
+		l.mu.Unlock()
+	}
+}
+
+// Close frees the connection's place.
+func (c *caller) Close() error {
+	c.l.mu.Lock()
+	delete(c.l.conns, c)
+	c.l.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/ops/figures.go
@@ -0,0 +1,88 @@
+// Package ops is the operators' door of a dispatcher: a small HTTP/1.1 server of its own beside the clients' one,
+// which tells whether the process can serve, shows its figures in the Prometheus text format, and takes game workers
+// out by hand and puts them back. It also keeps what was done by hand in a file, so that a successor of the process
+// holds to it. What any of it means for the choice of hosts is the module's: see dispatch.Hand.
+package ops
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// Gauges are the figures that are read, not counted, each time they are shown.
+type Gauges struct {
+	InFlight func() float64                  // jobs taken and not yet answered
+	Workers  func() (known, excluded float64) // game workers listed; of them, those kept away from
+}
+
+// Figures counts what a dispatcher does where it happens. Its methods are safe for concurrent use and never wait
+// for the core.
+type Figures struct {
+	registry                 *prometheus.Registry
+	served, refused, failed  []prometheus.Counter // by class
+	servedV, refusedV, failV *prometheus.CounterVec
+	attempts                 prometheus.Counter
+}
+
+// NewFigures makes the figures of a dispatcher with these classes, by their numbers in the settings.
+func NewFigures(classes []string, g Gauges) *Figures {
+	f := &Figures{registry: prometheus.NewRegistry()}
+	vec := func(name, help string) *prometheus.CounterVec {
+		v := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "edge_node", Name: name, Help: help},
+			[]string{"class"})
+		f.registry.MustRegister(v)
+		return v
+	}
+	f.servedV = vec("served_total", "Jobs of a class whose client got a game worker's answer, since the start.")
+	f.refusedV = vec("refused_total", "Jobs of a class refused with 429 or 503, since the start.")
+	f.failV = vec("failed_total", "Jobs of a class that failed with any other answer, since the start.")
+	for _, c := range classes { // every class shows, from 0 on
+		f.served = append(f.served, f.servedV.WithLabelValues(c))
+		f.refused = append(f.refused, f.refusedV.WithLabelValues(c))
+		f.failed = append(f.failed, f.failV.WithLabelValues(c))
+	}
+	f.attempts = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "edge_node", Name: "attempts_total",
+		Help: "Upstream requests written in full to game workers, since the start."})
+	f.registry.MustRegister(f.attempts)
+	gauge := func(name, help string, read func() float64) {
+		f.registry.MustRegister(prometheus.NewGaugeFunc(
+			prometheus.GaugeOpts{Namespace: "edge_node", Name: name, Help: help}, read))
+	}
+	if g.InFlight != nil {
+		gauge("in_flight", "Jobs taken and not yet answered.", g.InFlight)
+	}
+	if g.Workers != nil {
+		gauge("game_workers_known", "Game workers on discovery's list.",
+			func() float64 { k, _ := g.Workers(); return k })
+		gauge("game_workers_excluded", "Listed game workers kept away from, by hand or by the dispatcher's judgement.",
+			func() float64 { _, e := g.Workers(); return e })
+	}
+	return f
+}
+
+// Answered counts the final answer to a job of a class, by its status as the client sees it: 200 is served, 429 and
+// 503 are refused, any other has failed. A class that the settings do not have is not counted.
+func (f *Figures) Answered(class, status int) {
+	if f == nil || class < 0 || class >= len(f.served) {
+		return
+	}
+	switch status {
+	case http.StatusOK:
+		f.served[class].Inc()
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		f.refused[class].Inc()
+	default:
+		f.failed[class].Inc()
+	}
+}
+
+// Attempt counts an upstream request whose last byte has been written.
+func (f *Figures) Attempt() {
+	if f != nil {
+		f.attempts.Inc()
+	}
+}
+
+// Gatherer is what /stats shows.
+func (f *Figures) Gatherer() prometheus.Gatherer { return f.registry }
