--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -42,7 +42,7 @@
 	hosts       map[uint32]Host
 	hands       map[string]struct{}      // hosts out by hand, by name
 	back        map[string]time.Duration // when hosts came back from a stay out by hand
-	over        []uint64 // jobs that may leave the table when the Step is over
+	over        []uint64                 // jobs that may leave the table when the Step is over
 	alarms      []alarm
 	version     uint64
 	events      []policy.Event
--- a/internal/ops/door_test.go
+++ b/internal/ops/door_test.go
@@ -88,8 +88,10 @@
 	return resp.StatusCode, string(body)
 }
 
-func get(path string) string  { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
-func post(path string) string { return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n" }
+func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n" }
+func post(path string) string {
+	return "POST " + path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"
+}
 
 func TestDoorCalls(t *testing.T) {
 	c := &core{names: map[string]bool{"s-0000000a": true}, out: map[string]bool{}}
--- a/internal/ops/figures.go
+++ b/internal/ops/figures.go
@@ -12,7 +12,7 @@
 
 // Gauges are the figures that are read, not counted, each time they are shown.
 type Gauges struct {
-	InFlight func() float64                  // jobs taken and not yet answered
+	InFlight func() float64                   // jobs taken and not yet answered
 	Workers  func() (known, excluded float64) // game workers listed; of them, those kept away from
 }
 
