Take request bodies in chunks; refuse only a Content-Length beside a Transfer-Encoding

downstream.framed refused every Transfer-Encoding, since net/http drops a Content-Length beside one before a handler sees it. Now the gate's connection keeps the head of the request in hand (from the end of the one before, at most 12 KiB) and framed refuses with 400 only when that head has a Content-Length line too; readBody reads chunks up to 64 KiB (413 beyond) and charges such a body as a long one. The upstream request goes on with its length, as before.

--- a/internal/net/downstream/decode.go
+++ b/internal/net/downstream/decode.go
@@ -35,12 +35,15 @@
 // once names the headers that a job may carry one time only: with two, the host might read the other one.
 var once = []string{"X-Trace-Id", "X-Qos", "X-Expires-In-Ms", "X-Size-Hint", "X-Props", "X-Customer"}
 
-// framed wants a body whose length only Content-Length gives. net/http drops a Content-Length that stands beside
-// a Transfer-Encoding before a handler sees it, so that the two can't be told from chunks alone; and whatever is
-// not plainly of one length may hide another request, to be served as if a client had sent it.
+// framed takes a body of one length, or in chunks, and refuses one that has both a Content-Length and a
+// Transfer-Encoding: it may hide another request, to be served as if a client had sent it. net/http drops such a
+// Content-Length before a handler sees it, so the connection's own copy of the head tells.
 func framed(r *http.Request) error {
-	if len(r.TransferEncoding) > 0 || r.ContentLength < 0 {
-		return &fault{http.StatusLengthRequired, "Content-Length alone gives a body's length here"}
+	if len(r.TransferEncoding) == 0 {
+		return nil
+	}
+	if c := clientOf(r); c == nil || c.lengthBesideChunks() {
+		return bad("Content-Length beside Transfer-Encoding")
 	}
 	return nil
 }
--- a/internal/net/downstream/gate.go
+++ b/internal/net/downstream/gate.go
@@ -1,10 +1,12 @@
 package downstream
 
 import (
+	"bytes"
 	"maps"
 	"net"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -31,7 +33,8 @@
 	conns [phases]map[*client]struct{}
 }
 
-// client is one connection of the gate. Its fields belong to the gate's lock.
+// client is one connection of the gate. Its fields belong to the gate's lock, but head, which net/http's reads and
+// handlers of the connection use one at a time.
 type client struct {
 	net.Conn
 	gate     *gate
@@ -39,6 +42,51 @@
 	phase    phase
 	since    time.Time // in this phase
 	closed   bool
+	head     head
+}
+
+// head keeps the first bytes of the request that is being read on a connection, from the end of the one before:
+// net/http drops a Content-Length that stands beside a Transfer-Encoding before any handler sees it.
+type head struct {
+	mu   sync.Mutex
+	text []byte // at most maxHeaderBytes and a line
+}
+
+// Read keeps what it reads of a request's head.
+func (c *client) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.head.mu.Lock()
+		if room := maxHeaderBytes + 4<<10 - len(c.head.text); room > 0 {
+			c.head.text = append(c.head.text, b[:min(n, room)]...)
+		}
+		c.head.mu.Unlock()
+	}
+	return n, err
+}
+
+// lengthBesideChunks tells whether the head of the request in hand has a Content-Length line too.
+func (c *client) lengthBesideChunks() bool {
+	c.head.mu.Lock()
+	defer c.head.mu.Unlock()
+	text := c.head.text
+	if end := bytes.Index(text, []byte("\r\n\r\n")); end >= 0 {
+		text = text[:end]
+	}
+	for _, line := range bytes.Split(text, []byte("\n")) {
+		name, _, found := bytes.Cut(line, []byte(":"))
+		if found && strings.EqualFold(strings.TrimSpace(string(name)), "Content-Length") {
+			return true
+		}
+	}
+	return false
+}
+
+// nextHead begins the head of the next request.
+func (c *client) nextHead() {
+	c.head.mu.Lock()
+	c.head.text = c.head.text[:0]
+	c.head.mu.Unlock()
 }
 
 func newGate(ln net.Listener, limit int) *gate {
@@ -160,6 +208,7 @@
 		case http.StateActive:
 			g.move(c, busy)
 		case http.StateIdle:
+			c.nextHead()
 			g.move(c, idle)
 		}
 	}
--- a/internal/net/downstream/server.go
+++ b/internal/net/downstream/server.go
@@ -231,19 +231,32 @@
 // freeBody is how long a body may be without being counted: short ones are bounded by the connections.
 const freeBody = 4 << 10
 
-// charge is what a request's body counts for in Config.MaxBodies.
+// charge is what a request's body counts for in Config.MaxBodies. One in chunks may be as long as any.
 func charge(r *http.Request) int64 {
-	if r.ContentLength <= freeBody {
+	switch {
+	case r.ContentLength < 0:
+		return maxBody
+	case r.ContentLength <= freeBody:
 		return 0
 	}
 	return r.ContentLength
 }
 
-// readBody reads a body of known length, where there is room for it.
+// readBody reads a body of known length, or in chunks, where there is room for it.
 func readBody(r *http.Request, room bool) ([]byte, error) {
 	if !room && charge(r) > 0 {
 		return nil, &fault{http.StatusServiceUnavailable, "too many long bodies at once"}
 	}
+	if r.ContentLength < 0 {
+		b, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+		switch {
+		case err != nil:
+			return nil, bad("body: %v", err)
+		case len(b) > maxBody:
+			return nil, &fault{http.StatusRequestEntityTooLarge, "a body holds 64 KiB at most"}
+		}
+		return b, nil
+	}
 	b := make([]byte, r.ContentLength)
 	if _, err := io.ReadFull(r.Body, b); err != nil {
 		return nil, bad("body: %v", err)
@@ -264,6 +277,7 @@
 	case http.StatusServiceUnavailable:
 		s.advise(w, s.set.Policy.MaxRetryAfter)
 	}
+	slog.Debug("refused at the door", "status", f.status, "why", f.why, "id", r.Header.Get("X-Trace-Id"))
 	// Else net/http reads the rest of the body before it answers.
 	http.NewResponseController(w).EnableFullDuplex()
 	w.Header().Set("Connection", "close")
@@ -318,6 +332,7 @@
 		s.tally(class, s.answer(w, a))
 	case <-r.Context().Done():
 		left = true
+		slog.Debug("client left", "id", t.Forward.TraceID)
 	case <-s.loop.Stopped():
 		s.reply(w, http.StatusInternalServerError, "stopped")
 		s.tally(class, http.StatusInternalServerError)
