Hand over to a successor on the inherited socket as soon as it serves; pid in the log

SIGTERM follows the new process's yes within a few milliseconds there, and SIGKILL 3.7 s later. Ruled out: refusals at the door (none), jobs that came after the handover (none of the lost ones).

A process on an inherited socket now writes that it serves to a file of TMPDIR (pid and start, by rename); the old one looks every 100 ms, and on a newer writer stops accepting, sheds its idle connections and answers what it holds, as it did on SIGTERM, but without cutting any job's time until SIGTERM comes; then it waits for SIGTERM to exit. Each log line carries the pid, since both processes write to one log.

Not taken: passing client connections to the successor, which needs a Unix socket. What runs longer than SIGTERM plus 3.7 s stays lost.

--- a/cmd/gaugeslip/serve.go
+++ b/cmd/gaugeslip/serve.go
@@ -34,7 +34,8 @@
 	if verbose {
 		level = slog.LevelDebug
 	}
-	slog.SetDefault(slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level})))
+	// Two processes of one dispatcher may write to one log during an upgrade: each line tells whose it is.
+	slog.SetDefault(slog.New(slog.NewTextHandler(stderr, &slog.HandlerOptions{Level: level})).With("pid", os.Getpid()))
 	cfg, own, err := f.Load()
 	if err != nil {
 		return err
--- a/cmd/gaugeslip/upgrade_test.go
+++ b/cmd/gaugeslip/upgrade_test.go
@@ -3,8 +3,13 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"os"
+	"os/exec"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -37,3 +42,95 @@
 	resp, body := c.Answer()
 	assert.Equal(t, "200 body", fmt.Sprint(resp.StatusCode, " ", body))
 }
+
+// freeAddr is a loopback address that nobody listens on.
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.77.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// healthy asks an operators' door once.
+func healthy(addr string) bool {
+	resp, err := (&http.Client{Timeout: time.Second}).Get("http://" + addr + "/healthcheck")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == 200
+}
+
+// An upgrade under load: a second process starts on the same inherited socket and says yes; the first hands over at
+// once, answers the long job that it holds though SIGTERM comes only later, and exits 0. Every job gets one answer,
+// and each reaches the host once: a harvest sale never goes twice.
+func TestUpgradeUnderLoad(t *testing.T) {
+	release := make(chan struct{})
+	var mu sync.Mutex
+	seen := map[string]int{}
+	script := func(c *nettest.Call) {
+		mu.Lock()
+		seen[c.Header.Get("X-Trace-Id")]++
+		mu.Unlock()
+		if c.Header.Get("X-Trace-Id") == "long" {
+			<-release
+		}
+		served(c)
+	}
+	var hosts []string
+	for i := range 4 {
+		hosts = append(hosts, entry(fmt.Sprintf("s-0000000%d", i+1), nettest.Listen(t, script).Addr, "in_service", 0))
+	}
+	let := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(let)
+	discovery := nettest.Listen(t, func(*nettest.Call) {})
+	ln, addr := inherited(t)
+	f, err := ln.File()
+	require.NoError(t, err)
+	defer f.Close()
+	tmp := t.TempDir()
+	known := list(1, true, hosts...)
+	start := func(ops string) (*exec.Cmd, *logged) {
+		cmd, log := launch(t, launching{settings: nettest.SettingsJSON, known: known, discovery: discovery.Addr,
+			listen: addr, files: []*os.File{f},
+			env: []string{"NODE_INHERITED_FD=3", "NODE_OPS=" + ops, "TMPDIR=" + tmp}})
+		require.Eventually(t, func() bool { return healthy(ops) }, nettest.Patience, 10*time.Millisecond)
+		return cmd, log
+	}
+	oldOps, newOps := freeAddr(t), freeAddr(t)
+	old, oldLog := start(oldOps)
+
+	long := nettest.Dial(t, addr)
+	long.Post("/harvest-sale/7", "long", "X-Expires-In-Ms: 15000\r\n", "held")
+	require.Eventually(t, func() bool { mu.Lock(); defer mu.Unlock(); return seen["long"] == 1 },
+		nettest.Patience, 5*time.Millisecond)
+	kept := nettest.Dial(t, addr) // a client's kept connection to the old process
+	kept.Post("/plot-load/7", "k0", "X-Expires-In-Ms: 15000\r\n", "k0")
+	resp, body := kept.Answer()
+	require.Equal(t, "200 k0", fmt.Sprint(resp.StatusCode, " ", body))
+
+	_, newLog := start(newOps)
+	require.Eventually(t, func() bool { return !healthy(oldOps) }, nettest.Patience, 10*time.Millisecond,
+		"the old process hands over before any SIGTERM")
+	kept.Closed() // idle: closed, so that its client goes to the successor
+	for i := range 20 {
+		c := nettest.Dial(t, addr)
+		id := fmt.Sprint("n", i)
+		c.Post("/harvest-sale/7", id, "X-Expires-In-Ms: 15000\r\n", id)
+		resp, body := c.Answer()
+		assert.Equal(t, "200 "+id, fmt.Sprint(resp.StatusCode, " ", body))
+	}
+	let()
+	resp, body = long.Answer()
+	assert.Equal(t, "200 held", fmt.Sprint(resp.StatusCode, " ", body), "the old process answers what it took")
+	require.NoError(t, old.Process.Signal(syscall.SIGTERM))
+	require.NoError(t, old.Wait(), oldLog)
+	assert.Contains(t, oldLog.String(), "handing over")
+	assert.NotContains(t, newLog.String(), "level=ERROR")
+	mu.Lock()
+	defer mu.Unlock()
+	for id, n := range seen {
+		assert.Equal(t, 1, n, id)
+	}
+	assert.Len(t, seen, 22)
+}
--- a/internal/net/downstream/jobs.go
+++ b/internal/net/downstream/jobs.go
@@ -259,6 +259,6 @@
 // closing tells the room that the program ends, and when its answers have to be out.
 func (s *Server) closing() {
 	if s.cfg.Waiting {
-		s.loop.Post(dispatch.Closing{By: s.loop.Clock().Since(s.killed.Add(-killMargin))})
+		s.loop.Post(dispatch.Closing{By: s.loop.Clock().Since(s.killedAt().Add(-killMargin))})
 	}
 }
--- a/internal/net/downstream/server.go
+++ b/internal/net/downstream/server.go
@@ -15,6 +15,7 @@
 	"runtime/debug"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -76,12 +77,14 @@
 	gate     *gate
 	bodies   atomic.Int64 // see Config.MaxBodies
 	stopping atomic.Bool
-	killed   time.Time // when the platform ends the process; set before stopping is
+	killed   atomic.Int64 // when the platform ends the process, in Unix nanoseconds; 0: not known yet
+	handover chan struct{}
+	handing  sync.Once
 }
 
 // New makes a server that hands its requests to a loop.
 func New(cfg Config, set *settings.Settings, l *loop.Loop) *Server {
-	s := &Server{cfg: cfg, set: set, loop: l}
+	s := &Server{cfg: cfg, set: set, loop: l, handover: make(chan struct{})}
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes, ConnContext: withClient,
 		ConnState: func(nc net.Conn, state http.ConnState) { s.gate.state(nc, state) },
@@ -130,7 +133,8 @@
 }
 
 // Serve serves until ctx ends, then goes on for as long as clients still come and until all that was taken
-// has its answer.
+// has its answer. On an inherited socket a successor may take over before ctx ends (Handover): this process then
+// stops taking connections at once, answers what it has and waits for ctx to end.
 func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	failed := make(chan error, 1)
 	go func() { failed <- s.http.Serve(ln) }()
@@ -138,10 +142,15 @@
 	case err := <-failed:
 		return fmt.Errorf("downstream: %w", err)
 	case <-ctx.Done():
+	case <-s.handover:
+	}
+	// The platform's kill comes only after its SIGTERM, which may come after a handover.
+	if ctx.Err() != nil {
+		s.terminated()
+	} else {
+		defer context.AfterFunc(ctx, s.terminated)()
 	}
-	s.killed = time.Now().Add(s.cfg.KilledAfter)
 	s.stopping.Store(true)
-	s.closing()
 	if s.cfg.Inherited == 0 {
 		select {
 		case err := <-failed:
@@ -160,14 +169,34 @@
 	if err := <-failed; !errors.Is(err, http.ErrServerClosed) {
 		return fmt.Errorf("downstream: %w", err)
 	}
+	<-ctx.Done() // after a handover the platform still ends the process itself
+	s.terminated()
 	if s.cfg.Waiting { // jobs without a connection that are out may still end
-		ctx, cancel := context.WithDeadline(context.Background(), s.killed.Add(-killMargin))
+		ctx, cancel := context.WithDeadline(context.Background(), s.killedAt().Add(-killMargin))
 		defer cancel()
 		s.loop.Idle(ctx)
 	}
 	return nil
 }
 
+// Handover tells that a successor serves on the inherited socket: see Serve. It may be called more than once.
+func (s *Server) Handover() { s.handing.Do(func() { close(s.handover) }) }
+
+// terminated notes that SIGTERM has come.
+func (s *Server) terminated() {
+	if s.killed.CompareAndSwap(0, time.Now().Add(s.cfg.KilledAfter).UnixNano()) {
+		s.closing()
+	}
+}
+
+// killedAt is when the platform ends the process; zero: no SIGTERM has come.
+func (s *Server) killedAt() time.Time {
+	if at := s.killed.Load(); at != 0 {
+		return time.Unix(0, at)
+	}
+	return time.Time{}
+}
+
 // ServeHTTP serves one request. Whatever goes wrong in it, the client gets an answer: what panics may have
 // run, so the answer is a failure and not a refusal.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -213,8 +242,8 @@
 	}
 	// Only the body has a limit: one on the connection would end the wait for the answer too.
 	control.SetReadDeadline(time.Time{})
-	if s.stopping.Load() {
-		t.Job.Budget = min(t.Job.Budget, max(0, s.killed.Sub(arrived)-killMargin))
+	if killed := s.killedAt(); !killed.IsZero() {
+		t.Job.Budget = min(t.Job.Budget, max(0, killed.Sub(arrived)-killMargin))
 	}
 	s.await(w, r, t, p)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 
 // Run wires the parts together and runs them until ctx ends and all that was taken is answered. Each signal on hup makes it read its configuration again.
 func Run(ctx context.Context, cfg *config.Config, own *site.Site, f *Files, hup <-chan os.Signal) error {
+	started := time.Now()
 	known, err := cluster.Known(cfg.Known, cfg.Settings)
 	if err != nil {
 		return fmt.Errorf("known: %w", err)
@@ -126,6 +127,22 @@
 	swept, looped := make(chan struct{}), make(chan error, 1)
 	reloaded, opened := make(chan struct{}), make(chan struct{})
 	go func() { defer close(swept); pool.Sweep(inner) }()
+	handed := make(chan struct{})
+	if cfg.Inherited != 0 {
+		path, me := servingFile(os.TempDir(), cfg.Name), serving{PID: os.Getpid(), Since: started.UnixNano()}
+		if err := announce(path, me); err != nil {
+			slog.Error("a successor will not know that this process serves", "error", err)
+		}
+		go func() {
+			defer close(handed)
+			awaitSuccessor(outer, path, me, func() {
+				slog.Info("a successor serves: handing over")
+				server.Handover()
+			})
+		}()
+	} else {
+		close(handed)
+	}
 	go func() {
 		defer close(opened)
 		if opsDoor != nil {
@@ -138,6 +155,7 @@
 	go func() { looped <- l.Run(inner); stop() }()
 	err = server.Serve(outer, ln)
 	halt()
+	<-handed
 	<-swept
 	<-reloaded
 	<-opened
