--- a/internal/net/downstream/gate.go
+++ b/internal/net/downstream/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"log/slog"
 	"maps"
 	"net"
 	"net/http"
@@ -122,8 +123,10 @@
 	if held >= g.max {
 		if victim = g.spare(); victim == nil {
 			g.mu.Unlock()
+			slog.Debug("a new connection closed: all are owed answers", "held", held)
 			return nil
 		}
+		slog.Debug("a connection closed for a new one", "phase", victim.phase, "for", time.Since(victim.since))
 		g.forget(victim)
 	}
 	now := time.Now()
@@ -136,12 +139,25 @@
 	return c
 }
 
-// spare finds the connection that has been longest in the first phase that may make room. One whose request
-// has come and only waits to be read is none: in a crowd that would shed the clients that speak.
+// fresh is how long a connection that has sent nothing whole yet counts as a client on its way: a client writes its
+// head within milliseconds. Until then it is the last to make room, after idle ones, whose close costs a client no more
+// than a new connection; later it is the first, for it is likely one of a crowd that says nothing.
+const fresh = time.Second
+
+// spare finds the connection that can best be spared: of the silent ones, of those parting, of the idle ones and last
+// of the fresh ones, the one longest in its phase. One whose request has come and only waits to be read is none: in a
+// crowd that would shed the clients that speak.
 func (g *gate) spare() *client {
-	for p := unread; p < busy; p++ {
-		list := slices.SortedFunc(maps.Keys(g.conns[p]), func(a, b *client) int { return a.since.Compare(b.since) })
+	now := time.Now()
+	for _, tier := range []struct {
+		p     phase
+		since time.Duration // in the phase at least
+	}{{unread, fresh}, {parting, 0}, {idle, 0}, {unread, 0}} {
+		list := slices.SortedFunc(maps.Keys(g.conns[tier.p]), func(a, b *client) int { return a.since.Compare(b.since) })
 		for _, c := range list {
+			if now.Sub(c.since) < tier.since {
+				break // the rest are younger
+			}
 			if !pending(c.Conn) {
 				return c
 			}
