Show the Go runtime's and the process's figures in /stats; keep a request's head only to its end

Now it has client_golang's Go and process collectors (open descriptors and memory are what on call asks first). The copy of a request's head that the gate keeps stops at the blank line, so a body is not copied twice.

Test: TestStatsAreThePrometheusText asks for go_goroutines and process_open_fds too.

--- a/internal/net/downstream/gate.go
+++ b/internal/net/downstream/gate.go
@@ -49,17 +49,23 @@
 // head keeps the first bytes of the request that is being read on a connection, from the end of the one before:
 // net/http drops a Content-Length that stands beside a Transfer-Encoding before any handler sees it.
 type head struct {
-	mu   sync.Mutex
-	text []byte // at most maxHeaderBytes and a line
+	mu    sync.Mutex
+	text  []byte // at most maxHeaderBytes and a line
+	whole bool   // its end is in text: the body is not kept
 }
 
+// headEnd ends a head.
+const headEnd = "\r\n\r\n"
+
 // Read keeps what it reads of a request's head.
 func (c *client) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.head.mu.Lock()
-		if room := maxHeaderBytes + 4<<10 - len(c.head.text); room > 0 {
+		if room := maxHeaderBytes + 4<<10 - len(c.head.text); room > 0 && !c.head.whole {
+			from := max(0, len(c.head.text)-len(headEnd)+1)
 			c.head.text = append(c.head.text, b[:min(n, room)]...)
+			c.head.whole = bytes.Contains(c.head.text[from:], []byte(headEnd))
 		}
 		c.head.mu.Unlock()
 	}
@@ -71,7 +77,7 @@
 	c.head.mu.Lock()
 	defer c.head.mu.Unlock()
 	text := c.head.text
-	if end := bytes.Index(text, []byte("\r\n\r\n")); end >= 0 {
+	if end := bytes.Index(text, []byte(headEnd)); end >= 0 {
 		text = text[:end]
 	}
 	for _, line := range bytes.Split(text, []byte("\n")) {
@@ -86,7 +92,7 @@
 // nextHead begins the head of the next request.
 func (c *client) nextHead() {
 	c.head.mu.Lock()
-	c.head.text = c.head.text[:0]
+	c.head.text, c.head.whole = c.head.text[:0], false
 	c.head.mu.Unlock()
 }
 
--- a/internal/ops/door_test.go
+++ b/internal/ops/door_test.go
@@ -145,6 +145,9 @@
 	} {
 		assert.Contains(t, body, line+"\n")
 	}
+	for _, line := range []string{"go_goroutines ", "process_open_fds "} { // the runtime's own, for on call
+		assert.Contains(t, body, "\n"+line)
+	}
 }
 
 // Callers that connect and say nothing, or half a call, take no place from those who call: the door holds four
--- a/internal/ops/figures.go
+++ b/internal/ops/figures.go
@@ -8,6 +8,7 @@
 	"net/http"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 )
 
 // Gauges are the figures that are read, not counted, each time they are shown.
@@ -28,6 +29,7 @@
 // NewFigures makes the figures of a dispatcher with these classes, by their numbers in the settings.
 func NewFigures(classes []string, g Gauges) *Figures {
 	f := &Figures{registry: prometheus.NewRegistry()}
+	f.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	vec := func(name, help string) *prometheus.CounterVec {
 		v := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "edge_node", Name: name, Help: help},
 			[]string{"class"})
