Let the demo's load and its troubles print through one lock, and wait for the troubles

Seen: go test -race ./cmd/gaugelab fails one run in three (TestDemo): the load's progress (emulator.Result.Print) and the goroutine that breaks game workers (demo.go) write to one buffer at once, and that goroutine could outlive the command. Now both write through a locked writer, and the command cancels and waits for the troubles before its report. Five -race runs of TestDemo pass; the whole suite passes under -race.

--- a/cmd/gaugelab/demo.go
+++ b/cmd/gaugelab/demo.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -149,7 +150,7 @@
 	c := &cobra.Command{Use: "demo", Short: "Start a fleet, discovery, a dispatcher and load on loopback, break something, and report",
 		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 			slog.SetDefault(slog.New(slog.DiscardHandler)) // the view speaks for the dispatcher
-			ctx, out := cmd.Context(), cmd.OutOrStdout()
+			ctx, out := cmd.Context(), &lockedWriter{w: cmd.OutOrStdout()} // the load and the troubles both print
 			specs, p := deployment(hosts)
 			w := newWitness()
 			f, err := emulator.Start(specs, p, 1, w.ran)
@@ -170,8 +171,13 @@
 				rate*lanes/work, length)
 			l := &emulator.Load{Addr: addr, Rate: rate * lanes / work, Length: length, Classes: kinds, Seed: 1, MaxOpen: 500, Seen: w.seen,
 				Progress: func(r *emulator.Result) { r.Print(out) }}
-			if !calm {
+			troubles, ended := context.WithCancel(ctx)
+			done := make(chan struct{})
+			if calm {
+				close(done)
+			} else {
 				go func() {
+					defer close(done)
 					for _, x := range []struct {
 						at   time.Duration
 						what string
@@ -182,7 +188,7 @@
 						{3 * length / 4, "the first two come back, cold", func() { f.Hosts[0].Restart(); f.Hosts[1].Restart() }},
 					} {
 						select {
-						case <-ctx.Done():
+						case <-troubles.Done():
 							return
 						case <-time.After(time.Until(w.t0.Add(x.at))):
 							fmt.Fprintln(out, "-- "+x.what)
@@ -192,6 +198,8 @@
 				}()
 			}
 			r := l.Run(ctx)
+			ended()
+			<-done
 			fmt.Fprintln(out, "== report")
 			r.Print(out)
 			err = stop()
@@ -261,3 +269,15 @@
 	c.Flags().Uint64Var(&seed, "seed", 1, "the seed")
 	return c
 }
+
+// lockedWriter lets several goroutines write whole lines to one writer.
+type lockedWriter struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+func (l *lockedWriter) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(b)
+}
