--- a/cmd/gaugelab/demo.go
+++ b/cmd/gaugelab/demo.go
@@ -149,7 +149,7 @@
 	var calm bool
 	c := &cobra.Command{Use: "demo", Short: "Start a fleet, discovery, a dispatcher and load on loopback, break something, and report",
 		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
-			slog.SetDefault(slog.New(slog.DiscardHandler)) // the view speaks for the dispatcher
+			slog.SetDefault(slog.New(slog.DiscardHandler))                 // the view speaks for the dispatcher
 			ctx, out := cmd.Context(), &lockedWriter{w: cmd.OutOrStdout()} // the load and the troubles both print
 			specs, p := deployment(hosts)
 			w := newWitness()
