--- a/cmd/gaugeslip/main_test.go
+++ b/cmd/gaugeslip/main_test.go
@@ -52,7 +52,16 @@
 	require.NoError(t, err)
 	addr = ln.Addr().String()
 	ln.Close()
-	cmd, log = launch(t, launching{settings: settings, known: known, discovery: discovery, listen: addr, env: env})
+	return programAt(t, settings, addr, known, discovery, env...)
+}
+
+// programOn starts a dispatcher on an address of an earlier one, as a restart does.
+func programOn(t *testing.T, addr, known, discovery string, env ...string) (string, *exec.Cmd, *logged) {
+	return programAt(t, nettest.SettingsJSON, addr, known, discovery, env...)
+}
+
+func programAt(t *testing.T, settings, addr, known, discovery string, env ...string) (string, *exec.Cmd, *logged) {
+	cmd, log := launch(t, launching{settings: settings, known: known, discovery: discovery, listen: addr, env: env})
 	require.Eventually(t, func() bool {
 		c, err := net.Dial("tcp", addr)
 		if err == nil {
--- a/internal/net/downstream/decode.go
+++ b/internal/net/downstream/decode.go
@@ -48,10 +48,17 @@
 	return nil
 }
 
+// classOf is the class that a request's path names.
+func classOf(r *http.Request, s *settings.Settings) (int, bool) {
+	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	class, ok := s.Classes[first]
+	return class, ok
+}
+
 // decode reads a request's head into a ticket, once. Every error is a *fault.
 func decode(r *http.Request, s *settings.Settings, arrived time.Time) (*loop.Ticket, error) {
 	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	class, ok := s.Classes[first]
+	class, ok := classOf(r, s)
 	if !ok {
 		return nil, &fault{http.StatusNotFound, "no such path"}
 	}
--- a/internal/net/downstream/server.go
+++ b/internal/net/downstream/server.go
@@ -235,8 +235,8 @@
 	}
 	if err != nil {
 		status := s.reject(w, r, err)
-		if t != nil {
-			s.tally(t.Job.Class, status)
+		if class, ok := classOf(r, s.set); ok { // a job of a class, though it could not be taken
+			s.tally(class, status)
 		}
 		return
 	}
