Take a silent zone's hosts for cold, and spread large jobs over cold hosts less

Each send to a host that fell, with what its dispatcher believed, was printed. Three causes:

A host counts as back from silence only where it is a suspect of this very dispatcher (policy.Step, ProbeEnded); one not asked while its room was silent was none. Now each dispatcher keeps the share of silent probes a zone, and what it has not heard since that was over a half comes back cold, until the list tells. A job whose attempt ended as a cold host went down goes to no cold host again.

--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -21,9 +21,10 @@
 	Killed               // a dispatcher is dead, and what it held is lost (Node)
 	Told                 // a dispatcher was told that a host drains or is gone (Node, Host)
 	Untold               // or that it takes jobs (Node, Host)
-	Worked               // work has come to a host that is cold (Node, Host, Work, Capacity)
+	Worked               // work has come to a host that is cold (Job, Attempt, Node, Host, Work, Capacity)
 	Reborn               // a host has started anew, and nobody knows yet (Host)
 	Knows                // a dispatcher was told of its present start (Node, Host)
+	Used                 // something of which the fleet has only so much was used at a host (Sum, Host, Amount)
 )
 
 // Answer is what a client has heard.
@@ -49,6 +50,15 @@
 	Answer   Answer
 	Work     time.Duration // of a standard lane
 	Capacity float64       // standard lanes that the host is worth at this moment
+	Sum      int           // its number in Rules.Sums
+	Amount   float64
+}
+
+// Sum is a bound on what all dispatchers together use of each host: at most Most in any Window.
+type Sum struct {
+	Name   string
+	Window time.Duration
+	Most   float64
 }
 
 // Rules are the figures that the rules are counted by.
@@ -58,6 +68,7 @@
 	TipMultiple float64
 	OverloadFor time.Duration
 	Slack       float64 // of the budget of a cold host, for chance
+	Sums        []Sum
 }
 
 // Rule names a rule.
@@ -71,6 +82,7 @@
 	ColdHosts  Rule = "no cold host pushed over"
 	Harmless   Rule = "refused only where a repeat is harmless"
 	Unexpected Rule = "the record makes sense"
+	Sums       Rule = "a sum over the fleet"
 )
 
 // Breach is a rule that was broken.
@@ -88,7 +100,9 @@
 	unsafe   bool
 	deadline time.Duration
 	answered bool
+	refused  bool
 	sends    uint64 // a bit for each that is not proved never to have run
+	knew     uint64 // a bit for each that left when its dispatcher was told of the host's present start
 	ran      int
 }
 
@@ -108,6 +122,7 @@
 	told     map[[2]int]time.Duration
 	knows    map[[2]int]bool
 	cold     map[int]*inflow
+	used     map[[2]int]*uses // by sum and host
 	breaches []Breach
 	counts   map[Rule]int
 	now      time.Duration
@@ -117,7 +132,7 @@
 // New makes a Checker.
 func New(r Rules) *Checker {
 	return &Checker{rules: r, jobs: map[uint64]*job{}, told: map[[2]int]time.Duration{},
-		knows: map[[2]int]bool{}, cold: map[int]*inflow{},
+		knows: map[[2]int]bool{}, cold: map[int]*inflow{}, used: map[[2]int]*uses{},
 		counts: map[Rule]int{}}
 }
 
@@ -158,6 +173,9 @@
 	case Worked:
 		c.worked(e)
 		return
+	case Used:
+		c.use(e)
+		return
 	case Reborn:
 		for k := range c.knows {
 			if k[1] == e.Host {
@@ -193,6 +211,9 @@
 			c.breach(OneEffect, "job %d is sent again, and may have run", e.Job)
 		}
 		j.sends |= bit
+		if c.knows[[2]int{e.Node, e.Host}] {
+			j.knew |= bit
+		}
 		if at, ok := c.told[[2]int{e.Node, e.Host}]; ok && e.At > at+c.rules.DrainGrace {
 			c.breach(Drains, "node %d sends to host %d, told %v ago", e.Node, e.Host, e.At-at)
 		}
@@ -202,6 +223,9 @@
 		if j.ran++; j.unsafe && j.ran > 1 {
 			c.breach(OneEffect, "job %d has run %d times", e.Job, j.ran)
 		}
+		if j.unsafe && j.refused {
+			c.breach(Harmless, "job %d runs, and was refused", e.Job)
+		}
 	case Answered:
 		c.answered(e, j)
 	}
@@ -212,12 +236,12 @@
 		c.breach(OneAnswer, "job %d has a second answer", e.Job)
 		return
 	}
-	j.answered = true
+	j.answered, j.refused = true, e.Answer == Refused
 	if e.At > j.deadline+c.rules.AnswerGrace {
 		c.breach(OneAnswer, "job %d is answered %v late", e.Job, e.At-j.deadline)
 	}
 	switch {
-	case e.Answer == Refused && j.unsafe && j.sends != 0:
+	case e.Answer == Refused && j.unsafe && (j.sends != 0 || j.ran > 0):
 		c.breach(Harmless, "job %d may have run", e.Job)
 	case e.Answer == Served && j.ran == 0:
 		c.breach(OneAnswer, "job %d is served and never ran", e.Job)
@@ -236,7 +260,11 @@
 		c.cold[e.Host] = f
 	}
 	f.at, f.work = append(f.at, e.At), append(f.work, e.Work.Seconds())
-	f.knew = append(f.knew, c.knows[[2]int{e.Node, e.Host}])
+	knew := c.knows[[2]int{e.Node, e.Host}]
+	if j := c.jobs[e.Job]; j != nil { // what counts is what was known when it left
+		knew = j.knew&(1<<min(e.Attempt, 63)) != 0
+	}
+	f.knew = append(f.knew, knew)
 	for f.at[0] <= e.At-c.rules.OverloadFor {
 		f.at, f.work, f.knew = f.at[1:], f.work[1:], f.knew[1:]
 	}
@@ -254,6 +282,36 @@
 	}
 }
 
+// uses is what was used within the window of a sum.
+type uses struct {
+	at     []time.Duration
+	amount []float64
+	sum    float64
+}
+
+// use counts a sum over any window. After a breach it begins anew, so that one excess is told once a window.
+func (c *Checker) use(e Event) {
+	if e.Sum < 0 || e.Sum >= len(c.rules.Sums) {
+		c.breach(Unexpected, "sum %d is not known", e.Sum)
+		return
+	}
+	s, key := c.rules.Sums[e.Sum], [2]int{e.Sum, e.Host}
+	u := c.used[key]
+	if u == nil {
+		u = &uses{}
+		c.used[key] = u
+	}
+	u.at, u.amount, u.sum = append(u.at, e.At), append(u.amount, e.Amount), u.sum+e.Amount
+	for u.at[0] <= e.At-s.Window {
+		u.sum -= u.amount[0]
+		u.at, u.amount = u.at[1:], u.amount[1:]
+	}
+	if u.sum > s.Most+1e-9 {
+		c.breach(Sums, "host %d: %g %s in %v, %g are the whole", e.Host, u.sum, s.Name, s.Window, s.Most)
+		delete(c.used, key)
+	}
+}
+
 // End tells that all is over at now: whatever has no answer has none.
 func (c *Checker) End(now time.Duration) {
 	c.now = max(c.now, now)
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -29,14 +29,23 @@
 		{Kind: Worked, At: 11 * second, Node: 1, Host: 9, Work: 5 * second, Capacity: 1},
 		{Kind: Worked, At: 13 * second, Node: 1, Host: 9, Work: 5 * second, Capacity: 1},
 		{Kind: Worked, At: 13 * second, Node: 1, Host: 10, Work: 50 * second, Capacity: 1}, // it was not told
-		{Kind: Taken, At: 13 * second, Job: 4, Node: 3, Deadline: 14 * second},
-		{Kind: Killed, At: 13 * second, Node: 3},
-		{Kind: Taken, At: 13 * second, Job: 5, Node: 1, Deadline: 14 * second},
-		{Kind: Left, At: 13 * second, Job: 5},
+		{Kind: Taken, At: 13 * second, Job: 6, Node: 1, Deadline: 14 * second},
+		{Kind: Sent, At: 13 * second, Job: 6, Node: 1, Host: 11},
+		{Kind: Knows, At: 13 * second, Node: 1, Host: 11},
+		{Kind: Worked, At: 13 * second, Job: 6, Node: 1, Host: 11, Work: 50 * second, Capacity: 1}, // it left before that
+		{Kind: Answered, At: 13 * second, Job: 6, Answer: Refused},
+		{Kind: Used, At: 13 * second, Host: 1, Amount: 2},
+		{Kind: Used, At: 13 * second, Host: 2, Amount: 1},
+		{Kind: Used, At: 14 * second, Host: 1, Amount: 2}, // the window is over
+		{Kind: Taken, At: 14 * second, Job: 4, Node: 3, Deadline: 14 * second},
+		{Kind: Killed, At: 14 * second, Node: 3},
+		{Kind: Taken, At: 14 * second, Job: 5, Node: 1, Deadline: 14 * second},
+		{Kind: Left, At: 14 * second, Job: 5},
 	}
 }
 
-var rules = Rules{AnswerGrace: 10 * time.Millisecond, DrainGrace: 3 * second, TipMultiple: 3, OverloadFor: 2 * second}
+var rules = Rules{AnswerGrace: 10 * time.Millisecond, DrainGrace: 3 * second, TipMultiple: 3, OverloadFor: 2 * second,
+	Sums: []Sum{{"probes", second, 2}}}
 
 func verdict(events []Event) *Checker {
 	c := New(rules)
@@ -48,7 +57,7 @@
 }
 
 func TestSoundRecord(t *testing.T) {
-	if c := verdict(sound()); len(c.Breaches()) > 0 || c.Checked() != 5 {
+	if c := verdict(sound()); len(c.Breaches()) > 0 || c.Checked() != 6 {
 		t.Errorf("%d jobs, %v", c.Checked(), c.Breaches())
 	}
 }
@@ -59,17 +68,22 @@
 		change func([]Event) []Event
 		want   Rule
 	}{
-		"no answer":        {func(e []Event) []Event { return append(e[:11:11], e[12:]...) }, OneAnswer},
-		"two answers":      {func(e []Event) []Event { return append(e[:13:13], e[12:]...) }, OneAnswer},
-		"late":             {func(e []Event) []Event { e[14].At += 6 * time.Millisecond; return e }, OneAnswer},
-		"served, not run":  {func(e []Event) []Event { return append(e[:9:9], e[10:]...) }, OneAnswer},
-		"sent again":       {func(e []Event) []Event { return append(e[:5:5], e[6:]...) }, OneEffect},
-		"run again":        {func(e []Event) []Event { return append(e[:10:10], e[9:]...) }, OneEffect},
-		"refused, may run": {func(e []Event) []Event { return append(e[:13:13], e[14:]...) }, Harmless},
-		"drain":            {func(e []Event) []Event { e[6].Host = 7; e[6].At += 1500 * time.Millisecond; return sorted(e) }, Drains},
-		"cold":             {func(e []Event) []Event { e[17].At = 12 * second; return e }, ColdHosts},
-		"cold, known":      {func(e []Event) []Event { e[18].Host = 9; return e }, ColdHosts},
-		"taken twice":      {func(e []Event) []Event { return append(e[:2:2], e[1:]...) }, Unexpected},
+		"no answer":               {func(e []Event) []Event { return append(e[:11:11], e[12:]...) }, OneAnswer},
+		"two answers":             {func(e []Event) []Event { return append(e[:13:13], e[12:]...) }, OneAnswer},
+		"late":                    {func(e []Event) []Event { e[14].At += 6 * time.Millisecond; return e }, OneAnswer},
+		"served, not run":         {func(e []Event) []Event { return append(e[:9:9], e[10:]...) }, OneAnswer},
+		"sent again":              {func(e []Event) []Event { return append(e[:5:5], e[6:]...) }, OneEffect},
+		"run again":               {func(e []Event) []Event { return append(e[:10:10], e[9:]...) }, OneEffect},
+		"refused, may run":        {func(e []Event) []Event { return append(e[:13:13], e[14:]...) }, Harmless},
+		"drain":                   {func(e []Event) []Event { e[6].Host = 7; e[6].At += 1500 * time.Millisecond; return sorted(e) }, Drains},
+		"cold":                    {func(e []Event) []Event { e[17].At = 12 * second; return e }, ColdHosts},
+		"cold, known":             {func(e []Event) []Event { e[18].Host = 9; return e }, ColdHosts},
+		"cold, known at its send": {func(e []Event) []Event { e[20], e[21] = e[21], e[20]; return e }, ColdHosts},
+		"refused, runs later": {func(e []Event) []Event {
+			return append(e, Event{Kind: Ran, At: 15 * second, Job: 3, Host: 7})
+		}, Harmless},
+		"too much in a window": {func(e []Event) []Event { e[26].At -= time.Millisecond; return e }, Sums},
+		"taken twice":          {func(e []Event) []Event { return append(e[:2:2], e[1:]...) }, Unexpected},
 	} {
 		c := verdict(m.change(sound()))
 		if len(c.Counts()) != 1 || c.Counts()[m.want] != 1 {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -644,7 +644,7 @@
 	}
 	work := s.try.order.size
 	if h.Up() && h.Cold(l.now) {
-		l.see(check.Event{Kind: check.Worked, Node: s.node, Host: s.host, Work: work, Capacity: h.Capacity(l.now)})
+		l.see(check.Event{Kind: check.Worked, Job: s.key.Job, Attempt: s.key.Attempt, Node: s.node, Host: s.host, Work: work, Capacity: h.Capacity(l.now)})
 	}
 	was := h.Toppled()
 	v := h.Take(l.now, s.id, work, 1)
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -123,6 +123,18 @@
 	}
 }
 
+// A room that is lost and comes back cold is not pushed over: on these seeds 28 hosts fell over, and on the 13th the rule
+// was broken.
+func TestRoomLossPushesNobodyOver(t *testing.T) {
+	sc, fell := scenario(t, "room-loss"), 0
+	for seed := uint64(11); seed <= 14; seed++ {
+		r := play(t, sc, seed, true)
+		assert.Zero(t, r.Broken(), "seed %d: %v", seed, r.First)
+		fell += r.Toppled
+	}
+	assert.LessOrEqual(t, fell, 5) // whoever asks first may have heard nothing of the room for a minute
+}
+
 // BenchmarkLab is jobs a second of wall time on one core, at 100 workers and 3 dispatchers.
 func BenchmarkLab(b *testing.B) {
 	sc := scenario(b, "calm-friday")
--- a/policy/decisions_test.go
+++ b/policy/decisions_test.go
@@ -807,3 +807,50 @@
 		}
 	}
 }
+
+// What was not asked while most of its zone was silent may have been silent too: at its first word it counts as cold. A
+// single silent worker says nothing of its zone. (30 dispatchers sent 3 s of work each to hosts up for 0.2 s.)
+func TestSilentZoneComesBackCold(t *testing.T) {
+	for silent, cold := range map[int]bool{1: false, 5: true} {
+		w := fixture(t, 8, func(c *Config) { c.Probes, c.ReportInProbes = true, true })
+		told := Event{Kind: ProbeEnded, Worker: 17, HasLoad: true, Load: Load{FreeSlots: 2}}
+		w.step(told)
+		w.now += 3 * time.Second
+		for i := range silent {
+			w.step(Event{Kind: ProbeEnded, Worker: uint32(10 + i), Result: TimedOut})
+		}
+		w.now += time.Second
+		w.step(told)
+		x := w.d.workers[17]
+		if got := w.d.power(x, w.now) < x.speed; got != cold {
+			t.Errorf("%d silent: cold %v", silent, got)
+		}
+	}
+}
+
+// A worker that is no longer very cold takes from all schedulers, but from each only jobs of which several may meet:
+// three of 2.5 s by the hint of three schedulers were 8.7 s in 2 s. One whose attempt ended as a cold worker went down
+// goes to no cold one again: a job of 6 s with a hint of 0.3 s pushed over six in turn.
+func TestLargeJobsOnColdWorkers(t *testing.T) {
+	w := fixture(t, 60, func(c *Config) { c.Replicas, c.Ordinal, c.Probes, c.ReportInProbes = 60, 30, true, true })
+	w.step(Event{Kind: WorkerList, Workers: []Worker{{ID: 10, Scale: 2, Since: w.now - w.cfg.WarmUp/2},
+		{ID: 11, Scale: 2, Since: w.now - w.cfg.WarmUp/2}}})
+	free := Load{FreeSlots: 2}
+	w.step(Event{Kind: ProbeEnded, Worker: 10, HasLoad: true, Load: free}, Event{Kind: ProbeEnded, Worker: 11, HasLoad: true, Load: free})
+	x, y := w.d.workers[10], w.d.workers[11]
+	w.d.gap, w.d.now = 5e8, w.now+ms
+	if w.d.keeps(x) || w.d.keeps(y) {
+		t.Fatal("a keeper")
+	}
+	for size, want := range map[time.Duration]bool{50 * ms: true, 900 * ms: true, 1300 * ms: false} { // 1.35 s is its part
+		if got := w.d.allowed(&job{size: float64(size), slots: 1}, x); got != want {
+			t.Errorf("%v: allowed %v", size, got)
+		}
+	}
+	j := &job{size: float64(50 * ms), slots: 1}
+	w.d.send(j, x)
+	w.d.news(&Event{Kind: AttemptEnded, Result: ConnectFailed}, j.atts[0])
+	if j.closed, j.out = false, 0; w.d.allowed(j, y) {
+		t.Error("to another cold worker")
+	}
+}
--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -78,15 +78,12 @@
 
 // report takes in a load report: free slots bound the lanes that peers hold.
 func (d *Dispatcher) report(w *worker, e *Event) {
-	if !e.HasLoad {
-		return
-	}
-	if slots := int(e.Load.FreeSlots + 0.5); e.Load.FreeSlots >= 0 {
+	if slots := int(e.Load.FreeSlots + 0.5); e.HasLoad && e.Load.FreeSlots >= 0 {
 		d.slotsTold = true
 		w.lanes = max(w.lanes, slots)
 		w.busy, w.busyAt = max(0, float64(w.lanes-len(w.out)-slots)), d.now
 	}
-	if e.Load.Queue >= 0 {
+	if e.HasLoad && e.Load.Queue >= 0 {
 		w.wait, w.waitAt = max(0, e.Load.Queue-0.5)*d.meanRun/float64(w.lanes), d.now
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -20,7 +20,7 @@
 	return &Dispatcher{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)), armed: never, gap: 2.5e8,
 		jobs: map[uint64]*job{}, workers: map[uint32]*worker{}, firstTry: make([]time.Duration, n),
 		fit: slices.Repeat([]fit{unmeasured}, n), kindLog: make([]float64, k),
-		meanLag: make([]float64, (cfg.Zones+1)*k)}, nil
+		meanLag: make([]float64, (cfg.Zones+1)*k), zones: make([]zone, cfg.Zones+1)}, nil
 }
 
 // Step takes what happened at now and appends what to do to out.
@@ -52,16 +52,22 @@
 			for _, j := range w.askers {
 				j.asked = max(0, j.asked-1)
 			}
+			zone := &d.zones[d.group(w)/d.cfg.Kinds]
 			if w.askers = w.askers[:0]; e.Result == OK {
-				if w.told = d.now; w.suspect && w.errs == 0 && d.now-w.seen > d.cfg.OverloadFor {
-					w.Since = d.now // back from silence: cold, until the list says that it is not
+				zone.silent -= zone.silent / 6
+				if w.suspect && w.errs == 0 && d.now-w.seen > d.cfg.OverloadFor || w.told < zone.silentAt {
+					w.Since = d.now // back from silence, its own or its zone's: cold, until a list tells
 				}
+				w.told = d.now
 				d.report(w, e)
 				w.net = min(cmp.Or(w.net, e.Took), e.Took)
 				d.delayed(w, float64(e.Took-w.net))
 				d.judge(w, false)
 			} else if w.mute = d.now + time.Duration(d.meanRun/4); e.Result == TimedOut ||
 				e.Result == ConnectFailed { // probes do not wait behind jobs
+				if zone.silent += (1 - zone.silent) / 6; zone.silent > 0.5 {
+					zone.silentAt = d.now
+				}
 				d.judge(w, true)
 			}
 		}
@@ -128,11 +134,8 @@
 
 // remap moves the bound of the two size ranges (one under ten workers) to where half of the work is below.
 func (d *Dispatcher) remap(size float64) {
-	step := 0.05 * min(size/d.meanRun, 4)
-	if d.bound = cmp.Or(d.bound, size); size < d.bound {
-		step = -step
-	}
-	d.bound *= math.Exp(step)
+	d.bound = cmp.Or(d.bound, size)
+	d.bound *= math.Exp(math.Copysign(0.05*min(size/d.meanRun, 4), size-d.bound))
 }
 
 // relist deals the workers out to their ranges, own zone and others, in this scheduler's order.
@@ -337,7 +340,8 @@
 	rate := warm * cmp.Or(w.Scale, float64(w.lanes)) * d.cfg.TipMultiple / (2.2 * float64(of))
 	w.coldSent, w.coldAt = max(0, w.coldSent-float64(d.now-w.coldAt)*rate), d.now
 	return d.cfg.TipMultiple <= 0 || d.power(w, d.now) >= w.speed ||
-		(all || d.keeps(w)) && w.coldSent+j.size <= rate*float64(d.cfg.OverloadFor)
+		!j.tipped && (all || d.keeps(w)) && w.coldSent+j.size <= rate*float64(d.cfg.OverloadFor) &&
+			(!all || 1.2*j.size <= rate*float64(d.cfg.OverloadFor)) // several large ones can come at once
 }
 
 // keeps tells whether this scheduler is one of the few that share what a cold worker may be sent.
@@ -407,6 +411,7 @@
 		w.errs = min(w.errs+2, 4)
 		d.judge(w, true)
 	case ConnectFailed, ConnectionLost:
+		j.tipped = j.tipped || d.power(w, d.now) < w.speed // by it, maybe
 		d.judge(w, true)
 	case Cancelled: // moved away
 		if a.began == 0 {
@@ -461,10 +466,8 @@
 	if d.failures = 0; e.Stale { // a start: hundreds at once must not all ask at once
 		d.watchAt = d.now + time.Duration(d.rng.Float64()*float64(min(d.cfg.Replicas, 500))*5e6)
 	}
-	if e.Whole {
-		for _, w := range d.order {
-			w.listed = false
-		}
+	for _, w := range d.order {
+		w.listed = !e.Whole
 	}
 	for _, l := range e.Workers {
 		l.Kind = min(max(l.Kind, 0), d.cfg.Kinds-1)
--- a/policy/state.go
+++ b/policy/state.go
@@ -29,7 +29,7 @@
 	atts              []*attempt
 	mayRun            *attempt // the first that may have run
 	on, left          *worker  // where it is held; the last that it was moved away from
-	closed            bool
+	closed, tipped    bool     // tipped: an attempt ended as a cold worker went down
 }
 
 // worker is what this scheduler believes of one worker.
@@ -47,6 +47,12 @@
 	held                          []*job        // by due
 }
 
+// zone is what is seen of the workers of one zone together.
+type zone struct {
+	silent   float64       // share of its late probes without an answer
+	silentAt time.Duration // when that last was over a half
+}
+
 // Dispatcher decides for one scheduler. See New and Step.
 type Dispatcher struct {
 	cfg                             Config
@@ -64,6 +70,7 @@
 	bound, meanRun, worth           float64         // between the two size ranges; means of a run, of a job's worth
 	noise                           float64         // mean of a surprise
 	gap                             float64         // mean time between arrivals
+	zones                           []zone          // the first: none known
 	now, last, armed, wake, watchAt time.Duration
 	timer                           uint64
 	ranges, failures                int
