Build the rig of processes, and count where the hosts' work goes

Need: the operators ask how many processes get along when parts break under them. The lab knows no sockets, processes or links, the demo one dispatcher.

internal/rig starts up to 32 real `gaugeslip serve`, each with its own 127.0.x.y, configuration, number and seed, before the emulator's hosts and discovery. Every way goes through a link of ours: silent one way or both, refused, reset, half-open, delayed, trickled, cut at a byte, over one another. Processes are killed, ended, paused, left a share of a core, started again under their name, told of another discovery. Clients are dealt out as the front does it. What hosts, clients and links saw goes into one record; internal/check reads it, with sums over the fleet and a refused job that runs later as new rules, each with a mutant. `gaugelab harm` and the lab's reports tell where each second of the hosts' work went.

Also: a watch on the emulator's discovery that goes down wrote a second head into its stream.

--- a/cmd/gaugelab/demo.go
+++ b/cmd/gaugelab/demo.go
@@ -123,10 +123,13 @@
 	w.c.See(e)
 }
 
-func (w *witness) ran(id, _ string) {
+func (w *witness) ran(s emulator.Sight) {
+	if s.Kind != emulator.Ran {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.see(id, check.Event{Kind: check.Ran})
+	w.see(s.Job, check.Event{Kind: check.Ran})
 }
 
 func (w *witness) seen(id, _ string, status int) {
--- /dev/null
+++ b/cmd/gaugelab/harm.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"gaugeslip/internal/lab"
+)
+
+// Harm is a fleet at one size and load, and where its hosts' work went.
+type Harm struct {
+	Hosts       int      `json:"hosts"`
+	Dispatchers int      `json:"dispatchers"`
+	Load        float64  `json:"load"`
+	Service     float64  `json:"service"`
+	Goodput     float64  `json:"goodput"` // work served in time, as a share of what the hosts could do
+	Ideal       float64  `json:"ideal"`   // service of one decision that sees all, on the same seeds
+	Work        lab.Work `json:"work"`
+	ProbesAJob  float64  `json:"probes_a_job"`
+	ProbesAHost float64  `json:"probes_a_host_and_second"`
+	Sends       float64  `json:"sends_a_job"`
+	Refused     float64  `json:"refused_a_job"`
+}
+
+// harm plays a scenario at one size and load.
+func harm(cmd *cobra.Command, path string, x *Harm, seeds int, length time.Duration) error {
+	all, err := lab.Load(path)
+	if err != nil {
+		return err
+	}
+	if len(all) != 1 {
+		return usageError{errors.New("harm: one scenario is wanted")}
+	}
+	sc := all[0]
+	if err := sc.Resize(x.Hosts, x.Dispatchers, x.Load, length); err != nil {
+		return usageError{fmt.Errorf("harm: %w", err)}
+	}
+	reports, err := play(cmd.Context(), sc, 1, seeds, false, nil)
+	if err != nil {
+		return err
+	}
+	ideal, err := playOn(cmd.Context(), 1, seeds, nil, func(seed uint64) (*lab.Lab, error) { return lab.NewIdeal(sc, seed) })
+	if err != nil {
+		return err
+	}
+	n := float64(seeds)
+	for i, r := range reports {
+		jobs := float64(max(r.Jobs, 1))
+		x.Service, x.Ideal = x.Service+r.Service/n, x.Ideal+ideal[i].Service/n
+		x.Goodput += r.Service * x.Load / n
+		x.ProbesAJob += float64(r.Probes) / jobs / n
+		x.ProbesAHost += float64(r.Probes) / float64(r.Hosts) / length.Seconds() / n
+		x.Sends, x.Refused = x.Sends+float64(r.Sends)/jobs/n, x.Refused+float64(r.Refused)/jobs/n
+		for _, k := range []struct{ to, from *float64 }{{&x.Work.InTime, &r.Work.InTime}, {&x.Work.Late, &r.Work.Late},
+			{&x.Work.Abandoned, &r.Work.Abandoned}, {&x.Work.Repeated, &r.Work.Repeated}, {&x.Work.Probes, &r.Work.Probes},
+			{&x.Work.Shakes, &r.Work.Shakes}, {&x.Work.Crossed, &r.Work.Crossed}} {
+			*k.to += *k.from / n
+		}
+	}
+	return nil
+}
+
+func harmCommand() *cobra.Command {
+	var text, loads, out string
+	var seeds int
+	var length time.Duration
+	var asJSON bool
+	c := &cobra.Command{Use: "harm SCENARIO.hcl", Short: "Say where the hosts' work goes over load and size of the fleet, beside an ideal that sees all",
+		Args: cobra.ExactArgs(1), RunE: func(cmd *cobra.Command, args []string) error {
+			fleets, err := sizes(text)
+			if err != nil {
+				return err
+			}
+			var all []Harm
+			for _, f := range fleets {
+				for _, part := range strings.Split(loads, ",") {
+					load, err := strconv.ParseFloat(strings.TrimSpace(part), 64)
+					if err != nil || load <= 0 {
+						return usageError{fmt.Errorf("harm: --loads: %q is no load", part)}
+					}
+					x := Harm{Hosts: f.Hosts, Dispatchers: f.Dispatchers, Load: load}
+					if err := harm(cmd, args[0], &x, seeds, length); err != nil {
+						return err
+					}
+					fmt.Fprintf(cmd.ErrOrStderr(), "  %dx%d at %.2f: service %.3f, ideal %.3f\n", x.Hosts, x.Dispatchers, load, x.Service, x.Ideal)
+					all = append(all, x)
+				}
+			}
+			if out != "" {
+				if err := plotHarm(all, out); err != nil {
+					return err
+				}
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(all)
+			}
+			w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(w, "hosts\tdispatchers\tload\tservice\tideal\tin time\tlate\tabandoned\trepeated\tprobes\thandshakes\tcrossed\tprobes a job\ta host and s\tsends a job\trefused a job")
+			for _, x := range all {
+				fmt.Fprintf(w, "%d\t%d\t%.2f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.4f\t%.4f\t%.3f\t%.2f\t%.1f\t%.2f\t%.2f\n", x.Hosts, x.Dispatchers,
+					x.Load, x.Service, x.Ideal, x.Work.InTime, x.Work.Late, x.Work.Abandoned, x.Work.Repeated, x.Work.Probes, x.Work.Shakes,
+					x.Work.Crossed, x.ProbesAJob, x.ProbesAHost, x.Sends, x.Refused)
+			}
+			return w.Flush()
+		}}
+	c.Flags().StringVar(&text, "sizes", "60x3,60x30,60x100", "fleets, as HOSTSxDISPATCHERS")
+	c.Flags().StringVar(&loads, "loads", "0.8,1,1.3,2,3,5", "offered work, as shares of what the fleet can do")
+	c.Flags().IntVar(&seeds, "seeds", 3, "how many seeds")
+	c.Flags().DurationVar(&length, "length", 20*time.Second, "of the day")
+	c.Flags().StringVar(&out, "out", "", "folder for a plot of goodput over load; none where it is empty")
+	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return c
+}
+
+// plotHarm draws goodput over load, a curve for each number of dispatchers.
+func plotHarm(all []Harm, out string) error {
+	if err := os.MkdirAll(out, 0o755); err != nil {
+		return err
+	}
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Goodput", "offered work, of what the hosts can do", "worth served in time, of what the hosts can do"
+	curves, order := map[int]plotter.XYs{}, []int(nil)
+	for _, x := range all {
+		if curves[x.Dispatchers] == nil {
+			order = append(order, x.Dispatchers)
+		}
+		curves[x.Dispatchers] = append(curves[x.Dispatchers], plotter.XY{X: x.Load, Y: x.Goodput})
+	}
+	for i, n := range order {
+		l, s, err := plotter.NewLinePoints(curves[n])
+		if err != nil {
+			return fmt.Errorf("plot: %w", err)
+		}
+		l.Color, s.Color = plotutil.Color(i), plotutil.Color(i)
+		p.Add(l, s)
+		p.Legend.Add(fmt.Sprintf("%d dispatchers", n), l, s)
+	}
+	p.Y.Min = 0
+	return p.Save(18*vg.Centimeter, 11*vg.Centimeter, out+"/goodput.png")
+}
--- a/cmd/gaugelab/main_test.go
+++ b/cmd/gaugelab/main_test.go
@@ -48,6 +48,12 @@
 		{[]string{"replay", "3", scenarios + "rolling-restart.hcl"}, exitOK, "rolling-restart, seed 3", ""},
 		{[]string{"compare", scenarios + "cold-fleet.hcl", scenarios + "cold-fleet.hcl", "--seeds", "3"}, exitOK, "too close to call", ""},
 		{[]string{"compare", scenarios + "calm-friday.hcl", scenarios + "cold-fleet.hcl", "--seeds", "3"}, exitOK, "A is better", ""},
+		{[]string{"harm", scenarios + "harvest-rush.hcl", "--sizes", "10x2", "--loads", "0.5,2", "--seeds", "1", "--length", "5s"}, exitOK,
+			"10     2            2.00", "10x2 at 0.50"},
+		{[]string{"harm", scenarios + "harvest-rush.hcl", "--loads", "much"}, exitUsage, "", "\"much\" is no load"},
+		{[]string{"processes", "run"}, exitUsage, "", "a scenario, or --all"},
+		{[]string{"processes", "run", hard}, exitFailed, "", "unsupported block"},
+		{[]string{"processes", "replay", "x", hard}, exitUsage, "", "no seed"},
 		{[]string{"load", "--addr", "192.0.2.1:80"}, exitUsage, "", "no loopback address"},
 	} {
 		code, out, errs := call(t.Context(), c.args...)
--- /dev/null
+++ b/cmd/gaugelab/processes.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"github.com/spf13/cobra"
+
+	"gaugeslip/internal/rig"
+)
+
+// processesCommand plays scenarios on real dispatchers, each a process of its own.
+func processesCommand() *cobra.Command {
+	c := &cobra.Command{Use: "processes", Short: "Play scenarios on real dispatchers, each a process, with faults between them"}
+	c.AddCommand(processesRun(), processesReplay())
+	return c
+}
+
+// playing is what run and replay have in common.
+type playing struct {
+	program, site, record string
+	asJSON                bool
+}
+
+func (p *playing) flags(c *cobra.Command) {
+	c.Flags().StringVar(&p.program, "program", "", "the dispatcher's program; built from this module where it is empty")
+	c.Flags().StringVar(&p.site, "site", "", "a settings file of our own for every dispatcher")
+	c.Flags().StringVar(&p.record, "record", "", "file for the record of what was seen, JSON lines")
+	c.Flags().BoolVar(&p.asJSON, "json", false, "print one JSON object a run")
+}
+
+// play plays one seed, prints its report and returns what was missed.
+func (p *playing) play(cmd *cobra.Command, sc *rig.Scenario, seed uint64) (missed int, err error) {
+	opt := rig.Options{Program: p.program, Site: p.site,
+		Progress: func(line string) { fmt.Fprintln(cmd.ErrOrStderr(), "  "+line) }}
+	if p.record != "" {
+		f, err := os.Create(p.record)
+		if err != nil {
+			return 0, err
+		}
+		defer f.Close()
+		opt.Record = f
+	}
+	r, err := rig.Run(cmd.Context(), sc, seed, opt)
+	if err != nil {
+		return 0, err
+	}
+	if p.asJSON {
+		err = r.JSON(cmd.OutOrStdout())
+	} else {
+		r.Print(cmd.OutOrStdout())
+	}
+	for _, what := range sc.Missed(r) {
+		missed++
+		fmt.Fprintf(cmd.ErrOrStderr(), "MISSED %s, seed %d: %s (gaugelab processes replay %d FILE --record FILE draws the same troubles again)\n",
+			sc.Name, seed, what, seed)
+	}
+	return missed, err
+}
+
+func processesRun() *cobra.Command {
+	var p playing
+	var first uint64
+	var seeds int
+	var dir, only string
+	var everything bool
+	c := &cobra.Command{Use: "run [SCENARIO.hcl ...]", Short: "Play days on real processes and say whether they keep what they expect",
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if everything {
+				found, err := filepath.Glob(filepath.Join(dir, "*.hcl"))
+				if err != nil {
+					return usageError{err}
+				}
+				args = append(args, found...)
+			}
+			if len(args) == 0 {
+				return usageError{errors.New("processes run: a scenario, or --all, is wanted")}
+			}
+			all, err := rig.Load(args...)
+			if err != nil {
+				return err
+			}
+			missed := 0
+			for _, sc := range all {
+				if only != "" && sc.Name != only {
+					continue
+				}
+				fmt.Fprintf(cmd.ErrOrStderr(), "%s: %s\n", sc.Name, sc.About)
+				for i := range seeds {
+					n, err := p.play(cmd, sc, first+uint64(i))
+					if missed += n; err != nil {
+						return err
+					}
+				}
+			}
+			if missed > 0 {
+				return fmt.Errorf("%d expectations were not met", missed)
+			}
+			return nil
+		}}
+	p.flags(c)
+	c.Flags().Uint64Var(&first, "seed", 1, "the first seed")
+	c.Flags().IntVar(&seeds, "seeds", 1, "how many seeds")
+	c.Flags().BoolVar(&everything, "all", false, "play every scenario of a folder")
+	c.Flags().StringVar(&dir, "dir", "scenarios/processes", "with --all: where they are")
+	c.Flags().StringVar(&only, "only", "", "play the scenario of this name alone")
+	return c
+}
+
+func processesReplay() *cobra.Command {
+	var p playing
+	c := &cobra.Command{Use: "replay SEED SCENARIO.hcl", Short: "Play one seed again: the same arrivals and troubles, in real time",
+		Args: cobra.ExactArgs(2), RunE: func(cmd *cobra.Command, args []string) error {
+			seed, err := strconv.ParseUint(args[0], 10, 64)
+			if err != nil {
+				return usageError{fmt.Errorf("processes replay: %q is no seed", args[0])}
+			}
+			all, err := rig.Load(args[1])
+			if err != nil {
+				return err
+			}
+			missed := 0
+			for _, sc := range all {
+				n, err := p.play(cmd, sc, seed)
+				if missed += n; err != nil {
+					return err
+				}
+			}
+			if missed > 0 {
+				return fmt.Errorf("%d expectations were not met", missed)
+			}
+			return nil
+		}}
+	p.flags(c)
+	return c
+}
--- a/cmd/gaugeslip/link_test.go
+++ b/cmd/gaugeslip/link_test.go
@@ -42,3 +42,12 @@
 	assert.Contains(t, strings.Join(libs, " "), "libc.so")
 	assert.Regexp(t, `(?m)^run = ".*exec bin/gaugeslip serve"$`, string(deploy), "run ends in one process")
 }
+
+// The dispatcher has to start in 32 MB: it links nothing of the model, the rig or the plots.
+func TestDispatcherLinksNoLab(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", ".").Output()
+	require.NoError(t, err)
+	for _, p := range strings.Fields(string(out)) {
+		assert.NotRegexp(t, `^gaugeslip/internal/(lab|rig|fleet|emulator|check)$|gonum|bubbletea`, p)
+	}
+}
--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -24,12 +24,15 @@
 	Reset  float64 // reset once it runs
 	Cut    float64 // cut off in the middle of its last line
 	Slow   float64 // read a byte at a time
+	Full   float64 // turned away, though there is room
+	Idle   bool    // its load reports tell of free lanes and no queue, whatever is true
 }
 
 // Host is one game worker on a socket.
 type Host struct {
 	Name, Addr string
 	model      *fleet.Host
+	number     int
 	owner      *Fleet
 	mu         sync.Mutex
 	jobs       map[uint64]*waiting
@@ -43,11 +46,36 @@
 // waiting is a request that a host holds.
 type waiting struct {
 	id    string
+	work  time.Duration
 	notes chan fleet.Note
 }
 
-// Ran is told when a host begins to run a job.
-type Ran func(id, host string)
+// SightKind says what a host saw.
+type SightKind uint8
+
+// The kinds. Each carries At, Host and, where somebody came, From; those of a job its id.
+const (
+	Took   SightKind = iota // a job has come whole (Verdict, Work; Capacity of a host that is cold)
+	Ran                     // it begins to run
+	Done                    // it has run to its end (Work)
+	Lost                    // it was lost with its process
+	Left                    // whoever sent it waits for it no longer
+	Probed                  // its load was asked for
+	Opened                  // a connection came up
+	Fell                    // it fell over
+)
+
+// Sight is one thing that a host saw. From is the IP address of whoever came.
+type Sight struct {
+	Kind     SightKind
+	At       time.Duration // on the fleet's clock
+	Host     int
+	From     string
+	Job      string
+	Work     time.Duration
+	Capacity float64 // in standard lanes, of a cold host; 0: it is warm
+	Verdict  fleet.Verdict
+}
 
 // Fleet is a number of hosts and their discovery.
 type Fleet struct {
@@ -55,13 +83,13 @@
 	Discovery string // its address
 
 	start    time.Time
-	ran      Ran
+	see      func(Sight)
 	mu       sync.Mutex
 	next     uint64
 	rng      *rand.Rand
 	seq      uint64
 	changed  chan struct{} // closed at each change of the list
-	disc     *http.Server
+	disc     []*http.Server
 	sites    []string
 	kinds    []string
 	served   sync.WaitGroup
@@ -75,13 +103,17 @@
 	Speed      float64
 }
 
-// Start puts hosts and discovery on loopback sockets; ran may be nil.
-func Start(specs []Spec, p fleet.Params, seed uint64, ran Ran) (*Fleet, error) {
-	f := &Fleet{start: time.Now().Add(-time.Hour), ran: ran, rng: rand.New(rand.NewPCG(seed, 9)), seq: 1,
+// Start puts hosts and discovery on loopback sockets. see is told what the hosts see, from many goroutines and with a host's
+// lock held: it must be quick, and call nothing here. It may be nil.
+func Start(specs []Spec, p fleet.Params, seed uint64, see func(Sight)) (*Fleet, error) {
+	if see == nil {
+		see = func(Sight) {}
+	}
+	f := &Fleet{start: time.Now().Add(-time.Hour), see: see, rng: rand.New(rand.NewPCG(seed, 9)), seq: 1,
 		changed: make(chan struct{})}
 	for i, s := range specs {
 		m := fleet.NewHost(fmt.Sprintf("s-%08x", uint32(i+1)*2654435761), i, 0, s.Lanes, s.Speed, p, f.chance)
-		h := &Host{Name: m.Name, model: m, owner: f, jobs: map[uint64]*waiting{}, state: "in_service"}
+		h := &Host{Name: m.Name, model: m, number: i, owner: f, jobs: map[uint64]*waiting{}, state: "in_service"}
 		f.sites, f.kinds = append(f.sites, s.Room), append(f.kinds, s.Kind)
 		if err := h.listen("127.0.0.1:0"); err != nil {
 			f.Close()
@@ -89,19 +121,34 @@
 		}
 		f.Hosts = append(f.Hosts, h)
 	}
+	var err error
+	if f.Discovery, err = f.View(func(i int) string { return f.Hosts[i].Addr }); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// View opens one more address of discovery. Its list has the address that dial gives for each host, by number: whoever asks
+// there comes to the hosts by ways of its own.
+func (f *Fleet) View(dial func(host int) string) (addr string, err error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		f.Close()
-		return nil, fmt.Errorf("emulator: %w", err)
+		return "", fmt.Errorf("emulator: %w", err)
 	}
-	f.Discovery = ln.Addr().String()
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /discovery/hosts", f.list)
-	f.disc = &http.Server{Handler: mux}
-	f.served.Go(func() { f.disc.Serve(ln) })
-	return f, nil
+	mux.HandleFunc("GET /discovery/hosts", func(w http.ResponseWriter, r *http.Request) { f.list(w, r, dial) })
+	s := &http.Server{Handler: mux}
+	f.mu.Lock()
+	f.disc = append(f.disc, s)
+	f.mu.Unlock()
+	f.served.Go(func() { s.Serve(ln) })
+	return ln.Addr().String(), nil
 }
 
+// Now is the time on the fleet's clock, which Sights carry.
+func (f *Fleet) Now() time.Duration { return f.now() }
+
 func (f *Fleet) chance() float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -113,8 +160,11 @@
 
 // Close ends everything, and returns when nothing of it is left.
 func (f *Fleet) Close() {
-	if f.disc != nil {
-		f.disc.Close()
+	f.mu.Lock()
+	disc := f.disc
+	f.mu.Unlock()
+	for _, s := range disc {
+		s.Close()
 	}
 	for _, h := range f.Hosts {
 		h.mu.Lock()
@@ -145,15 +195,18 @@
 }
 
 // List is discovery's whole list as it stands, as JSON.
-func (f *Fleet) List() []byte {
+func (f *Fleet) List() []byte { return f.ListFor(func(i int) string { return f.Hosts[i].Addr }) }
+
+// ListFor is the list as a View with these addresses tells it.
+func (f *Fleet) ListFor(dial func(host int) string) []byte {
 	f.mu.Lock()
 	seq := f.seq
 	f.mu.Unlock()
-	return f.entries(seq)
+	return f.entries(seq, dial)
 }
 
 // entries is the whole list as JSON.
-func (f *Fleet) entries(seq uint64) []byte {
+func (f *Fleet) entries(seq uint64, dial func(int) string) []byte {
 	type entry struct {
 		Host   string  `json:"host"`
 		Dial   string  `json:"dial"`
@@ -171,7 +224,7 @@
 	}{seq, true, []entry{}}
 	for i, h := range f.Hosts {
 		h.mu.Lock()
-		e := entry{Host: h.Name, Dial: h.Addr, Site: f.sites[i], Class: f.kinds[i], Health: h.state,
+		e := entry{Host: h.Name, Dial: dial(i), Site: f.sites[i], Class: f.kinds[i], Health: h.state,
 			Share: float64(h.model.Lanes) * h.model.Speed}
 		if b := h.model.Born(); b > 0 {
 			e.Born = f.start.Add(b).UnixMilli()
@@ -189,21 +242,24 @@
 }
 
 // list serves discovery: the whole list, or a watch that sends it whole at each change, and an empty line every 2 s.
-func (f *Fleet) list(w http.ResponseWriter, r *http.Request) {
+func (f *Fleet) list(w http.ResponseWriter, r *http.Request, dial func(int) string) {
 	index, _ := strconv.ParseUint(r.URL.Query().Get("index"), 10, 64)
 	stream := r.URL.Query().Get("stream") == "1"
 	flush := http.NewResponseController(w)
-	for {
+	for begun := false; ; begun = true {
 		f.mu.Lock()
 		seq, changed, down := f.seq, f.changed, f.discDown
 		f.mu.Unlock()
+		if down && begun { // a watch just ends
+			return
+		}
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		if seq > index || !stream {
 			index = seq
-			w.Write(append(f.entries(seq), '\n'))
+			w.Write(append(f.entries(seq, dial), '\n'))
 		}
 		if !stream || flush.Flush() != nil {
 			return
@@ -224,7 +280,16 @@
 	if err != nil {
 		return fmt.Errorf("emulator: %w", err)
 	}
-	server := &http.Server{Handler: h}
+	server := &http.Server{Handler: h, ConnState: func(c net.Conn, s http.ConnState) {
+		switch s {
+		case http.StateNew:
+			h.opened(c)
+		case http.StateClosed, http.StateHijacked:
+			h.mu.Lock()
+			h.model.Disconnect()
+			h.mu.Unlock()
+		}
+	}}
 	h.mu.Lock()
 	h.ln = ln
 	if h.server = server; h.Addr == "" { // it never changes
@@ -235,6 +300,32 @@
 	return nil
 }
 
+// opened books a connection that came up, and closes one beyond what the host holds.
+func (h *Host) opened(c net.Conn) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sight(Sight{Kind: Opened, From: ip(c.RemoteAddr().String())})
+	if !h.model.Connect(h.owner.now()) {
+		c.Close()
+	}
+	h.advance()
+}
+
+// sight tells what was seen, now. The lock is held.
+func (h *Host) sight(s Sight) {
+	s.At, s.Host = h.owner.now(), h.number
+	h.owner.see(s)
+}
+
+// ip is the address without its port.
+func ip(addr string) string {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return addr
+	}
+	return host
+}
+
 // shut closes its address and its connections.
 func (h *Host) shut() {
 	h.mu.Lock()
@@ -267,8 +358,13 @@
 		if j == nil {
 			continue
 		}
-		if n.Kind == fleet.Started && h.owner.ran != nil {
-			h.owner.ran(j.id, h.Name)
+		switch n.Kind {
+		case fleet.Started:
+			h.sight(Sight{Kind: Ran, Job: j.id})
+		case fleet.Done:
+			h.sight(Sight{Kind: Done, Job: j.id, Work: j.work})
+		case fleet.Lost:
+			h.sight(Sight{Kind: Lost, Job: j.id})
 		}
 		j.notes <- n // its buffer holds all that can come
 		if n.Kind >= fleet.Done {
@@ -334,7 +430,11 @@
 
 func (h *Host) probe(w http.ResponseWriter, r *http.Request) {
 	h.mu.Lock()
+	h.sight(Sight{Kind: Probed, From: ip(r.RemoteAddr)})
 	l, heard := h.model.Probe(h.owner.now())
+	if h.faults.Idle {
+		l = fleet.Load{FreeSlots: float64(h.model.Lanes)}
+	}
 	h.advance()
 	h.mu.Unlock()
 	if !heard {
@@ -367,14 +467,30 @@
 	if json.Unmarshal(text, &b) != nil || b.WorkUS <= 0 {
 		b.WorkUS = 100_000
 	}
-	j := &waiting{id: id, notes: make(chan fleet.Note, 4096)}
+	if x.Full > 0 && h.owner.chance() < x.Full {
+		w.Header().Set("X-Never-Ran", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	work := time.Duration(b.WorkUS) * time.Microsecond
+	j := &waiting{id: id, work: work, notes: make(chan fleet.Note, 4096)}
 	h.owner.mu.Lock()
 	h.owner.next++
 	n := h.owner.next
 	h.owner.mu.Unlock()
 	h.mu.Lock()
 	h.jobs[n] = j
-	v := h.model.Take(h.owner.now(), n, time.Duration(b.WorkUS)*time.Microsecond, max(b.Slots, 1))
+	now, cold, fallen := h.owner.now(), 0.0, h.model.Toppled()
+	if h.model.Up() && h.model.Cold(now) {
+		cold = h.model.Capacity(now)
+	}
+	v := h.model.Take(now, n, work, max(b.Slots, 1))
+	if h.sight(Sight{Kind: Took, From: ip(r.RemoteAddr), Job: id, Work: work, Capacity: cold, Verdict: v}); h.model.Toppled() && !fallen {
+		h.sight(Sight{Kind: Fell})
+	}
+	if v == fleet.Broken {
+		h.sight(Sight{Kind: Ran, Job: id})
+	}
 	if v != fleet.Taken {
 		delete(h.jobs, n)
 	}
@@ -392,9 +508,6 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case fleet.Broken:
-		if h.owner.ran != nil {
-			h.owner.ran(id, h.Name)
-		}
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	case fleet.Silent:
@@ -434,7 +547,10 @@
 		select {
 		case note = <-j.notes:
 		case <-r.Context().Done():
-			h.do(func(now time.Duration) { h.model.Drop(now, n) })
+			h.do(func(now time.Duration) {
+				h.sight(Sight{Kind: Left, Job: j.id})
+				h.model.Drop(now, n)
+			})
 			return
 		}
 		if silent {
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -27,10 +27,12 @@
 	list []string
 }
 
-func (r *ran) see(id, host string) {
+func (r *ran) see(s Sight) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.list = append(r.list, id)
+	if s.Kind == Ran {
+		r.list = append(r.list, s.Job)
+	}
 }
 
 func (r *ran) ids() []string {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -23,6 +23,8 @@
 
 const (
 	probeTimeout = 500 * time.Millisecond
+	probeWork    = 75 * time.Microsecond
+	shakeWork    = time.Millisecond
 	failFast     = 10 * time.Millisecond // until a host fails a job that it fails at once
 	served       = 700 * time.Millisecond
 	killAfter    = 3700 * time.Millisecond // of SIGTERM
@@ -41,6 +43,7 @@
 	worth       float64
 	wait        *dispatch.Wait // nil: it is fresh
 	sent        time.Duration  // its last send
+	ran         bool           // to its end, somewhere
 }
 
 // try is one request of a client.
@@ -111,6 +114,7 @@
 	digest                  *xxhash.Digest
 	record                  [32]byte
 	rep                     Report
+	work                    Work // in seconds
 	cls                     []classTally
 	windows                 []tally
 	events                  uint64
@@ -141,8 +145,8 @@
 			TipMultiple: w.Tip, OverloadFor: w.overloadFor, Slack: 0.1})
 	}
 	p := fleet.Params{Queue: w.Queue, ColdFrom: w.ColdFrom, WarmUp: w.warmUp, TipMultiple: w.Tip, OverloadFor: w.overloadFor,
-		ReportEvery: w.reportEvery, Progress: w.progress, ProbeWork: 75 * time.Microsecond, MaxConns: w.MaxConns,
-		HandshakeOf: time.Millisecond}
+		ReportEvery: w.reportEvery, Progress: w.progress, ProbeWork: probeWork, MaxConns: w.MaxConns,
+		HandshakeOf: shakeWork}
 	for kind, hs := range sc.Hosts {
 		for range hs.Count {
 			i := len(l.hosts)
@@ -687,6 +691,7 @@
 				msg: dispatch.Progress{Key: s.key, Share: n.Share}})
 			continue
 		case fleet.Done:
+			l.did(s, way)
 			l.back(s, way, policy.OK)
 		case fleet.Returned:
 			l.back(s, way, policy.Full)
@@ -698,6 +703,30 @@
 	l.plan(i)
 }
 
+// did books work that has run to its end, by what becomes of it. Its news takes so long to its dispatcher.
+func (l *Lab) did(s *send, way time.Duration) {
+	o, w := s.try.order, &l.work
+	sum := &w.InTime
+	switch {
+	case o.ran:
+		sum = &w.Repeated
+	case s.try.answered || s.over:
+		sum = &w.Abandoned
+	case l.now+way > l.due(o):
+		sum = &w.Late
+	}
+	*sum += o.size.Seconds()
+	if o.ran = o.ran || sum != &w.Abandoned; l.hosts[s.host].Room != l.nodes[s.node].room {
+		w.Crossed += o.size.Seconds()
+	}
+}
+
+// due is until when an order is worth anything.
+func (l *Lab) due(o *order) time.Duration {
+	c := &l.sc.Classes[o.class]
+	return o.first + min(c.onTime+time.Duration(c.Stretch*float64(o.size)), c.patience)
+}
+
 func (l *Lab) plan(i int) {
 	if at, ok := l.hosts[i].Next(); ok {
 		at = max(at, l.now)
@@ -755,10 +784,8 @@
 	k := &l.cls[o.class]
 	k.served++
 	l.rep.Served++
-	c := &l.sc.Classes[o.class]
-	took := l.now - o.first
-	l.rep.latency(o.class, took)
-	if took <= min(c.onTime+time.Duration(c.Stretch*float64(o.size)), c.patience) {
+	l.rep.latency(o.class, l.now-o.first)
+	if l.now <= l.due(o) {
 		k.inTime += o.worth
 		l.windows[min(int((o.first-epoch)/window), len(l.windows)-1)].inTime += o.worth
 		l.rep.InTime++
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -12,6 +12,17 @@
 	"gaugeslip/internal/check"
 )
 
+// Work is what hosts did, by what became of it, as shares of what they could have done.
+type Work struct {
+	InTime    float64 `json:"in_time"`   // its client was served in time, or still would be as it ended
+	Late      float64 `json:"late"`      // it ended after its job was worth anything
+	Abandoned float64 `json:"abandoned"` // nobody waited for it any more
+	Repeated  float64 `json:"repeated"`  // the same order had run to its end before
+	Probes    float64 `json:"probes"`    // answering probes
+	Shakes    float64 `json:"handshakes"`
+	Crossed   float64 `json:"crossed"` // of all the above: done for dispatchers of other rooms
+}
+
 // Report is what came of a run. Service is the worth answered in time over the worth asked for.
 type Report struct {
 	Scenario    string             `json:"scenario"`
@@ -42,6 +53,7 @@
 	LongestWait   float64 `json:"longest_wait"` // of those served, in due times
 
 	Used        float64            `json:"used"` // of what the hosts could do
+	Work        Work               `json:"work"`
 	Steps       int                `json:"steps"`
 	Events      uint64             `json:"events"`
 	Breaches    map[check.Rule]int `json:"breaches"`
@@ -105,7 +117,13 @@
 	for _, h := range l.hosts {
 		worked += h.Worked
 	}
-	r.Used = worked / (l.sc.capacity() * l.sc.length.Seconds())
+	whole := l.sc.capacity() * l.sc.length.Seconds()
+	r.Used, r.Work = worked/whole, l.work
+	r.Work.Probes, r.Work.Shakes = float64(r.Probes)*probeWork.Seconds(), float64(r.Handshakes)*shakeWork.Seconds()
+	for _, x := range []*float64{&r.Work.InTime, &r.Work.Late, &r.Work.Abandoned, &r.Work.Repeated, &r.Work.Probes, &r.Work.Shakes,
+		&r.Work.Crossed} {
+		*x /= whole
+	}
 	for _, n := range l.nodes {
 		r.Steps += n.steps
 	}
@@ -175,6 +193,8 @@
 		r.Jobs, r.Served, r.InTime, r.Refused, r.Failed, r.Cut, r.Unreached, r.Retries)
 	fmt.Fprintf(w, "  %d sends, %d across rooms, %d handshakes, %d probes, %d hosts fell over, %.2f of the fleet used\n", r.Sends,
 		r.Crossed, r.Handshakes, r.Probes, r.Toppled, r.Used)
+	fmt.Fprintf(w, "  its work: %.3f in time, %.3f late, %.3f abandoned, %.3f repeated; %.4f probes, %.4f handshakes; %.3f for other rooms\n",
+		r.Work.InTime, r.Work.Late, r.Work.Abandoned, r.Work.Repeated, r.Work.Probes, r.Work.Shakes, r.Work.Crossed)
 	if r.Waiting > 0 {
 		fmt.Fprintf(w, "  %d waiting jobs: %d served, %d lost or refused, longest wait %.2f due times\n", r.Waiting, r.WaitingServed,
 			r.WaitingLost, r.LongestWait)
--- /dev/null
+++ b/scenarios/processes/short.hcl
@@ -0,0 +1,285 @@
+# The short form of the processes' days, which the tests play: only the rules are expected, which hold on a machine under load too.
+processes "short-storm" {
+  about       = "The short form of the storm days: kills, a pause and a dispatcher with a quarter of a core at a peak."
+  length      = "7s"
+  load        = 0.5
+  dispatchers = 6
+  rooms       = 1
+
+  hosts "small-box" {
+    count = 6
+    lanes = 2
+  }
+
+  hosts "wide-box" {
+    count = 6
+    lanes = 3
+    speed = 0.75
+  }
+
+  class "plot-load" {
+    part     = 0.62
+    mean     = "70ms"
+    sigma    = 0.4
+    on_time  = "200ms"
+    stretch  = 1.75
+    patience = "3s"
+    worth    = 5
+  }
+
+  class "harvest-sale" {
+    part     = 0.38
+    mean     = "400ms"
+    sigma    = 0.4
+    on_time  = "500ms"
+    stretch  = 2
+    patience = "5s"
+    worth    = 10
+    once     = true
+  }
+
+  clients {
+    retries    = 2
+    after      = "now"
+    hint_sigma = 0.3
+  }
+
+  trouble "storm" {
+    at    = "1s"
+    for   = "3s"
+    times = 4
+  }
+
+  trouble "kill" {
+    at          = "2s"
+    for         = "1s"
+    dispatchers = 0.25
+  }
+
+  trouble "pause" {
+    at          = "2s"
+    for         = "2s"
+    dispatchers = 0.2
+  }
+
+  trouble "slow" {
+    at          = "1s"
+    for         = "4s"
+    dispatchers = 0.2
+    share       = 0.25
+  }
+
+}
+
+processes "short-ways" {
+  about       = "The short form of the days of broken ways: silence both ways and one way, cuts, resets, half-open, refused, slow."
+  length      = "7s"
+  load        = 0.5
+  dispatchers = 6
+  rooms       = 1
+
+  hosts "small-box" {
+    count = 6
+    lanes = 2
+  }
+
+  hosts "wide-box" {
+    count = 6
+    lanes = 3
+    speed = 0.75
+  }
+
+  class "plot-load" {
+    part     = 0.62
+    mean     = "70ms"
+    sigma    = 0.4
+    on_time  = "200ms"
+    stretch  = 1.75
+    patience = "3s"
+    worth    = 5
+  }
+
+  class "harvest-sale" {
+    part     = 0.38
+    mean     = "400ms"
+    sigma    = 0.4
+    on_time  = "500ms"
+    stretch  = 2
+    patience = "5s"
+    worth    = 10
+    once     = true
+  }
+
+  clients {
+    retries    = 2
+    after      = "now"
+    hint_sigma = 0.3
+  }
+
+  trouble "silent" {
+    at          = "1s"
+    for         = "2s"
+    path        = "host"
+    dispatchers = 0.2
+    hosts       = 0.5
+  }
+
+  trouble "silent" {
+    at          = "2s"
+    for         = "2s"
+    path        = "host"
+    way         = "back"
+    dispatchers = 0.2
+    hosts       = 0.3
+  }
+
+  trouble "cut" {
+    at    = "2s"
+    for   = "2s"
+    path  = "host"
+    way   = "back"
+    hosts = 0.2
+    bytes = 300
+  }
+
+  trouble "cut" {
+    at    = "3s"
+    for   = "2s"
+    path  = "host"
+    way   = "forth"
+    hosts = 0.2
+    bytes = 100
+  }
+
+  trouble "reset" {
+    at    = "2500ms"
+    path  = "host"
+    hosts = 0.3
+  }
+
+  trouble "half_open" {
+    at          = "3s"
+    path        = "host"
+    dispatchers = 0.2
+    hosts       = 0.2
+  }
+
+  trouble "trickle" {
+    at    = "3s"
+    for   = "2s"
+    path  = "host"
+    hosts = 0.1
+    rate  = 2000
+  }
+
+  trouble "refuse" {
+    at    = "4s"
+    for   = "1s"
+    path  = "host"
+    hosts = 0.2
+  }
+
+  trouble "delay" {
+    at     = "1s"
+    for    = "4s"
+    path   = "discovery"
+    delay  = "500ms"
+    jitter = "500ms"
+  }
+
+}
+
+processes "short-release" {
+  about       = "The short form of a release: SIGTERM and SIGHUP to dispatchers, hosts that drain, vanish, fail and lie, discovery down."
+  length      = "7s"
+  load        = 0.5
+  dispatchers = 6
+  rooms       = 1
+
+  hosts "small-box" {
+    count = 6
+    lanes = 2
+  }
+
+  hosts "wide-box" {
+    count = 6
+    lanes = 3
+    speed = 0.75
+  }
+
+  class "plot-load" {
+    part     = 0.62
+    mean     = "70ms"
+    sigma    = 0.4
+    on_time  = "200ms"
+    stretch  = 1.75
+    patience = "3s"
+    worth    = 5
+  }
+
+  class "harvest-sale" {
+    part     = 0.38
+    mean     = "400ms"
+    sigma    = 0.4
+    on_time  = "500ms"
+    stretch  = 2
+    patience = "5s"
+    worth    = 10
+    once     = true
+  }
+
+  clients {
+    retries    = 2
+    after      = "advice"
+    hint_sigma = 0.3
+    ignore     = 0.5
+    early      = 0.1
+  }
+
+  trouble "reload" {
+    at = "500ms"
+  }
+
+  trouble "term" {
+    at          = "1s"
+    for         = "200ms"
+    dispatchers = 0.3
+  }
+
+  trouble "drain" {
+    at    = "1s"
+    for   = "2s"
+    hosts = 0.2
+  }
+
+  trouble "vanish" {
+    at    = "2s"
+    for   = "2s"
+    hosts = 0.2
+  }
+
+  trouble "errors" {
+    at    = "2s"
+    for   = "2s"
+    hosts = 0.1
+    share = 0.6
+  }
+
+  trouble "full" {
+    at    = "3s"
+    for   = "2s"
+    hosts = 0.1
+  }
+
+  trouble "idle" {
+    at    = "3s"
+    for   = "2s"
+    hosts = 0.1
+  }
+
+  trouble "discovery" {
+    at  = "2s"
+    for = "2s"
+  }
+
+}
