--- a/cmd/gaugeslip/info.go
+++ b/cmd/gaugeslip/info.go
@@ -60,6 +60,9 @@
 	fmt.Fprintf(stdout, "%d classes, %d kinds of host, %d known hosts\n",
 		len(c.Settings.Classes), len(c.Settings.Kinds), len(known.Hosts))
 	fmt.Fprintf(stdout, "connections: %d downstream, %d upstream, of %d descriptors\n", down, up, c.Limits.Sockets)
+	if o := s.Overload; o != nil {
+		fmt.Fprintf(stdout, "overload: %g questions, lanes kept %v, level from %g to %g\n", o.Questions, o.KeepLanes, o.Enter, o.Leave)
+	}
 	if w := s.Waiting; w != nil {
 		fmt.Fprintf(stdout, "waiting jobs: %d at once, %d kept for %v, %d bytes, due within %v\n",
 			w.MaxJobs, w.MaxKept, w.Retention, w.MaxBytes, w.DefaultDue)
--- a/deploy/site.hcl
+++ b/deploy/site.hcl
@@ -16,3 +16,11 @@
 #:   on_failure     = "fail"   # of a job that it waited for: "fail" ends it with 424, "run" lets it run
 #:   remember_fresh = true     # jobs that don't wait can be waited for, too
 #: }
+
+# Times when more is asked for than the hosts can do: docs/operators/overload.md.
+#: overload {
+#:   questions  = 2      # probes of a host by all dispatchers, in a run's length and for each lane, while none is free; 0: no bound
+#:   keep_lanes = true   # a lane that an own job frees is taken again without a probe, while most answers find none free
+#:   enter      = 0.2    # share of refusals from which on the log and the figures say "overloaded"
+#:   leave      = 0.05   # and under which they no longer do
+#: }
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -32,6 +32,7 @@
 	Classes     []Class   `hcl:"class,block"`
 	Clients     *Clients  `hcl:"clients,block"`
 	World       *World    `hcl:"world,block"`
+	Overload    *Overload `hcl:"overload,block"`
 	Waiting     *Waiting  `hcl:"waiting,block"`
 	Troubles    []Trouble `hcl:"trouble,block"`
 	Expect      *Expect   `hcl:"expect,block"`
@@ -104,6 +105,13 @@
 	lim   waiting.Limits
 }
 
+// Overload switches on at every dispatcher what its settings file sets for times of overload.
+type Overload struct {
+	Questions float64   `hcl:"questions"`
+	KeepLanes bool      `hcl:"keep_lanes,optional"`
+	Range     hcl.Range `hcl:",def_range"`
+}
+
 // Trouble is something that goes wrong. Troubles may overlap.
 type Trouble struct {
 	Kind  string    `hcl:"kind,label"`
@@ -269,6 +277,9 @@
 	}
 	c.want(w.ColdFrom > 0 && w.ColdFrom <= 1, w.Range, "cold_from", "more than 0 and at most 1")
 	c.want(w.Queue > 0, w.Range, "queue", "more than 0")
+	if x := s.Overload; x != nil {
+		c.want(x.Questions >= 0 && x.Questions <= 1000, x.Range, "questions", "0 to 1000")
+	}
 	if x := s.Waiting; x != nil {
 		x.lim = waiting.Defaults()
 		x.lim.MaxJobs, x.lim.MaxKept, x.lim.MaxBytes, x.lim.ClientShare = 10_000_000, 100_000, 1<<40, 1
@@ -333,6 +344,9 @@
 		PriceWaste: 0.02, PriceProbe: 0.002, ReportInProbes: true, DrainGrace: 3 * time.Second, AskWithin: 10 * time.Second,
 		AnswerGrace: 8 * time.Millisecond, ColdFrom: w.ColdFrom, WarmUp: w.warmUp, TipMultiple: w.Tip,
 		OverloadFor: w.overloadFor}
+	if o := s.Overload; o != nil {
+		c.Questions, c.KeepLanes = o.Questions, o.KeepLanes
+	}
 	for _, k := range s.Classes {
 		effect := policy.Repeatable
 		if k.Once {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"reflect"
 	"time"
 
 	"gaugeslip/internal/config"
@@ -70,11 +71,15 @@
 // Run wires the parts together and runs them until ctx ends and all that was taken is answered. Each signal on hup makes it read its configuration again.
 func Run(ctx context.Context, cfg *config.Config, own *site.Site, f *Files, hup <-chan os.Signal) error {
 	started := time.Now()
+	decisions := cfg.Settings.Policy // a copy: what a reload is compared with stays as it was read
+	if own.Overload != nil {
+		own.Overload.Apply(&decisions)
+	}
 	known, err := cluster.Known(cfg.Known, cfg.Settings)
 	if err != nil {
 		return fmt.Errorf("known: %w", err)
 	}
-	core, err := dispatch.New(cfg.Settings.Policy, cfg.Seed)
+	core, err := dispatch.New(decisions, cfg.Seed)
 	if err != nil {
 		return err
 	}
@@ -91,6 +96,13 @@
 			known, excluded := l.Workers()
 			return float64(known), float64(excluded)
 		}})
+	var tally downstream.Tally = figures
+	if own.Overload != nil {
+		level := newLevel(*own.Overload, figures, started)
+		figures.Gauge("overloaded", "1 while refusals are more than the settings' share of the answers.", level.on)
+		figures.Gauge("refused_share", "Share of refusals among the answers of the last seconds.", level.share)
+		tally = level
+	}
 	pool := upstream.NewPool(upstream.Config{ConnectTimeout: cfg.Settings.Policy.ConnectTimeout,
 		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, Settle: settle, MaxConns: up,
 		Written: figures.Attempt})
@@ -102,7 +114,7 @@
 	l.Post(known)
 	server := downstream.New(downstream.Config{Listen: cfg.Listen, Inherited: cfg.Inherited, MaxConns: down,
 		MaxBodies: cfg.Limits.BodyBytes(), AcceptFor: downstream.AcceptFor,
-		KilledAfter: downstream.KilledAfter(cfg.Settings), Waiting: room != nil, Tally: figures}, cfg.Settings, l)
+		KilledAfter: downstream.KilledAfter(cfg.Settings), Waiting: room != nil, Tally: tally}, cfg.Settings, l)
 	ln, err := server.Listen()
 	if err != nil {
 		return err
@@ -209,6 +221,9 @@
 		} else if settings.Waiting != nil {
 			l.Post(dispatch.Tuned{Waiting: *settings.Waiting})
 		}
+		if !reflect.DeepEqual(settings.Overload, own.Overload) {
+			keys = append(keys, "overload")
+		}
 		if len(keys) > 0 {
 			slog.Warn("changes that count from the next start on", "keys", keys)
 		}
--- a/internal/ops/figures.go
+++ b/internal/ops/figures.go
@@ -47,22 +47,24 @@
 	f.attempts = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "edge_node", Name: "attempts_total",
 		Help: "Upstream requests written in full to game workers, since the start."})
 	f.registry.MustRegister(f.attempts)
-	gauge := func(name, help string, read func() float64) {
-		f.registry.MustRegister(prometheus.NewGaugeFunc(
-			prometheus.GaugeOpts{Namespace: "edge_node", Name: name, Help: help}, read))
-	}
 	if g.InFlight != nil {
-		gauge("in_flight", "Jobs taken and not yet answered.", g.InFlight)
+		f.Gauge("in_flight", "Jobs taken and not yet answered.", g.InFlight)
 	}
 	if g.Workers != nil {
-		gauge("game_workers_known", "Game workers on discovery's list.",
+		f.Gauge("game_workers_known", "Game workers on discovery's list.",
 			func() float64 { k, _ := g.Workers(); return k })
-		gauge("game_workers_excluded", "Listed game workers kept away from, by hand or by the dispatcher's judgement.",
+		f.Gauge("game_workers_excluded", "Listed game workers kept away from, by hand or by the dispatcher's judgement.",
 			func() float64 { _, e := g.Workers(); return e })
 	}
 	return f
 }
 
+// Gauge adds a figure that is read each time the figures are shown, from any goroutine. A name is added once.
+func (f *Figures) Gauge(name, help string, read func() float64) {
+	f.registry.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Namespace: "edge_node", Name: name, Help: help}, read))
+}
+
 // Answered counts the final answer to a job of a class, by its status as the client sees it: 200 is served, 429 and
 // 503 are refused, any other has failed. A class that the settings do not have is not counted.
 func (f *Figures) Answered(class, status int) {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -16,17 +16,20 @@
 	"github.com/hashicorp/hcl/v2/hclparse"
 	"github.com/zclconf/go-cty/cty"
 
+	"gaugeslip/internal/overload"
 	"gaugeslip/internal/waiting"
 )
 
 // Site is what the file holds.
 type Site struct {
-	Waiting *waiting.Limits // nil: jobs do not wait here
+	Waiting  *waiting.Limits  // nil: jobs do not wait here
+	Overload *overload.Limits // nil: nothing is done about overload beyond what the decision module always does
 }
 
 // file is the form of the file. Attributes are read by hand, so that an error can point at them.
 type file struct {
-	Waiting *waitingBlock `hcl:"waiting,block"`
+	Waiting  *waitingBlock  `hcl:"waiting,block"`
+	Overload *overloadBlock `hcl:"overload,block"`
 }
 
 type waitingBlock struct {
@@ -44,6 +47,14 @@
 	Range       hcl.Range      `hcl:",def_range"`
 }
 
+type overloadBlock struct {
+	Questions *hcl.Attribute `hcl:"questions,optional"`
+	KeepLanes *hcl.Attribute `hcl:"keep_lanes,optional"`
+	Enter     *hcl.Attribute `hcl:"enter,optional"`
+	Leave     *hcl.Attribute `hcl:"leave,optional"`
+	Range     hcl.Range      `hcl:",def_range"`
+}
+
 // Load reads the file that path names, or else the one that NODE_SITE does. With neither, everything is off.
 func Load(getenv func(string) string, path string) (*Site, error) {
 	if path == "" {
@@ -77,13 +88,20 @@
 		}
 		s.Waiting = lim
 	}
+	if f.Overload != nil {
+		lim, err := f.Overload.limits()
+		if err != nil {
+			return nil, err
+		}
+		s.Overload = lim
+	}
 	return s, nil
 }
 
 // limits reads the block waiting.
 func (b *waitingBlock) limits() (*waiting.Limits, error) {
 	l := waiting.Defaults()
-	r := reader{}
+	r := reader{block: "waiting"}
 	r.integer(b.MaxJobs, &l.MaxJobs)
 	r.integer(b.MaxKept, &l.MaxKept)
 	r.bytes(b.MaxBytes, &l.MaxBytes)
@@ -107,24 +125,38 @@
 		return nil, errors.Join(r.errs...)
 	}
 	if err := l.Check(); err != nil {
-		key, why, _ := strings.Cut(err.Error(), ": ")
-		if a := b.attribute(key); a != nil {
-			return nil, at(a.NameRange, "waiting."+key, why)
-		}
-		return nil, at(b.Range, "waiting."+key, why)
+		return nil, place(err, "waiting", b.Range, b.MaxJobs, b.MaxKept, b.MaxBytes, b.Retention, b.DefaultDue, b.MaxDue,
+			b.MaxDelay, b.Share, b.ClientShare)
+	}
+	return &l, nil
+}
+
+// limits reads the block overload.
+func (b *overloadBlock) limits() (*overload.Limits, error) {
+	l := overload.Defaults()
+	r := reader{block: "overload"}
+	r.number(b.Questions, &l.Questions)
+	r.boolean(b.KeepLanes, &l.KeepLanes)
+	r.number(b.Enter, &l.Enter)
+	r.number(b.Leave, &l.Leave)
+	if len(r.errs) > 0 {
+		return nil, errors.Join(r.errs...)
+	}
+	if err := l.Check(); err != nil {
+		return nil, place(err, "overload", b.Range, b.Questions, b.Enter, b.Leave)
 	}
 	return &l, nil
 }
 
-// attribute finds an attribute by its key; nil: it is not in the file.
-func (b *waitingBlock) attribute(key string) *hcl.Attribute {
-	for _, a := range []*hcl.Attribute{b.MaxJobs, b.MaxKept, b.MaxBytes, b.Retention, b.DefaultDue, b.MaxDue, b.MaxDelay,
-		b.Share, b.ClientShare} {
+// place gives an error that begins with a key the place of that key's attribute, or of its block where it is absent.
+func place(err error, block string, whole hcl.Range, all ...*hcl.Attribute) error {
+	key, why, _ := strings.Cut(err.Error(), ": ")
+	for _, a := range all {
 		if a != nil && a.Name == key {
-			return a
+			return at(a.NameRange, block+"."+key, why)
 		}
 	}
-	return nil
+	return at(whole, block+"."+key, why)
 }
 
 // at is an error with its place and key.
@@ -149,10 +181,13 @@
 }
 
 // reader reads attributes and collects what is wrong with them. One that is absent leaves its target as it is.
-type reader struct{ errs []error }
+type reader struct {
+	block string
+	errs  []error
+}
 
 func (r *reader) fault(a *hcl.Attribute, why string, args ...any) {
-	r.errs = append(r.errs, at(a.Range, "waiting."+a.Name, fmt.Sprintf(why, args...)))
+	r.errs = append(r.errs, at(a.Range, r.block+"."+a.Name, fmt.Sprintf(why, args...)))
 }
 
 // value evaluates an attribute as a type.
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"gaugeslip/internal/overload"
 	"gaugeslip/internal/waiting"
 )
 
@@ -62,6 +63,10 @@
 		"waiting {\n  max_due = \"1s\"\n default_due=\"2s\"\n}": "a.hcl:3:2: waiting.default_due",
 		"waiting {\n  colour = 1\n}":                            "a.hcl:2:3: unsupported argument",
 		"waiting {\n  max_jobs = x\n}":                          "a.hcl:2:3: waiting.max_jobs",
+		"overload {\n  questions = -1\n}":                       "a.hcl:2:3: overload.questions: out of range",
+		"overload {\n  leave = 0.5\n}":                          "a.hcl:2:3: overload.leave: out of range",
+		"overload {\n  enter = 0.01\n}":                         "a.hcl:1:1: overload.leave: out of range",
+		"overload {\n  keep_lanes = 1\n}":                       "a.hcl:2:3: overload.keep_lanes: a bool",
 		"printing {}":                                           "a.hcl:1:1: unsupported block type",
 		"waiting {}\nwaiting {}":                                "a.hcl:2:1: duplicate waiting block",
 		"waiting {":                                             "a.hcl:1:",
@@ -78,7 +83,7 @@
 	path := filepath.Join("..", "..", "deploy", "site.hcl")
 	s, err := Load(func(k string) string { return map[string]string{"NODE_SITE": path}[k] }, "")
 	require.NoError(t, err)
-	assert.Nil(t, s.Waiting)
+	assert.Equal(t, &Site{}, s)
 	text, err := os.ReadFile(path)
 	require.NoError(t, err)
 	on := uncomment(string(text))
@@ -86,6 +91,8 @@
 	require.NoError(t, err, on)
 	want := waiting.Defaults()
 	assert.Equal(t, &want, s.Waiting, "the example names the defaults")
+	limits := overload.Defaults()
+	assert.Equal(t, &limits, s.Overload, "the example names the defaults")
 }
 
 // uncomment takes the sign off the lines that are switched off by "#: ".
--- a/policy/decisions_test.go
+++ b/policy/decisions_test.go
@@ -693,9 +693,10 @@
 // Settings that make no sense are refused, and the error names the field.
 func TestSettingsRefused(t *testing.T) {
 	for field, change := range map[string]func(*Config){
-		"Ordinal":  func(c *Config) { c.Ordinal = 3 },
-		"Replicas": func(c *Config) { c.Replicas = -1 },
-		"Zones":    func(c *Config) { c.Zones = -1 },
+		"Ordinal":   func(c *Config) { c.Ordinal = 3 },
+		"Replicas":  func(c *Config) { c.Replicas = -1 },
+		"Zones":     func(c *Config) { c.Zones = -1 },
+		"Questions": func(c *Config) { c.Questions = math.NaN() },
 	} {
 		cfg := testConfig()
 		change(&cfg)
@@ -854,3 +855,61 @@
 		t.Error("to another cold worker")
 	}
 }
+
+// What all ask of one worker has a bound that shrinks as answers find no free lane, in equal parts of all or, in
+// overload, of eight. (30 schedulers asked 17 times a host and second, and two thirds of what they sent queued behind
+// one another.) Who asks nobody any more comes to ask all again.
+func TestAskingHasABound(t *testing.T) {
+	for _, c := range []struct {
+		replicas, ordinal int
+		roomy             float64
+		least             time.Duration // between two questions of one scheduler to one worker
+	}{{1, 0, 0, 0}, {3, 0, 1, 0}, {3, 0, 0, 75 * ms}, {3, 0, 0.5, 19 * ms}, {300, 294, 0, 200 * ms}, {300, 0, 0, never},
+		{300, 0, 0.5, 1875 * ms}} {
+		w := fixture(t, 12, func(cfg *Config) {
+			cfg.Replicas, cfg.Ordinal, cfg.Questions, cfg.Probes, cfg.ReportInProbes = c.replicas, c.ordinal, 2, true, true
+		})
+		w.d.now, w.d.roomy = w.now, c.roomy
+		x := w.d.order[0]
+		x.probed = w.now
+		least := time.Duration(0)
+		for w.d.dear(x) && least < 10*time.Second {
+			least += ms
+			w.d.now += ms
+		}
+		if c.least == never {
+			if least < 10*time.Second {
+				t.Errorf("%+v: asked after %v", c, least)
+			}
+			for range 80 {
+				w.arrive(0, 10*ms, 3*time.Second)
+			}
+			if w.d.now += 10 * time.Second; w.d.dear(x) {
+				t.Errorf("%+v: not asked after many arrivals", c)
+			}
+		} else if (least - c.least).Abs() > ms {
+			t.Errorf("%+v: %v", c, least)
+		}
+		x.askers = append(x.askers, &job{}) // to join a question that is out costs nothing
+		if x.probed = w.d.now; w.d.dear(x) {
+			t.Error("a second job may not wait for the same answer")
+		}
+	}
+}
+
+// In overload a scheduler keeps a lane that its own job frees: it alone knows at once. With free lanes about it asks.
+func TestOwnEndIsNews(t *testing.T) {
+	for roomy, want := range map[float64]ActionKind{0.1: Send, 0.9: Probe} {
+		w := fixture(t, 1, func(c *Config) { c.Probes, c.ReportInProbes, c.KeepLanes = true, true, true })
+		x := w.d.order[0]
+		x.lanes = 1
+		first, _ := w.arrive(0, 100*ms, 3*time.Second)
+		w.step(Event{Kind: ProbeEnded, Worker: x.ID, HasLoad: true, Load: Load{FreeSlots: 1}})
+		w.arrive(0, 100*ms, 3*time.Second)
+		w.step(Event{Kind: JobStarted, Job: first, Worker: x.ID})
+		w.now, w.d.roomy = w.now+100*ms, roomy
+		if acts := w.end(first, 0, OK); len(kinds(acts)) != 1 || kinds(acts)[0] != want {
+			t.Errorf("free lanes in %v of the answers: %+v", roomy, acts)
+		}
+	}
+}
--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -6,10 +6,7 @@
 	"time"
 )
 
-// What is learned of sizes, speeds, load and the delay by peers.
-
 // fit corrects the hints of a class: the log of the size measured (y) is a line over the log of the hint (x).
-// Small hints are more often too small: the slope is under one, and half as long as little is known.
 type fit struct{ n, seen, x, shift, xx, xy float64 }
 
 var unmeasured = fit{xx: 1, xy: 0.5}
@@ -41,8 +38,7 @@
 // delayed learns from a delay that is not of our own making.
 func (d *Dispatcher) delayed(w *worker, delay float64) {
 	mean := &d.meanLag[d.group(w)]
-	*mean = cmp.Or(*mean, delay)
-	*mean += (delay - *mean) / 20
+	*mean = cmp.Or(*mean, delay) + (delay-cmp.Or(*mean, delay))/20
 	w.lag, w.lagAt = d.lag(w)+(delay-d.lag(w))/3, d.now
 }
 
@@ -52,13 +48,10 @@
 
 // measure learns size, speed and lanes from a run.
 func (d *Dispatcher) measure(a *attempt) {
-	w, j, run := a.w, a.job, float64(d.now-a.began)
-	if a.began == 0 {
-		if run = float64(d.now - a.sent - w.net); d.cfg.TellsStart || !a.clean {
-			return // it may have waited
-		}
+	w, j, run := a.w, a.job, max(float64(d.now-cmp.Or(a.began, a.sent+a.w.net)), 1e6) // one tick
+	if a.began == 0 && (d.cfg.TellsStart || !a.clean) {
+		return // it may have waited
 	}
-	run = max(run, 1e6) // start and end can fall into one tick
 	d.meanRun += (run - d.meanRun) * 0.02
 	if d.power(w, a.sent) < w.speed {
 		return
@@ -80,6 +73,7 @@
 func (d *Dispatcher) report(w *worker, e *Event) {
 	if slots := int(e.Load.FreeSlots + 0.5); e.HasLoad && e.Load.FreeSlots >= 0 {
 		d.slotsTold = true
+		d.roomy += (float64(min(slots, 1)) - d.roomy) / 20
 		w.lanes = max(w.lanes, slots)
 		w.busy, w.busyAt = max(0, float64(w.lanes-len(w.out)-slots)), d.now
 	}
@@ -108,5 +102,15 @@
 // stale tells whether a worker is to be asked before it is sent to.
 func (d *Dispatcher) stale(w *worker) bool { return d.age(w) > 0.25 }
 
+// dear tells whether this scheduler's part of what all may ask of a worker is used up: all have one, or few
+// while most answers find no free lane. A crowd sees one freed lane many times, and queues for it.
+func (d *Dispatcher) dear(w *worker) bool {
+	full, all := 1-d.roomy, d.cfg.Replicas
+	of := map[bool]int{true: min(all, askers), false: all}[full > 0.5]
+	each := float64(of) * full * full * d.meanRun / (d.cfg.Questions * max(w.Scale, 1))
+	return all > 1 && d.cfg.Questions > 0 && len(w.askers) == 0 &&
+		((int(w.ID)+d.cfg.Ordinal)%all >= of || float64(d.now-w.probed) < each)
+}
+
 // rounds is how often a job may ask: some workers at once, more as time goes by.
 func (d *Dispatcher) rounds(j *job) int { return 8 + int((d.now-j.came)/(100*time.Millisecond)) }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,7 +9,7 @@
 	"time"
 )
 
-const never, enough, keepers = time.Duration(math.MaxInt64), 0.995, 4
+const never, enough, keepers, askers = time.Duration(math.MaxInt64), 0.995, 4, 8
 
 // New makes the Dispatcher of one scheduler; settings that make no sense are an error.
 func New(cfg Config, seed uint64) (*Dispatcher, error) {
@@ -17,7 +17,7 @@
 		return nil, err
 	}
 	n, k := len(cfg.Classes), cfg.Kinds
-	return &Dispatcher{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)), armed: never, gap: 2.5e8,
+	return &Dispatcher{cfg: cfg, rng: rand.New(rand.NewPCG(seed, 0)), armed: never, gap: 2.5e8, roomy: 1,
 		jobs: map[uint64]*job{}, workers: map[uint32]*worker{}, firstTry: make([]time.Duration, n),
 		fit: slices.Repeat([]fit{unmeasured}, n), kindLog: make([]float64, k),
 		meanLag: make([]float64, (cfg.Zones+1)*k), zones: make([]zone, cfg.Zones+1)}, nil
@@ -95,6 +95,7 @@
 	}
 	d.worth, d.meanRun = cmp.Or(d.worth, j.value), cmp.Or(d.meanRun, j.size)
 	d.worth += (j.value - d.worth) * 0.02
+	d.roomy += (1 - d.roomy) / 100 // who asks nobody any more asks all again
 	d.gap, d.last = d.gap+(float64(d.now-cmp.Or(d.last, d.now))-d.gap)/20, d.now
 	if d.remap(j.size); d.ranges > 1 && j.size > d.bound {
 		j.part = 2
@@ -119,15 +120,14 @@
 
 // probe asks a worker of which nothing is known that is new enough, and has the job wait; false: it need not.
 func (d *Dispatcher) probe(j *job, w *worker) bool {
-	if !d.stale(w) {
+	if !d.stale(w) || d.dear(w) {
 		return false
 	}
 	if w.askers = append(w.askers, j); len(w.askers) == 1 {
 		w.probed, d.act = d.now, append(d.act, Action{Kind: Probe, Worker: w.ID})
 	}
 	if j.asked++; j.asked == 1 {
-		j.until = d.now + max(0, j.due-d.now-time.Duration(j.size))/20
-		d.asking = append(d.asking, j)
+		j.until, d.asking = d.now+max(0, j.due-d.now-time.Duration(j.size))/20, append(d.asking, j)
 	}
 	return true
 }
@@ -169,9 +169,8 @@
 	return min(max(2, 2*len(d.order)/d.cfg.Replicas), max(1, int(8e8/d.gap)))
 }
 
-// settle admits a job or answers it. It looks at the first workers of its range, own zone first, then of the
-// other range, until one is worth enough; else the best is taken. Worth is the chance to end in time, less a
-// hundredth a second, as long runs are lost with their workers more often; a wait behind own jobs halves it.
+// settle admits a job or answers it: the first worker worth enough, else the best. Worth is the chance to end
+// in time, less a hundredth a second, as long runs are lost more often; a wait behind own jobs halves it.
 func (d *Dispatcher) settle(j *job) {
 	found := d.pick(j, j.left)
 	if found == nil && j.left != nil {
@@ -200,7 +199,7 @@
 		left := max(1, d.tries()-k%2)
 		for _, w := range d.near[(j.part+k)%len(d.near)] {
 			mute := d.now < w.mute || len(w.askers) > 0 && d.now-w.probed > 10*w.net+20*time.Millisecond
-			if w == not || mute || len(w.held) >= 8*w.lanes || !d.allowed(j, w) ||
+			if w == not || mute || d.stale(w) && d.dear(w) || len(w.held) >= 8*w.lanes || !d.allowed(j, w) ||
 				d.age(w) > 1 && j.rounds >= d.rounds(j) {
 				continue
 			}
@@ -255,7 +254,6 @@
 	return d.lanes
 }
 
-// fill books the k earliest lanes until end.
 func (d *Dispatcher) fill(k int, end time.Duration) {
 	for i := range min(k, len(d.lanes)) {
 		d.lanes[i] = end
@@ -403,7 +401,9 @@
 	w.out = slices.DeleteFunc(w.out, func(o *attempt) bool { return o == a })
 	switch e.Result {
 	case OK:
-		d.measure(a)
+		if d.measure(a); d.cfg.KeepLanes && a.began > 0 && d.roomy < 0.5 && w.Zone == d.cfg.Zone { // a lane
+			w.told, w.busy, w.busyAt = d.now, max(w.busy, float64(w.lanes-len(w.out)-1)), d.now
+		}
 	case Full:
 		w.lanes, w.wait, w.waitAt = max(1, w.lanes-1), max(w.wait-float64(d.now-w.waitAt), d.meanRun), d.now
 		d.delayed(w, 4*d.meanRun)
@@ -461,7 +461,6 @@
 	}
 }
 
-// list takes in the worker list.
 func (d *Dispatcher) list(e *Event) {
 	if d.failures = 0; e.Stale { // a start: hundreds at once must not all ask at once
 		d.watchAt = d.now + time.Duration(d.rng.Float64()*float64(min(d.cfg.Replicas, 500))*5e6)
@@ -493,8 +492,7 @@
 // stuck is when a repeatable attempt is better made elsewhere: half its slack has gone, or it doesn't move.
 func (d *Dispatcher) stuck(a *attempt) time.Duration {
 	switch c := &d.cfg.Classes[a.job.class]; {
-	case a.job.closed || !d.cfg.Cancel || !d.cfg.TellsStart || c.Effect != Repeatable:
-		return never
+	case a.job.closed || !d.cfg.Cancel || !d.cfg.TellsStart || c.Effect != Repeatable: // never
 	case a.began == 0:
 		spare := a.job.due - a.sent - time.Duration(a.job.size/a.w.speed)
 		return max(a.sent+max(a.w.net+100*time.Millisecond, spare/2), a.moved)
@@ -506,8 +504,7 @@
 
 // moves tells whether another worker would take an attempt's job now; if not, it is asked again later.
 func (d *Dispatcher) moves(a *attempt) bool {
-	a.moved = d.now + 100*time.Millisecond
-	d.wake = min(d.wake, a.moved)
+	a.moved, d.wake = d.now+1e8, min(d.wake, d.now+1e8)
 	a.job.out--
 	found := d.pick(a.job, a.w)
 	if a.job.out++; found == nil || d.probe(a.job, found) { // not for a guess
--- a/policy/state.go
+++ b/policy/state.go
@@ -69,7 +69,7 @@
 	meanLag                         []float64       // delay by peers, per zone (the first: none known) and kind
 	bound, meanRun, worth           float64         // between the two size ranges; means of a run, of a job's worth
 	noise                           float64         // mean of a surprise
-	gap                             float64         // mean time between arrivals
+	gap, roomy                      float64         // mean time between arrivals; share of reports with a free lane
 	zones                           []zone          // the first: none known
 	now, last, armed, wake, watchAt time.Duration
 	timer                           uint64
--- a/policy/types.go
+++ b/policy/types.go
@@ -9,6 +9,7 @@
 
 import (
 	"errors"
+	"math"
 	"time"
 )
 
@@ -81,6 +82,12 @@
 	WarmUp            time.Duration
 	TipMultiple       float64 // a cold worker falls over when sent this many times its capacity
 	OverloadFor       time.Duration
+	// Questions is how often all schedulers together ask a worker in the length of a run, for each standard
+	// lane, while no answer tells of a free one: eight ask then, the same whoever runs, in equal parts. The
+	// interval falls with the square of the answers' share that tells of none; up to a half, all ask in equal
+	// parts. 0: there is no bound.
+	Questions float64
+	KeepLanes bool // while most answers tell of no free lane, one that an own job frees is taken unasked
 }
 
 // check finds settings that make no sense and fills in what is absent.
@@ -103,6 +110,9 @@
 			return errors.New("policy: class " + k.Name + ": a negative figure, or a kind that is not there")
 		}
 	}
+	if !(c.Questions >= 0) || math.IsInf(c.Questions, 0) {
+		return errors.New("policy: Questions: negative, or no number")
+	}
 	if c.ColdFrom <= 0 || c.ColdFrom > 1 {
 		c.ColdFrom = 1
 	}
