Play storms in the lab and the overload settings on processes; service comes back after them

Need: the issue asks that service is back soon after a storm, at 3 to 300 dispatchers, and that the settings are shown on processes.

A test fails without the settings.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -105,7 +105,9 @@
 	heavy map[int]Trouble
 	hit   [][]int // by trouble, the hosts that it meets
 	late  time.Duration
-	down  bool // the list's service is
+	down  bool    // the list's service is
+	surge float64 // of the load, against the scenario's
+	secs  []tally // by the second in which it was asked for
 
 	arrivals, sizes, chance *rand.Rand
 	spread                  []distuv.LogNormal
@@ -131,7 +133,7 @@
 
 // New prepares a run; check false leaves the rules unchecked, for speed.
 func New(sc *Scenario, seed uint64, checked bool) (*Lab, error) {
-	l := &Lab{sc: sc, seed: seed, now: epoch, byAdr: map[string]int{}, sends: map[uint64]*send{}, heavy: map[int]Trouble{},
+	l := &Lab{sc: sc, seed: seed, now: epoch, surge: 1, byAdr: map[string]int{}, sends: map[uint64]*send{}, heavy: map[int]Trouble{},
 		arrivals: rand.New(rand.NewPCG(seed, 1)), sizes: rand.New(rand.NewPCG(seed, 2)),
 		chance: rand.New(rand.NewPCG(seed, 3)), digest: xxhash.New(), cls: make([]classTally, len(sc.Classes)), late: sc.World.listLate}
 	for i := range sc.Classes {
@@ -180,7 +182,7 @@
 	for room := range sc.Rooms {
 		l.nextArrival(room)
 	}
-	l.windows = make([]tally, int(sc.length/window)+1)
+	l.windows, l.secs = make([]tally, int(sc.length/window)+1), make([]tally, int(sc.length/time.Second)+1)
 	return l, nil
 }
 
@@ -370,7 +372,7 @@
 			share *= 1 - l.sc.Skew/float64(l.sc.Rooms-1)
 		}
 	}
-	rate := l.sc.rate() * share
+	rate := l.sc.rate() * share * l.surge
 	if b := l.sc.Clients.Burst; b > 1 {
 		if int((l.now-epoch)/time.Second)%10 == 9 {
 			rate *= b
@@ -392,6 +394,7 @@
 	k.asked += o.worth
 	k.jobs++
 	l.windows[min(int((l.now-epoch)/window), len(l.windows)-1)].asked += o.worth
+	l.secs[min(int((l.now-epoch)/time.Second), len(l.secs)-1)].asked += o.worth
 	l.attempt(o, l.now)
 	if w := l.sc.Waiting; w != nil && l.sizes.Float64() < w.Part {
 		o := l.draw(room)
@@ -788,6 +791,7 @@
 	if l.now <= l.due(o) {
 		k.inTime += o.worth
 		l.windows[min(int((o.first-epoch)/window), len(l.windows)-1)].inTime += o.worth
+		l.secs[min(int((o.first-epoch)/time.Second), len(l.secs)-1)].inTime += o.worth
 		l.rep.InTime++
 	}
 }
@@ -893,6 +897,12 @@
 		if delete(l.heavy, l.sc.class(t.Class)); on {
 			l.heavy[l.sc.class(t.Class)] = t
 		}
+	case "surge":
+		if on {
+			l.surge *= t.Times
+		} else {
+			l.surge /= t.Times
+		}
 	case "silence":
 		l.lost = share
 	case "reset":
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -135,6 +135,23 @@
 	assert.LessOrEqual(t, fell, 5) // whoever asks first may have heard nothing of the room for a minute
 }
 
+// A storm's harm ends with it: 100 dispatchers that retry into one another's queues do not come back by themselves, with
+// the settings for overload they do.
+func TestStormIsOver(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		sc := scenario(t, "surge")
+		sc.Dispatchers = 100
+		if !on {
+			sc.Overload = nil
+		}
+		for seed := uint64(1); seed <= 3; seed++ {
+			r := play(t, sc, seed, true)
+			assert.Zero(t, r.Broken(), "seed %d: %v", seed, r.First)
+			assert.Equal(t, on, r.Recovery >= 0 && r.Recovery <= 16, "seed %d, settings on %v: back after %v s", seed, on, r.Recovery)
+		}
+	}
+}
+
 // BenchmarkLab is jobs a second of wall time on one core, at 100 workers and 3 dispatchers.
 func BenchmarkLab(b *testing.B) {
 	sc := scenario(b, "calm-friday")
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -32,7 +32,8 @@
 	Service     float64            `json:"service"`
 	Worst       float64            `json:"worst_window"` // of 5 s
 	Classes     map[string]float64 `json:"classes"`
-	Windows     []float64          `json:"windows"` // service in each 5 s; -1: nothing was asked for
+	Windows     []float64          `json:"windows"`  // service in each 5 s; -1: nothing was asked for
+	Recovery    float64            `json:"recovery"` // seconds from the last surge's end until service is back; -1: it never is, or no surge
 	Jobs        int                `json:"jobs"`
 	Served      int                `json:"served"`
 	InTime      int                `json:"in_time"`
@@ -113,6 +114,7 @@
 		}
 		r.Windows = append(r.Windows, x)
 	}
+	r.Recovery = l.recovery()
 	worked := 0.0
 	for _, h := range l.hosts {
 		worked += h.Worked
@@ -141,6 +143,25 @@
 	return r
 }
 
+// recovery is how many seconds after the last surge's end service is at 0.95 for 5 s; -1: never, or there was no surge.
+func (l *Lab) recovery() float64 {
+	calm := l.sc.calm()
+	if calm == 0 {
+		return -1
+	}
+	first := int((calm + time.Second - 1) / time.Second)
+	for at := first; at+5 < len(l.secs); at++ {
+		var asked, inTime float64
+		for _, s := range l.secs[at : at+5] {
+			asked, inTime = asked+s.asked, inTime+s.inTime
+		}
+		if inTime >= 0.95*asked {
+			return float64(at - first)
+		}
+	}
+	return -1
+}
+
 func ratio(a, b float64) float64 {
 	if b == 0 {
 		return 0
@@ -165,6 +186,9 @@
 	if e == nil {
 		return all
 	}
+	if e.recover > 0 && (r.Recovery < 0 || r.Recovery > e.recover.Seconds()) {
+		all = append(all, fmt.Sprintf("recovery %v s after the surge, %v was expected", r.Recovery, e.recover))
+	}
 	if r.Service < e.Service {
 		all = append(all, fmt.Sprintf("service %.3f, %.3f was expected", r.Service, e.Service))
 	}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -136,7 +136,10 @@
 	Class   float64   `hcl:"class,optional"`   // of the worst class, at least
 	Refused float64   `hcl:"refused,optional"` // share of the jobs, at most; 0: any
 	Toppled int       `hcl:"toppled,optional"` // hosts, at most
+	Recover string    `hcl:"recover,optional"` // within so long of the last surge's end service is back at 0.95
 	Range   hcl.Range `hcl:",def_range"`
+
+	recover time.Duration
 }
 
 type scenarios struct {
@@ -144,7 +147,8 @@
 }
 
 var kinds = map[string]bool{"vanish": true, "errors": true, "heavy": true, "kill": true, "silence": true, "reset": true,
-	"stale_list": true, "discovery": true, "drain": true, "restart": true}
+	"stale_list": true, "discovery": true, "drain": true, "restart": true,
+	"surge": true}
 
 // Load reads the scenarios of files.
 func Load(paths ...string) (all []*Scenario, err error) {
@@ -305,10 +309,26 @@
 			c.want(s.class(t.Class) >= 0, t.Range, "class", "%q is not a class", t.Class)
 			c.want(t.Times > 0, t.Range, "times", "more than 0")
 		}
+		if t.Kind == "surge" {
+			c.want(t.Times > 0 && t.Times <= 100, t.Range, "times", "more than 0 and at most 100")
+		}
+	}
+	if e := s.Expect; e != nil {
+		e.recover = c.time(e.Range, "recover", e.Recover, 0)
 	}
 	return c.err
 }
 
+// calm is when the last surge is over, since the start; 0: there is none.
+func (s *Scenario) calm() (at time.Duration) {
+	for _, t := range s.Troubles {
+		if t.Kind == "surge" {
+			at = max(at, t.at+t.length)
+		}
+	}
+	return at
+}
+
 func (s *Scenario) class(name string) int {
 	for i := range s.Classes {
 		if s.Classes[i].Name == name {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -234,8 +234,15 @@
 		return nil, err
 	}
 	args := []string{"serve", "--config", filepath.Join(dir, "config.json")}
-	if r.opt.Site != "" {
-		args = append(args, "--site", r.opt.Site)
+	site := r.opt.Site
+	if site == "" && r.sc.Overload {
+		site = filepath.Join(dir, "site.hcl")
+		if err := os.WriteFile(site, []byte("overload {}\n"), 0o600); err != nil {
+			return nil, fmt.Errorf("rig: %w", err)
+		}
+	}
+	if site != "" {
+		args = append(args, "--site", site)
 	}
 	c := exec.Command(r.program, args...)
 	c.Env = append(os.Environ(), "TMPDIR="+dir, "NODE_CONFIG=", "NODE_OPS=", "NODE_INHERITED_FD=")
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -20,7 +20,8 @@
 	Load        float64   `hcl:"load"` // offered work as a share of what the hosts can do
 	Dispatchers int       `hcl:"dispatchers"`
 	Rooms       int       `hcl:"rooms,optional"`
-	Uneven      float64   `hcl:"uneven,optional"` // the first dispatcher gets this many times the mean of the others
+	Uneven      float64   `hcl:"uneven,optional"`   // the first dispatcher gets this many times the mean of the others
+	Overload    bool      `hcl:"overload,optional"` // every dispatcher has the block of that name in its settings file
 	Hosts       []Hosts   `hcl:"hosts,block"`
 	Classes     []Class   `hcl:"class,block"`
 	Clients     Clients   `hcl:"clients,block"`
--- a/scenarios/processes/short.hcl
+++ b/scenarios/processes/short.hcl
@@ -5,6 +5,7 @@
   load        = 0.5
   dispatchers = 6
   rooms       = 1
+  overload    = true
 
   hosts "small-box" {
     count = 6
@@ -44,6 +45,12 @@
     hint_sigma = 0.3
   }
 
+  # Of all dispatchers together, at each host: far above what a sound day asks, so that only a runaway breaks it.
+  bound "probes" {
+    window = "1s"
+    most   = 200
+  }
+
   trouble "storm" {
     at    = "1s"
     for   = "3s"
