--- a/cmd/gaugeslip/ops_test.go
+++ b/cmd/gaugeslip/ops_test.go
@@ -118,7 +118,8 @@
 
 	ops = freeAddr(t)
 	addr, _, log = programOn(t, addr, known, discovery.Addr, "NODE_OPS="+ops, "TMPDIR="+tmp)
-	assert.Contains(t, log.String(), "hosts out by hand, as kept")
+	require.Eventually(t, func() bool { return strings.Contains(log.String(), "hosts out by hand, as kept") }, 5*time.Second,
+		time.Millisecond) // the clients' socket is open before that is logged
 	jobs(addr, "two")
 	after, _ = count()
 	assert.Equal(t, before, after, "still out after the restart")
