Excuse a try whose way ended where no dispatcher listens: nothing was handed over

A dispatcher that got SIGTERM drains for seconds with its listener closed, or starts for longer than a second on a loaded machine; the link takes the client's connection all the same and resets it when its own call is refused. That is a refusal, and no job was taken, but only what was done to the process in the second before excused it (front.try). Now a link remembers when nobody listened at its far end (Link.carry, Troubled). A crash is still counted by the process itself.

--- a/internal/rig/link.go
+++ b/internal/rig/link.go
@@ -69,7 +69,7 @@
 	rng    *rand.Rand
 	work   sync.WaitGroup
 	closed bool
-	faulty time.Time // when a fault was last set or ended
+	faulty time.Time // when a fault was last set or ended, or its far end was not there
 	resets int
 }
 
@@ -177,7 +177,8 @@
 	}
 }
 
-// Troubled tells whether a fault was set, or a connection broken on purpose, since a time, or is still set.
+// Troubled tells whether a fault is set, or since a time one was set or ended, a connection was broken on purpose, or nobody
+// listened at the far end.
 func (l *Link) Troubled(since time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -218,6 +219,9 @@
 	d := net.Dialer{LocalAddr: l.from, Timeout: 5 * time.Second}
 	far, err := d.Dial("tcp", l.to)
 	if err != nil { // nobody there: the near end is reset, which is as near to a refusal as a link can come
+		l.mu.Lock()
+		l.faulty = time.Now()
+		l.mu.Unlock()
 		if t, ok := near.(*net.TCPConn); ok {
 			t.SetLinger(0)
 		}
--- a/internal/rig/link_test.go
+++ b/internal/rig/link_test.go
@@ -117,6 +117,23 @@
 	}
 }
 
+// Where nobody listens the near end is reset, and the link knows that whoever came there handed nothing over.
+func TestLinkToNobody(t *testing.T) {
+	to, err := freePort("127.0.0.1")
+	require.NoError(t, err)
+	l, err := NewLink("127.0.0.1:0", to, "", 1)
+	require.NoError(t, err)
+	defer l.Close()
+	before := time.Now()
+	assert.False(t, l.Troubled(before))
+	c, err := net.Dial("tcp", l.Addr)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = c.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	assert.True(t, l.Troubled(before))
+}
+
 func TestLinkCutsAndDelays(t *testing.T) {
 	l, c, r, _ := linked(t)
 	require.NoError(t, l.Put(&Fault{Delay: 40 * time.Millisecond, Jitter: 10 * time.Millisecond}))
