Let dear and the cold rule share one "few that keep a worker", without a map on a hot path

Found on reading the change again: policy.dear wrote the expression of keeps a second time, and built a map for each host that pick looks at, also where Questions is 0 as in `run`. keeps takes the number now; dear has plain arithmetic.

--- a/policy/decisions_test.go
+++ b/policy/decisions_test.go
@@ -840,7 +840,7 @@
 	w.step(Event{Kind: ProbeEnded, Worker: 10, HasLoad: true, Load: free}, Event{Kind: ProbeEnded, Worker: 11, HasLoad: true, Load: free})
 	x, y := w.d.workers[10], w.d.workers[11]
 	w.d.gap, w.d.now = 5e8, w.now+ms
-	if w.d.keeps(x) || w.d.keeps(y) {
+	if w.d.keeps(x, keepers) || w.d.keeps(y, keepers) {
 		t.Fatal("a keeper")
 	}
 	for size, want := range map[time.Duration]bool{50 * ms: true, 900 * ms: true, 1300 * ms: false} { // 1.35 s is its part
--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -106,10 +106,10 @@
 // while most answers find no free lane. A crowd sees one freed lane many times, and queues for it.
 func (d *Dispatcher) dear(w *worker) bool {
 	full, all := 1-d.roomy, d.cfg.Replicas
-	of := map[bool]int{true: min(all, askers), false: all}[full > 0.5]
+	of := min(all, askers+all*int(2*d.roomy)) // all, where half of the answers find a lane
 	each := float64(of) * full * full * d.meanRun / (d.cfg.Questions * max(w.Scale, 1))
 	return all > 1 && d.cfg.Questions > 0 && len(w.askers) == 0 &&
-		((int(w.ID)+d.cfg.Ordinal)%all >= of || float64(d.now-w.probed) < each)
+		(!d.keeps(w, of) || float64(d.now-w.probed) < each)
 }
 
 // rounds is how often a job may ask: some workers at once, more as time goes by.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -144,7 +144,7 @@
 	d.ranges = min(max(len(d.order)/5, 1), 2)
 	for i, w := range d.order {
 		part := 2 * (i * d.ranges / len(d.order))
-		if w.place = w.rank; d.cfg.Replicas > keepers && d.keeps(w) && d.power(w, d.now) < w.speed {
+		if w.place = w.rank; d.cfg.Replicas > keepers && d.keeps(w, keepers) && d.power(w, d.now) < w.speed {
 			w.place = -1 / (1 + w.rank) // cold and for this scheduler: others stay away
 		} else if w.Zone != d.cfg.Zone {
 			part++
@@ -338,13 +338,13 @@
 	rate := warm * cmp.Or(w.Scale, float64(w.lanes)) * d.cfg.TipMultiple / (2.2 * float64(of))
 	w.coldSent, w.coldAt = max(0, w.coldSent-float64(d.now-w.coldAt)*rate), d.now
 	return d.cfg.TipMultiple <= 0 || d.power(w, d.now) >= w.speed ||
-		!j.tipped && (all || d.keeps(w)) && w.coldSent+j.size <= rate*float64(d.cfg.OverloadFor) &&
+		!j.tipped && (all || d.keeps(w, keepers)) && w.coldSent+j.size <= rate*float64(d.cfg.OverloadFor) &&
 			(!all || 1.2*j.size <= rate*float64(d.cfg.OverloadFor)) // several large ones can come at once
 }
 
-// keeps tells whether this scheduler is one of the few that share what a cold worker may be sent.
-func (d *Dispatcher) keeps(w *worker) bool {
-	return (int(w.ID)+d.cfg.Ordinal)%d.cfg.Replicas < keepers
+// keeps tells whether this scheduler is one of the few that share a worker, the same few for all who ask.
+func (d *Dispatcher) keeps(w *worker, few int) bool {
+	return (int(w.ID)+d.cfg.Ordinal)%d.cfg.Replicas < few
 }
 
 // send is the only way to a worker.
