Keep one tally in the lab, drop dead state in the rig, and let the ideal be seen to recover

Windows are summed from the seconds now, and ideal.go calls Lab.due in place of its own copy. A test fails without it. - rig: order.sends and inTime, try.deadline, Link.resets, Process.err and two arguments of recorder.note were written and never read; the front was made inside add on its first call; the emulator had one closure twice.

--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -122,7 +122,7 @@
 		f.Hosts = append(f.Hosts, h)
 	}
 	var err error
-	if f.Discovery, err = f.View(func(i int) string { return f.Hosts[i].Addr }); err != nil {
+	if f.Discovery, err = f.View(f.own); err != nil {
 		f.Close()
 		return nil, err
 	}
@@ -195,7 +195,10 @@
 }
 
 // List is discovery's whole list as it stands, as JSON.
-func (f *Fleet) List() []byte { return f.ListFor(func(i int) string { return f.Hosts[i].Addr }) }
+func (f *Fleet) List() []byte { return f.ListFor(f.own) }
+
+// own is a host's own address.
+func (f *Fleet) own(host int) string { return f.Hosts[host].Addr }
 
 // ListFor is the list as a View with these addresses tells it.
 func (f *Fleet) ListFor(dial func(host int) string) []byte {
--- a/internal/lab/ideal.go
+++ b/internal/lab/ideal.go
@@ -54,11 +54,10 @@
 
 // assign decides about one job.
 func (l *Lab) assign(o *order) {
-	c := &l.sc.Classes[o.class]
 	first := l.ideal[0]
 	run := time.Duration(float64(o.size) / first.speed)
 	end := max(first.free, l.now) + run
-	if end-o.first > min(c.onTime+time.Duration(c.Stretch*float64(o.size)), c.patience) {
+	if end > l.due(o) {
 		l.rep.Refused++
 		l.again(o, 0, true)
 		return
@@ -71,5 +70,5 @@
 	l.rep.Served++
 	l.rep.InTime++
 	l.rep.latency(o.class, end-o.first)
-	l.windows[min(int((o.first-epoch)/window), len(l.windows)-1)].inTime += o.worth
+	l.second(o).inTime += o.worth
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -118,7 +118,6 @@
 	rep                     Report
 	work                    Work // in seconds
 	cls                     []classTally
-	windows                 []tally
 	events                  uint64
 	wall                    time.Duration
 	ideal                   []lane // by when it is free; not nil: no dispatcher decides
@@ -182,7 +181,7 @@
 	for room := range sc.Rooms {
 		l.nextArrival(room)
 	}
-	l.windows, l.secs = make([]tally, int(sc.length/window)+1), make([]tally, int(sc.length/time.Second)+1)
+	l.secs = make([]tally, int(sc.length/time.Second)+1)
 	return l, nil
 }
 
@@ -393,8 +392,7 @@
 	k := &l.cls[o.class]
 	k.asked += o.worth
 	k.jobs++
-	l.windows[min(int((l.now-epoch)/window), len(l.windows)-1)].asked += o.worth
-	l.secs[min(int((l.now-epoch)/time.Second), len(l.secs)-1)].asked += o.worth
+	l.second(o).asked += o.worth
 	l.attempt(o, l.now)
 	if w := l.sc.Waiting; w != nil && l.sizes.Float64() < w.Part {
 		o := l.draw(room)
@@ -724,6 +722,11 @@
 	}
 }
 
+// second is the tally of the second in which an order was asked for.
+func (l *Lab) second(o *order) *tally {
+	return &l.secs[min(int((o.first-epoch)/time.Second), len(l.secs)-1)]
+}
+
 // due is until when an order is worth anything.
 func (l *Lab) due(o *order) time.Duration {
 	c := &l.sc.Classes[o.class]
@@ -790,8 +793,7 @@
 	l.rep.latency(o.class, l.now-o.first)
 	if l.now <= l.due(o) {
 		k.inTime += o.worth
-		l.windows[min(int((o.first-epoch)/window), len(l.windows)-1)].inTime += o.worth
-		l.secs[min(int((o.first-epoch)/time.Second), len(l.secs)-1)].inTime += o.worth
+		l.second(o).inTime += o.worth
 		l.rep.InTime++
 	}
 }
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -150,6 +150,11 @@
 			assert.Equal(t, on, r.Recovery >= 0 && r.Recovery <= 16, "seed %d, settings on %v: back after %v s", seed, on, r.Recovery)
 		}
 	}
+	ideal, err := NewIdeal(scenario(t, "surge"), 1)
+	require.NoError(t, err)
+	r, err := ideal.Run(t.Context())
+	require.NoError(t, err)
+	assert.GreaterOrEqual(t, r.Recovery, 0.0, "the ideal is seen to come back too")
 }
 
 // BenchmarkLab is jobs a second of wall time on one core, at 100 workers and 3 dispatchers.
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -106,9 +106,9 @@
 		}
 	}
 	r.Service, r.Worst = ratio(inTime, asked), 1
-	for _, w := range l.windows {
+	for at := 0; at < len(l.secs); at += int(window / time.Second) {
 		x := -1.0
-		if w.asked > 0 {
+		if w := l.over(at); w.asked > 0 {
 			x = w.inTime / w.asked
 			r.Worst = min(r.Worst, x)
 		}
@@ -150,18 +150,22 @@
 		return -1
 	}
 	first := int((calm + time.Second - 1) / time.Second)
-	for at := first; at+5 < len(l.secs); at++ {
-		var asked, inTime float64
-		for _, s := range l.secs[at : at+5] {
-			asked, inTime = asked+s.asked, inTime+s.inTime
-		}
-		if inTime >= 0.95*asked {
+	for at := first; at+int(window/time.Second) < len(l.secs); at++ {
+		if w := l.over(at); w.inTime >= 0.95*w.asked {
 			return float64(at - first)
 		}
 	}
 	return -1
 }
 
+// over sums the seconds of the window that begins at one.
+func (l *Lab) over(second int) (sum tally) {
+	for _, s := range l.secs[second:min(second+int(window/time.Second), len(l.secs))] {
+		sum.asked, sum.inTime = sum.asked+s.asked, sum.inTime+s.inTime
+	}
+	return sum
+}
+
 func ratio(a, b float64) float64 {
 	if b == 0 {
 		return 0
--- a/internal/rig/link.go
+++ b/internal/rig/link.go
@@ -70,7 +70,6 @@
 	work   sync.WaitGroup
 	closed bool
 	faulty time.Time // when a fault was last set or ended, or its far end was not there
-	resets int
 }
 
 // pair is a connection through the link.
@@ -170,7 +169,6 @@
 	for p := range l.pairs {
 		list = append(list, p)
 	}
-	l.resets += len(list)
 	l.mu.Unlock()
 	for _, p := range list {
 		do(p)
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -91,7 +91,6 @@
 	cmd      *exec.Cmd
 	life     int
 	exited   chan struct{} // of the present life
-	err      error         // how it ended
 	asked    bool          // it was told to end
 	crashes  int           // lives that ended with nobody asking, or badly
 	touched  time.Time     // when it was last killed, paused, slowed or started
@@ -124,7 +123,7 @@
 		if !p.asked || err != nil && cmd.ProcessState.ExitCode() != -1 {
 			p.crashes++ // nobody asked, or it ended by itself and badly
 		}
-		p.cmd, p.err, p.touched = nil, err, time.Now()
+		p.cmd, p.touched = nil, time.Now()
 		close(exited)
 	}()
 	return nil
@@ -170,14 +169,14 @@
 		defer p.Signal(syscall.SIGCONT)
 		for {
 			for _, x := range []struct {
-				s    syscall.Signal
-				for_ time.Duration
-			}{{syscall.SIGSTOP, time.Duration(float64(period) * (1 - share))}, {syscall.SIGCONT, time.Duration(float64(period) * share)}} {
-				p.Signal(x.s)
+				signal syscall.Signal
+				share  float64
+			}{{syscall.SIGSTOP, 1 - share}, {syscall.SIGCONT, share}} {
+				p.Signal(x.signal)
 				select {
 				case <-stop:
 					return
-				case <-time.After(x.for_):
+				case <-time.After(time.Duration(float64(period) * x.share)):
 				}
 			}
 		}
--- a/internal/rig/record.go
+++ b/internal/rig/record.go
@@ -29,27 +29,24 @@
 
 // order is what a client wants done, over all its tries.
 type order struct {
-	number      int
-	class       *Class
-	room        int
-	size, hint  time.Duration
-	first       time.Duration // when it was meant to be sent
-	patience    time.Duration
-	due         time.Duration
-	worth       float64
-	tries       int
-	sends       int // to hosts
-	over        bool
-	inTime, ran bool
+	number     int
+	class      *Class
+	room       int
+	size, hint time.Duration
+	first      time.Duration // when it was meant to be sent
+	patience   time.Duration
+	due        time.Duration
+	worth      float64
+	tries      int
+	over, ran  bool
 }
 
 // try is one request of a client.
 type try struct {
-	order    *order
-	node     int
-	number   uint64
-	deadline time.Duration
-	left     bool
+	order  *order
+	node   int
+	number uint64
+	left   bool // its client waits no longer
 }
 
 // recorder takes in what is seen, in one order, feeds the checker and counts.
@@ -92,10 +89,10 @@
 }
 
 // note records what the rig did.
-func (r *recorder) note(node, host int, text string) {
+func (r *recorder) note(text string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.line(Seen{At: r.now().Seconds(), What: "trouble", Node: node, Host: host, Note: text})
+	r.line(Seen{At: r.now().Seconds(), What: "trouble", Node: -1, Host: -1, Note: text})
 }
 
 // asked books a client's wish.
@@ -119,7 +116,7 @@
 	o.tries++
 	r.rep.Tries++
 	r.dealt[node]++
-	t := &try{order: o, node: node, number: r.next, deadline: deadline}
+	t := &try{order: o, node: node, number: r.next}
 	r.tries[id] = t
 	at := r.now()
 	r.check.See(check.Event{Kind: check.Taken, At: at, Job: t.number, Node: node, Unsafe: o.class.Once, Deadline: deadline})
@@ -175,7 +172,7 @@
 	r.line(Seen{At: r.now().Seconds(), What: "left", Job: id, Order: t.order.number, Node: t.node, Host: -1})
 }
 
-// sums books a use of what the fleet has only so much of. The lock is held.
+// use books a use of what the fleet has only so much of. The lock is held.
 func (r *recorder) use(what string, host int, at time.Duration) {
 	for i, name := range r.sums {
 		if name == what {
@@ -218,7 +215,6 @@
 	switch o := t.order; s.Kind {
 	case emulator.Took:
 		r.rep.Sends++
-		o.sends++
 		r.use("sends", s.Host, at)
 		if s.Verdict == fleet.Full {
 			r.rep.Turned++
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -87,6 +87,8 @@
 		return nil, err
 	}
 	defer r.fleet.Close()
+	r.front = &front{sc: sc, rec: r.rec, now: r.now, load: 1, rng: rand.New(rand.NewPCG(seed, 6)),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: clientIdle}}}
 	defer r.close()
 	for i := range sc.Dispatchers {
 		if err := r.add(i); err != nil {
@@ -169,10 +171,6 @@
 // add makes dispatcher i with its links, and starts it.
 func (r *rig) add(i int) (err error) {
 	n := &node{number: i}
-	if r.front == nil {
-		r.front = &front{sc: r.sc, rec: r.rec, now: r.now, load: 1, rng: rand.New(rand.NewPCG(r.seed, 6)),
-			client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: clientIdle}}}
-	}
 	if n.listen, err = freePort(ip(i, 1)); err != nil {
 		return err
 	}
@@ -211,9 +209,7 @@
 
 // close ends what add made.
 func (r *rig) close() {
-	if r.front != nil {
-		r.front.client.CloseIdleConnections()
-	}
+	r.front.client.CloseIdleConnections()
 	for _, n := range r.nodes {
 		n.proc.Stop(stopWithin)
 		for _, l := range append(slices.Clone(n.hosts), n.client, n.disc[0], n.disc[1]) {
@@ -359,7 +355,7 @@
 // tell reports progress, and puts it into the record.
 func (r *rig) tell(format string, args ...any) {
 	text := fmt.Sprintf(format, args...)
-	r.rec.note(-1, -1, text)
+	r.rec.note(text)
 	if r.opt.Progress != nil {
 		r.mu.Lock()
 		defer r.mu.Unlock()
