--- a/internal/rig/front.go
+++ b/internal/rig/front.go
@@ -168,7 +168,7 @@
 
 // serve makes a client's tries until it is served, gives up or may not try again.
 func (f *front) serve(ctx context.Context, o *order, ignores, early bool) {
-	cl := &f.sc.Clients
+	cl := f.sc.Clients
 	end := o.first + o.patience
 	if early {
 		end = o.first + o.patience/10
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -206,7 +206,7 @@
 	text, err := os.ReadFile(shortDays)
 	require.NoError(t, err)
 	for change, want := range map[string]string{
-		"dispatchers = 6|dispatchers = 60":              "x.hcl:2:1: dispatchers",
+		"dispatchers = 6|dispatchers = 60":              "x.hcl:41:1: dispatchers",
 		`path        = "host"|path = "moon"`:            ": path: \"moon\"",
 		`length      = "7s"|length = "7h"`:              "length",
 		`trouble "pause"|trouble "nap"`:                 "\"nap\" is not known",
@@ -214,7 +214,7 @@
 		`patience = "3s"|patience = "3"`:                "patience: \"3\" is no duration",
 		"share       = 0.25|share = 0":                  "share: more than 0",
 		"hint_sigma = 0.3|colour = 1":                   "unsupported argument",
-		`processes "short-storm" {|processes "x" "y" {`: "x.hcl:2:",
+		`processes "short-storm" {|processes "x" "y" {`: "x.hcl:41:",
 	} {
 		from, to, _ := strings.Cut(change, "|")
 		require.Contains(t, string(text), from)
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,7 +25,7 @@
 	Overload    bool      `hcl:"overload,optional"` // every dispatcher has the block of that name in its settings file
 	Hosts       []Hosts   `hcl:"hosts,block"`
 	Classes     []Class   `hcl:"class,block"`
-	Clients     Clients   `hcl:"clients,block"`
+	Clients     *Clients  `hcl:"clients,block"`
 	Trouble     []Trouble `hcl:"trouble,block"`
 	Bounds      []Bound   `hcl:"bound,block"`
 	Expect      *Expect   `hcl:"expect,block"`
@@ -107,8 +108,29 @@
 	Range   hcl.Range `hcl:",def_range"`
 }
 
+// common is what a file's scenarios share: each block stands where a scenario has none of its kind.
+type common struct {
+	Hosts   []Hosts  `hcl:"hosts,block"`
+	Classes []Class  `hcl:"class,block"`
+	Clients *Clients `hcl:"clients,block"`
+}
+
 type scenarios struct {
-	All []*Scenario `hcl:"processes,block"`
+	Common *common     `hcl:"common,block"`
+	All    []*Scenario `hcl:"processes,block"`
+}
+
+// share gives a scenario copies of what it does not say itself.
+func (c *common) share(s *Scenario) {
+	if len(s.Hosts) == 0 {
+		s.Hosts = slices.Clone(c.Hosts)
+	}
+	if len(s.Classes) == 0 {
+		s.Classes = slices.Clone(c.Classes)
+	}
+	if s.Clients == nil {
+		s.Clients = c.Clients
+	}
 }
 
 // linkKinds are the troubles of links, kinds all others.
@@ -155,6 +177,9 @@
 		return nil, errors.Join(errs...)
 	}
 	for _, s := range all.All {
+		if all.Common != nil {
+			all.Common.share(s)
+		}
 		if err := s.check(); err != nil {
 			return nil, err
 		}
@@ -227,7 +252,10 @@
 	for i := range s.Classes {
 		s.Classes[i].Part /= max(parts, 1e-9)
 	}
-	cl := &s.Clients
+	if s.Clients == nil {
+		s.Clients = &Clients{}
+	}
+	cl := s.Clients
 	c.want(cl.After == "" || cl.After == "none" || cl.After == "now" || cl.After == "advice", cl.Range, "after",
 		`%q is none of "none", "now", "advice"`, cl.After)
 	c.want(cl.Retries >= 0 && cl.Retries <= 10, cl.Range, "retries", "0 to 10")
--- a/scenarios/processes/faults.hcl
+++ b/scenarios/processes/faults.hcl
@@ -1,16 +1,9 @@
 # What breaks between many dispatchers: each day is a case that operators have asked to see. The rules hold on all of them.
-processes "storm" {
-  about       = "All clients retry at once at 3 times what the hosts can do, then 0.7 again."
-  length      = "12s"
-  load        = 0.7
-  dispatchers = 8
-  rooms       = 1
-
+common {
   hosts "small-box" {
     count = 6
     lanes = 2
   }
-
   hosts "wide-box" {
     count = 6
     lanes = 3
@@ -43,6 +36,14 @@
     after      = "now"
     hint_sigma = 0.3
   }
+}
+
+processes "storm" {
+  about       = "All clients retry at once at 3 times what the hosts can do, then 0.7 again."
+  length      = "12s"
+  load        = 0.7
+  dispatchers = 8
+  rooms       = 1
 
   trouble "storm" {
     at    = "3s"
@@ -62,44 +63,6 @@
   dispatchers = 8
   rooms       = 1
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
-
   trouble "storm" {
     at    = "3s"
     for   = "4s"
@@ -124,44 +87,6 @@
   dispatchers = 8
   rooms       = 1
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
-
   trouble "storm" {
     at    = "2s"
     for   = "4s"
@@ -186,44 +111,6 @@
   dispatchers = 8
   rooms       = 1
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
-
   trouble "slow" {
     at          = "2s"
     for         = "7s"
@@ -243,44 +130,6 @@
   dispatchers = 8
   rooms       = 1
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
-
   trouble "vanish" {
     at    = "3s"
     for   = "4s"
@@ -305,44 +154,6 @@
   dispatchers = 8
   rooms       = 1
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
-
   trouble "discovery" {
     at  = "2s"
     for = "6s"
@@ -379,44 +190,6 @@
   dispatchers = 8
   rooms       = 1
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
-
   trouble "full" {
     at    = "2s"
     for   = "7s"
@@ -441,44 +214,6 @@
   dispatchers = 8
   rooms       = 1
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
-
   trouble "silent" {
     at          = "2s"
     for         = "4s"
@@ -509,44 +244,6 @@
   rooms       = 1
   uneven      = 8
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
-
   expect {
     service = 0.3
   }
@@ -559,38 +256,6 @@
   dispatchers = 8
   rooms       = 1
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
   clients {
     retries    = 2
     after      = "advice"
@@ -617,44 +282,6 @@
   dispatchers = 8
   rooms       = 1
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
-
   trouble "reset" {
     at    = "2s"
     path  = "host"
@@ -728,44 +355,6 @@
   dispatchers = 8
   rooms       = 1
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
-
   trouble "reload" {
     at = "1s"
   }
@@ -807,44 +396,6 @@
   dispatchers = 9
   rooms       = 3
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
-
   trouble "delay" {
     at          = "2s"
     for         = "3s"
--- a/scenarios/processes/short.hcl
+++ b/scenarios/processes/short.hcl
@@ -1,17 +1,9 @@
 # The short form of the processes' days, which the tests play: only the rules are expected, which hold on a machine under load too.
-processes "short-storm" {
-  about       = "The short form of the storm days: kills, a pause and a dispatcher with a quarter of a core at a peak."
-  length      = "7s"
-  load        = 0.5
-  dispatchers = 6
-  rooms       = 1
-  overload    = true
-
+common {
   hosts "small-box" {
     count = 6
     lanes = 2
   }
-
   hosts "wide-box" {
     count = 6
     lanes = 3
@@ -44,6 +36,15 @@
     after      = "now"
     hint_sigma = 0.3
   }
+}
+
+processes "short-storm" {
+  about       = "The short form of the storm days: kills, a pause and a dispatcher with a quarter of a core at a peak."
+  length      = "7s"
+  load        = 0.5
+  dispatchers = 6
+  rooms       = 1
+  overload    = true
 
   # Of all dispatchers together, at each host: far above what a sound day asks, so that only a runaway breaks it.
   bound "probes" {
@@ -85,44 +86,6 @@
   dispatchers = 6
   rooms       = 1
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
-
   trouble "silent" {
     at          = "1s"
     for         = "2s"
@@ -203,38 +166,6 @@
   dispatchers = 6
   rooms       = 1
 
-  hosts "small-box" {
-    count = 6
-    lanes = 2
-  }
-
-  hosts "wide-box" {
-    count = 6
-    lanes = 3
-    speed = 0.75
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "3s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "5s"
-    worth    = 10
-    once     = true
-  }
-
   clients {
     retries    = 2
     after      = "advice"
--- a/scenarios/processes/table.hcl
+++ b/scenarios/processes/table.hcl
@@ -1,10 +1,5 @@
 # The issue's table: the same 12 hosts of 2 lanes under 1, 4 and 16 dispatchers, clients that retry at once.
-processes "load-1.0-by-1" {
-  about       = "Load 1.0 through 1 dispatchers."
-  length      = "15s"
-  load        = 1.0
-  dispatchers = 1
-
+common {
   hosts "box" {
     count = 12
     lanes = 2
@@ -38,43 +33,18 @@
   }
 }
 
+processes "load-1.0-by-1" {
+  about       = "Load 1.0 through 1 dispatchers."
+  length      = "15s"
+  load        = 1.0
+  dispatchers = 1
+}
+
 processes "load-1.0-by-4" {
   about       = "Load 1.0 through 4 dispatchers."
   length      = "15s"
   load        = 1.0
   dispatchers = 4
-
-  hosts "box" {
-    count = 12
-    lanes = 2
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "4s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "8s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
 }
 
 processes "load-1.0-by-16" {
@@ -82,38 +52,6 @@
   length      = "15s"
   load        = 1.0
   dispatchers = 16
-
-  hosts "box" {
-    count = 12
-    lanes = 2
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "4s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "8s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
 }
 
 processes "load-2.0-by-1" {
@@ -121,38 +59,6 @@
   length      = "15s"
   load        = 2.0
   dispatchers = 1
-
-  hosts "box" {
-    count = 12
-    lanes = 2
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "4s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "8s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
 }
 
 processes "load-2.0-by-4" {
@@ -160,38 +66,6 @@
   length      = "15s"
   load        = 2.0
   dispatchers = 4
-
-  hosts "box" {
-    count = 12
-    lanes = 2
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "4s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "8s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
 }
 
 processes "load-2.0-by-16" {
@@ -199,38 +73,6 @@
   length      = "15s"
   load        = 2.0
   dispatchers = 16
-
-  hosts "box" {
-    count = 12
-    lanes = 2
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "4s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "8s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
 }
 
 processes "load-1.0-by-1-on" {
@@ -239,38 +81,6 @@
   length      = "15s"
   load        = 1.0
   dispatchers = 1
-
-  hosts "box" {
-    count = 12
-    lanes = 2
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "4s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "8s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
 }
 
 processes "load-1.0-by-4-on" {
@@ -279,38 +89,6 @@
   length      = "15s"
   load        = 1.0
   dispatchers = 4
-
-  hosts "box" {
-    count = 12
-    lanes = 2
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "4s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "8s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
 }
 
 processes "load-1.0-by-16-on" {
@@ -319,38 +97,6 @@
   length      = "15s"
   load        = 1.0
   dispatchers = 16
-
-  hosts "box" {
-    count = 12
-    lanes = 2
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "4s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "8s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
 }
 
 processes "load-2.0-by-1-on" {
@@ -359,38 +105,6 @@
   length      = "15s"
   load        = 2.0
   dispatchers = 1
-
-  hosts "box" {
-    count = 12
-    lanes = 2
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "4s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "8s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
 }
 
 processes "load-2.0-by-4-on" {
@@ -399,38 +113,6 @@
   length      = "15s"
   load        = 2.0
   dispatchers = 4
-
-  hosts "box" {
-    count = 12
-    lanes = 2
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "4s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "8s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
 }
 
 processes "load-2.0-by-16-on" {
@@ -439,36 +121,4 @@
   length      = "15s"
   load        = 2.0
   dispatchers = 16
-
-  hosts "box" {
-    count = 12
-    lanes = 2
-  }
-
-  class "plot-load" {
-    part     = 0.62
-    mean     = "70ms"
-    sigma    = 0.4
-    on_time  = "200ms"
-    stretch  = 1.75
-    patience = "4s"
-    worth    = 5
-  }
-
-  class "harvest-sale" {
-    part     = 0.38
-    mean     = "400ms"
-    sigma    = 0.4
-    on_time  = "500ms"
-    stretch  = 2
-    patience = "8s"
-    worth    = 10
-    once     = true
-  }
-
-  clients {
-    retries    = 2
-    after      = "now"
-    hint_sigma = 0.3
-  }
 }
