--- a/cmd/gaugelab/harm.go
+++ b/cmd/gaugelab/harm.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
-	"os"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -13,8 +11,6 @@
 	"github.com/spf13/cobra"
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
-	"gonum.org/v1/plot/plotutil"
-	"gonum.org/v1/plot/vg"
 
 	"gaugeslip/internal/lab"
 )
@@ -36,22 +32,7 @@
 
 // harm plays a scenario at one size and load.
 func harm(cmd *cobra.Command, path string, x *Harm, seeds int, length time.Duration) error {
-	all, err := lab.Load(path)
-	if err != nil {
-		return err
-	}
-	if len(all) != 1 {
-		return usageError{errors.New("harm: one scenario is wanted")}
-	}
-	sc := all[0]
-	if err := sc.Resize(x.Hosts, x.Dispatchers, x.Load, length); err != nil {
-		return usageError{fmt.Errorf("harm: %w", err)}
-	}
-	reports, err := play(cmd.Context(), sc, 1, seeds, false, nil)
-	if err != nil {
-		return err
-	}
-	ideal, err := playOn(cmd.Context(), 1, seeds, nil, func(seed uint64) (*lab.Lab, error) { return lab.NewIdeal(sc, seed) })
+	reports, ideal, err := resized(cmd, path, x.Hosts, x.Dispatchers, x.Load, length, seeds)
 	if err != nil {
 		return err
 	}
@@ -63,11 +44,7 @@
 		x.ProbesAJob += float64(r.Probes) / jobs / n
 		x.ProbesAHost += float64(r.Probes) / float64(r.Hosts) / length.Seconds() / n
 		x.Sends, x.Refused = x.Sends+float64(r.Sends)/jobs/n, x.Refused+float64(r.Refused)/jobs/n
-		for _, k := range []struct{ to, from *float64 }{{&x.Work.InTime, &r.Work.InTime}, {&x.Work.Late, &r.Work.Late},
-			{&x.Work.Abandoned, &r.Work.Abandoned}, {&x.Work.Repeated, &r.Work.Repeated}, {&x.Work.Probes, &r.Work.Probes},
-			{&x.Work.Shakes, &r.Work.Shakes}, {&x.Work.Crossed, &r.Work.Crossed}} {
-			*k.to += *k.from / n
-		}
+		x.Work = x.Work.Plus(r.Work, 1/n)
 	}
 	return nil
 }
@@ -124,29 +101,12 @@
 	return c
 }
 
-// plotHarm draws goodput over load, a curve for each number of dispatchers.
+// plotHarm draws goodput over load.
 func plotHarm(all []Harm, out string) error {
-	if err := os.MkdirAll(out, 0o755); err != nil {
-		return err
-	}
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "Goodput", "offered work, of what the hosts can do", "worth served in time, of what the hosts can do"
-	curves, order := map[int]plotter.XYs{}, []int(nil)
-	for _, x := range all {
-		if curves[x.Dispatchers] == nil {
-			order = append(order, x.Dispatchers)
-		}
-		curves[x.Dispatchers] = append(curves[x.Dispatchers], plotter.XY{X: x.Load, Y: x.Goodput})
-	}
-	for i, n := range order {
-		l, s, err := plotter.NewLinePoints(curves[n])
-		if err != nil {
-			return fmt.Errorf("plot: %w", err)
-		}
-		l.Color, s.Color = plotutil.Color(i), plotutil.Color(i)
-		p.Add(l, s)
-		p.Legend.Add(fmt.Sprintf("%d dispatchers", n), l, s)
-	}
 	p.Y.Min = 0
-	return p.Save(18*vg.Centimeter, 11*vg.Centimeter, out+"/goodput.png")
+	return plotByDispatchers(p, all, out+"/goodput.png", func(x Harm) (int, plotter.XY) {
+		return x.Dispatchers, plotter.XY{X: x.Load, Y: x.Goodput}
+	})
 }
--- a/cmd/gaugelab/processes.go
+++ b/cmd/gaugelab/processes.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
-	"path/filepath"
 	"strconv"
 
 	"github.com/spf13/cobra"
@@ -61,6 +59,28 @@
 	return missed, err
 }
 
+// days plays so many seeds of the scenarios of files, those of one name where only is not empty.
+func (p *playing) days(cmd *cobra.Command, files []string, only string, first uint64, seeds int) error {
+	all, err := rig.Load(files...)
+	if err != nil {
+		return err
+	}
+	missed := 0
+	for _, sc := range all {
+		if only != "" && sc.Name != only {
+			continue
+		}
+		fmt.Fprintf(cmd.ErrOrStderr(), "%s: %s\n", sc.Name, sc.About)
+		for i := range seeds {
+			n, err := p.play(cmd, sc, first+uint64(i))
+			if missed += n; err != nil {
+				return err
+			}
+		}
+	}
+	return unmet(missed)
+}
+
 func processesRun() *cobra.Command {
 	var p playing
 	var first uint64
@@ -69,37 +89,11 @@
 	var everything bool
 	c := &cobra.Command{Use: "run [SCENARIO.hcl ...]", Short: "Play days on real processes and say whether they keep what they expect",
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if everything {
-				found, err := filepath.Glob(filepath.Join(dir, "*.hcl"))
-				if err != nil {
-					return usageError{err}
-				}
-				args = append(args, found...)
-			}
-			if len(args) == 0 {
-				return usageError{errors.New("processes run: a scenario, or --all, is wanted")}
-			}
-			all, err := rig.Load(args...)
+			files, err := scenarioFiles("processes run", args, everything, dir)
 			if err != nil {
 				return err
 			}
-			missed := 0
-			for _, sc := range all {
-				if only != "" && sc.Name != only {
-					continue
-				}
-				fmt.Fprintf(cmd.ErrOrStderr(), "%s: %s\n", sc.Name, sc.About)
-				for i := range seeds {
-					n, err := p.play(cmd, sc, first+uint64(i))
-					if missed += n; err != nil {
-						return err
-					}
-				}
-			}
-			if missed > 0 {
-				return fmt.Errorf("%d expectations were not met", missed)
-			}
-			return nil
+			return p.days(cmd, files, only, first, seeds)
 		}}
 	p.flags(c)
 	c.Flags().Uint64Var(&first, "seed", 1, "the first seed")
@@ -118,21 +112,7 @@
 			if err != nil {
 				return usageError{fmt.Errorf("processes replay: %q is no seed", args[0])}
 			}
-			all, err := rig.Load(args[1])
-			if err != nil {
-				return err
-			}
-			missed := 0
-			for _, sc := range all {
-				n, err := p.play(cmd, sc, seed)
-				if missed += n; err != nil {
-					return err
-				}
-			}
-			if missed > 0 {
-				return fmt.Errorf("%d expectations were not met", missed)
-			}
-			return nil
+			return p.days(cmd, args[1:], "", seed, 1)
 		}}
 	p.flags(c)
 	return c
--- a/cmd/gaugelab/run.go
+++ b/cmd/gaugelab/run.go
@@ -50,6 +50,29 @@
 	return reports, errors.Join(errs...)
 }
 
+// scenarioFiles are those that a command names, and with --all those of a folder.
+func scenarioFiles(command string, args []string, all bool, dir string) ([]string, error) {
+	if all {
+		found, err := filepath.Glob(filepath.Join(dir, "*.hcl"))
+		if err != nil {
+			return nil, usageError{err}
+		}
+		args = append(args, found...)
+	}
+	if len(args) == 0 {
+		return nil, usageError{fmt.Errorf("%s: a scenario, or --all, is wanted", command)}
+	}
+	return args, nil
+}
+
+// unmet is the error of a command whose scenarios missed so many expectations; nil: none.
+func unmet(n int) error {
+	if n == 0 {
+		return nil
+	}
+	return fmt.Errorf("%d expectations were not met", n)
+}
+
 func runCommand() *cobra.Command {
 	var seeds int
 	var first uint64
@@ -57,17 +80,11 @@
 	var asJSON, everything, fast, ideal bool
 	c := &cobra.Command{Use: "run [SCENARIO.hcl ...]", Short: "Play scenarios in virtual time and say whether they keep what they expect",
 		RunE: func(cmd *cobra.Command, args []string) error {
-			if everything {
-				found, err := filepath.Glob(filepath.Join(dir, "*.hcl"))
-				if err != nil {
-					return usageError{err}
-				}
-				args = append(args, found...)
-			}
-			if len(args) == 0 {
-				return usageError{errors.New("run: a scenario, or --all, is wanted")}
+			files, err := scenarioFiles("run", args, everything, dir)
+			if err != nil {
+				return err
 			}
-			all, err := lab.Load(args...)
+			all, err := lab.Load(files...)
 			if err != nil {
 				return err
 			}
@@ -102,10 +119,7 @@
 					return err
 				}
 			}
-			if missed > 0 {
-				return fmt.Errorf("%d expectations were not met", missed)
-			}
-			return nil
+			return unmet(missed)
 		}}
 	c.Flags().IntVar(&seeds, "seeds", 3, "how many seeds")
 	c.Flags().Uint64Var(&first, "seed", 1, "the first seed")
--- a/cmd/gaugelab/scale.go
+++ b/cmd/gaugelab/scale.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -45,6 +45,27 @@
 	return all, nil
 }
 
+// resized plays a file's one scenario at a size and load, and the ideal on the same seeds.
+func resized(cmd *cobra.Command, path string, hosts, dispatchers int, load float64, length time.Duration, seeds int) (
+	real, ideal []*lab.Report, err error) {
+	all, err := lab.Load(path)
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(all) != 1 {
+		return nil, nil, usageError{fmt.Errorf("%s: one scenario is wanted", cmd.Name())}
+	}
+	sc := all[0]
+	if err := sc.Resize(hosts, dispatchers, load, length); err != nil {
+		return nil, nil, usageError{fmt.Errorf("%s: %w", cmd.Name(), err)}
+	}
+	if real, err = play(cmd.Context(), sc, 1, seeds, false, nil); err != nil {
+		return nil, nil, err
+	}
+	ideal, err = playOn(cmd.Context(), 1, seeds, nil, func(seed uint64) (*lab.Lab, error) { return lab.NewIdeal(sc, seed) })
+	return real, ideal, err
+}
+
 func scaleCommand() *cobra.Command {
 	var text, out string
 	var seeds int
@@ -59,22 +80,7 @@
 			}
 			for i := range all {
 				x := &all[i]
-				scenario, err := lab.Load(args[0])
-				if err != nil {
-					return err
-				}
-				if len(scenario) != 1 {
-					return usageError{errors.New("scale: one scenario is wanted")}
-				}
-				sc := scenario[0]
-				if err := sc.Resize(x.Hosts, x.Dispatchers, load, length); err != nil {
-					return usageError{fmt.Errorf("scale: %w", err)}
-				}
-				real, err := play(cmd.Context(), sc, 1, seeds, false, nil)
-				if err != nil {
-					return err
-				}
-				ideal, err := playOn(cmd.Context(), 1, seeds, nil, func(seed uint64) (*lab.Lab, error) { return lab.NewIdeal(sc, seed) })
+				real, ideal, err := resized(cmd, args[0], x.Hosts, x.Dispatchers, load, length, seeds)
 				if err != nil {
 					return err
 				}
@@ -114,20 +120,28 @@
 	return c
 }
 
-// plotSizes draws the lab's own pace over the size of the fleet, a curve for each number of dispatchers.
+// plotSizes draws the lab's own pace over the size of the fleet.
 func plotSizes(all []Size, out string) error {
-	if err := os.MkdirAll(out, 0o755); err != nil {
-		return err
-	}
 	p := plot.New()
 	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "The lab's pace", "game workers", "jobs a second of wall time, one core a run"
 	p.X.Scale, p.X.Tick.Marker, p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}, plot.LogScale{}, plot.LogTicks{Prec: -1}
+	return plotByDispatchers(p, all, out+"/scale.png", func(x Size) (int, plotter.XY) {
+		return x.Dispatchers, plotter.XY{X: float64(x.Hosts), Y: x.JobsASecond}
+	})
+}
+
+// plotByDispatchers draws a curve for each number of dispatchers, in the order in which they come, and saves the plot.
+func plotByDispatchers[T any](p *plot.Plot, all []T, path string, point func(T) (dispatchers int, at plotter.XY)) error {
+	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
+		return err
+	}
 	curves, order := map[int]plotter.XYs{}, []int(nil)
 	for _, x := range all {
-		if curves[x.Dispatchers] == nil {
-			order = append(order, x.Dispatchers)
+		n, at := point(x)
+		if curves[n] == nil {
+			order = append(order, n)
 		}
-		curves[x.Dispatchers] = append(curves[x.Dispatchers], plotter.XY{X: float64(x.Hosts), Y: x.JobsASecond})
+		curves[n] = append(curves[n], at)
 	}
 	for i, n := range order {
 		l, s, err := plotter.NewLinePoints(curves[n])
@@ -138,5 +152,5 @@
 		p.Add(l, s)
 		p.Legend.Add(fmt.Sprintf("%d dispatchers", n), l, s)
 	}
-	return p.Save(18*vg.Centimeter, 11*vg.Centimeter, out+"/scale.png")
+	return p.Save(18*vg.Centimeter, 11*vg.Centimeter, path)
 }
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -23,6 +23,15 @@
 	Crossed   float64 `json:"crossed"` // of all the above: done for dispatchers of other rooms
 }
 
+// Plus adds another's shares, times a factor.
+func (w Work) Plus(x Work, times float64) Work {
+	w.InTime, w.Late = w.InTime+x.InTime*times, w.Late+x.Late*times
+	w.Abandoned, w.Repeated = w.Abandoned+x.Abandoned*times, w.Repeated+x.Repeated*times
+	w.Probes, w.Shakes = w.Probes+x.Probes*times, w.Shakes+x.Shakes*times
+	w.Crossed += x.Crossed * times
+	return w
+}
+
 // Report is what came of a run. Service is the worth answered in time over the worth asked for.
 type Report struct {
 	Scenario    string             `json:"scenario"`
@@ -120,12 +129,8 @@
 		worked += h.Worked
 	}
 	whole := l.sc.capacity() * l.sc.length.Seconds()
-	r.Used, r.Work = worked/whole, l.work
-	r.Work.Probes, r.Work.Shakes = float64(r.Probes)*probeWork.Seconds(), float64(r.Handshakes)*shakeWork.Seconds()
-	for _, x := range []*float64{&r.Work.InTime, &r.Work.Late, &r.Work.Abandoned, &r.Work.Repeated, &r.Work.Probes, &r.Work.Shakes,
-		&r.Work.Crossed} {
-		*x /= whole
-	}
+	r.Used, r.Work = worked/whole, Work{}.Plus(l.work, 1/whole)
+	r.Work.Probes, r.Work.Shakes = float64(r.Probes)*probeWork.Seconds()/whole, float64(r.Handshakes)*shakeWork.Seconds()/whole
 	for _, n := range l.nodes {
 		r.Steps += n.steps
 	}
