Read the lab's and the rig's scenario files by one package

Found on reading the change again (duplicates: rig/scenario.go ~ lab/scenario.go): decoding HCL with errors by place, the checker, hosts and classes with their bounds, the draw of a class and a size, what a job is worth when, capacity and mean work stood in both. internal/scenario has them once; the lab's block `overload` calls overload.Limits' own Check and Apply in place of a copy. A third of the two files is gone.

--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -15,6 +15,7 @@
 	"gaugeslip/internal/check"
 	"gaugeslip/internal/dispatch"
 	"gaugeslip/internal/fleet"
+	"gaugeslip/internal/scenario"
 	"gaugeslip/policy"
 )
 
@@ -110,7 +111,6 @@
 	secs  []tally // by the second in which it was asked for
 
 	arrivals, sizes, chance *rand.Rand
-	spread                  []distuv.LogNormal
 	hints                   distuv.LogNormal
 	check                   *check.Checker
 	digest                  *xxhash.Digest
@@ -135,10 +135,6 @@
 	l := &Lab{sc: sc, seed: seed, now: epoch, surge: 1, byAdr: map[string]int{}, sends: map[uint64]*send{}, heavy: map[int]Trouble{},
 		arrivals: rand.New(rand.NewPCG(seed, 1)), sizes: rand.New(rand.NewPCG(seed, 2)),
 		chance: rand.New(rand.NewPCG(seed, 3)), digest: xxhash.New(), cls: make([]classTally, len(sc.Classes)), late: sc.World.listLate}
-	for i := range sc.Classes {
-		k := &sc.Classes[i]
-		l.spread = append(l.spread, distuv.LogNormal{Mu: -k.Sigma * k.Sigma / 2, Sigma: k.Sigma, Src: l.sizes})
-	}
 	l.hints = distuv.LogNormal{Sigma: sc.Clients.HintSigma, Src: l.sizes}
 	w := sc.World
 	if checked {
@@ -225,7 +221,7 @@
 	until := epoch + l.sc.length
 	longest := time.Duration(0)
 	for _, k := range l.sc.Classes {
-		longest = max(longest, k.patience)
+		longest = max(longest, k.Wait)
 	}
 	until += 2 * longest
 	if w := l.sc.Waiting; w != nil {
@@ -404,16 +400,8 @@
 
 // draw makes an order.
 func (l *Lab) draw(room int) *order {
-	k, x := 0, l.arrivals.Float64()
-	for k < len(l.sc.Classes)-1 && x >= l.sc.Classes[k].Part {
-		x -= l.sc.Classes[k].Part
-		k++
-	}
-	c := &l.sc.Classes[k]
-	size := float64(c.mean) * l.spread[k].Rand()
-	if c.most > 0 {
-		size = min(size, float64(c.most))
-	}
+	k := scenario.Choose(l.sc.Classes, l.arrivals.Float64())
+	size := l.sc.Classes[k].Size(l.sizes)
 	o := &order{class: k, room: room, first: l.now, size: time.Duration(size)}
 	o.hint = time.Duration(size * l.hints.Rand())
 	if t, ok := l.heavy[k]; ok && l.chance.Float64() < t.Share {
@@ -448,7 +436,7 @@
 			break
 		}
 	}
-	left := o.first + c.patience - l.now
+	left := o.first + c.Wait - l.now
 	if len(there) == 0 || left <= 0 {
 		if o.wait != nil {
 			l.rep.WaitingLost++
@@ -485,7 +473,7 @@
 	if cl.After == "wait" {
 		at = l.now + max(advice, time.Second)
 	}
-	if at < o.first+c.patience {
+	if at < o.first+c.Wait {
 		l.rep.Retries++
 		l.attempt(o, at)
 	}
@@ -729,8 +717,7 @@
 
 // due is until when an order is worth anything.
 func (l *Lab) due(o *order) time.Duration {
-	c := &l.sc.Classes[o.class]
-	return o.first + min(c.onTime+time.Duration(c.Stretch*float64(o.size)), c.patience)
+	return o.first + l.sc.Classes[o.class].Within(o.size)
 }
 
 func (l *Lab) plan(i int) {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 )
 
-func scenario(t testing.TB, name string) *Scenario {
+func day(t testing.TB, name string) *Scenario {
 	t.Helper()
 	all, err := Load(filepath.Join("..", "..", "scenarios", name+".hcl"))
 	require.NoError(t, err)
@@ -30,7 +30,7 @@
 // One scenario and seed, one digest, on any number of threads; another seed, another.
 func TestSameSeedSameDigest(t *testing.T) {
 	for _, name := range []string{"vanish-and-errors", "rolling-restart"} {
-		sc := scenario(t, name)
+		sc := day(t, name)
 		first := play(t, sc, 7, true)
 		old := runtime.GOMAXPROCS(1)
 		again := play(t, sc, 7, true)
@@ -66,7 +66,7 @@
 // The conservation of jobs: whoever came was served, refused, failed, cut off, or did not get through.
 func TestNobodyIsLost(t *testing.T) {
 	for _, name := range []string{"calm-friday", "harvest-rush", "silence-and-resets"} {
-		r := play(t, scenario(t, name), 3, true)
+		r := play(t, day(t, name), 3, true)
 		assert.Equal(t, r.Jobs+r.Retries, r.Served+r.Refused+r.Failed+r.Cut+r.Unreached, "%s: %+v", name, r)
 	}
 }
@@ -74,7 +74,7 @@
 // The waiting room at every dispatcher, under more fresh work than the fleet can do: each waiting job has its end, none that was
 // served has waited longer than twice its due time, and the rules hold.
 func TestWaitingInTheLab(t *testing.T) {
-	sc := scenario(t, "season-close")
+	sc := day(t, "season-close")
 	for seed := range uint64(3) {
 		r := play(t, sc, seed+1, true)
 		assert.Empty(t, sc.Missed(r), "seed %d", seed+1)
@@ -126,7 +126,7 @@
 // A room that is lost and comes back cold is not pushed over: on these seeds 28 hosts fell over, and on the 13th the rule
 // was broken.
 func TestRoomLossPushesNobodyOver(t *testing.T) {
-	sc, fell := scenario(t, "room-loss"), 0
+	sc, fell := day(t, "room-loss"), 0
 	for seed := uint64(11); seed <= 14; seed++ {
 		r := play(t, sc, seed, true)
 		assert.Zero(t, r.Broken(), "seed %d: %v", seed, r.First)
@@ -139,7 +139,7 @@
 // the settings for overload they do.
 func TestStormIsOver(t *testing.T) {
 	for _, on := range []bool{true, false} {
-		sc := scenario(t, "surge")
+		sc := day(t, "surge")
 		sc.Dispatchers = 100
 		if !on {
 			sc.Overload = nil
@@ -150,7 +150,7 @@
 			assert.Equal(t, on, r.Recovery >= 0 && r.Recovery <= 16, "seed %d, settings on %v: back after %v s", seed, on, r.Recovery)
 		}
 	}
-	ideal, err := NewIdeal(scenario(t, "surge"), 1)
+	ideal, err := NewIdeal(day(t, "surge"), 1)
 	require.NoError(t, err)
 	r, err := ideal.Run(t.Context())
 	require.NoError(t, err)
@@ -159,7 +159,7 @@
 
 // BenchmarkLab is jobs a second of wall time on one core, at 100 workers and 3 dispatchers.
 func BenchmarkLab(b *testing.B) {
-	sc := scenario(b, "calm-friday")
+	sc := day(b, "calm-friday")
 	sc.Hosts[0].Count, sc.Hosts[1].Count = 50, 50
 	for _, checked := range []bool{false, true} {
 		b.Run(map[bool]string{false: "plain", true: "checked"}[checked], func(b *testing.B) {
--- a/internal/lab/report.go
+++ b/internal/lab/report.go
@@ -10,6 +10,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"gaugeslip/internal/check"
+	"gaugeslip/internal/scenario"
 )
 
 // Work is what hosts did, by what became of it, as shares of what they could have done.
@@ -128,7 +129,7 @@
 	for _, h := range l.hosts {
 		worked += h.Worked
 	}
-	whole := l.sc.capacity() * l.sc.length.Seconds()
+	whole := scenario.Capacity(l.sc.Hosts) * l.sc.length.Seconds()
 	r.Used, r.Work = worked/whole, Work{}.Plus(l.work, 1/whole)
 	r.Work.Probes, r.Work.Shakes = float64(r.Probes)*probeWork.Seconds()/whole, float64(r.Handshakes)*shakeWork.Seconds()/whole
 	for _, n := range l.nodes {
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -3,70 +3,40 @@
 package lab
 
 import (
-	"errors"
-	"fmt"
 	"math"
-	"os"
-	"strings"
 	"time"
 
 	"github.com/hashicorp/hcl/v2"
-	"github.com/hashicorp/hcl/v2/gohcl"
-	"github.com/hashicorp/hcl/v2/hclparse"
 
+	"gaugeslip/internal/overload"
+	"gaugeslip/internal/scenario"
 	"gaugeslip/internal/waiting"
 	"gaugeslip/policy"
 )
 
 // Scenario is one day to be played. Times in it are texts such as "90s".
 type Scenario struct {
-	Name        string    `hcl:"name,label"`
-	About       string    `hcl:"about,optional"`
-	Length      string    `hcl:"length"`
-	Load        float64   `hcl:"load"` // offered work, as a share of what the hosts can do
-	Dispatchers int       `hcl:"dispatchers"`
-	Rooms       int       `hcl:"rooms,optional"`
-	Delay       string    `hcl:"delay,optional"` // one way between rooms; a tenth of it within one
-	Skew        float64   `hcl:"skew,optional"`  // how much more traffic the first room has than its share
-	Hosts       []Hosts   `hcl:"hosts,block"`
-	Classes     []Class   `hcl:"class,block"`
-	Clients     *Clients  `hcl:"clients,block"`
-	World       *World    `hcl:"world,block"`
-	Overload    *Overload `hcl:"overload,block"`
-	Waiting     *Waiting  `hcl:"waiting,block"`
-	Troubles    []Trouble `hcl:"trouble,block"`
-	Expect      *Expect   `hcl:"expect,block"`
-	Range       hcl.Range `hcl:",def_range"`
+	Name        string           `hcl:"name,label"`
+	About       string           `hcl:"about,optional"`
+	Length      string           `hcl:"length"`
+	Load        float64          `hcl:"load"` // offered work, as a share of what the hosts can do
+	Dispatchers int              `hcl:"dispatchers"`
+	Rooms       int              `hcl:"rooms,optional"`
+	Delay       string           `hcl:"delay,optional"` // one way between rooms; a tenth of it within one
+	Skew        float64          `hcl:"skew,optional"`  // how much more traffic the first room has than its share
+	Hosts       []scenario.Hosts `hcl:"hosts,block"`
+	Classes     []scenario.Class `hcl:"class,block"`
+	Clients     *Clients         `hcl:"clients,block"`
+	World       *World           `hcl:"world,block"`
+	Overload    *Overload        `hcl:"overload,block"`
+	Waiting     *Waiting         `hcl:"waiting,block"`
+	Troubles    []Trouble        `hcl:"trouble,block"`
+	Expect      *Expect          `hcl:"expect,block"`
+	Range       hcl.Range        `hcl:",def_range"`
 
 	length, delay time.Duration
 }
 
-// Hosts is a number of hosts of one kind.
-type Hosts struct {
-	Kind  string    `hcl:"kind,label"`
-	Count int       `hcl:"count"`
-	Lanes int       `hcl:"lanes"`
-	Speed float64   `hcl:"speed,optional"` // of a lane; 1 where it is not said
-	Range hcl.Range `hcl:",def_range"`
-}
-
-// Class is a class of jobs.
-type Class struct {
-	Name     string    `hcl:"name,label"`
-	Part     float64   `hcl:"part"`           // of all jobs
-	Mean     string    `hcl:"mean"`           // work of one, on a standard lane
-	Sigma    float64   `hcl:"sigma,optional"` // of the logarithm of its size
-	OnTime   string    `hcl:"on_time"`
-	Stretch  float64   `hcl:"stretch,optional"`
-	Patience string    `hcl:"patience"`
-	Worth    float64   `hcl:"worth"`
-	Once     bool      `hcl:"once,optional"`
-	Most     string    `hcl:"most,optional"` // work of the largest; without: any
-	Range    hcl.Range `hcl:",def_range"`
-
-	mean, onTime, patience, most time.Duration
-}
-
 // Clients is how clients behave.
 type Clients struct {
 	Retries   int       `hcl:"retries,optional"`
@@ -110,6 +80,8 @@
 	Questions float64   `hcl:"questions"`
 	KeepLanes bool      `hcl:"keep_lanes,optional"`
 	Range     hcl.Range `hcl:",def_range"`
+
+	lim overload.Limits
 }
 
 // Trouble is something that goes wrong. Troubles may overlap.
@@ -151,38 +123,13 @@
 	"surge": true}
 
 // Load reads the scenarios of files.
-func Load(paths ...string) (all []*Scenario, err error) {
-	for _, p := range paths {
-		text, err := os.ReadFile(p)
-		if err != nil {
-			return nil, fmt.Errorf("scenario: %w", err)
-		}
-		s, err := Parse(text, p)
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, s...)
-	}
-	return all, nil
-}
+func Load(files ...string) ([]*Scenario, error) { return scenario.Load(Parse, files...) }
 
 // Parse reads the text of a file. Errors name file, line, column and key.
 func Parse(text []byte, name string) ([]*Scenario, error) {
-	f, diags := hclparse.NewParser().ParseHCL(text, name)
 	var all scenarios
-	if !diags.HasErrors() {
-		diags = gohcl.DecodeBody(f.Body, nil, &all)
-	}
-	if diags.HasErrors() {
-		var errs []error
-		for _, d := range diags {
-			at := hcl.Range{}
-			if d.Subject != nil {
-				at = *d.Subject
-			}
-			errs = append(errs, fault(at, strings.ToLower(d.Summary), "%s", d.Detail))
-		}
-		return nil, errors.Join(errs...)
+	if err := scenario.Decode(text, name, &all); err != nil {
+		return nil, err
 	}
 	for _, s := range all.All {
 		if err := s.check(); err != nil {
@@ -192,84 +139,33 @@
 	return all.All, nil
 }
 
-func fault(r hcl.Range, key, why string, args ...any) error {
-	return fmt.Errorf("%s:%d:%d: %s: %s", r.Filename, r.Start.Line, r.Start.Column, key, fmt.Sprintf(why, args...))
-}
-
-// checker reads texts and keeps the first fault.
-type checker struct{ err error }
-
-func (c *checker) want(ok bool, r hcl.Range, key, why string, args ...any) {
-	if !ok && c.err == nil {
-		c.err = fault(r, key, why, args...)
-	}
-}
-
-// time reads a duration; an empty text is without.
-func (c *checker) time(r hcl.Range, key, text string, without time.Duration) time.Duration {
-	if text == "" {
-		return without
-	}
-	d, err := time.ParseDuration(text)
-	c.want(err == nil && d >= 0, r, key, "%q is no duration such as \"90s\"", text)
-	return d
-}
-
 func (s *Scenario) check() error {
-	c := &checker{}
-	s.length = c.time(s.Range, "length", s.Length, 0)
-	s.delay = c.time(s.Range, "delay", s.Delay, 500*time.Microsecond)
+	c := &scenario.Checker{}
+	s.length = c.Time(s.Range, "length", s.Length, 0)
+	s.delay = c.Time(s.Range, "delay", s.Delay, 500*time.Microsecond)
 	s.Rooms = max(s.Rooms, 1)
-	c.want(s.length > 0 && s.length <= 24*time.Hour, s.Range, "length", "more than 0 and at most 24h")
-	c.want(s.Load > 0 && s.Load <= 100, s.Range, "load", "more than 0 and at most 100")
-	c.want(s.Dispatchers > 0 && s.Dispatchers <= 1000, s.Range, "dispatchers", "1 to 1000")
-	c.want(len(s.Hosts) > 0, s.Range, "hosts", "at least one block is needed")
-	c.want(len(s.Classes) > 0, s.Range, "class", "at least one block is needed")
-	total := 0
-	for i := range s.Hosts {
-		h := &s.Hosts[i]
-		if total += h.Count; h.Speed == 0 {
-			h.Speed = 1
-		}
-		c.want(h.Count > 0, h.Range, "count", "more than 0")
-		c.want(h.Lanes > 0, h.Range, "lanes", "more than 0")
-		c.want(h.Speed > 0, h.Range, "speed", "more than 0")
-	}
-	c.want(total <= 100_000, s.Range, "hosts", "%d, at most 100000", total)
-	parts := 0.0
-	for i := range s.Classes {
-		k := &s.Classes[i]
-		k.mean = c.time(k.Range, "mean", k.Mean, 0)
-		k.onTime = c.time(k.Range, "on_time", k.OnTime, 0)
-		k.patience = c.time(k.Range, "patience", k.Patience, 0)
-		k.most = c.time(k.Range, "most", k.Most, 0)
-		c.want(k.mean > 0, k.Range, "mean", "more than 0s")
-		c.want(k.patience > 0, k.Range, "patience", "more than 0s")
-		c.want(k.Part > 0, k.Range, "part", "more than 0")
-		c.want(k.Worth > 0, k.Range, "worth", "more than 0")
-		c.want(k.Sigma >= 0 && k.Sigma <= 3, k.Range, "sigma", "0 to 3")
-		parts += k.Part
-	}
-	for i := range s.Classes {
-		s.Classes[i].Part /= max(parts, 1e-9)
-	}
+	c.Want(s.length > 0 && s.length <= 24*time.Hour, s.Range, "length", "more than 0 and at most 24h")
+	c.Want(s.Load > 0 && s.Load <= 100, s.Range, "load", "more than 0 and at most 100")
+	c.Want(s.Dispatchers > 0 && s.Dispatchers <= 1000, s.Range, "dispatchers", "1 to 1000")
+	c.Hosts(s.Hosts, s.Range, 100_000)
+	c.Classes(s.Classes, s.Range)
 	if s.Clients == nil {
 		s.Clients = &Clients{}
 	}
 	cl := s.Clients
-	c.want(cl.After == "" || cl.After == "none" || cl.After == "now" || cl.After == "wait", cl.Range, "after",
+	c.Want(cl.After == "" || cl.After == "none" || cl.After == "now" || cl.After == "wait", cl.Range, "after",
 		`%q is none of "none", "now", "wait"`, cl.After)
-	c.want(cl.Retries >= 0 && cl.Retries <= 10, cl.Range, "retries", "0 to 10")
-	c.want(cl.HintSigma >= 0 && cl.HintSigma <= 3, cl.Range, "hint_sigma", "0 to 3")
+	c.Want(cl.Retries >= 0 && cl.Retries <= 10, cl.Range, "retries", "0 to 10")
+	c.Want(cl.HintSigma >= 0 && cl.HintSigma <= 3, cl.Range, "hint_sigma", "0 to 3")
 	if s.World == nil {
 		s.World = &World{}
 	}
 	w := s.World
-	w.warmUp = c.time(w.Range, "warm_up", w.WarmUp, 24*time.Second)
-	w.overloadFor = c.time(w.Range, "overload_for", w.OverloadFor, 2*time.Second)
-	w.reportEvery = c.time(w.Range, "report_every", w.ReportEvery, 150*time.Millisecond)
-	w.progress = c.time(w.Range, "progress", w.Progress, time.Second)
-	w.listLate = c.time(w.Range, "list_late", w.ListLate, time.Second)
+	w.warmUp = c.Time(w.Range, "warm_up", w.WarmUp, 24*time.Second)
+	w.overloadFor = c.Time(w.Range, "overload_for", w.OverloadFor, 2*time.Second)
+	w.reportEvery = c.Time(w.Range, "report_every", w.ReportEvery, 150*time.Millisecond)
+	w.progress = c.Time(w.Range, "progress", w.Progress, time.Second)
+	w.listLate = c.Time(w.Range, "list_late", w.ListLate, time.Second)
 	if w.Queue == 0 {
 		w.Queue = 16
 	}
@@ -279,44 +175,48 @@
 	if w.Tip == 0 {
 		w.Tip = 3
 	}
-	c.want(w.ColdFrom > 0 && w.ColdFrom <= 1, w.Range, "cold_from", "more than 0 and at most 1")
-	c.want(w.Queue > 0, w.Range, "queue", "more than 0")
+	c.Want(w.ColdFrom > 0 && w.ColdFrom <= 1, w.Range, "cold_from", "more than 0 and at most 1")
+	c.Want(w.Queue > 0, w.Range, "queue", "more than 0")
 	if x := s.Overload; x != nil {
-		c.want(x.Questions >= 0 && x.Questions <= 1000, x.Range, "questions", "0 to 1000")
+		x.lim = overload.Defaults()
+		x.lim.Questions, x.lim.KeepLanes = x.Questions, x.KeepLanes
+		if err := x.lim.Check(); err != nil {
+			c.Want(false, x.Range, "overload", "%v", err)
+		}
 	}
 	if x := s.Waiting; x != nil {
 		x.lim = waiting.Defaults()
 		x.lim.MaxJobs, x.lim.MaxKept, x.lim.MaxBytes, x.lim.ClientShare = 10_000_000, 100_000, 1<<40, 1
-		x.lim.DefaultDue = c.time(x.Range, "due", x.Due, 0)
-		if x.delay = c.time(x.Range, "delay", x.Delay, 0); x.Share != 0 {
+		x.lim.DefaultDue = c.Time(x.Range, "due", x.Due, 0)
+		if x.delay = c.Time(x.Range, "delay", x.Delay, 0); x.Share != 0 {
 			x.lim.Share = x.Share
 		}
-		c.want(x.Part > 0 && x.Part <= 10, x.Range, "part", "more than 0 and at most 10")
+		c.Want(x.Part > 0 && x.Part <= 10, x.Range, "part", "more than 0 and at most 10")
 		if err := x.lim.Check(); err != nil {
-			c.want(false, x.Range, "waiting", "%v", err)
+			c.Want(false, x.Range, "waiting", "%v", err)
 		}
 	}
 	for i := range s.Troubles {
 		t := &s.Troubles[i]
-		t.at = c.time(t.Range, "at", t.At, 0)
-		t.length = c.time(t.Range, "for", t.For, 10*time.Second)
-		c.want(kinds[t.Kind], t.Range, "trouble", "%q is not known", t.Kind)
-		c.want(t.at < s.length, t.Range, "at", "the day is over by then")
-		c.want(t.Part >= 0 && t.Part <= 1, t.Range, "part", "0 to 1")
-		c.want(t.Room >= 0 && t.Room <= s.Rooms, t.Range, "room", "1 to the number of rooms")
-		c.want(t.Share >= 0 && t.Share <= 1, t.Range, "share", "0 to 1")
+		t.at = c.Time(t.Range, "at", t.At, 0)
+		t.length = c.Time(t.Range, "for", t.For, 10*time.Second)
+		c.Want(kinds[t.Kind], t.Range, "trouble", "%q is not known", t.Kind)
+		c.Want(t.at < s.length, t.Range, "at", "the day is over by then")
+		c.Want(t.Part >= 0 && t.Part <= 1, t.Range, "part", "0 to 1")
+		c.Want(t.Room >= 0 && t.Room <= s.Rooms, t.Range, "room", "1 to the number of rooms")
+		c.Want(t.Share >= 0 && t.Share <= 1, t.Range, "share", "0 to 1")
 		if t.Kind == "heavy" {
-			c.want(s.class(t.Class) >= 0, t.Range, "class", "%q is not a class", t.Class)
-			c.want(t.Times > 0, t.Range, "times", "more than 0")
+			c.Want(s.class(t.Class) >= 0, t.Range, "class", "%q is not a class", t.Class)
+			c.Want(t.Times > 0, t.Range, "times", "more than 0")
 		}
 		if t.Kind == "surge" {
-			c.want(t.Times > 0 && t.Times <= 100, t.Range, "times", "more than 0 and at most 100")
+			c.Want(t.Times > 0 && t.Times <= 100, t.Range, "times", "more than 0 and at most 100")
 		}
 	}
 	if e := s.Expect; e != nil {
-		e.recover = c.time(e.Range, "recover", e.Recover, 0)
+		e.recover = c.Time(e.Range, "recover", e.Recover, 0)
 	}
-	return c.err
+	return c.Err
 }
 
 // calm is when the last surge is over, since the start; 0: there is none.
@@ -338,21 +238,9 @@
 	return -1
 }
 
-// capacity is what all hosts can do, in standard lanes.
-func (s *Scenario) capacity() (lanes float64) {
-	for _, h := range s.Hosts {
-		lanes += float64(h.Count*h.Lanes) * h.Speed
-	}
-	return lanes
-}
-
 // rate is the jobs a second that are offered.
 func (s *Scenario) rate() float64 {
-	work := 0.0
-	for _, k := range s.Classes {
-		work += k.Part * k.mean.Seconds()
-	}
-	return s.Load * s.capacity() / work
+	return s.Load * scenario.Capacity(s.Hosts) / scenario.MeanWork(s.Classes)
 }
 
 // config is what dispatcher number n is told.
@@ -365,14 +253,14 @@
 		AnswerGrace: 8 * time.Millisecond, ColdFrom: w.ColdFrom, WarmUp: w.warmUp, TipMultiple: w.Tip,
 		OverloadFor: w.overloadFor}
 	if o := s.Overload; o != nil {
-		c.Questions, c.KeepLanes = o.Questions, o.KeepLanes
+		o.lim.Apply(&c)
 	}
 	for _, k := range s.Classes {
 		effect := policy.Repeatable
 		if k.Once {
 			effect = policy.Unsafe
 		}
-		c.Classes = append(c.Classes, policy.Class{Name: k.Name, OnTime: k.onTime, Stretch: k.Stretch, Deadline: k.patience,
+		c.Classes = append(c.Classes, policy.Class{Name: k.Name, OnTime: k.Aim, Stretch: k.Stretch, Deadline: k.Wait,
 			Effect: effect, Worth: k.Worth, Kind: -1})
 	}
 	return c
@@ -380,11 +268,7 @@
 
 // Resize makes the fleet one of so many hosts, of its kinds in their proportions, and changes dispatchers, load and length.
 func (s *Scenario) Resize(hosts, dispatchers int, load float64, length time.Duration) error {
-	total := 0
-	for _, h := range s.Hosts {
-		total += h.Count
-	}
-	left := hosts
+	total, left := scenario.Count(s.Hosts), hosts
 	for i := range s.Hosts {
 		n := hosts * s.Hosts[i].Count / total
 		if i == len(s.Hosts)-1 {
--- a/internal/rig/front.go
+++ b/internal/rig/front.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"gonum.org/v1/gonum/stat/distuv"
+
+	"gaugeslip/internal/scenario"
 )
 
 // The front's habits, as the platform's pages have them.
@@ -151,18 +153,13 @@
 
 // wish draws what a client wants.
 func (f *front) wish(rng *rand.Rand, n int, at time.Duration) *order {
-	k, x := 0, rng.Float64()
-	for k < len(f.sc.Classes)-1 && x >= f.sc.Classes[k].Part {
-		x -= f.sc.Classes[k].Part
-		k++
-	}
-	c := &f.sc.Classes[k]
-	size := float64(c.mean) * distuv.LogNormal{Mu: -c.Sigma * c.Sigma / 2, Sigma: c.Sigma, Src: rng}.Rand()
+	c := &f.sc.Classes[scenario.Choose(f.sc.Classes, rng.Float64())]
+	size := c.Size(rng)
 	hint := size * distuv.LogNormal{Sigma: f.sc.Clients.Hint, Src: rng}.Rand()
 	o := &order{number: n, class: c, room: rng.IntN(f.sc.Rooms), size: max(time.Duration(size), time.Millisecond),
-		hint: max(time.Duration(hint), time.Millisecond), first: at, patience: c.patience}
+		hint: max(time.Duration(hint), time.Millisecond), first: at, patience: c.Wait}
 	o.worth = c.Worth * o.size.Seconds()
-	o.due = at + min(c.onTime+time.Duration(c.Stretch*float64(o.size)), c.patience)
+	o.due = at + c.Within(o.size)
 	return o
 }
 
--- a/internal/rig/record.go
+++ b/internal/rig/record.go
@@ -11,6 +11,7 @@
 	"gaugeslip/internal/check"
 	"gaugeslip/internal/emulator"
 	"gaugeslip/internal/fleet"
+	"gaugeslip/internal/scenario"
 )
 
 // Seen is one line of the record: what a host, a client or the rig itself saw. No dispatcher's word is in it.
@@ -30,7 +31,7 @@
 // order is what a client wants done, over all its tries.
 type order struct {
 	number     int
-	class      *Class
+	class      *scenario.Class
 	room       int
 	size, hint time.Duration
 	first      time.Duration // when it was meant to be sent
@@ -67,7 +68,7 @@
 
 func newRecorder(sc *Scenario, now func() time.Duration, out io.Writer) *recorder {
 	r := &recorder{now: now, tries: map[string]*try{}, rep: &Report{Scenario: sc.Name, Dispatchers: sc.Dispatchers,
-		Hosts: sc.hosts(), Seconds: make([]Second, int(sc.length/time.Second)+1)}, host: make([]Use, sc.hosts()),
+		Hosts: scenario.Count(sc.Hosts), Seconds: make([]Second, int(sc.length/time.Second)+1)}, host: make([]Use, scenario.Count(sc.Hosts)),
 		dealt: make([]int, sc.Dispatchers)}
 	rules := check.Rules{AnswerGrace: answerGrace}
 	for _, b := range sc.Bounds {
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -24,6 +24,7 @@
 
 	"gaugeslip/internal/emulator"
 	"gaugeslip/internal/fleet"
+	"gaugeslip/internal/scenario"
 )
 
 // Options say how a day is played.
@@ -117,7 +118,7 @@
 		stops.Go(func() { n.proc.Stop(stopWithin) })
 	}
 	stops.Wait()
-	rep = r.rec.finish(sc.length, sc.capacity())
+	rep = r.rec.finish(sc.length, scenario.Capacity(sc.Hosts))
 	rep.Seed = seed
 	for _, n := range r.nodes {
 		rep.Crashes += n.proc.Crashes()
@@ -285,7 +286,7 @@
 		if c.Once {
 			effect = "fragile"
 		}
-		profiles = append(profiles, m{"credit": c.Worth, "deadline": ms(c.patience), "effect": effect, "name": c.Name, "on-time": ms(c.onTime)})
+		profiles = append(profiles, m{"credit": c.Worth, "deadline": ms(c.Wait), "effect": effect, "name": c.Name, "on-time": ms(c.Aim)})
 		stretch = append(stretch, c.Stretch)
 	}
 	p := r.params()
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -1,64 +1,35 @@
 package rig
 
 import (
-	"errors"
-	"fmt"
-	"os"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/hashicorp/hcl/v2"
-	"github.com/hashicorp/hcl/v2/gohcl"
-	"github.com/hashicorp/hcl/v2/hclparse"
+
+	"gaugeslip/internal/scenario"
 )
 
 // Scenario is one day on real processes: dispatchers, hosts, clients, and what goes wrong between them.
 type Scenario struct {
-	Name        string    `hcl:"name,label"`
-	About       string    `hcl:"about,optional"`
-	Length      string    `hcl:"length"`
-	Load        float64   `hcl:"load"` // offered work as a share of what the hosts can do
-	Dispatchers int       `hcl:"dispatchers"`
-	Rooms       int       `hcl:"rooms,optional"`
-	Uneven      float64   `hcl:"uneven,optional"`   // the first dispatcher gets this many times the mean of the others
-	Overload    bool      `hcl:"overload,optional"` // every dispatcher has the block of that name in its settings file
-	Hosts       []Hosts   `hcl:"hosts,block"`
-	Classes     []Class   `hcl:"class,block"`
-	Clients     *Clients  `hcl:"clients,block"`
-	Trouble     []Trouble `hcl:"trouble,block"`
-	Bounds      []Bound   `hcl:"bound,block"`
-	Expect      *Expect   `hcl:"expect,block"`
-	Range       hcl.Range `hcl:",def_range"`
+	Name        string           `hcl:"name,label"`
+	About       string           `hcl:"about,optional"`
+	Length      string           `hcl:"length"`
+	Load        float64          `hcl:"load"` // offered work as a share of what the hosts can do
+	Dispatchers int              `hcl:"dispatchers"`
+	Rooms       int              `hcl:"rooms,optional"`
+	Uneven      float64          `hcl:"uneven,optional"`   // the first dispatcher gets this many times the mean of the others
+	Overload    bool             `hcl:"overload,optional"` // every dispatcher has the block of that name in its settings file
+	Hosts       []scenario.Hosts `hcl:"hosts,block"`
+	Classes     []scenario.Class `hcl:"class,block"`
+	Clients     *Clients         `hcl:"clients,block"`
+	Trouble     []Trouble        `hcl:"trouble,block"`
+	Bounds      []Bound          `hcl:"bound,block"`
+	Expect      *Expect          `hcl:"expect,block"`
+	Range       hcl.Range        `hcl:",def_range"`
 
 	length time.Duration
 }
 
-// Hosts is so many equal hosts, dealt out over the rooms in turn.
-type Hosts struct {
-	Kind  string    `hcl:"kind,label"`
-	Count int       `hcl:"count"`
-	Lanes int       `hcl:"lanes"`
-	Speed float64   `hcl:"speed,optional"`
-	Range hcl.Range `hcl:",def_range"`
-}
-
-// Class is a class of jobs.
-type Class struct {
-	Name     string    `hcl:"name,label"`
-	Part     float64   `hcl:"part"` // of the jobs
-	Mean     string    `hcl:"mean"` // work on a standard lane
-	Sigma    float64   `hcl:"sigma,optional"`
-	OnTime   string    `hcl:"on_time"`
-	Stretch  float64   `hcl:"stretch,optional"`
-	Patience string    `hcl:"patience"`
-	Worth    float64   `hcl:"worth"`
-	Once     bool      `hcl:"once,optional"` // must never run twice
-	Range    hcl.Range `hcl:",def_range"`
-
-	mean, onTime, patience time.Duration
-}
-
 // Clients is how clients behave.
 type Clients struct {
 	Retries int       `hcl:"retries,optional"`
@@ -110,9 +81,9 @@
 
 // common is what a file's scenarios share: each block stands where a scenario has none of its kind.
 type common struct {
-	Hosts   []Hosts  `hcl:"hosts,block"`
-	Classes []Class  `hcl:"class,block"`
-	Clients *Clients `hcl:"clients,block"`
+	Hosts   []scenario.Hosts `hcl:"hosts,block"`
+	Classes []scenario.Class `hcl:"class,block"`
+	Clients *Clients         `hcl:"clients,block"`
 }
 
 type scenarios struct {
@@ -143,38 +114,13 @@
 )
 
 // Load reads the scenarios of files.
-func Load(files ...string) (all []*Scenario, err error) {
-	for _, p := range files {
-		text, err := os.ReadFile(p)
-		if err != nil {
-			return nil, fmt.Errorf("rig: %w", err)
-		}
-		s, err := Parse(text, p)
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, s...)
-	}
-	return all, nil
-}
+func Load(files ...string) ([]*Scenario, error) { return scenario.Load(Parse, files...) }
 
 // Parse reads the text of a file. Errors name file, line, column and key.
 func Parse(text []byte, name string) ([]*Scenario, error) {
-	f, diags := hclparse.NewParser().ParseHCL(text, name)
 	var all scenarios
-	if !diags.HasErrors() {
-		diags = gohcl.DecodeBody(f.Body, nil, &all)
-	}
-	if diags.HasErrors() {
-		var errs []error
-		for _, d := range diags {
-			at := hcl.Range{Filename: name}
-			if d.Subject != nil {
-				at = *d.Subject
-			}
-			errs = append(errs, fault(at, strings.ToLower(d.Summary), "%s", d.Detail))
-		}
-		return nil, errors.Join(errs...)
+	if err := scenario.Decode(text, name, &all); err != nil {
+		return nil, err
 	}
 	for _, s := range all.All {
 		if all.Common != nil {
@@ -187,140 +133,76 @@
 	return all.All, nil
 }
 
-func fault(r hcl.Range, key, why string, args ...any) error {
-	return fmt.Errorf("%s:%d:%d: %s: %s", r.Filename, r.Start.Line, r.Start.Column, key, fmt.Sprintf(why, args...))
-}
-
-// checker keeps the first fault.
-type checker struct{ err error }
-
-func (c *checker) want(ok bool, r hcl.Range, key, why string, args ...any) {
-	if !ok && c.err == nil {
-		c.err = fault(r, key, why, args...)
-	}
-}
-
-func (c *checker) time(r hcl.Range, key, text string, without time.Duration) time.Duration {
-	if text == "" {
-		return without
-	}
-	d, err := time.ParseDuration(text)
-	c.want(err == nil && d >= 0, r, key, "%q is no duration such as \"2s\"", text)
-	return d
-}
-
 // The largest day that a machine carries.
 const (
 	mostDispatchers = 32
 	mostHosts       = 64
 	mostLength      = 10 * time.Minute
+	mostPatience    = time.Minute
 )
 
 func (s *Scenario) check() error {
-	c := &checker{}
-	s.length = c.time(s.Range, "length", s.Length, 0)
+	c := &scenario.Checker{}
+	s.length = c.Time(s.Range, "length", s.Length, 0)
 	s.Rooms = max(s.Rooms, 1)
-	c.want(s.length > 0 && s.length <= mostLength, s.Range, "length", "more than 0 and at most %v", mostLength)
-	c.want(s.Load > 0 && s.Load <= 20, s.Range, "load", "more than 0 and at most 20")
-	c.want(s.Dispatchers > 0 && s.Dispatchers <= mostDispatchers, s.Range, "dispatchers", "1 to %d", mostDispatchers)
-	c.want(s.Rooms <= s.Dispatchers, s.Range, "rooms", "at most one for each dispatcher")
-	c.want(s.Uneven >= 0 && s.Uneven <= 100, s.Range, "uneven", "0 to 100")
-	total := 0
-	for i := range s.Hosts {
-		h := &s.Hosts[i]
-		if total += h.Count; h.Speed == 0 {
-			h.Speed = 1
-		}
-		c.want(h.Count > 0, h.Range, "count", "more than 0")
-		c.want(h.Lanes > 0, h.Range, "lanes", "more than 0")
-		c.want(h.Speed > 0, h.Range, "speed", "more than 0")
-	}
-	c.want(total > 0 && total <= mostHosts, s.Range, "hosts", "1 to %d", mostHosts)
-	c.want(len(s.Classes) > 0, s.Range, "class", "at least one block is needed")
-	parts := 0.0
-	for i := range s.Classes {
-		k := &s.Classes[i]
-		k.mean, k.onTime = c.time(k.Range, "mean", k.Mean, 0), c.time(k.Range, "on_time", k.OnTime, 0)
-		k.patience = c.time(k.Range, "patience", k.Patience, 0)
-		c.want(k.mean > 0, k.Range, "mean", "more than 0s")
-		c.want(k.patience > 0 && k.patience <= time.Minute, k.Range, "patience", "more than 0s and at most 1m")
-		c.want(k.Part > 0, k.Range, "part", "more than 0")
-		c.want(k.Worth > 0, k.Range, "worth", "more than 0")
-		c.want(k.Sigma >= 0 && k.Sigma <= 3, k.Range, "sigma", "0 to 3")
-		parts += k.Part
-	}
-	for i := range s.Classes {
-		s.Classes[i].Part /= max(parts, 1e-9)
+	c.Want(s.length > 0 && s.length <= mostLength, s.Range, "length", "more than 0 and at most %v", mostLength)
+	c.Want(s.Load > 0 && s.Load <= 20, s.Range, "load", "more than 0 and at most 20")
+	c.Want(s.Dispatchers > 0 && s.Dispatchers <= mostDispatchers, s.Range, "dispatchers", "1 to %d", mostDispatchers)
+	c.Want(s.Rooms <= s.Dispatchers, s.Range, "rooms", "at most one for each dispatcher")
+	c.Want(s.Uneven >= 0 && s.Uneven <= 100, s.Range, "uneven", "0 to 100")
+	c.Hosts(s.Hosts, s.Range, mostHosts)
+	c.Classes(s.Classes, s.Range)
+	for _, k := range s.Classes {
+		c.Want(k.Wait <= mostPatience, k.Range, "patience", "at most %v", mostPatience)
 	}
 	if s.Clients == nil {
 		s.Clients = &Clients{}
 	}
 	cl := s.Clients
-	c.want(cl.After == "" || cl.After == "none" || cl.After == "now" || cl.After == "advice", cl.Range, "after",
+	c.Want(cl.After == "" || cl.After == "none" || cl.After == "now" || cl.After == "advice", cl.Range, "after",
 		`%q is none of "none", "now", "advice"`, cl.After)
-	c.want(cl.Retries >= 0 && cl.Retries <= 10, cl.Range, "retries", "0 to 10")
+	c.Want(cl.Retries >= 0 && cl.Retries <= 10, cl.Range, "retries", "0 to 10")
 	for key, x := range map[string]float64{"ignore": cl.Ignore, "early": cl.Early} {
-		c.want(x >= 0 && x <= 1, cl.Range, key, "0 to 1")
+		c.Want(x >= 0 && x <= 1, cl.Range, key, "0 to 1")
 	}
 	for i := range s.Trouble {
 		s.Trouble[i].check(c, s)
 	}
 	for i := range s.Bounds {
 		b := &s.Bounds[i]
-		b.window = c.time(b.Range, "window", b.Window, 0)
-		c.want(whats[b.What], b.Range, "bound", `%q is none of "probes", "connections", "sends"`, b.What)
-		c.want(b.window > 0, b.Range, "window", "more than 0s")
-		c.want(b.Most > 0, b.Range, "most", "more than 0")
+		b.window = c.Time(b.Range, "window", b.Window, 0)
+		c.Want(whats[b.What], b.Range, "bound", `%q is none of "probes", "connections", "sends"`, b.What)
+		c.Want(b.window > 0, b.Range, "window", "more than 0s")
+		c.Want(b.Most > 0, b.Range, "most", "more than 0")
 	}
-	return c.err
+	return c.Err
 }
 
-func (t *Trouble) check(c *checker, s *Scenario) {
-	t.at, t.length = c.time(t.Range, "at", t.At, 0), c.time(t.Range, "for", t.For, 0)
-	t.delay, t.jitter = c.time(t.Range, "delay", t.Delay, 0), c.time(t.Range, "jitter", t.Jitter, 0)
-	c.want(kinds[t.Kind] || linkKinds[t.Kind], t.Range, "trouble", "%q is not known", t.Kind)
-	c.want(t.at < s.length, t.Range, "at", "the day is over by then")
-	c.want(!linkKinds[t.Kind] || paths[t.Path], t.Range, "path", `%q is none of "client", "host", "discovery"`, t.Path)
+func (t *Trouble) check(c *scenario.Checker, s *Scenario) {
+	t.at, t.length = c.Time(t.Range, "at", t.At, 0), c.Time(t.Range, "for", t.For, 0)
+	t.delay, t.jitter = c.Time(t.Range, "delay", t.Delay, 0), c.Time(t.Range, "jitter", t.Jitter, 0)
+	c.Want(kinds[t.Kind] || linkKinds[t.Kind], t.Range, "trouble", "%q is not known", t.Kind)
+	c.Want(t.at < s.length, t.Range, "at", "the day is over by then")
+	c.Want(!linkKinds[t.Kind] || paths[t.Path], t.Range, "path", `%q is none of "client", "host", "discovery"`, t.Path)
 	ways := map[string]Way{"": Both, "both": Both, "forth": Forth, "back": Back}
 	t.way = ways[t.Way]
-	c.want(t.way != 0, t.Range, "way", `%q is none of "forth", "back", "both"`, t.Way)
+	c.Want(t.way != 0, t.Range, "way", `%q is none of "forth", "back", "both"`, t.Way)
 	for key, x := range map[string]float64{"dispatchers": t.Dispatchers, "hosts": t.Hosts, "share": t.Share} {
-		c.want(x >= 0 && x <= 1, t.Range, key, "0 to 1")
+		c.Want(x >= 0 && x <= 1, t.Range, key, "0 to 1")
 	}
 	switch t.Kind {
 	case "slow":
-		c.want(t.Share > 0, t.Range, "share", "more than 0")
+		c.Want(t.Share > 0, t.Range, "share", "more than 0")
 	case "storm":
-		c.want(t.Times > 0 && t.Times <= 20, t.Range, "times", "more than 0 and at most 20")
+		c.Want(t.Times > 0 && t.Times <= 20, t.Range, "times", "more than 0 and at most 20")
 	case "trickle":
-		c.want(t.Rate > 0, t.Range, "rate", "more than 0")
+		c.Want(t.Rate > 0, t.Range, "rate", "more than 0")
 	case "cut":
-		c.want(t.Bytes > 0, t.Range, "bytes", "more than 0")
+		c.Want(t.Bytes > 0, t.Range, "bytes", "more than 0")
 	case "delay":
-		c.want(t.delay > 0, t.Range, "delay", "more than 0s")
+		c.Want(t.delay > 0, t.Range, "delay", "more than 0s")
 	}
 }
 
-// hosts is how many there are, capacity what all can do, in standard lanes.
-func (s *Scenario) hosts() (n int) {
-	for _, h := range s.Hosts {
-		n += h.Count
-	}
-	return n
-}
-
-func (s *Scenario) capacity() (lanes float64) {
-	for _, h := range s.Hosts {
-		lanes += float64(h.Count*h.Lanes) * h.Speed
-	}
-	return lanes
-}
-
 // rate is the jobs a second that are offered at load 1.
-func (s *Scenario) rate() float64 {
-	work := 0.0
-	for _, k := range s.Classes {
-		work += k.Part * k.mean.Seconds()
-	}
-	return s.capacity() / work
-}
+func (s *Scenario) rate() float64 { return scenario.Capacity(s.Hosts) / scenario.MeanWork(s.Classes) }
--- /dev/null
+++ b/internal/scenario/scenario.go
@@ -0,0 +1,189 @@
+// Package scenario is what the scenario files of the lab and of the rig of processes have in common: reading HCL with errors that
+// name file, line, column and key, and the hosts and classes of jobs of a day.
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+	"gonum.org/v1/gonum/stat/distuv"
+)
+
+// Hosts is a number of hosts of one kind.
+type Hosts struct {
+	Kind  string    `hcl:"kind,label"`
+	Count int       `hcl:"count"`
+	Lanes int       `hcl:"lanes"`
+	Speed float64   `hcl:"speed,optional"` // of a lane; 1 where it is not said
+	Range hcl.Range `hcl:",def_range"`
+}
+
+// Class is a class of jobs. Checker.Classes reads the durations from the texts.
+type Class struct {
+	Name     string    `hcl:"name,label"`
+	Part     float64   `hcl:"part"`           // of all jobs
+	Mean     string    `hcl:"mean"`           // work of one, on a standard lane
+	Sigma    float64   `hcl:"sigma,optional"` // of the logarithm of its size
+	OnTime   string    `hcl:"on_time"`
+	Stretch  float64   `hcl:"stretch,optional"`
+	Patience string    `hcl:"patience"`
+	Worth    float64   `hcl:"worth"`
+	Once     bool      `hcl:"once,optional"` // must never run twice
+	Most     string    `hcl:"most,optional"` // work of the largest; without: any
+	Range    hcl.Range `hcl:",def_range"`
+
+	Work    time.Duration // Mean
+	Aim     time.Duration // OnTime
+	Wait    time.Duration // Patience
+	Largest time.Duration // Most; 0: any
+}
+
+// Size draws the work of a job, in nanoseconds of a standard lane.
+func (c *Class) Size(src rand.Source) float64 {
+	size := float64(c.Work) * distuv.LogNormal{Mu: -c.Sigma * c.Sigma / 2, Sigma: c.Sigma, Src: src}.Rand()
+	if c.Largest > 0 {
+		size = min(size, float64(c.Largest))
+	}
+	return size
+}
+
+// Within is how long after it was asked for a job of a size is worth anything.
+func (c *Class) Within(size time.Duration) time.Duration {
+	return min(c.Aim+time.Duration(c.Stretch*float64(size)), c.Wait)
+}
+
+// Choose gives the number of the class that x, from 0 to 1, falls to by the classes' parts.
+func Choose(all []Class, x float64) int {
+	k := 0
+	for k < len(all)-1 && x >= all[k].Part {
+		x -= all[k].Part
+		k++
+	}
+	return k
+}
+
+// Count is how many hosts there are.
+func Count(all []Hosts) (n int) {
+	for _, h := range all {
+		n += h.Count
+	}
+	return n
+}
+
+// Capacity is what all hosts can do, in standard lanes.
+func Capacity(all []Hosts) (lanes float64) {
+	for _, h := range all {
+		lanes += float64(h.Count*h.Lanes) * h.Speed
+	}
+	return lanes
+}
+
+// MeanWork is the mean work of a job, in seconds of a standard lane.
+func MeanWork(all []Class) (work float64) {
+	for _, k := range all {
+		work += k.Part * k.Work.Seconds()
+	}
+	return work
+}
+
+// Load reads files, each by parse.
+func Load[T any](parse func(text []byte, name string) ([]T, error), files ...string) (all []T, err error) {
+	for _, p := range files {
+		text, err := os.ReadFile(p)
+		if err != nil {
+			return nil, fmt.Errorf("scenario: %w", err)
+		}
+		s, err := parse(text, p)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, s...)
+	}
+	return all, nil
+}
+
+// Decode reads the text of a file into a struct with hcl tags. Errors name file, line, column and key.
+func Decode(text []byte, name string, into any) error {
+	f, diags := hclparse.NewParser().ParseHCL(text, name)
+	if !diags.HasErrors() {
+		diags = gohcl.DecodeBody(f.Body, nil, into)
+	}
+	if !diags.HasErrors() {
+		return nil
+	}
+	var errs []error
+	for _, d := range diags {
+		at := hcl.Range{Filename: name}
+		if d.Subject != nil {
+			at = *d.Subject
+		}
+		errs = append(errs, fault(at, strings.ToLower(d.Summary), "%s", d.Detail))
+	}
+	return errors.Join(errs...)
+}
+
+func fault(r hcl.Range, key, why string, args ...any) error {
+	return fmt.Errorf("%s:%d:%d: %s: %s", r.Filename, r.Start.Line, r.Start.Column, key, fmt.Sprintf(why, args...))
+}
+
+// Checker reads texts and keeps the first fault.
+type Checker struct{ Err error }
+
+// Want notes a fault of a key unless ok.
+func (c *Checker) Want(ok bool, r hcl.Range, key, why string, args ...any) {
+	if !ok && c.Err == nil {
+		c.Err = fault(r, key, why, args...)
+	}
+}
+
+// Time reads a duration; an empty text is without.
+func (c *Checker) Time(r hcl.Range, key, text string, without time.Duration) time.Duration {
+	if text == "" {
+		return without
+	}
+	d, err := time.ParseDuration(text)
+	c.Want(err == nil && d >= 0, r, key, "%q is no duration such as \"90s\"", text)
+	return d
+}
+
+// Hosts checks those of a scenario whose own place is r, and fills in what is not said.
+func (c *Checker) Hosts(all []Hosts, r hcl.Range, most int) {
+	c.Want(len(all) > 0, r, "hosts", "at least one block is needed")
+	for i := range all {
+		h := &all[i]
+		if h.Speed == 0 {
+			h.Speed = 1
+		}
+		c.Want(h.Count > 0, h.Range, "count", "more than 0")
+		c.Want(h.Lanes > 0, h.Range, "lanes", "more than 0")
+		c.Want(h.Speed > 0, h.Range, "speed", "more than 0")
+	}
+	c.Want(Count(all) <= most, r, "hosts", "%d, at most %d", Count(all), most)
+}
+
+// Classes checks those of a scenario whose own place is r, reads their durations and makes their parts sum to 1.
+func (c *Checker) Classes(all []Class, r hcl.Range) {
+	c.Want(len(all) > 0, r, "class", "at least one block is needed")
+	parts := 0.0
+	for i := range all {
+		k := &all[i]
+		k.Work, k.Aim = c.Time(k.Range, "mean", k.Mean, 0), c.Time(k.Range, "on_time", k.OnTime, 0)
+		k.Wait, k.Largest = c.Time(k.Range, "patience", k.Patience, 0), c.Time(k.Range, "most", k.Most, 0)
+		c.Want(k.Work > 0, k.Range, "mean", "more than 0s")
+		c.Want(k.Wait > 0, k.Range, "patience", "more than 0s")
+		c.Want(k.Part > 0, k.Range, "part", "more than 0")
+		c.Want(k.Worth > 0, k.Range, "worth", "more than 0")
+		c.Want(k.Sigma >= 0 && k.Sigma <= 3, k.Range, "sigma", "0 to 3")
+		parts += k.Part
+	}
+	for i := range all {
+		all[i].Part /= max(parts, 1e-9)
+	}
+}
