--- a/internal/net/downstream/decode.go
+++ b/internal/net/downstream/decode.go
@@ -48,17 +48,16 @@
 	return nil
 }
 
-// classOf is the class that a request's path names.
-func classOf(r *http.Request, s *settings.Settings) (int, bool) {
-	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	class, ok := s.Classes[first]
-	return class, ok
+// classOf is the class that a request's path names, by name and number.
+func classOf(r *http.Request, s *settings.Settings) (name string, class int, ok bool) {
+	name, _, _ = strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
+	class, ok = s.Classes[name]
+	return name, class, ok
 }
 
 // decode reads a request's head into a ticket, once. Every error is a *fault.
 func decode(r *http.Request, s *settings.Settings, arrived time.Time) (*loop.Ticket, error) {
-	first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	class, ok := classOf(r, s)
+	name, class, ok := classOf(r, s)
 	if !ok {
 		return nil, &fault{http.StatusNotFound, "no such path"}
 	}
@@ -83,7 +82,7 @@
 	if !visible(t.Forward.URI) {
 		return nil, bad("the path holds what no URL may")
 	}
-	if q := r.Header.Get("X-Qos"); q != "" && q != first {
+	if q := r.Header.Get("X-Qos"); q != "" && q != name {
 		return nil, bad("X-Qos: %q does not go with the path", q)
 	}
 	if c := r.Header.Get("X-Customer"); c != "" {
--- a/internal/net/downstream/server.go
+++ b/internal/net/downstream/server.go
@@ -235,7 +235,7 @@
 	}
 	if err != nil {
 		status := s.reject(w, r, err)
-		if class, ok := classOf(r, s.set); ok { // a job of a class, though it could not be taken
+		if _, class, ok := classOf(r, s.set); ok { // a job of a class, though it could not be taken
 			s.tally(class, status)
 		}
 		return
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -73,6 +73,7 @@
 	told   chan dispatch.Told // of an Asked
 	handed chan bool          // of a Hand
 	idle   chan struct{}      // to be closed when nothing without a connection is out
+	count  chan struct{}      // to be closed when the hosts are counted anew
 	watch  uint64             // the number of the watch that the message comes from; 0: from none
 	source cluster.Source     // a new source in place of a message
 }
@@ -89,7 +90,7 @@
 	nextJob  atomic.Uint64
 	nextAsk  atomic.Uint64
 	held     atomic.Int64
-	known    atomic.Int64 // hosts listed, as of the last Step
+	known    atomic.Int64 // hosts listed, as last counted
 	excluded atomic.Int64 // of those, the ones kept away from
 	nextHand atomic.Uint64
 	ids      ids
@@ -163,9 +164,26 @@
 // Held is how many downstream requests have been submitted and not yet released.
 func (l *Loop) Held() int64 { return l.held.Load() }
 
-// Workers counts the listed hosts and those of them that are kept away from, by hand or by the module, as of the
-// last Step.
-func (l *Loop) Workers() (known, excluded int64) { return l.known.Load(), l.excluded.Load() }
+// countFor is how long Workers waits for the loop.
+const countFor = 250 * time.Millisecond
+
+// Workers counts the listed hosts and those of them that are kept away from, by hand or by the module. Counting looks
+// at every host, so it is done when somebody asks and not at each Step; where the loop does not come to it in time, it
+// is the last count.
+func (l *Loop) Workers() (known, excluded int64) {
+	counted, late := make(chan struct{}), time.After(countFor)
+	select {
+	case l.urgent <- envelope{count: counted}:
+		select {
+		case <-counted:
+		case <-late:
+		case <-l.stopped:
+		}
+	case <-late:
+	case <-l.stopped:
+	}
+	return l.known.Load(), l.excluded.Load()
+}
 
 // Move puts another source of the list in the old one's place. A watch on it begins at once, after the newest
 // version that is known, whether the module waits to ask or not.
@@ -294,6 +312,13 @@
 		l.idle = append(l.idle, e.idle)
 		return batch
 	}
+	if e.count != nil {
+		known, excluded := l.core.Workers()
+		l.known.Store(int64(known))
+		l.excluded.Store(int64(excluded))
+		close(e.count)
+		return batch
+	}
 	if e.watch != 0 && (e.watch != l.watches || l.watch == nil) {
 		return batch
 	}
@@ -340,9 +365,6 @@
 		}
 	}()
 	commands := l.core.Step(l.clock.Now(), batch)
-	known, excluded := l.core.Workers()
-	l.known.Store(int64(known))
-	l.excluded.Store(int64(excluded))
 	l.trace(ctx, batch, commands)
 	for _, c := range commands {
 		l.carry(ctx, c)
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -5,8 +5,9 @@
 	"encoding/json"
 	"fmt"
 	"os"
-	"path/filepath"
 	"time"
+
+	"gaugeslip/internal/ops"
 )
 
 // On a socket that the platform keeps, a new process of the same dispatcher accepts beside the old one. The one that
@@ -24,38 +25,12 @@
 }
 
 // servingFile is where the processes of a dispatcher tell which of them serves.
-func servingFile(dir, name string) string {
-	return filepath.Join(dir, "gaugeslip-"+safeName(name)+"-serving.json")
-}
-
-// safeName keeps letters, digits, - and _ of a dispatcher's name for a file's.
-func safeName(name string) string {
-	b := []byte(name)
-	for i, c := range b {
-		if !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9' || c == '-' || c == '_') {
-			b[i] = '_'
-		}
-	}
-	return string(b)
-}
+func servingFile(dir, name string) string { return ops.FileOf(dir, name, "serving") }
 
-// announce writes that this process serves now, whole, by a rename.
+// announce writes that this process serves now.
 func announce(path string, me serving) error {
 	text, _ := json.Marshal(me)
-	tmp, err := os.CreateTemp(filepath.Dir(path), ".gaugeslip-serving-*")
-	if err != nil {
-		return fmt.Errorf("serving: %w", err)
-	}
-	defer os.Remove(tmp.Name())
-	if _, err = tmp.Write(text); err == nil {
-		err = tmp.Close()
-	} else {
-		tmp.Close()
-	}
-	if err == nil {
-		err = os.Rename(tmp.Name(), path)
-	}
-	if err != nil {
+	if err := ops.WriteWhole(path, text, false); err != nil {
 		return fmt.Errorf("serving: %w", err)
 	}
 	return nil
--- a/internal/ops/store.go
+++ b/internal/ops/store.go
@@ -85,13 +85,39 @@
 
 // NewStore keeps the file of a dispatcher in dir.
 func NewStore(dir, node string) *Store {
+	return &Store{node: node, path: FileOf(dir, node, "out-by-hand")}
+}
+
+// FileOf is the file of $TMPDIR that the processes of one dispatcher share for a purpose. Of the dispatcher's name it keeps
+// letters, digits, - and _.
+func FileOf(dir, node, purpose string) string {
 	safe := strings.Map(func(r rune) rune {
 		if r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z' || r >= '0' && r <= '9' || r == '-' || r == '_' {
 			return r
 		}
 		return '_'
 	}, node)
-	return &Store{node: node, path: filepath.Join(dir, "gaugeslip-"+safe+"-out-by-hand.json")}
+	return filepath.Join(dir, "gaugeslip-"+safe+"-"+purpose+".json")
+}
+
+// WriteWhole writes a file whole, by a rename, so that a reader sees the old file or the new one and never a part. With sync it
+// is on the disk when the call returns.
+func WriteWhole(path string, text []byte, sync bool) error {
+	tmp, err := os.CreateTemp(filepath.Dir(path), "."+filepath.Base(path)+"-*")
+	if err != nil {
+		return err
+	}
+	defer os.Remove(tmp.Name()) // after the rename, of nothing
+	if _, err = tmp.Write(text); err == nil && sync {
+		err = tmp.Sync()
+	}
+	if cerr := tmp.Close(); err == nil {
+		err = cerr
+	}
+	if err == nil {
+		err = os.Rename(tmp.Name(), path)
+	}
+	return err
 }
 
 // Path is the file's.
@@ -132,24 +158,9 @@
 	return stamp{info.ModTime(), info.Size()} != s.seen
 }
 
-// Save writes the set whole, by a rename, so that a reader sees the old file or the new one and never a part.
+// Save writes the set, whole.
 func (s *Store) Save(out []string) error {
-	tmp, err := os.CreateTemp(filepath.Dir(s.path), ".gaugeslip-out-by-hand-*")
-	if err != nil {
-		return fmt.Errorf("out by hand: %w", err)
-	}
-	defer os.Remove(tmp.Name()) // after the rename, of nothing
-	_, err = tmp.Write(Encode(s.node, out))
-	if err == nil {
-		err = tmp.Sync()
-	}
-	if cerr := tmp.Close(); err == nil {
-		err = cerr
-	}
-	if err == nil {
-		err = os.Rename(tmp.Name(), s.path)
-	}
-	if err != nil {
+	if err := WriteWhole(s.path, Encode(s.node, out), true); err != nil {
 		return fmt.Errorf("out by hand: %s: %w", s.path, err)
 	}
 	if info, err := os.Stat(s.path); err == nil {
