--- a/deploy/site.hcl
+++ b/deploy/site.hcl
@@ -23,4 +23,9 @@
 #:   keep_lanes = true   # a lane that an own job frees is taken again without a probe, while most answers find none free
 #:   enter      = 0.2    # share of refusals from which on the log and the figures say "overloaded"
 #:   leave      = 0.05   # and under which they no longer do
+#:   margin     = 4      # slack of a job, in delays by others, to be let onto a host while none has a free lane
+#:   repeats    = 0.2    # sends beyond a job's first, by all dispatchers, for each first one; 0: no bound
+#:   shed       = true   # jobs are refused at the door, in one order for all dispatchers
+#:   floor      = 0.25   # share of each class that is not refused there
+#:   # order    = ["harvest-sale", "plot-load"]   # the last refused first; by default by worth for their work
 #: }
--- a/internal/check/check.go
+++ b/internal/check/check.go
@@ -69,6 +69,7 @@
 	OverloadFor time.Duration
 	Slack       float64 // of the budget of a cold host, for chance
 	Sums        []Sum
+	Repeats     float64 // sends beyond a job's first by all dispatchers, for each first one, at most; 0: any
 }
 
 // Rule names a rule.
@@ -127,6 +128,8 @@
 	counts   map[Rule]int
 	now      time.Duration
 	checked  int
+	firsts   int // sends
+	repeats  int
 }
 
 // New makes a Checker.
@@ -207,6 +210,11 @@
 	case Left:
 		j.deadline, j.answered = 0, true
 	case Sent:
+		if e.Attempt == 0 {
+			c.firsts++
+		} else if c.repeats++; c.rules.Repeats > 0 && float64(c.repeats) > c.rules.Repeats*float64(c.firsts) {
+			c.breach(Sums, "%d sends beyond a job's first, after %d first ones", c.repeats, c.firsts)
+		}
 		if j.unsafe && j.sends != 0 {
 			c.breach(OneEffect, "job %d is sent again, and may have run", e.Job)
 		}
--- a/internal/check/check_test.go
+++ b/internal/check/check_test.go
@@ -45,7 +45,7 @@
 }
 
 var rules = Rules{AnswerGrace: 10 * time.Millisecond, DrainGrace: 3 * second, TipMultiple: 3, OverloadFor: 2 * second,
-	Sums: []Sum{{"probes", second, 2}}}
+	Sums: []Sum{{"probes", second, 2}}, Repeats: 1}
 
 func verdict(events []Event) *Checker {
 	c := New(rules)
@@ -83,6 +83,7 @@
 			return append(e, Event{Kind: Ran, At: 15 * second, Job: 3, Host: 7})
 		}, Harmless},
 		"too much in a window": {func(e []Event) []Event { e[26].At -= time.Millisecond; return e }, Sums},
+		"too many repeats":     {func(e []Event) []Event { e[7].Attempt = 1; return e }, Sums},
 		"taken twice":          {func(e []Event) []Event { return append(e[:2:2], e[1:]...) }, Unexpected},
 	} {
 		c := verdict(m.change(sound()))
--- a/internal/dispatch/chain.go
+++ b/internal/dispatch/chain.go
@@ -22,6 +22,8 @@
 	// gate's alone, and goes on.
 	Crashed(now time.Duration)
 	Keeps(job uint64) bool
+	// Anew makes one that knows nothing, for when a panic has left this one in doubt.
+	Anew() Gate
 }
 
 // Pass is what a gate hands on.
@@ -45,13 +47,16 @@
 	inCore bool   // a Step is in the core, not in a gate
 }
 
-// NewChain puts gates round a core. The order of gates is written down here alone: the waiting room is the outermost,
-// since what waits is for no later gate to count yet.
-func NewChain(core *Core, room *WaitingGate) *Chain {
+// NewChain puts gates round a core; nil ones are not there. The order of gates is written down here alone: the waiting room is
+// the outermost, since what waits is for no later gate to count yet; then the one that sheds.
+func NewChain(core *Core, room *WaitingGate, shed *ShedGate) *Chain {
 	c := &Chain{core: core}
 	if room != nil {
 		c.gates = append(c.gates, room)
 	}
+	if shed != nil {
+		c.gates = append(c.gates, shed)
+	}
 	c.passes = make([]Pass, len(c.gates))
 	return c
 }
@@ -127,9 +132,7 @@
 		}
 	} else {
 		for _, g := range c.gates {
-			if w, ok := g.(*WaitingGate); ok {
-				n.gates = append(n.gates, w.anew())
-			}
+			n.gates = append(n.gates, g.Anew())
 		}
 	}
 	n.passes = make([]Pass, len(n.gates))
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -34,6 +34,8 @@
 	Wait         *Wait         // what it asks of the waiting room; nil: nothing
 	Tried        int           // sends of it in earlier turns: its Keys count on from there
 	Waited       time.Duration // of Budget, spent by its client's own wish
+	Key          uint64        // of what it concerns, alike in all of its client's tries; Keyed: there is one
+	Keyed        bool
 }
 
 // Wait is what a job asks of the waiting room.
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -29,7 +29,8 @@
 	return &WaitingGate{room: waiting.New(lim, f), lim: lim, fleet: f, ready: map[string]bool{}}
 }
 
-func (g *WaitingGate) anew() *WaitingGate {
+// Anew makes a gate with an empty room.
+func (g *WaitingGate) Anew() Gate {
 	return &WaitingGate{room: waiting.New(g.lim, g.fleet), lim: g.lim, fleet: g.fleet, ready: map[string]bool{}}
 }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -36,6 +36,7 @@
 
 // order is what a client wants done; it may take some tries.
 type order struct {
+	key         uint64 // of what it concerns
 	class, room int
 	size, hint  time.Duration
 	first       time.Duration
@@ -88,27 +89,28 @@
 
 // Lab is one run of a scenario.
 type Lab struct {
-	sc    *Scenario
-	seed  uint64
-	now   time.Duration
-	cal   calendar
-	nodes []*node
-	hosts []*fleet.Host
-	byAdr map[string]int
-	list  []dispatch.Host
-	seq   uint64 // the list's version
-	wake  []time.Duration
-	dirty []int
-	sends map[uint64]*send
-	next  uint64
-	lost  float64 // share of sends that are lost on the way; troubles set it
-	reset float64 // share that is reset
-	heavy map[int]Trouble
-	hit   [][]int // by trouble, the hosts that it meets
-	late  time.Duration
-	down  bool    // the list's service is
-	surge float64 // of the load, against the scenario's
-	secs  []tally // by the second in which it was asked for
+	sc     *Scenario
+	seed   uint64
+	now    time.Duration
+	cal    calendar
+	nodes  []*node
+	hosts  []*fleet.Host
+	byAdr  map[string]int
+	list   []dispatch.Host
+	seq    uint64 // the list's version
+	wake   []time.Duration
+	dirty  []int
+	sends  map[uint64]*send
+	next   uint64
+	orders uint64
+	lost   float64 // share of sends that are lost on the way; troubles set it
+	reset  float64 // share that is reset
+	heavy  map[int]Trouble
+	hit    [][]int // by trouble, the hosts that it meets
+	late   time.Duration
+	down   bool    // the list's service is
+	surge  float64 // of the load, against the scenario's
+	secs   []tally // by the second in which it was asked for
 
 	arrivals, sizes, chance *rand.Rand
 	hints                   distuv.LogNormal
@@ -138,8 +140,12 @@
 	l.hints = distuv.LogNormal{Sigma: sc.Clients.HintSigma, Src: l.sizes}
 	w := sc.World
 	if checked {
-		l.check = check.New(check.Rules{AnswerGrace: 58 * time.Millisecond, DrainGrace: 3050 * time.Millisecond,
-			TipMultiple: w.Tip, OverloadFor: w.overloadFor, Slack: 0.1})
+		rules := check.Rules{AnswerGrace: 58 * time.Millisecond, DrainGrace: 3050 * time.Millisecond,
+			TipMultiple: w.Tip, OverloadFor: w.overloadFor, Slack: 0.1}
+		if o := sc.Overload; o != nil {
+			rules.Repeats = o.lim.Repeats
+		}
+		l.check = check.New(rules)
 	}
 	p := fleet.Params{Queue: w.Queue, ColdFrom: w.ColdFrom, WarmUp: w.warmUp, TipMultiple: w.Tip, OverloadFor: w.overloadFor,
 		ReportEvery: w.reportEvery, Progress: w.progress, ProbeWork: probeWork, MaxConns: w.MaxConns,
@@ -192,7 +198,13 @@
 	if w := l.sc.Waiting; w != nil {
 		gate = dispatch.NewWaitingGate(w.lim, l.sc.config(i))
 	}
-	n.chain, n.up, n.watching, n.open, n.inbox, n.wakeAt = dispatch.NewChain(core, gate), true, false, map[uint64]*try{}, nil, 0
+	var shed *dispatch.ShedGate
+	if o := l.sc.Overload; o != nil && o.lim.Shed {
+		if shed, err = dispatch.NewShedGate(o.lim, l.sc.config(i)); err != nil {
+			return err
+		}
+	}
+	n.chain, n.up, n.watching, n.open, n.inbox, n.wakeAt = dispatch.NewChain(core, gate, shed), true, false, map[uint64]*try{}, nil, 0
 	n.stopping = 0
 	clear(n.idle)
 	l.tell(i, dispatch.Listed{Version: 0, Whole: true, Stale: true, Hosts: slices.Clone(n.known)})
@@ -402,7 +414,8 @@
 func (l *Lab) draw(room int) *order {
 	k := scenario.Choose(l.sc.Classes, l.arrivals.Float64())
 	size := l.sc.Classes[k].Size(l.sizes)
-	o := &order{class: k, room: room, first: l.now, size: time.Duration(size)}
+	l.orders++
+	o := &order{key: l.orders, class: k, room: room, first: l.now, size: time.Duration(size)}
 	o.hint = time.Duration(size * l.hints.Rand())
 	if t, ok := l.heavy[k]; ok && l.chance.Float64() < t.Share {
 		o.size = time.Duration(float64(o.size) * t.Times)
@@ -450,7 +463,10 @@
 	n := l.nodes[t.node]
 	t.life, t.deadline = n.life, l.now+left
 	m := dispatch.Arrived{Job: t.id, Class: o.class, Tenant: -1, At: l.now, Budget: left, Size: o.hint, Slots: 1,
-		Retry: o.tries > 1}
+		Retry: o.tries > 1, Key: o.key, Keyed: !l.sc.Clients.Keyless}
+	if l.sc.Clients.Keyless {
+		m.Key = t.id
+	}
 	if l.sc.Waiting != nil {
 		m.Name, m.Wait = strconv.FormatUint(t.id, 16), o.wait
 	}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -42,7 +42,8 @@
 	Retries   int       `hcl:"retries,optional"`
 	After     string    `hcl:"after,optional"` // "none", "now" or "wait": for the advice, else a second
 	HintSigma float64   `hcl:"hint_sigma,optional"`
-	Burst     float64   `hcl:"burst,optional"` // in every tenth second the rate is this many times the usual
+	Keyless   bool      `hcl:"keyless,optional"` // their requests do not say what they concern
+	Burst     float64   `hcl:"burst,optional"`   // in every tenth second the rate is this many times the usual
 	Range     hcl.Range `hcl:",def_range"`
 }
 
@@ -79,6 +80,11 @@
 type Overload struct {
 	Questions float64   `hcl:"questions"`
 	KeepLanes bool      `hcl:"keep_lanes,optional"`
+	Margin    float64   `hcl:"margin,optional"`
+	Repeats   float64   `hcl:"repeats,optional"`
+	Shed      bool      `hcl:"shed,optional"`
+	Floor     float64   `hcl:"floor,optional"`
+	Order     []string  `hcl:"order,optional"`
 	Range     hcl.Range `hcl:",def_range"`
 
 	lim overload.Limits
@@ -179,7 +185,10 @@
 	c.Want(w.Queue > 0, w.Range, "queue", "more than 0")
 	if x := s.Overload; x != nil {
 		x.lim = overload.Defaults()
-		x.lim.Questions, x.lim.KeepLanes = x.Questions, x.KeepLanes
+		x.lim.Questions, x.lim.KeepLanes, x.lim.Margin, x.lim.Repeats = x.Questions, x.KeepLanes, x.Margin, x.Repeats
+		if x.lim.Shed, x.lim.Order = x.Shed, x.Order; x.Floor != 0 {
+			x.lim.Floor = x.Floor
+		}
 		if err := x.lim.Check(); err != nil {
 			c.Want(false, x.Range, "overload", "%v", err)
 		}
--- a/internal/net/downstream/decode.go
+++ b/internal/net/downstream/decode.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"gaugeslip/internal/dispatch"
 	"gaugeslip/internal/net/loop"
 	"gaugeslip/internal/net/upstream"
@@ -91,6 +93,11 @@
 		}
 	}
 	j.Retry = r.Header.Get("X-Second-Try") == "1"
+	object := r.Header.Get("X-Object")
+	if j.Keyed = object != "" && len(object) <= maxID; !j.Keyed { // a longer one counts as none
+		object = t.Forward.TraceID
+	}
+	j.Key = xxhash.Sum64String(object)
 	j.Budget = s.Policy.Classes[class].Deadline // where none is said
 	var err error
 	if said := r.Header["X-Expires-In-Ms"]; len(said) > 0 {
--- a/internal/net/downstream/downstream_test.go
+++ b/internal/net/downstream/downstream_test.go
@@ -53,7 +53,7 @@
 	if lim != nil {
 		room = dispatch.NewWaitingGate(*lim, set.Policy)
 	}
-	l := loop.New(dispatch.NewChain(core, room), set, pool, none{}, loop.NewClock())
+	l := loop.New(dispatch.NewChain(core, room, nil), set, pool, none{}, loop.NewClock())
 	l.Post(dispatch.Listed{Whole: true, Stale: true,
 		Hosts: []dispatch.Host{{Name: "s-0000000a", Addr: host.Addr, Scale: 1},
 			{Name: "s-0000000b", Addr: host.Addr, Scale: 1}}})
@@ -285,13 +285,22 @@
 	require.NoError(t, err)
 	r.RequestURI = r.URL.String() // the absolute form
 	for k, v := range map[string]string{"X-Trace-Id": "t", "X-Expires-In-Ms": "480", "X-Size-Hint": "2500",
-		"X-Props": "memory=0.5, slots=2", "X-Second-Try": "1", "X-Customer": "nobody"} {
+		"X-Props": "memory=0.5, slots=2", "X-Second-Try": "1", "X-Customer": "nobody", "X-Object": "o"} {
 		r.Header.Set(k, v)
 	}
 	k, err := decode(r, nettest.Settings(t), time.Now())
 	require.NoError(t, err)
 	assert.Equal(t, dispatch.Arrived{Class: 1, Tenant: -1, Budget: 480 * time.Millisecond, Retry: true,
-		Size: 2500 * time.Microsecond, Slots: 2}, k.Job)
+		Size: 2500 * time.Microsecond, Slots: 2, Key: k.Job.Key, Keyed: true}, k.Job)
+	r.Header.Set("X-Trace-Id", "another")
+	again, err := decode(r, nettest.Settings(t), time.Now())
+	require.NoError(t, err)
+	assert.Equal(t, k.Job.Key, again.Job.Key, "a client's next try concerns the same")
+	r.Header.Set("X-Object", strings.Repeat("o", maxID+1))
+	other, err := decode(r, nettest.Settings(t), time.Now())
+	require.NoError(t, err)
+	assert.False(t, other.Job.Keyed)
+	assert.NotEqual(t, k.Job.Key, other.Job.Key)
 	assert.Equal(t, "/harvest-sale/9?q=1", k.Forward.URI)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,7 +18,9 @@
 	"gaugeslip/internal/net/loop"
 	"gaugeslip/internal/net/upstream"
 	"gaugeslip/internal/ops"
+	"gaugeslip/internal/overload"
 	"gaugeslip/internal/site"
+	"gaugeslip/policy"
 )
 
 // The budget of descriptors: what is not downstream's or upstream's is for discovery, standard streams, the
@@ -65,6 +67,11 @@
 	if _, taken := c.Settings.Classes["jobs"]; taken && s.Waiting != nil {
 		return nil, nil, fmt.Errorf("site: waiting: a class is named \"jobs\", and waiting jobs are found below /jobs")
 	}
+	if s.Overload != nil { // its order names classes that the configuration has
+		if _, err := overload.NewShedder(*s.Overload, &c.Settings.Policy); err != nil {
+			return nil, nil, fmt.Errorf("site: overload.%w", err)
+		}
+	}
 	return c, s, nil
 }
 
@@ -103,6 +110,10 @@
 		figures.Gauge("refused_share", "Share of refusals among the answers of the last seconds.", level.share)
 		tally = level
 	}
+	shed, err := shedding(own.Overload, &decisions, figures)
+	if err != nil {
+		return err
+	}
 	pool := upstream.NewPool(upstream.Config{ConnectTimeout: cfg.Settings.Policy.ConnectTimeout,
 		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, Settle: settle, MaxConns: up,
 		Written: figures.Attempt})
@@ -110,7 +121,7 @@
 	if own.Waiting != nil {
 		room = dispatch.NewWaitingGate(*own.Waiting, cfg.Settings.Policy)
 	}
-	l = loop.New(dispatch.NewChain(core, room), cfg.Settings, pool, paced(cfg), loop.NewClock())
+	l = loop.New(dispatch.NewChain(core, room, shed), cfg.Settings, pool, paced(cfg), loop.NewClock())
 	l.Post(known)
 	server := downstream.New(downstream.Config{Listen: cfg.Listen, Inherited: cfg.Inherited, MaxConns: down,
 		MaxBodies: cfg.Limits.BodyBytes(), AcceptFor: downstream.AcceptFor,
@@ -185,6 +196,23 @@
 	return err
 }
 
+// shedding makes the gate that refuses jobs at the door in overload, with its figures; nil: none is set.
+func shedding(l *overload.Limits, cfg *policy.Config, figures *ops.Figures) (*dispatch.ShedGate, error) {
+	if l == nil || !l.Shed {
+		return nil, nil
+	}
+	g, err := dispatch.NewShedGate(*l, *cfg)
+	if err != nil {
+		return nil, fmt.Errorf("site: overload.%w", err)
+	}
+	for i, c := range cfg.Classes {
+		figures.Count("shed_total", "Jobs of a class refused at the door for overload, since the start; refused_total has them too.",
+			c.Name, func() float64 { return g.Shed(i) })
+	}
+	figures.Gauge("admitted_share", "Share of the work asked for that the door lets in.", g.Admit)
+	return g, nil
+}
+
 // paced is the source at a start, when many dispatchers may start together.
 func paced(cfg *config.Config) cluster.Source {
 	p := &cfg.Settings.Policy
--- a/internal/ops/figures.go
+++ b/internal/ops/figures.go
@@ -65,6 +65,16 @@
 		prometheus.GaugeOpts{Namespace: "edge_node", Name: name, Help: help}, read))
 }
 
+// Count adds a figure that only grows, read each time the figures are shown, from any goroutine. Several may have a name, each with
+// its own value of the label class; empty: there is one, without.
+func (f *Figures) Count(name, help, class string, read func() float64) {
+	o := prometheus.CounterOpts{Namespace: "edge_node", Name: name, Help: help}
+	if class != "" {
+		o.ConstLabels = prometheus.Labels{"class": class}
+	}
+	f.registry.MustRegister(prometheus.NewCounterFunc(o, read))
+}
+
 // Answered counts the final answer to a job of a class, by its status as the client sees it: 200 is served, 429 and
 // 503 are refused, any other has failed. A class that the settings do not have is not counted.
 func (f *Figures) Answered(class, status int) {
--- a/internal/overload/overload.go
+++ b/internal/overload/overload.go
@@ -21,10 +21,19 @@
 	KeepLanes bool    // a lane that an own job frees is taken again without a probe, while most answers find none free
 	Enter     float64 // share of refusals among answers from which on the level is "overloaded"
 	Leave     float64 // and under which it no longer is
+	// Margin is how many times the delay that peers cause a job's slack must be, see policy.Config.Margin.
+	Margin float64
+	// Repeats is how many sends beyond the first all dispatchers together make for each first one, at most; 0: no bound.
+	Repeats float64
+	Shed    bool     // jobs are refused at the door, in one order for all dispatchers: see Shedder
+	Floor   float64  // share of each class that is not refused there
+	Order   []string // classes, the last refused first; empty: by worth for their work
 }
 
 // Defaults is what an empty block means. The figures are weighed in docs/design/overload.md.
-func Defaults() Limits { return Limits{Questions: 2, KeepLanes: true, Enter: 0.2, Leave: 0.05} }
+func Defaults() Limits {
+	return Limits{Questions: 2, KeepLanes: true, Enter: 0.2, Leave: 0.05, Margin: 4, Repeats: 0.2, Shed: true, Floor: 0.25}
+}
 
 // Check finds settings that can't be kept. An error begins with the faulty key.
 func (l *Limits) Check() error {
@@ -35,12 +44,20 @@
 		return errors.New("enter: out of range, over 0 to 1")
 	case !(l.Leave >= 0 && l.Leave < l.Enter):
 		return fmt.Errorf("leave: out of range, 0 to under enter (%g)", l.Enter)
+	case !(l.Margin >= 0 && l.Margin <= 100):
+		return errors.New("margin: out of range, 0 to 100")
+	case !(l.Repeats >= 0 && l.Repeats <= 10):
+		return errors.New("repeats: out of range, 0 (no bound) to 10")
+	case !(l.Floor > 0 && l.Floor <= 1):
+		return errors.New("floor: out of range, over 0 to 1")
 	}
 	return nil
 }
 
 // Apply puts what the decision module keeps into its settings.
-func (l *Limits) Apply(c *policy.Config) { c.Questions, c.KeepLanes = l.Questions, l.KeepLanes }
+func (l *Limits) Apply(c *policy.Config) {
+	c.Questions, c.KeepLanes, c.Margin, c.Repeats = l.Questions, l.KeepLanes, l.Margin, l.Repeats
+}
 
 // memory is how long an answer counts in the level: its weight falls to 1/e in this time.
 const memory = 2 * time.Second
--- a/internal/overload/overload_test.go
+++ b/internal/overload/overload_test.go
@@ -19,6 +19,9 @@
 		"questions: ": func(l *Limits) { l.Questions = math.NaN() },
 		"enter: ":     func(l *Limits) { l.Enter = 1.5 },
 		"leave: ":     func(l *Limits) { l.Leave = l.Enter },
+		"margin: ":    func(l *Limits) { l.Margin = -1 },
+		"repeats: ":   func(l *Limits) { l.Repeats = math.Inf(1) },
+		"floor: ":     func(l *Limits) { l.Floor = 0 },
 	} {
 		l := Defaults()
 		change(&l)
@@ -28,7 +31,7 @@
 	}
 	var c policy.Config
 	d.Apply(&c)
-	assert.Equal(t, policy.Config{Questions: 2, KeepLanes: true}, c)
+	assert.Equal(t, policy.Config{Questions: 2, KeepLanes: true, Margin: 4, Repeats: 0.2}, c)
 }
 
 // Load that wavers between the two marks turns the level once at most, whatever its order; beyond them it follows.
--- a/internal/rig/front.go
+++ b/internal/rig/front.go
@@ -218,6 +218,9 @@
 		return 0, 0
 	}
 	req.Header.Set("X-Trace-Id", id)
+	if !f.sc.Clients.Keyless {
+		req.Header.Set("X-Object", strconv.Itoa(o.number))
+	}
 	req.Header.Set("X-Size-Hint", strconv.FormatInt(o.hint.Microseconds(), 10))
 	req.Header.Set("X-Expires-In-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	if o.tries > 0 {
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -37,6 +37,7 @@
 	Ignore  float64   `hcl:"ignore,optional"` // share that comes back at once whatever it was told
 	Early   float64   `hcl:"early,optional"`  // share that gives up after a tenth of its patience
 	Hint    float64   `hcl:"hint_sigma,optional"`
+	Keyless bool      `hcl:"keyless,optional"` // their requests do not say what they concern
 	Range   hcl.Range `hcl:",def_range"`
 }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -52,6 +52,11 @@
 	KeepLanes *hcl.Attribute `hcl:"keep_lanes,optional"`
 	Enter     *hcl.Attribute `hcl:"enter,optional"`
 	Leave     *hcl.Attribute `hcl:"leave,optional"`
+	Margin    *hcl.Attribute `hcl:"margin,optional"`
+	Repeats   *hcl.Attribute `hcl:"repeats,optional"`
+	Shed      *hcl.Attribute `hcl:"shed,optional"`
+	Floor     *hcl.Attribute `hcl:"floor,optional"`
+	Order     *hcl.Attribute `hcl:"order,optional"`
 	Range     hcl.Range      `hcl:",def_range"`
 }
 
@@ -139,11 +144,16 @@
 	r.boolean(b.KeepLanes, &l.KeepLanes)
 	r.number(b.Enter, &l.Enter)
 	r.number(b.Leave, &l.Leave)
+	r.number(b.Margin, &l.Margin)
+	r.number(b.Repeats, &l.Repeats)
+	r.boolean(b.Shed, &l.Shed)
+	r.number(b.Floor, &l.Floor)
+	r.texts(b.Order, &l.Order)
 	if len(r.errs) > 0 {
 		return nil, errors.Join(r.errs...)
 	}
 	if err := l.Check(); err != nil {
-		return nil, place(err, "overload", b.Range, b.Questions, b.Enter, b.Leave)
+		return nil, place(err, "overload", b.Range, b.Questions, b.Enter, b.Leave, b.Margin, b.Repeats, b.Floor)
 	}
 	return &l, nil
 }
@@ -241,6 +251,30 @@
 	return ok
 }
 
+// texts reads ["a", "b"].
+func (r *reader) texts(a *hcl.Attribute, to *[]string) {
+	if a == nil {
+		return
+	}
+	v, diags := a.Expr.Value(nil)
+	if diags.HasErrors() {
+		r.fault(a, "%s", diags[0].Detail)
+		return
+	}
+	if !v.IsWhollyKnown() || v.IsNull() || !v.CanIterateElements() {
+		r.fault(a, "a list of texts is wanted")
+		return
+	}
+	*to = nil
+	for _, x := range v.AsValueSlice() {
+		if x.IsNull() || x.Type() != cty.String {
+			r.fault(a, "a list of texts is wanted")
+			return
+		}
+		*to = append(*to, x.AsString())
+	}
+}
+
 // duration reads "90s", "10m", "24h".
 func (r *reader) duration(a *hcl.Attribute, to *time.Duration) {
 	var s string
--- a/policy/decisions_test.go
+++ b/policy/decisions_test.go
@@ -918,6 +918,46 @@
 	}
 }
 
+// Sends beyond the first of a job are never more than the stated share of the first ones, whatever comes back; saved up, one is.
+func TestRepeatsHaveABudget(t *testing.T) {
+	for _, share := range []float64{0.1, 0.2, 1} {
+		w := fixture(t, 8, func(c *Config) { c.Repeats = share })
+		firsts, repeats, most := 0, 0, 0
+		for range 100 {
+			burst := 0
+			for id, acts := w.arrive(0, 100*ms, 3*time.Second); len(acts) > 0 && acts[0].Kind == Send; burst++ {
+				acts = w.end(id, burst, Full) // it never ran: nothing else stands against another send
+			}
+			if burst == 0 {
+				t.Fatal("a first send needs no budget")
+			}
+			firsts, repeats, most = firsts+1, repeats+burst-1, max(most, burst-1)
+			if float64(repeats) > share*float64(firsts) {
+				t.Fatalf("share %v: %d repeats for %d first sends", share, repeats, firsts)
+			}
+			w.now += time.Second
+		}
+		if most != 1 || float64(repeats) < 0.8*share*float64(firsts) {
+			t.Errorf("share %v: %d repeats, %d at once at most", share, repeats, most)
+		}
+	}
+}
+
+// Where no answer tells of a free lane, a job needs slack for the delay that peers have caused to be let onto a worker.
+func TestMarginInOverload(t *testing.T) {
+	for _, c := range []struct {
+		margin, roomy float64
+		want          ActionKind
+	}{{0, 0, Send}, {4, 1, Send}, {4, 0, Refuse}} {
+		w := fixture(t, 1, func(cfg *Config) { cfg.Margin = c.margin })
+		x := w.d.order[0]
+		x.lag, x.lagAt, w.d.roomy = float64(400*ms), w.now, c.roomy
+		if _, acts := w.arrive(0, 100*ms, 700*ms); kinds(acts)[0] != c.want {
+			t.Errorf("%+v: %+v", c, acts)
+		}
+	}
+}
+
 // In overload a scheduler keeps a lane that its own job frees: it alone knows at once. With free lanes about it asks.
 func TestOwnEndIsNews(t *testing.T) {
 	for roomy, want := range map[float64]ActionKind{0.1: Send, 0.9: Probe} {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -207,7 +207,7 @@
 				break
 			}
 			end, ok := d.admit(j, w)
-			if !ok || float64(j.due-end) < 0.5*d.lag(w) {
+			if !ok || float64(j.due-end) < (0.5+d.cfg.Margin*(1-d.roomy))*d.lag(w) {
 				continue
 			}
 			spread := d.lag(w) + float64(end-d.now)*d.noise + 1
@@ -281,13 +281,11 @@
 		}
 		k := min(h.slots, len(lanes))
 		end := lanes[k-1] + w.net + time.Duration(h.size/d.power(w, d.now))
-		if i >= at && end > h.due {
+		if d.fill(k, end); i >= at && end > h.due {
 			return 0, false
-		}
-		if i == at {
+		} else if i == at {
 			ends = end
 		}
-		d.fill(k, end)
 	}
 	return ends, true
 }
@@ -314,7 +312,7 @@
 func (d *Dispatcher) allowed(j *job, w *worker) bool {
 	c := &d.cfg.Classes[j.class]
 	if j.closed || j.out > 0 || !w.listed || len(j.atts) >= d.cfg.MaxAttempts ||
-		c.Kind >= 0 && c.Kind != w.Kind {
+		c.Kind >= 0 && c.Kind != w.Kind || len(j.atts) > 0 && d.cfg.Repeats > 0 && d.spare < 1 {
 		return false
 	}
 	if w.suspect && (d.now < w.trial || len(w.out) > 0 || c.Effect != Repeatable) {
@@ -353,6 +351,7 @@
 		clean: len(w.out) < w.lanes, full: len(w.out)+1 >= w.lanes,
 		patience: w.net + time.Duration(w.wait+3*d.meanRun+d.lag(w))}
 	w.coldSent += max(j.size, j.bulk)
+	d.spare = min(d.spare+d.cfg.Repeats, 1+d.cfg.Repeats) - float64(min(len(j.atts), 1))*(1+d.cfg.Repeats)
 	j.atts, w.out = append(j.atts, a), append(w.out, a)
 	j.out, j.mayRun = j.out+1, cmp.Or(j.mayRun, a)
 	d.act = append(d.act, Action{Kind: Send, Job: j.id, Worker: w.ID})
--- a/policy/state.go
+++ b/policy/state.go
@@ -71,6 +71,7 @@
 	bound, meanRun, worth           float64         // between the two size ranges; means of a run, of a job's worth
 	noise                           float64         // mean of a surprise
 	gap, roomy                      float64         // mean time between arrivals; share of reports with a free lane
+	spare                           float64         // repeats that the budget has left
 	zones                           []zone          // the first: none known
 	now, last, armed, wake, watchAt time.Duration
 	timer                           uint64
--- a/policy/types.go
+++ b/policy/types.go
@@ -88,6 +88,13 @@
 	// parts. 0: there is no bound.
 	Questions float64
 	KeepLanes bool // while most answers tell of no free lane, one that an own job frees is taken unasked
+	// Margin: a job's slack must be so many times the delay that peers have caused at a worker for it to
+	// be let onto that worker, while no answer tells of a free lane; less in proportion where some do, half of
+	// it at least. 0: half of it, always.
+	Margin float64
+	// Repeats is how many sends beyond a job's first are allowed for each first send. A scheduler begins with
+	// none and saves up one, so those of all together are at most Repeats x first sends. 0: there is no bound.
+	Repeats float64
 }
 
 // check finds settings that make no sense and fills in what is absent.
@@ -113,6 +120,11 @@
 	if !(c.Questions >= 0) || math.IsInf(c.Questions, 0) {
 		return errors.New("policy: Questions: negative, or no number")
 	}
+	for name, x := range map[string]float64{"Margin": c.Margin, "Repeats": c.Repeats} {
+		if !(x >= 0) || math.IsInf(x, 0) {
+			return errors.New("policy: " + name + ": negative, or no number")
+		}
+	}
 	if c.ColdFrom <= 0 || c.ColdFrom > 1 {
 		c.ColdFrom = 1
 	}
--- a/scenarios/overload.hcl
+++ b/scenarios/overload.hcl
@@ -51,6 +51,9 @@
   overload {
     questions  = 2
     keep_lanes = true
+    margin     = 4
+    repeats    = 0.2
+    shed       = true
   }
 
   expect {
--- a/scenarios/surge.hcl
+++ b/scenarios/surge.hcl
@@ -50,6 +50,9 @@
   overload {
     questions  = 2
     keep_lanes = true
+    margin     = 4
+    repeats    = 0.2
+    shed       = true
   }
 
   trouble "surge" {
