--- /dev/null
+++ b/internal/lab/shares/draw.go
@@ -0,0 +1,43 @@
+package shares
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Draw makes a hard world of a seed: some members, clocks that differ by up to 2 %, messages of which up to a third are lost, and
+// one to six troubles that overlap as they fall: kills of single members, of whoever leads, of all voters and of all, pauses
+// across the end of a grant, and partitions of every form, healed and cut again.
+func Draw(seed uint64) *World {
+	rng := rand.New(rand.NewPCG(seed, 23))
+	sizes := []int{3, 4, 5, 8, 12, 24}
+	n := sizes[rng.IntN(len(sizes))]
+	w := &World{Members: n, Voters: []int{1, 3, 3, 3, 5}[rng.IntN(5)], Length: 20 * time.Second, Floor: []float64{0, 0.25, 0.5}[rng.IntN(3)],
+		Rate: 200, Burst: 20, Drift: 0.02 * rng.Float64(), Delay: time.Duration(1+rng.IntN(30)) * time.Millisecond,
+		Loss: []float64{0, 0.05, 0.3}[rng.IntN(3)], Twice: 0.2 * rng.Float64(), Late: 0.05 * rng.Float64()}
+	w.Voters = min(w.Voters, n)
+	for range n {
+		w.Demand = append(w.Demand, rng.ExpFloat64()/float64(n))
+	}
+	w.Demand[rng.IntN(n)] += 0.8
+	for range 1 + rng.IntN(6) {
+		t := Trouble{At: time.Duration(rng.Float64() * 16 * float64(time.Second)), For: time.Duration(50+rng.IntN(6000)) * time.Millisecond,
+			Kind: []string{"kill", "kill", "pause", "pause", "cut", "mute", "islands"}[rng.IntN(7)], Islands: 2 + rng.IntN(2)}
+		switch rng.IntN(4) {
+		case 0: // all that vote, and who leads with them
+			for i := range w.Voters {
+				t.Members = append(t.Members, i)
+			}
+		case 1:
+			for i := range n {
+				if rng.IntN(2) == 0 {
+					t.Members = append(t.Members, i)
+				}
+			}
+		default:
+			t.Members = append(t.Members, rng.IntN(n))
+		}
+		w.Troubles = append(w.Troubles, t)
+	}
+	return w
+}
