--- /dev/null
+++ b/cmd/gaugelab/budgets.go
@@ -0,0 +1,157 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+
+	"gaugeslip/internal/lab/shares"
+)
+
+// budgetsCommand plays members that divide a budget in virtual time.
+func budgetsCommand() *cobra.Command {
+	c := &cobra.Command{Use: "budgets", Short: "Play members that divide a budget among them, in virtual time",
+		RunE: func(cmd *cobra.Command, _ []string) error { return usageError{errors.New("budgets: draw or sizes is wanted")} }}
+	c.AddCommand(budgetsDraw(), budgetsSizes())
+	return c
+}
+
+func budgetsDraw() *cobra.Command {
+	var first uint64
+	var seeds int
+	c := &cobra.Command{Use: "draw", Short: "Play hard histories that are drawn by seeds, and check that no sum passes the whole",
+		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+			var mu sync.Mutex
+			var all sync.WaitGroup
+			broken, used, asked := 0, 0, 0.0
+			free := make(chan struct{}, runtime.GOMAXPROCS(0))
+			for i := range seeds {
+				if cmd.Context().Err() != nil {
+					break
+				}
+				free <- struct{}{}
+				all.Go(func() {
+					defer func() { <-free }()
+					seed := first + uint64(i)
+					r := shares.Play(shares.Draw(seed), seed)
+					mu.Lock()
+					defer mu.Unlock()
+					used, asked = used+r.Uses, asked+r.Asked
+					if len(r.Breaches) > 0 {
+						broken++
+						fmt.Fprintf(cmd.ErrOrStderr(), "BROKEN on seed %d (gaugelab budgets draw --seed %d --seeds 1): %s\n", seed, seed, r.Breaches[0])
+					}
+				})
+			}
+			all.Wait()
+			fmt.Fprintf(cmd.OutOrStdout(), "%d histories, %d uses, the sum passed the whole in %d\n", seeds, used, broken)
+			return unmet(broken)
+		}}
+	c.Flags().Uint64Var(&first, "seed", 1, "the first seed")
+	c.Flags().IntVar(&seeds, "seeds", 1000, "how many seeds")
+	return c
+}
+
+// DividedFleet is what a fleet of one size made of a budget.
+type DividedFleet struct {
+	Members   int     `json:"members"`
+	Static    float64 `json:"static"`    // share of the whole that is used where a tenth of the members is asked for as much as the whole
+	Talk      float64 `json:"talk"`      // the same, with talk
+	Death     float64 `json:"death_s"`   // seconds until 0.9 is used again after a member's death, the one who leads
+	Healed    float64 `json:"healed_s"`  // after two islands are one again
+	Messages  float64 `json:"messages"`  // a second and member
+	Bytes     float64 `json:"bytes"`     // a second and member
+	LeaderMsg float64 `json:"at_leader"` // messages a second at the one who leads
+}
+
+func budgetsSizes() *cobra.Command {
+	var text, out string
+	var seeds int
+	var asJSON bool
+	c := &cobra.Command{Use: "sizes", Short: "Say what static and talk make of a budget over the fleet's size, and what talk costs",
+		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+			var all []DividedFleet
+			for _, part := range strings.Split(text, ",") {
+				n, err := strconv.Atoi(strings.TrimSpace(part))
+				if err != nil || n < 1 || n > 5000 {
+					return usageError{fmt.Errorf("budgets sizes: --sizes: %q is no size", part)}
+				}
+				all = append(all, divided(n, seeds))
+				fmt.Fprintf(cmd.ErrOrStderr(), "  %d members: %+v\n", n, all[len(all)-1])
+			}
+			if out != "" {
+				if err := plotMessages(all, out); err != nil {
+					return err
+				}
+			}
+			if asJSON {
+				return json.NewEncoder(cmd.OutOrStdout()).Encode(all)
+			}
+			w := tabwriter.NewWriter(cmd.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(w, "members\tused, static\tused, talk\tafter a death, s\tafter islands, s\tmessages a s\tbytes a s\tmessages at the leader")
+			for _, x := range all {
+				fmt.Fprintf(w, "%d\t%.3f\t%.3f\t%.2f\t%.2f\t%.1f\t%.0f\t%.0f\n", x.Members, x.Static, x.Talk, x.Death, x.Healed, x.Messages, x.Bytes, x.LeaderMsg)
+			}
+			return w.Flush()
+		}}
+	c.Flags().StringVar(&text, "sizes", "3,10,30,100,300,1000", "numbers of members")
+	c.Flags().IntVar(&seeds, "seeds", 3, "how many seeds")
+	c.Flags().StringVar(&out, "out", "", "folder for a plot of messages; none where it is empty")
+	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return c
+}
+
+// divided plays a fleet of one size over some seeds.
+func divided(n, seeds int) DividedFleet {
+	x := DividedFleet{Members: n}
+	mean := func(all []float64) (m float64) {
+		all = all[len(all)/2:]
+		for _, v := range all {
+			m += v / float64(len(all))
+		}
+		return m
+	}
+	for seed := range uint64(seeds) {
+		k := 1 / float64(seeds)
+		w := shares.Uneven(n)
+		r := shares.Play(w, seed)
+		x.Talk += k * mean(r.Share)
+		x.Messages, x.Bytes = x.Messages+k*r.Messages, x.Bytes+k*r.Bytes
+		x.LeaderMsg += k * r.Messages * float64(n)
+		w.Static = true
+		x.Static += k * mean(shares.Play(w, seed).Share)
+		w = shares.Even(n, 1.5)
+		w.Troubles = []shares.Trouble{{Kind: "kill", At: 12 * time.Second, Members: []int{0}}}
+		x.Death += k * shares.Play(w, seed).Recovered.Seconds()
+		w.Troubles = []shares.Trouble{{Kind: "islands", Islands: 2, At: 10 * time.Second, For: 6 * time.Second}}
+		x.Healed += k * shares.Play(w, seed).Recovered.Seconds()
+	}
+	return x
+}
+
+// plotMessages draws what talk costs over the fleet's size.
+func plotMessages(all []DividedFleet, out string) error {
+	p := plot.New()
+	p.Title.Text, p.X.Label.Text, p.Y.Label.Text = "What talk costs", "members", "messages a second"
+	p.X.Scale, p.X.Tick.Marker, p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{Prec: -1}, plot.LogScale{}, plot.LogTicks{Prec: -1}
+	type point struct {
+		line string
+		at   plotter.XY
+	}
+	var points []point
+	for _, x := range all {
+		points = append(points, point{"of a member", plotter.XY{X: float64(x.Members), Y: x.Messages}},
+			point{"of all", plotter.XY{X: float64(x.Members), Y: x.LeaderMsg}})
+	}
+	return plotLines(p, points, out+"/budgets.png", func(x point) (string, plotter.XY) { return x.line, x.at })
+}
--- a/cmd/gaugelab/scale.go
+++ b/cmd/gaugelab/scale.go
@@ -132,10 +132,18 @@
 
 // plotByDispatchers draws a curve for each number of dispatchers, in the order in which they come, and saves the plot.
 func plotByDispatchers[T any](p *plot.Plot, all []T, path string, point func(T) (dispatchers int, at plotter.XY)) error {
+	return plotLines(p, all, path, func(x T) (string, plotter.XY) {
+		n, at := point(x)
+		return fmt.Sprintf("%d dispatchers", n), at
+	})
+}
+
+// plotLines draws a curve for each name, in the order in which they come, and saves the plot.
+func plotLines[T any](p *plot.Plot, all []T, path string, point func(T) (line string, at plotter.XY)) error {
 	if err := os.MkdirAll(filepath.Dir(path), 0o755); err != nil {
 		return err
 	}
-	curves, order := map[int]plotter.XYs{}, []int(nil)
+	curves, order := map[string]plotter.XYs{}, []string(nil)
 	for _, x := range all {
 		n, at := point(x)
 		if curves[n] == nil {
@@ -150,7 +158,7 @@
 		}
 		l.Color, s.Color = plotutil.Color(i), plotutil.Color(i)
 		p.Add(l, s)
-		p.Legend.Add(fmt.Sprintf("%d dispatchers", n), l, s)
+		p.Legend.Add(n, l, s)
 	}
 	return p.Save(18*vg.Centimeter, 11*vg.Centimeter, path)
 }
--- a/cmd/gaugeslip/info.go
+++ b/cmd/gaugeslip/info.go
@@ -62,6 +62,14 @@
 	fmt.Fprintf(stdout, "connections: %d downstream, %d upstream, of %d descriptors\n", down, up, c.Limits.Sockets)
 	if o := s.Overload; o != nil {
 		fmt.Fprintf(stdout, "overload: %g questions, lanes kept %v, level from %g to %g\n", o.Questions, o.KeepLanes, o.Enter, o.Leave)
+		fmt.Fprintf(stdout, "  margin %g, repeats %g, shed at the door %v, floor %g\n", o.Margin, o.Repeats, o.Shed, o.Floor)
+	}
+	if b := s.Budgets; b != nil {
+		fmt.Fprintf(stdout, "budgets: %s, tenants %v with %gs at once, %g probes of a host and %g list calls a second\n", b.Way, b.Tenants, b.Burst,
+			b.Probes, b.ListCalls)
+	}
+	if p := s.Peers; p != nil {
+		fmt.Fprintf(stdout, "peers: %d members, %d voters, talk on %s\n", len(p.Members), p.Voters, p.Listen)
 	}
 	if w := s.Waiting; w != nil {
 		fmt.Fprintf(stdout, "waiting jobs: %d at once, %d kept for %v, %d bytes, due within %v\n",
--- a/cmd/gaugeslip/main.go
+++ b/cmd/gaugeslip/main.go
@@ -54,7 +54,8 @@
 			"Exit codes: 0 for a planned end, 1 for a failure, 2 for a command line that can't be read."}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.SetUsageTemplate(strings.Replace(root.UsageTemplate(), "Usage:", "usage:", 1))
-	root.AddCommand(serveCommand(stderr), checkCommand(stdout), versionCommand(stdout), jobsCommand(stdout))
+	root.AddCommand(serveCommand(stderr), checkCommand(stdout), versionCommand(stdout), jobsCommand(stdout), budgetsCommand(stdout),
+		membersCommand(stdout))
 	return root
 }
 
--- a/deploy/site.hcl
+++ b/deploy/site.hcl
@@ -29,3 +29,21 @@
 #:   floor      = 0.25   # share of each class that is not refused there
 #:   # order    = ["harvest-sale", "plot-load"]   # the last refused first; by default by worth for their work
 #: }
+
+# What belongs to the whole fleet, divided among the dispatchers: docs/operators/budgets.md.
+#: budgets {
+#:   way        = "static"   # equal parts by the settings' count; "talk": by need, with the block peers
+#:   floor      = 0.25       # talk: of an equal part, what each dispatcher owns whatever happens
+#:   tenants    = true       # tenants are held to their quotas in the platform's settings (accounts)
+#:   burst      = 1          # seconds of a quota that may be used at once
+#:   probes     = 0          # of each host by all dispatchers, a second; 0: no bound
+#:   list_calls = 0          # for the list by all dispatchers, a second; 0: no bound
+#: }
+
+# Talk between dispatchers, where an installation allows it. Each has its own `listen`; all else is alike.
+#: peers {
+#:   listen  = "10.0.0.4:7946"
+#:   members = ["10.0.0.3:7946", "10.0.0.4:7946", "10.0.0.5:7946"]   # by number (the settings' ordinal)
+#:   voters  = 3      # the first so many decide who divides; odd
+#:   drift   = 0.01   # of any clock, at most
+#: }
--- a/internal/dispatch/chain.go
+++ b/internal/dispatch/chain.go
@@ -47,15 +47,25 @@
 	inCore bool   // a Step is in the core, not in a gate
 }
 
-// NewChain puts gates round a core; nil ones are not there. The order of gates is written down here alone: the waiting room is
-// the outermost, since what waits is for no later gate to count yet; then the one that sheds.
-func NewChain(core *Core, room *WaitingGate, shed *ShedGate) *Chain {
+// Gates are those that a Chain can have; nil ones are not there.
+type Gates struct {
+	Waiting *WaitingGate
+	Budget  *BudgetGate
+	Shed    *ShedGate
+}
+
+// NewChain puts gates round a core. Their order is written down here alone: the waiting room is the outermost, since what waits is
+// for no later gate to count yet; then budgets, since what a tenant may not ask for at all is no overload; then the one that sheds.
+func NewChain(core *Core, g Gates) *Chain {
 	c := &Chain{core: core}
-	if room != nil {
-		c.gates = append(c.gates, room)
+	if g.Waiting != nil {
+		c.gates = append(c.gates, g.Waiting)
+	}
+	if g.Budget != nil {
+		c.gates = append(c.gates, g.Budget)
 	}
-	if shed != nil {
-		c.gates = append(c.gates, shed)
+	if g.Shed != nil {
+		c.gates = append(c.gates, g.Shed)
 	}
 	c.passes = make([]Pass, len(c.gates))
 	return c
--- a/internal/dispatch/shed_test.go
+++ b/internal/dispatch/shed_test.go
@@ -20,7 +20,7 @@
 	l := overload.Defaults()
 	g, err := NewShedGate(l, cfg)
 	require.NoError(t, err)
-	c := NewChain(core, nil, g)
+	c := NewChain(core, Gates{Shed: g})
 	now, next := 1000*time.Second, uint64(0)
 	arrive := func(change func(*Arrived)) (id uint64, out []Command) {
 		next++
--- a/internal/dispatch/waiting_test.go
+++ b/internal/dispatch/waiting_test.go
@@ -18,13 +18,13 @@
 		change(&lim)
 	}
 	gate := NewWaitingGate(lim, core.cfg)
-	return NewChain(core, gate, nil), gate
+	return NewChain(core, Gates{Waiting: gate}), gate
 }
 
 // With no gate the chain's commands are those of the core, and with a waiting room in which nobody waits too.
 func TestChainChangesNothing(t *testing.T) {
 	for seed, want := range before {
-		if got := digest(NewChain(bare(t), nil, nil), seed); got != want {
+		if got := digest(NewChain(bare(t), Gates{}), seed); got != want {
 			t.Errorf("seed %d: without gates %s, want %s", seed, got, want)
 		}
 		c, gate := gated(t, nil)
@@ -33,7 +33,7 @@
 			t.Errorf("seed %d: %+v", seed, s)
 		}
 	}
-	core, chain := bare(t), NewChain(bare(t), nil, nil)
+	core, chain := bare(t), NewChain(bare(t), Gates{})
 	var one, two []string
 	play(core, 4, 500, func(now time.Duration, _ []Message, out []Command) {
 		one = append(one, fmt.Sprintf("%v %T%+v", now, out, out))
@@ -313,7 +313,7 @@
 	for _, c := range []struct {
 		name string
 		make func() stepper
-	}{{"core", func() stepper { return bare(b) }}, {"chain", func() stepper { return NewChain(bare(b), nil, nil) }},
+	}{{"core", func() stepper { return bare(b) }}, {"chain", func() stepper { return NewChain(bare(b), Gates{}) }},
 		{"waiting", func() stepper { c, _ := gated(b, nil); return c }}} {
 		b.Run(c.name, func(b *testing.B) {
 			s := c.make()
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -204,7 +204,7 @@
 			return err
 		}
 	}
-	n.chain, n.up, n.watching, n.open, n.inbox, n.wakeAt = dispatch.NewChain(core, gate, shed), true, false, map[uint64]*try{}, nil, 0
+	n.chain, n.up, n.watching, n.open, n.inbox, n.wakeAt = dispatch.NewChain(core, dispatch.Gates{Waiting: gate, Shed: shed}), true, false, map[uint64]*try{}, nil, 0
 	n.stopping = 0
 	clear(n.idle)
 	l.tell(i, dispatch.Listed{Version: 0, Whole: true, Stale: true, Hosts: slices.Clone(n.known)})
--- a/internal/lab/shares/draw.go
+++ b/internal/lab/shares/draw.go
@@ -41,3 +41,24 @@
 	}
 	return w
 }
+
+// Uneven is a fleet of which a tenth is asked for as much as the whole, and all others for a fifth of it.
+func Uneven(members int) *World {
+	w := Even(members, 0.2)
+	few := max(1, members/10)
+	for i := range few {
+		w.Demand[i] = 1 / float64(few)
+	}
+	return w
+}
+
+// Even is a fleet of which all are asked for the same, for so many times the whole together.
+func Even(members int, times float64) *World {
+	w := &World{Members: members, Voters: min(members, 3), Length: 30 * time.Second, Floor: 0.25, Rate: 40 * float64(members), Drift: 0.01,
+		Delay: 2 * time.Millisecond, Demand: make([]float64, members)}
+	w.Burst = w.Rate / 2
+	for i := range w.Demand {
+		w.Demand[i] = times / float64(members)
+	}
+	return w
+}
--- a/internal/lab/shares/world_test.go
+++ b/internal/lab/shares/world_test.go
@@ -7,20 +7,6 @@
 	"github.com/stretchr/testify/assert"
 )
 
-// world is a fleet of which a tenth is asked for as much as the whole, and all others for a fifth of it.
-func world(members int) *World {
-	w := &World{Members: members, Voters: min(members, 3), Length: 30 * time.Second, Floor: 0.25, Rate: 40 * float64(members), Drift: 0.01,
-		Delay: 2 * time.Millisecond, Demand: make([]float64, members)}
-	w.Burst = w.Rate / 2
-	for i := range w.Demand {
-		w.Demand[i] = 0.2 / float64(members) // and a few that are asked much
-	}
-	for i := range max(1, members/10) {
-		w.Demand[i] = 1 / float64(max(1, members/10))
-	}
-	return w
-}
-
 // mean of seconds from one on.
 func mean(all []float64, from, to int) (m float64) {
 	for _, x := range all[from:to] {
@@ -58,7 +44,7 @@
 // Where few members are asked much, talk uses nine tenths of the whole, of which equal parts must refuse half; a dead member's part, and an island's after it is healed, are back as soon.
 func TestWholeIsUsed(t *testing.T) {
 	for _, n := range []int{3, 30, 100} {
-		w := world(n)
+		w := Uneven(n)
 		r := Play(w, 7)
 		assert.Empty(t, r.Breaches)
 		assert.Greater(t, mean(r.Share, 6, 30), 0.9, n)
@@ -67,10 +53,7 @@
 		assert.Empty(t, equal.Breaches)
 		assert.Less(t, mean(equal.Share, 6, 30), 0.5, n)
 
-		w.Static, w.Demand = false, make([]float64, n) // all ask for more than their part
-		for i := range w.Demand {
-			w.Demand[i] = 1.5 / float64(n)
-		}
+		w = Even(n, 1.5)
 		w.Troubles = []Trouble{{Kind: "kill", At: 12 * time.Second, Members: []int{n - 1}}}
 		r = Play(w, 7)
 		assert.Empty(t, r.Breaches)
@@ -87,10 +70,7 @@
 // A leader that dies, and all voters at once, cost the units beyond the floors for a bounded time; the floors go on.
 func TestLeaderAndVotersDie(t *testing.T) {
 	for _, members := range [][]int{{0}, {0, 1, 2}} {
-		w := world(12)
-		for i := range w.Demand {
-			w.Demand[i] = 2. / 12
-		}
+		w := Even(12, 2)
 		w.Troubles = []Trouble{{Kind: "kill", At: 10 * time.Second, For: 50 * time.Millisecond, Members: members}}
 		r := Play(w, 3)
 		assert.Empty(t, r.Breaches)
--- a/internal/net/downstream/downstream_test.go
+++ b/internal/net/downstream/downstream_test.go
@@ -53,7 +53,7 @@
 	if lim != nil {
 		room = dispatch.NewWaitingGate(*lim, set.Policy)
 	}
-	l := loop.New(dispatch.NewChain(core, room, nil), set, pool, none{}, loop.NewClock())
+	l := loop.New(dispatch.NewChain(core, dispatch.Gates{Waiting: room}), set, pool, none{}, loop.NewClock())
 	l.Post(dispatch.Listed{Whole: true, Stale: true,
 		Hosts: []dispatch.Host{{Name: "s-0000000a", Addr: host.Addr, Scale: 1},
 			{Name: "s-0000000b", Addr: host.Addr, Scale: 1}}})
--- a/internal/net/loop/loop_test.go
+++ b/internal/net/loop/loop_test.go
@@ -65,7 +65,7 @@
 	set := nettest.Settings(t)
 	core, err := dispatch.New(set.Policy, 1)
 	require.NoError(t, err)
-	l := New(dispatch.NewChain(core, nil, nil), set, s, s, NewClock())
+	l := New(dispatch.NewChain(core, dispatch.Gates{}), set, s, s, NewClock())
 	l.Post(dispatch.Listed{Version: 5, Whole: true, Stale: true, Hosts: []dispatch.Host{host}})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
--- a/internal/net/loop/waiting_test.go
+++ b/internal/net/loop/waiting_test.go
@@ -25,7 +25,7 @@
 	set.MostHeld = 0
 	core, err := dispatch.New(set.Policy, 1)
 	require.NoError(t, err)
-	l := New(dispatch.NewChain(core, dispatch.NewWaitingGate(lim, set.Policy), nil), set, s, s, NewClock())
+	l := New(dispatch.NewChain(core, dispatch.Gates{Waiting: dispatch.NewWaitingGate(lim, set.Policy)}), set, s, s, NewClock())
 	l.Post(dispatch.Listed{Version: 5, Whole: true, Stale: true, Hosts: []dispatch.Host{host}})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
--- /dev/null
+++ b/internal/net/peers/peers_test.go
@@ -0,0 +1,120 @@
+package peers
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"gaugeslip/internal/budget"
+)
+
+// talkers starts members of a fleet on loopback, and stops them at the test's end.
+func talkers(t *testing.T, n int) (all []*Peers, addrs []string) {
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		addrs = append(addrs, ln.Addr().String())
+		ln.Close()
+	}
+	for i := range n {
+		all = append(all, talker(addrs, i, uint64(i+1)))
+		run(t, all[i])
+	}
+	return all, addrs
+}
+
+var began = time.Now()
+
+func talker(addrs []string, i int, life uint64) *Peers {
+	l := Defaults()
+	l.Listen, l.Members, l.Voters = addrs[i], addrs, 3
+	return New(Config{Limits: l, Self: i, Floor: budget.Whole / 16, Life: life,
+		Ledger: budget.NewLedger([]budget.Account{{Name: "a", PerSecond: 1000, Burst: 100}}, l.Drift), Now: func() time.Duration { return time.Since(began) }})
+}
+
+func run(t *testing.T, p *Peers) (stop func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); assert.NoError(t, p.Run(ctx)) }()
+	stop = func() { cancel(); <-done }
+	t.Cleanup(stop)
+	return stop
+}
+
+func owned(all ...*Peers) (sum float64) {
+	for _, p := range all {
+		sum += p.cfg.Ledger.Figures(p.cfg.Now())[0].Owned
+	}
+	return sum
+}
+
+// Three members find one another and own the whole together, never more; what is not a message is counted and dropped; who leaves
+// owns nothing, and a successor at its address waits until it is free.
+func TestTalk(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	all, addrs := talkers(t, 3)
+	eventually := func(what string, ok func() bool) {
+		t.Helper()
+		require.Eventually(t, func() bool {
+			assert.LessOrEqual(t, owned(all...), 1.0)
+			return ok()
+		}, 20*time.Second, 5*time.Millisecond, what)
+	}
+	eventually("the whole is owned", func() bool { return owned(all...) > 0.99 })
+	eventually("all are alive", func() bool { return all[0].Count("alive") == 3 && all[2].Count("alive") == 3 })
+	leads := 0
+	for _, p := range all {
+		if v := p.View(); v.Leads {
+			leads++
+			assert.True(t, v.Bound)
+		}
+	}
+	assert.Equal(t, 1, leads)
+
+	c, err := net.Dial("udp", addrs[1])
+	require.NoError(t, err)
+	defer c.Close()
+	for _, junk := range []string{"", "x", strings.Repeat("y", 60000), "\x08\x01\x01\x01", string(budget.Append(nil, &budget.Message{Kind: budget.Grant, TTL: time.Hour}))} {
+		c.Write([]byte(junk))
+	}
+	d := delegate{all[1]}
+	before := all[1].View().Dropped
+	d.NotifyMsg([]byte("not a message"))
+	d.NotifyMsg(budget.Append(nil, &budget.Message{Kind: budget.Ask, To: 2, Life: 5})) // another's
+	assert.Equal(t, before+2, all[1].View().Dropped)
+
+	twin := talker(addrs, 2, 99) // a second process under one name
+	run(t, twin)
+	time.Sleep(3 * bindEvery)
+	assert.Zero(t, owned(twin), "it does not hold the address")
+	assert.False(t, twin.View().Bound)
+	old := all[2]
+	all = append(all, twin)
+	eventually("still whole", func() bool { return owned(all...) > 0.99 })
+	oldCtx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.NoError(t, talker(addrs, 2, 100).Run(oldCtx), "one that is stopped while it waits")
+	assert.Positive(t, owned(old))
+}
+
+func TestCheck(t *testing.T) {
+	ok := Defaults()
+	ok.Listen, ok.Members = "127.0.0.1:1", []string{"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"}
+	assert.NoError(t, ok.Check())
+	for key, change := range map[string]func(*Limits){
+		"listen: ":  func(l *Limits) { l.Listen = "" },
+		"members: ": func(l *Limits) { l.Members = []string{"127.0.0.1:1", "host:2"} },
+		"voters: ":  func(l *Limits) { l.Voters = 2 },
+		"drift: ":   func(l *Limits) { l.Drift = 0.5 },
+	} {
+		l := ok
+		change(&l)
+		assert.ErrorContains(t, l.Check(), key)
+	}
+}
--- /dev/null
+++ b/internal/node/budgets.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"os"
+	"syscall"
+	"time"
+
+	"gaugeslip/internal/budget"
+	"gaugeslip/internal/config"
+	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/net/cluster"
+	"gaugeslip/internal/net/peers"
+	"gaugeslip/internal/ops"
+	"gaugeslip/internal/site"
+)
+
+// budgets are this process's shares of what belongs to the fleet.
+type budgets struct {
+	ledger *budget.Ledger
+	gate   *dispatch.BudgetGate
+	lists  int // account of calls for the list; -1: there is no bound on them
+	now    func() time.Duration
+	path   string       // of the lock
+	peers  *peers.Peers // nil: no talk
+	equal  budget.Share // without talk
+	stop   func()       // ends the hold on the shares
+	done   chan struct{}
+}
+
+// newBudgets makes them as the settings want; nil: there are none. Nothing is owned yet.
+func newBudgets(cfg *config.Config, own *site.Site, now func() time.Duration, figures *ops.Figures) *budgets {
+	if own.Budgets == nil {
+		return nil
+	}
+	policy := &cfg.Settings.Policy
+	drift, members := 0.0, max(policy.Replicas, 1)
+	if own.Budgets.Way == budget.ByTalk {
+		drift, members = own.Peers.Drift, len(own.Peers.Members)
+	}
+	accounts, gate, lists := dispatch.BudgetAccounts(own.Budgets, policy)
+	b := &budgets{ledger: budget.NewLedger(accounts, drift), lists: lists, now: now, done: make(chan struct{}),
+		path: ops.FileOf(os.TempDir(), cfg.Name, "share"), equal: budget.Static(members)}
+	b.gate = gate(b.ledger)
+	if own.Budgets.Way == budget.ByTalk {
+		b.peers = peers.New(peers.Config{Limits: *own.Peers, Self: policy.Ordinal, Floor: own.Budgets.FloorOf(members), Ledger: b.ledger,
+			Now: now, Life: rand.Uint64() | 1})
+		for _, state := range []string{"alive", "silent", "left"} {
+			figures.Labelled("members", "Dispatchers by what membership has of them.", "state", state, func() float64 { return b.peers.Count(state) })
+		}
+	}
+	for i, f := range b.ledger.Figures(now()) {
+		for name, x := range map[string]struct {
+			help string
+			of   func(budget.Figure) float64
+		}{
+			"budget_whole":         {"What the whole fleet may use a second.", func(f budget.Figure) float64 { return f.Whole }},
+			"budget_owned":         {"Share of the whole that this process owns.", func(f budget.Figure) float64 { return f.Owned }},
+			"budget_used_total":    {"Uses by this process, since the start.", func(f budget.Figure) float64 { return float64(f.Used) }},
+			"budget_refused_total": {"Uses refused for want of a share, since the start.", func(f budget.Figure) float64 { return float64(f.Refused) }},
+			"budget_epoch":         {"Rises with each change of the share.", func(f budget.Figure) float64 { return float64(f.Epoch) }},
+		} {
+			figures.Labelled(name, x.help, "budget", f.Name, func() float64 { return x.of(b.ledger.Figures(b.now())[i]) })
+		}
+	}
+	return b
+}
+
+// hold holds this member's shares until ctx or release ends it. Of two processes of one dispatcher one alone owns them: whoever has
+// the lock in $TMPDIR, or with talk the address. The lock goes with its process, however that ends.
+func (b *budgets) hold(ctx context.Context) {
+	ctx, b.stop = context.WithCancel(ctx)
+	go func() {
+		defer close(b.done)
+		if b.peers != nil {
+			if err := b.peers.Run(ctx); err != nil {
+				slog.Error("no talk with the other dispatchers: this one owns no share", "error", err)
+			}
+			return
+		}
+		free, err := lock(ctx, b.path)
+		if err != nil {
+			slog.Error("no lock on the shares: this process owns none", "error", err)
+			return
+		}
+		if free == nil {
+			return
+		}
+		b.own(b.equal)
+		<-ctx.Done()
+		b.own(budget.Share{})
+		free()
+	}()
+}
+
+func (b *budgets) own(s budget.Share) {
+	for i := range b.ledger.Accounts() {
+		b.ledger.Own(b.now(), i, s)
+	}
+}
+
+// release gives the shares up, to a successor of this process. It returns when that is done.
+func (b *budgets) release() {
+	b.stop()
+	<-b.done
+}
+
+const lockEvery = 50 * time.Millisecond
+
+// lock waits for the lock on a file and gives what frees it; nil: ctx has ended.
+func lock(ctx context.Context, path string) (free func(), err error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("lock: %w", err)
+	}
+	for said := false; ; {
+		err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		switch {
+		case err == nil:
+			return func() { f.Close() }, nil
+		case !errors.Is(err, syscall.EWOULDBLOCK) && !errors.Is(err, syscall.EINTR):
+			f.Close()
+			return nil, fmt.Errorf("lock: %w", err)
+		case !said:
+			said = true
+			slog.Info("another process of this dispatcher owns its shares: waiting for it")
+		}
+		select {
+		case <-ctx.Done():
+			f.Close()
+			return nil, nil
+		case <-time.After(lockEvery):
+		}
+	}
+}
+
+// listTurn waits until there is room for a call for the list.
+func (b *budgets) listTurn(ctx context.Context) error {
+	for {
+		ok, after := b.ledger.Take(b.now(), b.lists, 0)
+		if ok {
+			return nil
+		}
+		if after < 0 || after > time.Second { // the share may change
+			after = time.Second
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(max(after, 10*time.Millisecond)):
+		}
+	}
+}
+
+// bounded is a source whose calls wait for room in the fleet's budget.
+type bounded struct {
+	cluster.Source
+	budgets *budgets
+}
+
+// Watch waits its turn, then watches.
+func (s *bounded) Watch(ctx context.Context, after uint64, each func(dispatch.Listed)) error {
+	if err := s.budgets.listTurn(ctx); err != nil {
+		return err
+	}
+	return s.Source.Watch(ctx, after, each)
+}
+
+// bound makes a source wait for room in the fleet's budget, where there is one.
+func (b *budgets) bound(s cluster.Source) cluster.Source {
+	if b == nil || b.lists < 0 {
+		return s
+	}
+	return &bounded{Source: s, budgets: b}
+}
+
+// views are what the operators' door shows of budgets and members.
+func (b *budgets) views() map[string]func() any {
+	if b == nil {
+		return nil
+	}
+	v := map[string]func() any{"budgets": func() any { return b.ledger.Figures(b.now()) }}
+	if b.peers != nil {
+		v["members"] = func() any { return b.peers.View() }
+	}
+	return v
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,6 +72,9 @@
 			return nil, nil, fmt.Errorf("site: overload.%w", err)
 		}
 	}
+	if n := c.Settings.Policy.Replicas; s.Peers != nil && n != len(s.Peers.Members) { // shares by two counts could come to more than the whole
+		return nil, nil, fmt.Errorf("site: peers.members: %d, where the settings count %d dispatchers", len(s.Peers.Members), n)
+	}
 	return c, s, nil
 }
 
@@ -117,15 +120,20 @@
 	pool := upstream.NewPool(upstream.Config{ConnectTimeout: cfg.Settings.Policy.ConnectTimeout,
 		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, Settle: settle, MaxConns: up,
 		Written: figures.Attempt})
-	var room *dispatch.WaitingGate
+	gates := dispatch.Gates{Shed: shed}
 	if own.Waiting != nil {
-		room = dispatch.NewWaitingGate(*own.Waiting, cfg.Settings.Policy)
+		gates.Waiting = dispatch.NewWaitingGate(*own.Waiting, cfg.Settings.Policy)
+	}
+	clock := loop.NewClock()
+	shares := newBudgets(cfg, own, clock.Now, figures)
+	if shares != nil {
+		gates.Budget = shares.gate
 	}
-	l = loop.New(dispatch.NewChain(core, room, shed), cfg.Settings, pool, paced(cfg), loop.NewClock())
+	l = loop.New(dispatch.NewChain(core, gates), cfg.Settings, pool, shares.bound(paced(cfg)), clock)
 	l.Post(known)
 	server := downstream.New(downstream.Config{Listen: cfg.Listen, Inherited: cfg.Inherited, MaxConns: down,
 		MaxBodies: cfg.Limits.BodyBytes(), AcceptFor: downstream.AcceptFor,
-		KilledAfter: downstream.KilledAfter(cfg.Settings), Waiting: room != nil, Tally: tally}, cfg.Settings, l)
+		KilledAfter: downstream.KilledAfter(cfg.Settings), Waiting: gates.Waiting != nil, Tally: tally}, cfg.Settings, l)
 	ln, err := server.Listen()
 	if err != nil {
 		return err
@@ -134,7 +142,7 @@
 	var opsLn net.Listener
 	if cfg.Ops != "" {
 		opsDoor = ops.NewDoor(ops.Config{Addr: cfg.Ops, MaxConns: door, Ready: server.Serving, Figures: figures,
-			Core: l, Store: ops.NewStore(os.TempDir(), cfg.Name)})
+			Core: l, Store: ops.NewStore(os.TempDir(), cfg.Name), Views: shares.views()})
 		if opsLn, err = opsDoor.Listen(); err != nil {
 			ln.Close()
 			return err
@@ -150,6 +158,9 @@
 	swept, looped := make(chan struct{}), make(chan error, 1)
 	reloaded, opened := make(chan struct{}), make(chan struct{})
 	go func() { defer close(swept); pool.Sweep(inner) }()
+	if shares != nil {
+		shares.hold(inner)
+	}
 	handed := make(chan struct{})
 	if cfg.Inherited != 0 {
 		path, me := servingFile(os.TempDir(), cfg.Name), serving{PID: os.Getpid(), Since: started.UnixNano()}
@@ -161,6 +172,9 @@
 			awaitSuccessor(outer, path, me, func() {
 				slog.Info("a successor serves: handing over")
 				server.Handover()
+				if shares != nil { // what comes now is the successor's
+					shares.release()
+				}
 			})
 		}()
 	} else {
@@ -174,7 +188,7 @@
 			}
 		}
 	}()
-	go func() { defer close(reloaded); reload(inner, cfg, own, f, hup, l) }()
+	go func() { defer close(reloaded); reload(inner, cfg, own, f, hup, l, shares) }()
 	go func() { looped <- l.Run(inner); stop() }()
 	err = server.Serve(outer, ln)
 	halt()
@@ -182,11 +196,14 @@
 	<-swept
 	<-reloaded
 	<-opened
+	if shares != nil {
+		shares.release()
+	}
 	if lerr := <-looped; lerr != nil {
 		return lerr
 	}
-	if room != nil { // the loop has ended: nobody else looks at it
-		if n := room.Room().Held(); n > 0 {
+	if gates.Waiting != nil { // the loop has ended: nobody else looks at it
+		if n := gates.Waiting.Room().Held(); n > 0 {
 			slog.Warn("waiting jobs are lost with the process, which keeps them in memory alone", "jobs", n)
 		}
 	}
@@ -206,8 +223,8 @@
 		return nil, fmt.Errorf("site: overload.%w", err)
 	}
 	for i, c := range cfg.Classes {
-		figures.Count("shed_total", "Jobs of a class refused at the door for overload, since the start; refused_total has them too.",
-			c.Name, func() float64 { return g.Shed(i) })
+		figures.Labelled("shed_total", "Jobs of a class refused at the door for overload, since the start; refused_total has them too.",
+			"class", c.Name, func() float64 { return g.Shed(i) })
 	}
 	figures.Gauge("admitted_share", "Share of the work asked for that the door lets in.", g.Admit)
 	return g, nil
@@ -226,7 +243,7 @@
 
 // reload reads the configuration and our own settings again at each signal until ctx ends, and moves the watch to where
 // discovery is now. A fault in either file changes nothing.
-func reload(ctx context.Context, cfg *config.Config, own *site.Site, f *Files, hup <-chan os.Signal, l *loop.Loop) {
+func reload(ctx context.Context, cfg *config.Config, own *site.Site, f *Files, hup <-chan os.Signal, l *loop.Loop, shares *budgets) {
 	at := cfg.Discovery
 	for {
 		select {
@@ -249,8 +266,13 @@
 		} else if settings.Waiting != nil {
 			l.Post(dispatch.Tuned{Waiting: *settings.Waiting})
 		}
-		if !reflect.DeepEqual(settings.Overload, own.Overload) {
-			keys = append(keys, "overload")
+		for _, x := range []struct {
+			key      string
+			now, own any
+		}{{"overload", settings.Overload, own.Overload}, {"budgets", settings.Budgets, own.Budgets}, {"peers", settings.Peers, own.Peers}} {
+			if !reflect.DeepEqual(x.now, x.own) {
+				keys = append(keys, x.key)
+			}
 		}
 		if len(keys) > 0 {
 			slog.Warn("changes that count from the next start on", "keys", keys)
@@ -260,7 +282,7 @@
 			at = newer.Discovery
 			moved := *cfg // what is fixed stays
 			moved.Discovery = at
-			l.Move(source(&moved))
+			l.Move(shares.bound(source(&moved)))
 		}
 	}
 }
--- a/internal/ops/door.go
+++ b/internal/ops/door.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -40,6 +41,8 @@
 	Figures  *Figures
 	Core     Core
 	Store    *Store // nil: what is done by hand is not kept beyond the process
+	// Views are further things to look at, by path below /: GET answers with what each gives, as JSON. They must not wait.
+	Views map[string]func() any
 }
 
 // Door is the operators' door. Each call has a connection of its own: every answer closes it.
@@ -59,6 +62,16 @@
 		ErrorHandling: promhttp.ContinueOnError, MaxRequestsInFlight: 4, Timeout: time.Second}))
 	mux.HandleFunc("POST /game-workers/{id}/maint", func(w http.ResponseWriter, r *http.Request) { d.hand(w, r, true) })
 	mux.HandleFunc("POST /game-workers/{id}/ready", func(w http.ResponseWriter, r *http.Request) { d.hand(w, r, false) })
+	for path, view := range cfg.Views {
+		mux.HandleFunc("GET /"+path, func(w http.ResponseWriter, _ *http.Request) {
+			text, err := json.Marshal(view())
+			if err != nil {
+				say(w, http.StatusInternalServerError, err.Error())
+				return
+			}
+			answer(w, http.StatusOK, "application/json", string(text))
+		})
+	}
 	d.http = &http.Server{Handler: framed(mux), ReadHeaderTimeout: headTimeout, ReadTimeout: headTimeout,
 		WriteTimeout: writeTimeout, MaxHeaderBytes: 8 << 10,
 		ConnState: func(nc net.Conn, s http.ConnState) { d.gate.state(nc, s) },
@@ -212,7 +225,11 @@
 
 // say sends a short answer and closes.
 func say(w http.ResponseWriter, status int, text string) {
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	answer(w, status, "text/plain; charset=utf-8", text)
+}
+
+func answer(w http.ResponseWriter, status int, kind, text string) {
+	w.Header().Set("Content-Type", kind)
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)+1))
 	w.Header().Set("Connection", "close")
 	w.WriteHeader(status)
--- a/internal/ops/figures.go
+++ b/internal/ops/figures.go
@@ -6,6 +6,7 @@
 
 import (
 	"net/http"
+	"strings"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -65,14 +66,17 @@
 		prometheus.GaugeOpts{Namespace: "edge_node", Name: name, Help: help}, read))
 }
 
-// Count adds a figure that only grows, read each time the figures are shown, from any goroutine. Several may have a name, each with
-// its own value of the label class; empty: there is one, without.
-func (f *Figures) Count(name, help, class string, read func() float64) {
-	o := prometheus.CounterOpts{Namespace: "edge_node", Name: name, Help: help}
-	if class != "" {
-		o.ConstLabels = prometheus.Labels{"class": class}
+// Labelled adds a figure as Gauge does, one of several of a name, each with its own value of a label. A name that ends in _total
+// is a counter's.
+func (f *Figures) Labelled(name, help, label, value string, read func() float64) {
+	l := prometheus.Labels{label: value}
+	if strings.HasSuffix(name, "_total") {
+		f.registry.MustRegister(prometheus.NewCounterFunc(
+			prometheus.CounterOpts{Namespace: "edge_node", Name: name, Help: help, ConstLabels: l}, read))
+		return
 	}
-	f.registry.MustRegister(prometheus.NewCounterFunc(o, read))
+	f.registry.MustRegister(prometheus.NewGaugeFunc(
+		prometheus.GaugeOpts{Namespace: "edge_node", Name: name, Help: help, ConstLabels: l}, read))
 }
 
 // Answered counts the final answer to a job of a class, by its status as the client sees it: 200 is served, 429 and
--- a/internal/rig/front.go
+++ b/internal/rig/front.go
@@ -157,7 +157,16 @@
 	size := c.Size(rng)
 	hint := size * distuv.LogNormal{Sigma: f.sc.Clients.Hint, Src: rng}.Rand()
 	o := &order{number: n, class: c, room: rng.IntN(f.sc.Rooms), size: max(time.Duration(size), time.Millisecond),
-		hint: max(time.Duration(hint), time.Millisecond), first: at, patience: c.Wait}
+		hint: max(time.Duration(hint), time.Millisecond), first: at, patience: c.Wait, tenant: -1}
+	if len(f.sc.Tenants) > 0 {
+		x := rng.Float64()
+		for i, t := range f.sc.Tenants {
+			if x -= t.Part; x < 0 {
+				o.tenant = i
+				break
+			}
+		}
+	}
 	o.worth = c.Worth * o.size.Seconds()
 	o.due = at + c.Within(o.size)
 	return o
@@ -223,6 +232,9 @@
 	}
 	req.Header.Set("X-Size-Hint", strconv.FormatInt(o.hint.Microseconds(), 10))
 	req.Header.Set("X-Expires-In-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	if o.tenant >= 0 {
+		req.Header.Set("X-Customer", f.sc.Tenants[o.tenant].Name)
+	}
 	if o.tries > 0 {
 		req.Header.Set("X-Second-Try", "1")
 	}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -94,6 +94,7 @@
 	asked    bool          // it was told to end
 	crashes  int           // lives that ended with nobody asking, or badly
 	touched  time.Time     // when it was last killed, paused, slowed or started
+	stopped  bool          // it stands still
 	slowed   chan struct{} // closed to end the present slowness
 	slowDone chan struct{}
 }
@@ -114,7 +115,7 @@
 		return fmt.Errorf("rig: process: %w", err)
 	}
 	p.life++
-	p.cmd, p.asked, p.touched, p.exited = cmd, false, time.Now(), make(chan struct{})
+	p.cmd, p.asked, p.stopped, p.touched, p.exited = cmd, false, false, time.Now(), make(chan struct{})
 	exited := p.exited
 	go func() {
 		err := cmd.Wait()
@@ -141,7 +142,7 @@
 		p.asked = true
 		fallthrough
 	case syscall.SIGSTOP, syscall.SIGCONT:
-		p.touched = time.Now()
+		p.touched, p.stopped = time.Now(), s == syscall.SIGSTOP
 	}
 	p.cmd.Process.Signal(s) // an error means that it has just ended
 }
@@ -214,6 +215,9 @@
 func (p *Process) Running() (bool, time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.stopped { // for as long as that lasts
+		return p.cmd != nil, time.Now()
+	}
 	return p.cmd != nil, p.touched
 }
 
--- a/internal/rig/record.go
+++ b/internal/rig/record.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"math"
@@ -40,6 +41,7 @@
 	worth      float64
 	tries      int
 	over, ran  bool
+	tenant     int // -1: none
 }
 
 // try is one request of a client.
@@ -48,6 +50,8 @@
 	node   int
 	number uint64
 	left   bool // its client waits no longer
+	at     time.Duration
+	taken  bool // it has come to a host
 }
 
 // recorder takes in what is seen, in one order, feeds the checker and counts.
@@ -56,6 +60,7 @@
 	now    func() time.Duration // since the start
 	out    *json.Encoder        // nil: nobody wants it
 	outErr error
+	rules  check.Rules
 	check  *check.Checker
 	sums   []string
 	tries  map[string]*try
@@ -64,10 +69,12 @@
 	host   []Use
 	refuse []float64 // ms until a refusal
 	dealt  []int     // tries by dispatcher
+	paid   []paid    // jobs of tenants that came to hosts
+	sc     *Scenario
 }
 
 func newRecorder(sc *Scenario, now func() time.Duration, out io.Writer) *recorder {
-	r := &recorder{now: now, tries: map[string]*try{}, rep: &Report{Scenario: sc.Name, Dispatchers: sc.Dispatchers,
+	r := &recorder{sc: sc, now: now, tries: map[string]*try{}, rep: &Report{Scenario: sc.Name, Dispatchers: sc.Dispatchers,
 		Hosts: scenario.Count(sc.Hosts), Seconds: make([]Second, int(sc.length/time.Second)+1)}, host: make([]Use, scenario.Count(sc.Hosts)),
 		dealt: make([]int, sc.Dispatchers)}
 	rules := check.Rules{AnswerGrace: answerGrace}
@@ -75,6 +82,7 @@
 		r.sums = append(r.sums, b.What)
 		rules.Sums = append(rules.Sums, check.Sum{Name: b.What, Window: b.window, Most: b.Most})
 	}
+	r.rules = rules
 	if r.check = check.New(rules); out != nil {
 		r.out = json.NewEncoder(out)
 	}
@@ -117,9 +125,9 @@
 	o.tries++
 	r.rep.Tries++
 	r.dealt[node]++
-	t := &try{order: o, node: node, number: r.next}
-	r.tries[id] = t
 	at := r.now()
+	t := &try{order: o, node: node, number: r.next, at: at}
+	r.tries[id] = t
 	r.check.See(check.Event{Kind: check.Taken, At: at, Job: t.number, Node: node, Unsafe: o.class.Once, Deadline: deadline})
 	r.line(Seen{At: at.Seconds(), What: "taken", Job: id, Order: o.number, Node: node, Host: -1})
 	return t
@@ -216,6 +224,10 @@
 	switch o := t.order; s.Kind {
 	case emulator.Took:
 		r.rep.Sends++
+		if o.tenant >= 0 && !t.taken {
+			t.taken = true
+			r.paid = append(r.paid, paid{t.at, o.tenant})
+		}
 		r.use("sends", s.Host, at)
 		if s.Verdict == fleet.Full {
 			r.rep.Turned++
@@ -243,6 +255,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	at := r.now()
+	r.tenants(length)
 	r.check.End(at + time.Hour)
 	rep, whole := r.rep, capacity*length.Seconds()
 	for i := range r.host {
@@ -266,3 +279,23 @@
 	}
 	return rep
 }
+
+// tenants checks the sums over tenants by when their clients handed the jobs over, which a job that was held shows at its host
+// later, and books what was used. The lock is held.
+func (r *recorder) tenants(length time.Duration) {
+	slices.SortFunc(r.paid, func(a, b paid) int { return cmp.Compare(a.at, b.at) })
+	c := check.New(r.rules)
+	for _, p := range r.paid {
+		for i, name := range r.sums {
+			if name == "jobs" {
+				c.See(check.Event{Kind: check.Used, At: p.at, Sum: i, Host: p.tenant, Amount: 1})
+			}
+		}
+		if p.tenant == 0 && p.at >= length/2 && p.at < length {
+			r.rep.Used += 1 / (r.sc.Tenants[0].Quota * (length / 2).Seconds())
+		}
+	}
+	for _, b := range c.Breaches() {
+		r.rep.Breaches = append(r.rep.Breaches, "tenant in place of host: "+b.String())
+	}
+}
--- a/internal/rig/report.go
+++ b/internal/rig/report.go
@@ -55,7 +55,8 @@
 	Fallen        int      `json:"fallen"`
 	Crashes       int      `json:"crashes"`
 	Work          Use      `json:"work"`
-	Dealt         []int    `json:"dealt"` // tries by dispatcher
+	Dealt         []int    `json:"dealt"`          // tries by dispatcher
+	Used          float64  `json:"used,omitempty"` // of the first tenant's quota, over the second half of the day
 	Checked       int      `json:"checked"`
 	Breaches      []string `json:"breaches,omitempty"`
 	Seconds       []Second `json:"seconds"`
@@ -74,6 +75,9 @@
 		r.ProbesASecond, r.Work.Handshakes, r.Fallen)
 	fmt.Fprintf(w, "  of what they could do: %.3f in time, %.3f late, %.3f abandoned, %.3f repeated\n", r.Work.InTime, r.Work.Late,
 		r.Work.Abandoned, r.Work.Repeated)
+	if r.Used > 0 {
+		fmt.Fprintf(w, "  %.3f of the first tenant's quota used in the second half\n", r.Used)
+	}
 	fmt.Fprintf(w, "  %d tries checked, %d rules broken, %d crashes\n", r.Checked, len(r.Breaches), r.Crashes)
 	for _, b := range r.Breaches {
 		fmt.Fprintln(w, "   ", b)
@@ -101,6 +105,9 @@
 	if e.Tries > 0 && r.TriesAJob > e.Tries {
 		all = append(all, fmt.Sprintf("%.2f sends a job, %.2f at most were expected", r.TriesAJob, e.Tries))
 	}
+	if r.Used < e.Used {
+		all = append(all, fmt.Sprintf("%.3f of the quota used, %.3f was expected", r.Used, e.Used))
+	}
 	if e.Probes > 0 && r.ProbesASecond > e.Probes {
 		all = append(all, fmt.Sprintf("%.1f probes a host and second, %.1f at most were expected", r.ProbesASecond, e.Probes))
 	}
--- a/internal/rig/rig.go
+++ b/internal/rig/rig.go
@@ -58,6 +58,8 @@
 	nodes   []*node
 	began   time.Time
 	source  map[string]int // dispatchers by the address that their connections come from
+	talk    []string       // where each listens to the others
+	ways    []*way         // between any two that talk
 	mu      sync.Mutex
 }
 
@@ -91,6 +93,19 @@
 	r.front = &front{sc: sc, rec: r.rec, now: r.now, load: 1, rng: rand.New(rand.NewPCG(seed, 6)),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, IdleConnTimeout: clientIdle}}}
 	defer r.close()
+	if sc.Budgets != nil && sc.Budgets.Way == "talk" {
+		for i := range sc.Dispatchers {
+			addr, err := freePort(ip(i, 1))
+			if err != nil {
+				return nil, err
+			}
+			r.talk = append(r.talk, addr)
+		}
+		defer r.closeWays()
+		if err := r.openWays(); err != nil {
+			return nil, err
+		}
+	}
 	for i := range sc.Dispatchers {
 		if err := r.add(i); err != nil {
 			return nil, err
@@ -232,10 +247,10 @@
 	}
 	args := []string{"serve", "--config", filepath.Join(dir, "config.json")}
 	site := r.opt.Site
-	if site == "" && r.sc.Overload {
-		site = filepath.Join(dir, "site.hcl")
-		if err := os.WriteFile(site, []byte("overload {}\n"), 0o600); err != nil {
-			return nil, fmt.Errorf("rig: %w", err)
+	if site == "" {
+		var err error
+		if site, err = r.site(n); err != nil {
+			return nil, err
 		}
 	}
 	if site != "" {
@@ -289,8 +304,12 @@
 		profiles = append(profiles, m{"credit": c.Worth, "deadline": ms(c.Wait), "effect": effect, "name": c.Name, "on-time": ms(c.Aim)})
 		stretch = append(stretch, c.Stretch)
 	}
+	var accounts []m
+	for _, t := range r.sc.Tenants {
+		accounts = append(accounts, m{"name": t.Name, "quota-per-s": t.Quota})
+	}
 	p := r.params()
-	return m{"family-info": m{"class-stretch": stretch, "report-x0": "free slots", "tells-start": true, "progress": ms(p.Progress)},
+	return m{"accounts": accounts, "family-info": m{"class-stretch": stretch, "report-x0": "free slots", "tells-start": true, "progress": ms(p.Progress)},
 		"kinds": kinds, "localities": rooms, "locality": room(i % r.sc.Rooms), "ordinal": i, "replicas-of-me": r.sc.Dispatchers,
 		"limits": m{"cancel": true, "conn-idle": 30000.0, "connect-timeout": 250.0, "max-attempts": 6, "max-retry-after": 2000.0,
 			"most-held": 20000, "probes": true, "retry-after": true},
@@ -366,6 +385,9 @@
 
 // begin has a trouble strike, and gives what ends it; nil: it has no end.
 func (r *rig) begin(t *Trouble, nodes, hosts []int) (end func() error) {
+	if talkKinds[t.Kind] || t.Path == "peer" {
+		return r.beginTalk(t, nodes)
+	}
 	if linkKinds[t.Kind] {
 		return r.beginLink(t, nodes, hosts)
 	}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -115,6 +115,9 @@
 	}
 	p.Signal(syscall.SIGSTOP)
 	require.Eventually(t, func() bool { return stat() == "T" }, 5*time.Second, time.Millisecond)
+	later := time.Now()
+	_, touched := p.Running()
+	assert.False(t, touched.Before(later), "it still stands")
 	p.Signal(syscall.SIGCONT)
 	require.Eventually(t, func() bool { return stat() != "T" }, 5*time.Second, time.Millisecond)
 	p.Slow(0.25)
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -19,6 +19,8 @@
 	Rooms       int              `hcl:"rooms,optional"`
 	Uneven      float64          `hcl:"uneven,optional"`   // the first dispatcher gets this many times the mean of the others
 	Overload    bool             `hcl:"overload,optional"` // every dispatcher has the block of that name in its settings file
+	Budgets     *Budgets         `hcl:"budgets,block"`
+	Tenants     []Tenant         `hcl:"tenant,block"`
 	Hosts       []scenario.Hosts `hcl:"hosts,block"`
 	Classes     []scenario.Class `hcl:"class,block"`
 	Clients     *Clients         `hcl:"clients,block"`
@@ -48,10 +50,10 @@
 	For         string    `hcl:"for,optional"`
 	Dispatchers float64   `hcl:"dispatchers,optional"` // share that it strikes, drawn by the seed; 0: all
 	Hosts       float64   `hcl:"hosts,optional"`       // likewise
-	Path        string    `hcl:"path,optional"`        // of a link: "client", "host" or "discovery"
+	Path        string    `hcl:"path,optional"`        // of a link: "client", "host", "discovery" or "peer"
 	Way         string    `hcl:"way,optional"`         // "forth", "back" or "both"
 	Share       float64   `hcl:"share,optional"`       // of a core that is left, of the jobs that fail
-	Times       float64   `hcl:"times,optional"`       // of a storm: the load, against the usual
+	Times       float64   `hcl:"times,optional"`       // of a storm: the load, against the usual; how many islands
 	Delay       string    `hcl:"delay,optional"`
 	Jitter      string    `hcl:"jitter,optional"`
 	Rate        int       `hcl:"rate,optional"` // bytes a second
@@ -62,7 +64,8 @@
 	way                       Way
 }
 
-// Bound is a sum over all dispatchers that must hold at every host, in any window: of "probes", "connections" or "sends".
+// Bound is a sum over all dispatchers that must hold at every host, in any window: of "probes", "connections" or "sends"; or for
+// every tenant, of the "jobs" that were let in.
 type Bound struct {
 	What   string    `hcl:"what,label"`
 	Window string    `hcl:"window"`
@@ -77,6 +80,7 @@
 	Service float64   `hcl:"service,optional"` // worth served in time over worth asked for, at least
 	Tries   float64   `hcl:"tries,optional"`   // sends to hosts for each job that a client wanted done, at most
 	Probes  float64   `hcl:"probes,optional"`  // of a host and second, at most
+	Used    float64   `hcl:"used,optional"`    // of the first tenant's quota, over the second half of the day, at least
 	Range   hcl.Range `hcl:",def_range"`
 }
 
@@ -110,8 +114,8 @@
 	linkKinds = map[string]bool{"silent": true, "refuse": true, "reset": true, "half_open": true, "delay": true, "trickle": true, "cut": true}
 	kinds     = map[string]bool{"kill": true, "term": true, "pause": true, "slow": true, "reload": true, "vanish": true, "errors": true,
 		"crash": true, "drain": true, "full": true, "idle": true, "discovery": true, "storm": true}
-	paths = map[string]bool{"client": true, "host": true, "discovery": true}
-	whats = map[string]bool{"probes": true, "connections": true, "sends": true}
+	paths = map[string]bool{"client": true, "host": true, "discovery": true, "peer": true}
+	whats = map[string]bool{"probes": true, "connections": true, "sends": true, "jobs": true}
 )
 
 // Load reads the scenarios of files.
@@ -166,13 +170,14 @@
 	for key, x := range map[string]float64{"ignore": cl.Ignore, "early": cl.Early} {
 		c.Want(x >= 0 && x <= 1, cl.Range, key, "0 to 1")
 	}
+	s.checkShares(c)
 	for i := range s.Trouble {
 		s.Trouble[i].check(c, s)
 	}
 	for i := range s.Bounds {
 		b := &s.Bounds[i]
 		b.window = c.Time(b.Range, "window", b.Window, 0)
-		c.Want(whats[b.What], b.Range, "bound", `%q is none of "probes", "connections", "sends"`, b.What)
+		c.Want(whats[b.What], b.Range, "bound", `%q is none of "probes", "connections", "sends", "jobs"`, b.What)
 		c.Want(b.window > 0, b.Range, "window", "more than 0s")
 		c.Want(b.Most > 0, b.Range, "most", "more than 0")
 	}
@@ -182,9 +187,11 @@
 func (t *Trouble) check(c *scenario.Checker, s *Scenario) {
 	t.at, t.length = c.Time(t.Range, "at", t.At, 0), c.Time(t.Range, "for", t.For, 0)
 	t.delay, t.jitter = c.Time(t.Range, "delay", t.Delay, 0), c.Time(t.Range, "jitter", t.Jitter, 0)
-	c.Want(kinds[t.Kind] || linkKinds[t.Kind], t.Range, "trouble", "%q is not known", t.Kind)
+	c.Want(kinds[t.Kind] || linkKinds[t.Kind] || talkKinds[t.Kind], t.Range, "trouble", "%q is not known", t.Kind)
 	c.Want(t.at < s.length, t.Range, "at", "the day is over by then")
-	c.Want(!linkKinds[t.Kind] || paths[t.Path], t.Range, "path", `%q is none of "client", "host", "discovery"`, t.Path)
+	c.Want(!linkKinds[t.Kind] || paths[t.Path], t.Range, "path", `%q is none of "client", "host", "discovery", "peer"`, t.Path)
+	c.Want(!talkKinds[t.Kind] && t.Path != "peer" || s.Budgets != nil && s.Budgets.Way == "talk", t.Range, "trouble", "there is no talk between dispatchers")
+	c.Want(t.Path != "peer" || t.Kind == "silent" || t.Kind == "delay" || t.Kind == "refuse", t.Range, "path", "%q is none of talk", t.Kind)
 	ways := map[string]Way{"": Both, "both": Both, "forth": Forth, "back": Back}
 	t.way = ways[t.Way]
 	c.Want(t.way != 0, t.Range, "way", `%q is none of "forth", "back", "both"`, t.Way)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -16,6 +16,8 @@
 	"github.com/hashicorp/hcl/v2/hclparse"
 	"github.com/zclconf/go-cty/cty"
 
+	"gaugeslip/internal/budget"
+	"gaugeslip/internal/net/peers"
 	"gaugeslip/internal/overload"
 	"gaugeslip/internal/waiting"
 )
@@ -24,12 +26,34 @@
 type Site struct {
 	Waiting  *waiting.Limits  // nil: jobs do not wait here
 	Overload *overload.Limits // nil: nothing is done about overload beyond what the decision module always does
+	Budgets  *budget.Limits   // nil: nothing is divided beyond what the decision module always divides
+	Peers    *peers.Limits    // nil: dispatchers do not talk
 }
 
 // file is the form of the file. Attributes are read by hand, so that an error can point at them.
 type file struct {
 	Waiting  *waitingBlock  `hcl:"waiting,block"`
 	Overload *overloadBlock `hcl:"overload,block"`
+	Budgets  *budgetsBlock  `hcl:"budgets,block"`
+	Peers    *peersBlock    `hcl:"peers,block"`
+}
+
+type budgetsBlock struct {
+	Way       *hcl.Attribute `hcl:"way,optional"`
+	Floor     *hcl.Attribute `hcl:"floor,optional"`
+	Tenants   *hcl.Attribute `hcl:"tenants,optional"`
+	Burst     *hcl.Attribute `hcl:"burst,optional"`
+	Probes    *hcl.Attribute `hcl:"probes,optional"`
+	ListCalls *hcl.Attribute `hcl:"list_calls,optional"`
+	Range     hcl.Range      `hcl:",def_range"`
+}
+
+type peersBlock struct {
+	Listen  *hcl.Attribute `hcl:"listen,optional"`
+	Members *hcl.Attribute `hcl:"members,optional"`
+	Voters  *hcl.Attribute `hcl:"voters,optional"`
+	Drift   *hcl.Attribute `hcl:"drift,optional"`
+	Range   hcl.Range      `hcl:",def_range"`
 }
 
 type waitingBlock struct {
@@ -100,9 +124,65 @@
 		}
 		s.Overload = lim
 	}
+	if f.Budgets != nil {
+		lim, err := f.Budgets.limits()
+		if err != nil {
+			return nil, err
+		}
+		s.Budgets = lim
+	}
+	if f.Peers != nil {
+		lim, err := f.Peers.limits()
+		if err != nil {
+			return nil, err
+		}
+		s.Peers = lim
+	}
+	if s.Budgets != nil && s.Budgets.Way == budget.ByTalk && s.Peers == nil {
+		return nil, at(f.Budgets.Range, "budgets.way", "talk needs a block peers")
+	}
 	return s, nil
 }
 
+// limits reads the block budgets.
+func (b *budgetsBlock) limits() (*budget.Limits, error) {
+	l := budget.Defaults()
+	r := reader{block: "budgets"}
+	r.text(b.Way, (*string)(&l.Way))
+	r.number(b.Floor, &l.Floor)
+	r.boolean(b.Tenants, &l.Tenants)
+	r.number(b.Burst, &l.Burst)
+	r.number(b.Probes, &l.Probes)
+	r.number(b.ListCalls, &l.ListCalls)
+	if len(r.errs) > 0 {
+		return nil, errors.Join(r.errs...)
+	}
+	if err := l.Check(); err != nil {
+		return nil, place(err, "budgets", b.Range, b.Way, b.Floor, b.Burst, b.Probes, b.ListCalls)
+	}
+	return &l, nil
+}
+
+// limits reads the block peers.
+func (b *peersBlock) limits() (*peers.Limits, error) {
+	l := peers.Defaults()
+	r := reader{block: "peers"}
+	r.text(b.Listen, &l.Listen)
+	r.texts(b.Members, &l.Members)
+	if len(l.Members) == 2 {
+		l.Voters = 1 // of two no majority outlives one
+	}
+	r.integer(b.Voters, &l.Voters)
+	r.number(b.Drift, &l.Drift)
+	if len(r.errs) > 0 {
+		return nil, errors.Join(r.errs...)
+	}
+	if err := l.Check(); err != nil {
+		return nil, place(err, "peers", b.Range, b.Listen, b.Members, b.Voters, b.Drift)
+	}
+	return &l, nil
+}
+
 // limits reads the block waiting.
 func (b *waitingBlock) limits() (*waiting.Limits, error) {
 	l := waiting.Defaults()
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"gaugeslip/internal/budget"
 	"gaugeslip/internal/overload"
 	"gaugeslip/internal/waiting"
 )
@@ -48,6 +49,8 @@
 	assert.Nil(t, s.Waiting)
 }
 
+const peers2 = "peers {\n  listen = \"127.0.0.1:1\"\n  members = [\"127.0.0.1:1\", \"127.0.0.1:2\"]\n"
+
 // Every fault has its place and its key.
 func TestFaults(t *testing.T) {
 	for text, want := range map[string]string{
@@ -70,6 +73,14 @@
 		"overload {\n  floor = 2\n}":                            "a.hcl:2:3: overload.floor: out of range",
 		"overload {\n  order = \"harvest-sale\"\n}":             "a.hcl:2:3: overload.order: a list of texts",
 		"overload {\n  order = [1]\n}":                          "a.hcl:2:3: overload.order: a list of texts",
+		"budgets {\n  way = \"vote\"\n}":                        "a.hcl:2:3: budgets.way: ",
+		"budgets {\n  floor = 1.5\n}":                           "a.hcl:2:3: budgets.floor: out of range",
+		"budgets {\n  probes = -1\n}":                           "a.hcl:2:3: budgets.probes: out of range",
+		"budgets {\n  way = \"talk\"\n}":                        "a.hcl:1:1: budgets.way: talk needs a block peers",
+		"peers {\n  listen = \"127.0.0.1:1\"\n}":                "a.hcl:1:1: peers.members: out of range",
+		"peers {\n  listen = \"here\"\n}":                       "a.hcl:2:3: peers.listen: ",
+		peers2 + "  voters = 2\n}":                              "a.hcl:4:3: peers.voters: out of range",
+		peers2 + "  drift = 0\n}":                               "a.hcl:4:3: peers.drift: out of range",
 		"printing {}":                                           "a.hcl:1:1: unsupported block type",
 		"waiting {}\nwaiting {}":                                "a.hcl:2:1: duplicate waiting block",
 		"waiting {":                                             "a.hcl:1:",
@@ -96,6 +107,9 @@
 	assert.Equal(t, &want, s.Waiting, "the example names the defaults")
 	limits := overload.Defaults()
 	assert.Equal(t, &limits, s.Overload, "the example names the defaults")
+	budgets := budget.Defaults()
+	assert.Equal(t, &budgets, s.Budgets, "the example names the defaults")
+	assert.Len(t, s.Peers.Members, 3)
 }
 
 // uncomment takes the sign off the lines that are switched off by "#: ".
--- a/internal/waiting/weigh_test.go
+++ b/internal/waiting/weigh_test.go
@@ -95,7 +95,7 @@
 		tb.Fatal(err)
 	}
 	gate := dispatch.NewWaitingGate(lim, cfg)
-	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), chain: dispatch.NewChain(core, gate, nil), room: gate.Room(), now: epoch,
+	w := &world{rng: rand.New(rand.NewPCG(seed, 7)), chain: dispatch.NewChain(core, dispatch.Gates{Waiting: gate}), room: gate.Room(), now: epoch,
 		hosts: map[string]*host{}, jobs: map[uint64]*made{}, out: map[dispatch.Key]*run{}, total: hosts * lanes}
 	var list []dispatch.Host
 	for i := range hosts {
