--- /dev/null
+++ b/cmd/gaugeslip/shares_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/budget"
+	"gaugeslip/internal/net/nettest"
+)
+
+// withQuota is the settings of a small deployment with one tenant that has a quota.
+var withQuota = strings.Replace(nettest.SettingsJSON, `"kinds"`, `"accounts":[{"name":"a","quota-per-s":5.0}],"kinds"`, 1)
+
+// owns asks a dispatcher what it owns of its one budget.
+func owns(t *testing.T, ops string) float64 {
+	_, text := opsCall(t, http.MethodGet, ops, "/budgets")
+	var all []budget.Figure
+	require.NoError(t, json.Unmarshal([]byte(text), &all), text)
+	require.Len(t, all, 1)
+	return all[0].Owned
+}
+
+// Of two processes of one dispatcher one owns the share: the old one until it hands over, then the new one, and after the death
+// of that one, however sudden, a third. The sum is never over the share of one dispatcher.
+func TestTwoProcessesOwnOneShare(t *testing.T) {
+	host := nettest.Listen(t, served)
+	discovery := nettest.Listen(t, func(*nettest.Call) {})
+	ln, addr := inherited(t)
+	f, err := ln.File()
+	require.NoError(t, err)
+	defer f.Close()
+	tmp := t.TempDir()
+	site := filepath.Join(tmp, "site.hcl")
+	require.NoError(t, os.WriteFile(site, []byte("budgets {}\n"), 0o600))
+	start := func(ops string) (stop func(syscall.Signal)) {
+		cmd, _ := launch(t, launching{settings: withQuota, known: list(1, true, entry("s-0000000a", host.Addr, "in_service", 0)),
+			discovery: discovery.Addr, listen: addr, files: []*os.File{f},
+			env: []string{"NODE_INHERITED_FD=3", "NODE_OPS=" + ops, "TMPDIR=" + tmp, "NODE_SITE=" + site}})
+		require.Eventually(t, func() bool { return healthy(ops) }, nettest.Patience, 10*time.Millisecond)
+		return func(s syscall.Signal) { cmd.Process.Signal(s); cmd.Wait() }
+	}
+	first, second, third := freeAddr(t), freeAddr(t), freeAddr(t)
+	stopFirst := start(first)
+	require.Eventually(t, func() bool { return owns(t, first) == 1 }, nettest.Patience, 5*time.Millisecond)
+	stopSecond := start(second)
+	require.Eventually(t, func() bool {
+		a := owns(t, first)
+		b := owns(t, second) // later than a: if it has come, the first has let go
+		if b > 0 {
+			a = owns(t, first)
+		}
+		require.LessOrEqual(t, a+b, 1.0)
+		return b == 1
+	}, nettest.Patience, 5*time.Millisecond, "the successor owns it once the old process has handed over")
+	stopFirst(syscall.SIGTERM)
+	assert.Equal(t, 1.0, owns(t, second))
+	stopThird := start(third)
+	stopSecond(syscall.SIGKILL)
+	require.Eventually(t, func() bool { return owns(t, third) == 1 }, nettest.Patience, 5*time.Millisecond)
+	assert.Equal(t, 1.0, figure(t, third, `edge_node_budget_owned{budget="tenant a"}`))
+
+	for _, form := range []string{"", "--json"} {
+		var out, errs bytes.Buffer
+		require.Equal(t, exitOK, run(append([]string{"budgets", "--ops", third}, strings.Fields(form)...), &out, &errs), errs.String())
+		assert.Contains(t, out.String(), "tenant a")
+	}
+	var out, errs bytes.Buffer
+	assert.Equal(t, exitFailed, run([]string{"members", "--ops", third}, &out, &errs))
+	assert.Contains(t, errs.String(), "switches none on")
+	assert.Equal(t, exitUsage, run([]string{"budgets", "--ops", ""}, &out, &errs))
+	stopThird(syscall.SIGTERM)
+}
+
+// A tenant's jobs beyond its quota are refused at once, with advice; whoever follows it is served.
+func TestTenantQuota(t *testing.T) {
+	host := nettest.Listen(t, served)
+	discovery := nettest.Listen(t, func(*nettest.Call) {})
+	tmp := t.TempDir()
+	site := filepath.Join(tmp, "site.hcl")
+	require.NoError(t, os.WriteFile(site, []byte("budgets {\n  burst = 0.2\n}\n"), 0o600))
+	addr, _, _ := programWith(t, withQuota, list(1, true, entry("s-0000000a", host.Addr, "in_service", 0)), discovery.Addr,
+		"NODE_SITE="+site, "TMPDIR="+tmp)
+	c := nettest.Dial(t, addr)
+	statuses := map[int]int{}
+	for i := range 12 {
+		c.Post("/plot-load/7", "q"+string(rune('a'+i)), "X-Expires-In-Ms: 15000\r\nX-Customer: a\r\n", "x")
+		resp, _ := c.Answer()
+		if statuses[resp.StatusCode]++; resp.StatusCode == http.StatusTooManyRequests {
+			assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+		}
+	}
+	assert.Positive(t, statuses[http.StatusTooManyRequests])
+	require.Eventually(t, func() bool {
+		time.Sleep(250 * time.Millisecond) // over a token's time
+		c.Post("/plot-load/7", "r"+time.Now().Format("150405.000"), "X-Expires-In-Ms: 15000\r\nX-Customer: a\r\n", "x")
+		resp, _ := c.Answer()
+		return resp.StatusCode == http.StatusOK
+	}, nettest.Patience, time.Millisecond)
+	c.Post("/plot-load/7", "other", "X-Expires-In-Ms: 15000\r\n", "x")
+	resp, _ := c.Answer()
+	assert.Equal(t, http.StatusOK, resp.StatusCode, "no tenant, no quota")
+}
--- a/internal/budget/purse_test.go
+++ b/internal/budget/purse_test.go
@@ -169,7 +169,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := Message{Kind: Kind(rapid.IntRange(1, int(kinds)-1).Draw(t, "kind")), From: rapid.IntRange(0, 1999).Draw(t, "from"),
 			To: rapid.IntRange(0, 1999).Draw(t, "to"), Life: rapid.Uint64().Draw(t, "life"), Asker: rapid.Uint64().Draw(t, "asker"),
-			Ballot: Ballot{N: rapid.Uint32Max(1 << 31).Draw(t, "n"), By: rapid.Uint16Max(1999).Draw(t, "by"), Life: rapid.Uint64().Draw(t, "l")},
+			Ballot: Ballot{N: rapid.Uint32Max(1<<31).Draw(t, "n"), By: rapid.Uint16Max(1999).Draw(t, "by"), Life: rapid.Uint64().Draw(t, "l")},
 			Open:   rapid.Bool().Draw(t, "open"), Seq: rapid.Uint32().Draw(t, "seq"), Epoch: rapid.Uint32().Draw(t, "epoch"),
 			TTL: time.Duration(rapid.Int64Range(0, int64(time.Hour)).Draw(t, "ttl")), Leader: rapid.IntRange(-1, 1999).Draw(t, "leader")}
 		for range rapid.IntRange(0, 5).Draw(t, "budgets") {
--- a/scenarios/processes/short.hcl
+++ b/scenarios/processes/short.hcl
@@ -221,3 +221,60 @@
   }
 
 }
+
+processes "short-shares" {
+  about       = "A tenant's quota divided by talk, while dispatchers are killed, stand still and are cut off from one another, on lossy ways."
+  length      = "9s"
+  load        = 0.6
+  dispatchers = 5
+  uneven      = 4
+
+  budgets {
+    way    = "talk"
+    floor  = 0.25
+    probes = 200
+  }
+
+  tenant "a" {
+    part  = 0.9
+    quota = 30
+  }
+
+  bound "jobs" {
+    window = "1s"
+    most   = 65 # the quota, the burst, and one for each dispatcher
+  }
+
+  bound "probes" {
+    window = "1s"
+    most   = 225
+  }
+
+  trouble "lossy" {
+    at    = "2s"
+    for   = "6s"
+    share = 0.2
+  }
+
+  trouble "islands" {
+    at    = "3s"
+    for   = "2s"
+    times = 2
+  }
+
+  trouble "kill" {
+    at          = "4s"
+    for         = "50ms"
+    dispatchers = 0.4
+  }
+
+  trouble "pause" {
+    at          = "5s"
+    for         = "2s"
+    dispatchers = 0.4
+  }
+
+  expect {
+    service = 0.05
+  }
+}
