Judge sites, plan for the loss of one, and play it in the lab and on processes

The lab did not lose a room's dispatchers, its front or its ways, and its ideal did not lose the room at all.

Change: a trouble site in the lab (hosts, dispatchers with a front that notices late, links, discovery) and on the rig; an ideal that loses what runs there; internal/sites, pure: a judge of sites from own evidence (lost, cut off from here, returning) and a plan for each loss; dispatch.SitesGate, which only looks; block sites, gaugeslip plan, GET /plan, site_state, a log line a change; gaugelab plan holds the plan against what is played.

--- a/cmd/gaugeslip/main.go
+++ b/cmd/gaugeslip/main.go
@@ -55,7 +55,7 @@
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.SetUsageTemplate(strings.Replace(root.UsageTemplate(), "Usage:", "usage:", 1))
 	root.AddCommand(serveCommand(stderr), checkCommand(stdout), versionCommand(stdout), jobsCommand(stdout), budgetsCommand(stdout),
-		membersCommand(stdout))
+		membersCommand(stdout), planCommand(stdout))
 	return root
 }
 
--- a/cmd/gaugeslip/shares_test.go
+++ b/cmd/gaugeslip/shares_test.go
@@ -110,3 +110,42 @@
 	resp, _ := c.Answer()
 	assert.Equal(t, http.StatusOK, resp.StatusCode, "no tenant, no quota")
 }
+
+// What is planned for the loss of a room, from the configuration and of a running dispatcher.
+func TestPlan(t *testing.T) {
+	host := nettest.Listen(t, served)
+	discovery := nettest.Listen(t, func(*nettest.Call) {})
+	two := strings.Replace(nettest.SettingsJSON, `"localities":["z"],"locality":"z"`, `"localities":["y","z"],"locality":"z"`, 1)
+	known := list(1, true, entry("s-0000000a", host.Addr, "in_service", 0),
+		strings.Replace(entry("s-0000000b", host.Addr, "in_service", 0), `"z"`, `"y"`, 1))
+	tmp := t.TempDir()
+	site := filepath.Join(tmp, "site.hcl")
+	require.NoError(t, os.WriteFile(site, []byte("sites {}\n"), 0o600))
+	ops := freeAddr(t)
+	programWith(t, two, known, discovery.Addr, "NODE_SITE="+site, "NODE_OPS="+ops, "TMPDIR="+tmp)
+	plan := func(want int, args ...string) string {
+		t.Helper()
+		var out, errs bytes.Buffer
+		require.Equal(t, want, run(append([]string{"plan"}, args...), &out, &errs), errs.String())
+		return out.String() + errs.String()
+	}
+	require.Eventually(t, func() bool {
+		var out, errs bytes.Buffer
+		return run([]string{"plan", "--ops", ops}, &out, &errs) == exitOK
+	}, nettest.Patience, 20*time.Millisecond)
+	assert.Contains(t, plan(exitOK, "--ops", ops), "y is lost")
+	assert.Equal(t, 0.0, figure(t, ops, `edge_node_site_state{site="z"}`))
+
+	config, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "8c1f30d27a5be964",
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": json.RawMessage(known), "settings": json.RawMessage(two)})
+	require.NoError(t, err)
+	path := filepath.Join(tmp, "config.json")
+	require.NoError(t, os.WriteFile(path, config, 0o600))
+	text := plan(exitOK, "--config", path, "--load", "0.3", "--loads", "z=0.9", "--lost", "y")
+	assert.Contains(t, text, "y is lost")
+	assert.NotContains(t, text, "z is lost")
+	assert.Contains(t, text, "are refused", "0.3 and 0.9 of one room's work do not fit into one")
+	assert.Contains(t, plan(exitOK, "--config", path, "--load", "0.3", "--json"), `"lost":"z"`)
+	assert.Contains(t, plan(exitUsage, "--config", path, "--lost", "x"), "is no site")
+	assert.Contains(t, plan(exitUsage, "--config", path, "--loads", "x=1"), "is no ROOM=LOAD")
+}
--- a/deploy/site.hcl
+++ b/deploy/site.hcl
@@ -47,3 +47,9 @@
 #:   voters  = 3      # the first so many decide who divides; odd
 #:   drift   = 0.01   # of any clock, at most
 #: }
+
+# What is known of each server room, and the plan for the loss of one: docs/operators/site-loss.md.
+#: sites {
+#:   usable = 0.95   # share of a room's capacity that the plan counts on
+#:   notice = "4s"   # until the front deals clients of a lost room out elsewhere, at most
+#: }
--- a/internal/dispatch/chain.go
+++ b/internal/dispatch/chain.go
@@ -52,10 +52,12 @@
 	Waiting *WaitingGate
 	Budget  *BudgetGate
 	Shed    *ShedGate
+	Sites   *SitesGate
 }
 
 // NewChain puts gates round a core. Their order is written down here alone: the waiting room is the outermost, since what waits is
-// for no later gate to count yet; then budgets, since what a tenant may not ask for at all is no overload; then the one that sheds.
+// for no later gate to count yet; then budgets, since what a tenant may not ask for at all is no overload; then the one that sheds, and
+// next to the core the one that judges sites, which sees what the core asks for.
 func NewChain(core *Core, g Gates) *Chain {
 	c := &Chain{core: core}
 	if g.Waiting != nil {
@@ -67,6 +69,9 @@
 	if g.Shed != nil {
 		c.gates = append(c.gates, g.Shed)
 	}
+	if g.Sites != nil {
+		c.gates = append(c.gates, g.Sites)
+	}
 	c.passes = make([]Pass, len(c.gates))
 	return c
 }
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/scenario"
 )
 
 func day(t testing.TB, name string) *Scenario {
@@ -171,3 +173,34 @@
 		})
 	}
 }
+
+// A room that is lost with all that is there: its clients come to others once the front has noticed, its hosts and dispatchers come
+// back, and no rule breaks; without its ways to the others its own dispatchers and hosts go on. The ideal feels the loss as well.
+func TestSite(t *testing.T) {
+	all, err := Load("../../scenarios/site-loss.hcl")
+	require.NoError(t, err)
+	for _, loses := range [][]string{nil, {"links"}, {"links", "discovery"}, {"hosts"}, {"dispatchers"}} {
+		sc := all[0]
+		sc.Troubles[0].Loses = loses
+		require.NoError(t, sc.check())
+		l, err := New(sc, 5, true)
+		require.NoError(t, err)
+		r, err := l.Run(t.Context())
+		require.NoError(t, err)
+		assert.Zero(t, r.Broken(), "%v: %v", loses, r.First)
+		assert.Len(t, r.Rooms, 3)
+		assert.Greater(t, r.Rooms[2][11], 0.7, "%v: back at the end", loses)
+		assert.Equal(t, sc.Troubles[0].loses("dispatchers"), r.Cut+r.Unreached > 0, "%v", loses)
+		for i, n := range l.nodes {
+			assert.True(t, n.up && n.dealt, "%v: dispatcher %d", loses, i)
+		}
+		ideal, err := NewIdeal(sc, 5)
+		require.NoError(t, err)
+		best, err := ideal.Run(t.Context())
+		require.NoError(t, err)
+		assert.Greater(t, best.Service, r.Service, "%v", loses)
+	}
+	f := all[0].Fleet(0.95)
+	require.NoError(t, f.Check())
+	assert.InDelta(t, 0.75*scenario.Capacity(all[0].Hosts), f.Asked(), 1e-6)
+}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -3,13 +3,18 @@
 package lab
 
 import (
+	"cmp"
+	"errors"
+	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/hashicorp/hcl/v2"
 
 	"gaugeslip/internal/overload"
 	"gaugeslip/internal/scenario"
+	"gaugeslip/internal/sites"
 	"gaugeslip/internal/waiting"
 	"gaugeslip/policy"
 )
@@ -24,6 +29,7 @@
 	Rooms       int              `hcl:"rooms,optional"`
 	Delay       string           `hcl:"delay,optional"` // one way between rooms; a tenth of it within one
 	Skew        float64          `hcl:"skew,optional"`  // how much more traffic the first room has than its share
+	Sites       bool             `hcl:"sites,optional"` // every dispatcher judges sites
 	Hosts       []scenario.Hosts `hcl:"hosts,block"`
 	Classes     []scenario.Class `hcl:"class,block"`
 	Clients     *Clients         `hcl:"clients,block"`
@@ -100,11 +106,20 @@
 	Share float64   `hcl:"share,optional"` // of the jobs or sends that it meets
 	Times float64   `hcl:"times,optional"` // how many times the usual work
 	Class string    `hcl:"class,optional"`
+	Loses []string  `hcl:"loses,optional"` // of a site: "hosts", "dispatchers", "links" to other rooms, "discovery"; all but the last two without
 	Range hcl.Range `hcl:",def_range"`
 
 	at, length time.Duration
 }
 
+// loses tells whether a site loses something.
+func (t *Trouble) loses(what string) bool {
+	if len(t.Loses) == 0 {
+		return what == "hosts" || what == "dispatchers"
+	}
+	return slices.Contains(t.Loses, what)
+}
+
 // partOf is how many of n it strikes: one at least.
 func (t *Trouble) partOf(n int) int { return max(1, int(math.Round(t.Part*float64(n)))) }
 
@@ -126,7 +141,7 @@
 
 var kinds = map[string]bool{"vanish": true, "errors": true, "heavy": true, "kill": true, "silence": true, "reset": true,
 	"stale_list": true, "discovery": true, "drain": true, "restart": true,
-	"surge": true}
+	"surge": true, "site": true}
 
 // Load reads the scenarios of files.
 func Load(files ...string) ([]*Scenario, error) { return scenario.Load(Parse, files...) }
@@ -218,6 +233,13 @@
 			c.Want(s.class(t.Class) >= 0, t.Range, "class", "%q is not a class", t.Class)
 			c.Want(t.Times > 0, t.Range, "times", "more than 0")
 		}
+		if t.Kind == "site" {
+			c.Want(t.Room > 0, t.Range, "room", "which is lost?")
+			for _, x := range t.Loses {
+				c.Want(x == "hosts" || x == "dispatchers" || x == "links" || x == "discovery", t.Range, "loses",
+					`%q is none of "hosts", "dispatchers", "links", "discovery"`, x)
+			}
+		}
 		if t.Kind == "surge" {
 			c.Want(t.Times > 0 && t.Times <= 100, t.Range, "times", "more than 0 and at most 100")
 		}
@@ -289,3 +311,84 @@
 	s.Dispatchers, s.Load, s.Length = dispatchers, load, length.String()
 	return s.check()
 }
+
+// AtLoad changes the load alone.
+func (s *Scenario) AtLoad(load float64) error {
+	s.Load = load
+	return s.check()
+}
+
+// LossAt is when the scenario's one loss of a room begins and ends.
+func (s *Scenario) LossAt() (from, to time.Duration, err error) {
+	for _, t := range s.Troubles {
+		if t.Room > 0 {
+			return t.at, t.at + t.length, nil
+		}
+	}
+	return 0, 0, errors.New("the scenario loses no room")
+}
+
+// SurgeInPlace has the load rise by so many times where a room would be lost, and the room stay.
+func (s *Scenario) SurgeInPlace(times float64) error {
+	s.Troubles = slices.Clone(s.Troubles)
+	for i := range s.Troubles {
+		if t := &s.Troubles[i]; t.Room > 0 {
+			t.Kind, t.Room, t.Times = "surge", 0, times
+		}
+	}
+	return s.check()
+}
+
+// LoseRoom has every trouble of a room strike another one, counted from 1.
+func (s *Scenario) LoseRoom(room int) error {
+	s.Troubles = slices.Clone(s.Troubles)
+	for i := range s.Troubles {
+		if s.Troubles[i].Room > 0 {
+			s.Troubles[i].Room = room
+		}
+	}
+	return s.check()
+}
+
+// Fleet is what a plan for the loss of a room is made from, with so much of the rooms' capacity to be counted on. Classes stand in
+// the order of their worth.
+func (s *Scenario) Fleet(usable float64) *sites.Fleet {
+	f := &sites.Fleet{Usable: usable, ColdFrom: s.World.ColdFrom, WarmUp: s.World.warmUp}
+	for room := range s.Rooms {
+		f.Sites = append(f.Sites, sites.Site{Name: fmt.Sprintf("room-%d", room+1)})
+	}
+	i := 0
+	for _, h := range s.Hosts {
+		for range h.Count {
+			x := &f.Sites[i%s.Rooms]
+			x.Hosts++
+			x.Capacity += float64(h.Lanes) * h.Speed
+			i++
+		}
+	}
+	work := s.rate() * scenario.MeanWork(s.Classes)
+	for room := range f.Sites {
+		f.Sites[room].Load = work * s.shareOf(room)
+	}
+	classes := slices.Clone(s.Classes)
+	slices.SortStableFunc(classes, func(a, b scenario.Class) int { return cmp.Compare(b.Worth, a.Worth) })
+	for _, c := range classes {
+		one := c
+		one.Part = 1
+		f.Classes = append(f.Classes, sites.Class{Name: c.Name, Share: c.Part * scenario.MeanWork([]scenario.Class{one}) / scenario.MeanWork(s.Classes)})
+	}
+	return f
+}
+
+// shareOf is a room's part of the traffic.
+func (s *Scenario) shareOf(room int) float64 {
+	share := 1 / float64(s.Rooms)
+	if s.Rooms > 1 && s.Skew != 0 {
+		if room == 0 {
+			share *= 1 + s.Skew
+		} else {
+			share *= 1 - s.Skew/float64(s.Rooms-1)
+		}
+	}
+	return share
+}
--- a/internal/node/budgets.go
+++ b/internal/node/budgets.go
@@ -178,14 +178,13 @@
 	return &bounded{Source: s, budgets: b}
 }
 
-// views are what the operators' door shows of budgets and members.
-func (b *budgets) views() map[string]func() any {
+// views adds what the operators' door shows of budgets and members.
+func (b *budgets) views(v map[string]func() any) {
 	if b == nil {
-		return nil
+		return
 	}
-	v := map[string]func() any{"budgets": func() any { return b.ledger.Figures(b.now()) }}
+	v["budgets"] = func() any { return b.ledger.Figures(b.now()) }
 	if b.peers != nil {
 		v["members"] = func() any { return b.peers.View() }
 	}
-	return v
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,6 +20,7 @@
 	"gaugeslip/internal/ops"
 	"gaugeslip/internal/overload"
 	"gaugeslip/internal/site"
+	"gaugeslip/internal/sites"
 	"gaugeslip/policy"
 )
 
@@ -124,6 +125,11 @@
 	if own.Waiting != nil {
 		gates.Waiting = dispatch.NewWaitingGate(*own.Waiting, cfg.Settings.Policy)
 	}
+	rooms, err := judging(own, cfg, &decisions, figures)
+	if err != nil {
+		return err
+	}
+	gates.Sites = rooms
 	clock := loop.NewClock()
 	shares := newBudgets(cfg, own, clock.Now, figures)
 	if shares != nil {
@@ -142,7 +148,7 @@
 	var opsLn net.Listener
 	if cfg.Ops != "" {
 		opsDoor = ops.NewDoor(ops.Config{Addr: cfg.Ops, MaxConns: door, Ready: server.Serving, Figures: figures,
-			Core: l, Store: ops.NewStore(os.TempDir(), cfg.Name), Views: shares.views()})
+			Core: l, Store: ops.NewStore(os.TempDir(), cfg.Name), Views: views(shares, rooms)})
 		if opsLn, err = opsDoor.Listen(); err != nil {
 			ln.Close()
 			return err
@@ -230,6 +236,63 @@
 	return g, nil
 }
 
+// judging makes the gate that judges sites, with its figures; nil: none is set.
+func judging(own *site.Site, cfg *config.Config, decisions *policy.Config, figures *ops.Figures) (*dispatch.SitesGate, error) {
+	if own.Sites == nil {
+		return nil, nil
+	}
+	shed := overload.Defaults()
+	if own.Overload != nil {
+		shed = *own.Overload
+	}
+	order, err := shed.Ranked(decisions)
+	if err != nil {
+		return nil, fmt.Errorf("site: overload.%w", err)
+	}
+	names := Rooms(cfg)
+	g := dispatch.NewSitesGate(*own.Sites, *decisions, names, order, shed.Floor)
+	for i, name := range names {
+		figures.Labelled("site_state", "0: serving, 1: suspect, 2: lost, 3: cut off from here, 4: returning.", "site", name,
+			func() float64 { return float64(g.State(i)) })
+	}
+	return g, nil
+}
+
+// Rooms are the names of the settings' zones, by number.
+func Rooms(cfg *config.Config) []string {
+	names := make([]string, len(cfg.Settings.Zones))
+	for name, i := range cfg.Settings.Zones {
+		names[i] = name
+	}
+	return names
+}
+
+// Planned is what the operators' door shows of a plan.
+type Planned struct {
+	Fleet  *sites.Fleet      `json:"fleet"`
+	States map[string]string `json:"states,omitempty"`
+	Losses []sites.Loss      `json:"losses"`
+}
+
+// views are what the operators' door shows beside its own calls.
+func views(shares *budgets, rooms *dispatch.SitesGate) map[string]func() any {
+	v := map[string]func() any{}
+	shares.views(v)
+	if rooms != nil {
+		v["plan"] = func() any {
+			p := Planned{Fleet: rooms.Fleet(), States: map[string]string{}}
+			if p.Fleet != nil && p.Fleet.Check() == nil {
+				p.Losses = p.Fleet.Plan()
+				for i, s := range p.Fleet.Sites {
+					p.States[s.Name] = rooms.State(i).String()
+				}
+			}
+			return p
+		}
+	}
+	return v
+}
+
 // paced is the source at a start, when many dispatchers may start together.
 func paced(cfg *config.Config) cluster.Source {
 	p := &cfg.Settings.Policy
@@ -269,7 +332,7 @@
 		for _, x := range []struct {
 			key      string
 			now, own any
-		}{{"overload", settings.Overload, own.Overload}, {"budgets", settings.Budgets, own.Budgets}, {"peers", settings.Peers, own.Peers}} {
+		}{{"overload", settings.Overload, own.Overload}, {"sites", settings.Sites, own.Sites}, {"budgets", settings.Budgets, own.Budgets}, {"peers", settings.Peers, own.Peers}} {
 			if !reflect.DeepEqual(x.now, x.own) {
 				keys = append(keys, x.key)
 			}
--- a/internal/overload/shed.go
+++ b/internal/overload/shed.go
@@ -67,7 +67,7 @@
 // NewShedder makes one that lets everything in, for a dispatcher with these settings. Limits that are not sound, or that name
 // classes that are not there, are an error that begins with the key.
 func NewShedder(l Limits, cfg *policy.Config) (*Shedder, error) {
-	order, err := l.order(cfg)
+	order, err := l.Ranked(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -82,9 +82,9 @@
 	return s, nil
 }
 
-// order is that in which classes are kept, as numbers. By default the one that is worth more for its work is kept longer; where
+// Ranked is the order in which classes are kept, as numbers. By default the one that is worth more for its work is kept longer; where
 // worth is by the job, its wait tells of its work.
-func (l *Limits) order(cfg *policy.Config) (all []int, err error) {
+func (l *Limits) Ranked(cfg *policy.Config) (all []int, err error) {
 	named := map[string]int{}
 	for i, c := range cfg.Classes {
 		named[c.Name] = i
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -19,6 +19,7 @@
 	Rooms       int              `hcl:"rooms,optional"`
 	Uneven      float64          `hcl:"uneven,optional"`   // the first dispatcher gets this many times the mean of the others
 	Overload    bool             `hcl:"overload,optional"` // every dispatcher has the block of that name in its settings file
+	Sites       bool             `hcl:"sites,optional"`    // likewise
 	Budgets     *Budgets         `hcl:"budgets,block"`
 	Tenants     []Tenant         `hcl:"tenant,block"`
 	Hosts       []scenario.Hosts `hcl:"hosts,block"`
@@ -58,6 +59,8 @@
 	Jitter      string    `hcl:"jitter,optional"`
 	Rate        int       `hcl:"rate,optional"` // bytes a second
 	Bytes       int       `hcl:"bytes,optional"`
+	Room        int       `hcl:"room,optional"`  // of a site, counted from 1
+	Loses       []string  `hcl:"loses,optional"` // of a site: "hosts", "dispatchers", "links" to other rooms, "discovery"
 	Range       hcl.Range `hcl:",def_range"`
 
 	at, length, delay, jitter time.Duration
@@ -113,7 +116,7 @@
 var (
 	linkKinds = map[string]bool{"silent": true, "refuse": true, "reset": true, "half_open": true, "delay": true, "trickle": true, "cut": true}
 	kinds     = map[string]bool{"kill": true, "term": true, "pause": true, "slow": true, "reload": true, "vanish": true, "errors": true,
-		"crash": true, "drain": true, "full": true, "idle": true, "discovery": true, "storm": true}
+		"site": true, "crash": true, "drain": true, "full": true, "idle": true, "discovery": true, "storm": true}
 	paths = map[string]bool{"client": true, "host": true, "discovery": true, "peer": true}
 	whats = map[string]bool{"probes": true, "connections": true, "sends": true, "jobs": true}
 )
@@ -199,6 +202,13 @@
 		c.Want(x >= 0 && x <= 1, t.Range, key, "0 to 1")
 	}
 	switch t.Kind {
+	case "site":
+		c.Want(t.Room > 0 && t.Room <= s.Rooms, t.Range, "room", "1 to the number of rooms")
+		c.Want(t.length > 0, t.Range, "for", "more than 0s")
+		for _, x := range t.Loses {
+			c.Want(x == "hosts" || x == "dispatchers" || x == "links" || x == "discovery", t.Range, "loses",
+				`%q is none of "hosts", "dispatchers", "links", "discovery"`, x)
+		}
 	case "slow":
 		c.Want(t.Share > 0, t.Range, "share", "more than 0")
 	case "storm":
--- a/internal/rig/talk.go
+++ b/internal/rig/talk.go
@@ -94,6 +94,9 @@
 	if r.sc.Overload {
 		text.WriteString("overload {}\n")
 	}
+	if r.sc.Sites {
+		text.WriteString("sites {}\n")
+	}
 	if b := r.sc.Budgets; b != nil {
 		fmt.Fprintf(&text, "budgets {\n  way = %q\n  probes = %g\n  floor = %g\n}\n", b.Way, b.Probes, b.Floor)
 		if b.Way == "talk" {
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -19,6 +19,7 @@
 	"gaugeslip/internal/budget"
 	"gaugeslip/internal/net/peers"
 	"gaugeslip/internal/overload"
+	"gaugeslip/internal/sites"
 	"gaugeslip/internal/waiting"
 )
 
@@ -28,6 +29,7 @@
 	Overload *overload.Limits // nil: nothing is done about overload beyond what the decision module always does
 	Budgets  *budget.Limits   // nil: nothing is divided beyond what the decision module always divides
 	Peers    *peers.Limits    // nil: dispatchers do not talk
+	Sites    *sites.Limits    // nil: sites are not judged, and nothing is planned for the loss of one
 }
 
 // file is the form of the file. Attributes are read by hand, so that an error can point at them.
@@ -36,6 +38,13 @@
 	Overload *overloadBlock `hcl:"overload,block"`
 	Budgets  *budgetsBlock  `hcl:"budgets,block"`
 	Peers    *peersBlock    `hcl:"peers,block"`
+	Sites    *sitesBlock    `hcl:"sites,block"`
+}
+
+type sitesBlock struct {
+	Usable *hcl.Attribute `hcl:"usable,optional"`
+	Notice *hcl.Attribute `hcl:"notice,optional"`
+	Range  hcl.Range      `hcl:",def_range"`
 }
 
 type budgetsBlock struct {
@@ -138,6 +147,13 @@
 		}
 		s.Peers = lim
 	}
+	if f.Sites != nil {
+		lim, err := f.Sites.limits()
+		if err != nil {
+			return nil, err
+		}
+		s.Sites = lim
+	}
 	if s.Budgets != nil && s.Budgets.Way == budget.ByTalk && s.Peers == nil {
 		return nil, at(f.Budgets.Range, "budgets.way", "talk needs a block peers")
 	}
@@ -163,6 +179,21 @@
 	return &l, nil
 }
 
+// limits reads the block sites.
+func (b *sitesBlock) limits() (*sites.Limits, error) {
+	l := sites.Defaults()
+	r := reader{block: "sites"}
+	r.number(b.Usable, &l.Usable)
+	r.duration(b.Notice, &l.Notice)
+	if len(r.errs) > 0 {
+		return nil, errors.Join(r.errs...)
+	}
+	if err := l.Check(); err != nil {
+		return nil, place(err, "sites", b.Range, b.Usable, b.Notice)
+	}
+	return &l, nil
+}
+
 // limits reads the block peers.
 func (b *peersBlock) limits() (*peers.Limits, error) {
 	l := peers.Defaults()
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -12,6 +12,7 @@
 
 	"gaugeslip/internal/budget"
 	"gaugeslip/internal/overload"
+	"gaugeslip/internal/sites"
 	"gaugeslip/internal/waiting"
 )
 
@@ -81,6 +82,8 @@
 		"peers {\n  listen = \"here\"\n}":                       "a.hcl:2:3: peers.listen: ",
 		peers2 + "  voters = 2\n}":                              "a.hcl:4:3: peers.voters: out of range",
 		peers2 + "  drift = 0\n}":                               "a.hcl:4:3: peers.drift: out of range",
+		"sites {\n  usable = 0\n}":                              "a.hcl:2:3: sites.usable: out of range",
+		"sites {\n  notice = 4\n}":                              "a.hcl:2:3: sites.notice: a string",
 		"printing {}":                                           "a.hcl:1:1: unsupported block type",
 		"waiting {}\nwaiting {}":                                "a.hcl:2:1: duplicate waiting block",
 		"waiting {":                                             "a.hcl:1:",
@@ -110,6 +113,8 @@
 	budgets := budget.Defaults()
 	assert.Equal(t, &budgets, s.Budgets, "the example names the defaults")
 	assert.Len(t, s.Peers.Members, 3)
+	plan := sites.Defaults()
+	assert.Equal(t, &plan, s.Sites, "the example names the defaults")
 }
 
 // uncomment takes the sign off the lines that are switched off by "#: ".
--- /dev/null
+++ b/internal/sites/sites_test.go
@@ -0,0 +1,208 @@
+package sites
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+const ms = time.Millisecond
+
+// seen is a Judge of a dispatcher in site 0 of three with six hosts each, and what is true of the sites from where it is.
+type seen struct {
+	*Judge
+	now time.Duration
+}
+
+func look(sites int) *seen {
+	s := &seen{Judge: New(Settings{Sites: sites, Own: 0, WarmUp: 10 * time.Second}), now: time.Hour}
+	for id := range uint32(6 * sites) {
+		s.Listed(id, int(id)%sites, false)
+	}
+	return s
+}
+
+// pass lets time pass while every host is asked each 300 ms, and gives the changes. dark tells which sites do not answer.
+func (s *seen) pass(length time.Duration, dark ...int) (all []Change) {
+	for end := s.now + length; s.now < end; s.now += 50 * ms {
+		for id, h := range s.hosts {
+			if (s.now/(50*ms)+time.Duration(id))%6 == 0 {
+				answered := true
+				for _, d := range dark {
+					answered = answered && h.site != d
+				}
+				s.Heard(s.now, id, answered)
+			}
+		}
+		all = append(all, s.Step(s.now)...)
+	}
+	return all
+}
+
+// states are all sites' at once.
+func (s *seen) states() (all []State) {
+	for n := range s.sites {
+		all = append(all, s.State(n))
+	}
+	return all
+}
+
+// A site that is lost is told from a dispatcher that is cut off, within a second and a half of the first silence; whoever is cut
+// off holds no site for lost, and not its own for bad where that answers.
+func TestLostOrCutOff(t *testing.T) {
+	for _, c := range []struct {
+		sites int
+		dark  []int
+		want  []State
+	}{
+		{3, nil, []State{Serving, Serving, Serving}},
+		{3, []int{2}, []State{Serving, Serving, Lost}},
+		{3, []int{1, 2}, []State{Serving, CutOff, CutOff}},
+		{3, []int{0, 1, 2}, []State{CutOff, CutOff, CutOff}},
+		{3, []int{0}, []State{Lost, Serving, Serving}},
+		{3, []int{0, 2}, []State{Lost, Serving, Lost}}, // two rooms at once
+		{2, []int{1}, []State{Serving, Lost}},          // with one other there is nothing to compare with: its own serves on
+		{4, []int{2, 3}, []State{Serving, Serving, Lost, Lost}},
+	} {
+		s := look(c.sites)
+		require.Empty(t, s.pass(3*time.Second))
+		s.pass(1500*ms, c.dark...)
+		assert.Equal(t, c.want, s.states(), "%+v", c)
+		s.pass(5*time.Second, c.dark...)
+		assert.Equal(t, c.want, s.states(), "%+v, later", c)
+	}
+}
+
+// Half of a site is suspect and not lost; a single host that is silent is no site's matter.
+func TestHalfOfASite(t *testing.T) {
+	s := look(3)
+	half := func(silent uint32, length time.Duration) {
+		for end := s.now + length; s.now < end; s.now += 100 * ms {
+			for id, h := range s.hosts {
+				s.Heard(s.now, id, h.site != 2 || id/3 >= silent)
+			}
+			s.Step(s.now)
+		}
+	}
+	half(1, 3*time.Second)
+	assert.Equal(t, Serving, s.State(2))
+	half(4, 3*time.Second)
+	assert.Equal(t, Suspect, s.State(2))
+	assert.Contains(t, s.Ground(2), "4 of its hosts do not answer, 2 do")
+	half(0, 3*time.Second)
+	assert.Equal(t, Serving, s.State(2))
+}
+
+// A site that returns is cold for its warm-up; one that falls silent meanwhile is held back longer each time, up to a bound.
+func TestReturnAndFlap(t *testing.T) {
+	s := look(3)
+	s.pass(2*time.Second, 2)
+	require.Equal(t, Lost, s.State(2))
+	s.pass(time.Second)
+	require.Equal(t, Returning, s.State(2))
+	s.pass(8 * time.Second)
+	assert.Equal(t, Returning, s.State(2))
+	s.pass(3 * time.Second)
+	assert.Equal(t, Serving, s.State(2))
+	before := time.Duration(0)
+	for range 6 {
+		s.pass(6*time.Second, 2)
+		s.pass(time.Second)
+		require.Equal(t, Returning, s.State(2))
+		from := s.now
+		s.pass(2*time.Second, 2) // in the middle of its return
+		s.pass(6*time.Second, 2)
+		assert.Equal(t, Lost, s.State(2))
+		assert.GreaterOrEqual(t, s.sites[2].hold, min(2*before, mostOff), from)
+		before = s.sites[2].hold
+	}
+	assert.Equal(t, mostOff, before)
+	s.pass(12 * time.Second)
+	assert.Equal(t, Returning, s.State(2), "held back beyond its warm-up")
+}
+
+// Whatever is heard in whatever order, a dispatcher whose own site answers never holds all other sites for lost at once, where
+// there are two or more of them, and a host that is on no list counts for nothing.
+func TestNeverAllLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := look(3)
+		for range rapid.IntRange(10, 200).Draw(t, "steps") {
+			s.now += time.Duration(rapid.IntRange(10, 900).Draw(t, "later")) * ms
+			s.Heard(s.now, uint32(rapid.IntRange(0, 40).Draw(t, "host")), rapid.Bool().Draw(t, "answered"))
+			for _, own := range []uint32{0, 3, 6} {
+				s.Heard(s.now, own, true)
+			}
+			s.Step(s.now)
+			if s.State(0) != Serving {
+				t.Fatalf("its own site is %v", s.State(0))
+			}
+		}
+	})
+}
+
+func fleet(load float64) *Fleet {
+	return &Fleet{Sites: []Site{{"a", 20, 40, 40 * load * 1.4}, {"b", 20, 40, 40 * load * 0.8}, {"c", 20, 40, 40 * load * 0.8}},
+		Classes: []Class{{"sale", 0.78, 0.25}, {"plot", 0.22, 0.25}}, Usable: 1, ColdFrom: 0.12, WarmUp: 24 * time.Second}
+}
+
+// What sites take is never more than their spare, what is taken and refused is all, a site's own clients come first, classes are
+// refused from the last on, and no floor is touched before all rests are gone.
+func TestPlanSums(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &Fleet{Usable: rapid.Float64Range(0.5, 1).Draw(t, "usable"), ColdFrom: 0.12, WarmUp: 24 * time.Second}
+		total := 0.0
+		for range rapid.IntRange(2, 6).Draw(t, "sites") {
+			s := Site{Capacity: rapid.Float64Range(0, 100).Draw(t, "capacity"), Load: rapid.Float64Range(0, 100).Draw(t, "load")}
+			total += s.Load
+			f.Sites = append(f.Sites, s)
+		}
+		x := rapid.Float64Range(0, 1).Draw(t, "share")
+		f.Classes = []Class{{"a", x, rapid.Float64Range(0, 1).Draw(t, "f")}, {"b", 1 - x, rapid.Float64Range(0, 1).Draw(t, "g")}}
+		require.NoError(t, f.Check())
+		for i, l := range f.Plan() {
+			takes, unserved, own := 0.0, 0.0, 0.0
+			for _, s := range l.Spills {
+				require.LessOrEqual(t, s.Takes, s.Spare+1e-6)
+				takes += s.Takes
+			}
+			for k, s := range f.Sites {
+				if k != i {
+					own += max(0, s.Load-s.Capacity*f.Usable)
+				}
+			}
+			require.InDelta(t, f.Sites[i].Load+own, takes+l.Refused, 1e-6)
+			for k, c := range l.Kept {
+				unserved += (1 - c.Served) * total * f.Classes[k].Share
+				require.LessOrEqual(t, c.Served, 1+1e-9)
+			}
+			require.InDelta(t, l.Refused, unserved, 1e-6)
+			if a, b := l.Kept[0], l.Kept[1]; a.Served < 1-1e-9 && f.Classes[1].Share > 1e-6 {
+				require.LessOrEqual(t, b.Served, f.Classes[1].Floor+1e-6, "the last class is refused first")
+			}
+		}
+	})
+}
+
+func TestPlan(t *testing.T) {
+	f := fleet(0.6)
+	all := f.Plan()
+	require.Len(t, all, 3)
+	assert.Zero(t, all[2].Refused)
+	assert.InDelta(t, 0.9, all[2].Load, 1e-9)
+	assert.InDelta(t, 80/72., all[2].RefusesAt, 1e-9)
+	assert.InDelta(t, 6.4*19.2/27.2, all[2].Spills[0].Takes, 1e-9)
+	assert.Equal(t, 24*time.Second, all[2].Returns)
+	f = fleet(0.75)
+	l := f.Plan()[2]
+	assert.InDelta(t, 10, l.Refused, 1e-9) // 90 asked for, 80 left: 8 of the lost site's, and 2 of the 42 that site a's own clients want
+	assert.InDelta(t, 1.0, l.Kept[0].Served, 1e-9)
+	assert.Equal(t, "a", Worst(f.Plan()).Site)
+	assert.InDelta(t, 0.12, f.Back(0), 1e-9)
+	assert.InDelta(t, 0.56, f.Back(12*time.Second), 1e-9)
+	assert.Equal(t, 1.0, f.Back(time.Minute))
+	f.Sites = f.Sites[:1]
+	assert.ErrorContains(t, f.Check(), "sites: ")
+}
--- a/policy/decisions_test.go
+++ b/policy/decisions_test.go
@@ -848,6 +848,11 @@
 			t.Errorf("%v: allowed %v", size, got)
 		}
 	}
+	// In overload all that see the one free lane come at once: jobs of 12 s met on a host that could bear 10.7 s.
+	if w.d.roomy = 0.1; w.d.allowed(&job{size: float64(50 * ms), slots: 1}, x) {
+		t.Error("allowed while hardly an answer tells of a free lane")
+	}
+	w.d.roomy = 1
 	j := &job{size: float64(50 * ms), slots: 1}
 	w.d.send(j, x)
 	w.d.news(&Event{Kind: AttemptEnded, Result: ConnectFailed}, j.atts[0])
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -325,9 +325,10 @@
 		}
 	}
 	// A cold worker is for a stable few, else a part held no job; when lanes filled all at once can't push it
-	// over, and no crowd comes in a report's age, for all that see one free. Half a part drains in a window.
+	// over, and no crowd comes in a report's age or for the rare free one, for all that see one free. Half a
+	// part drains in a window.
 	of, warm, bulk := min(keepers, d.cfg.Replicas), d.power(w, d.now-d.cfg.OverloadFor), max(j.size, j.bulk)
-	all := of == keepers && d.cfg.TipMultiple*warm >= w.speed && d.age(w) > 0 &&
+	all := of == keepers && d.cfg.TipMultiple*warm >= w.speed && d.age(w) > 0 && d.roomy >= 0.2 &&
 		(d.stale(w) || w.lanes > len(w.out)+int(w.busy+0.5)) &&
 		float64(d.cfg.Replicas)*3e8 < d.gap*float64(len(d.order))
 	if all {
