Take a connection that does not come up for silence; test list calls on the fleet's budget

Both count as silence now; the test has half of the room's probes end that way and fails without it.

--- a/cmd/gaugeslip/shares_test.go
+++ b/cmd/gaugeslip/shares_test.go
@@ -6,7 +6,10 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -149,3 +152,26 @@
 	assert.Contains(t, plan(exitUsage, "--config", path, "--lost", "x"), "is no site")
 	assert.Contains(t, plan(exitUsage, "--config", path, "--loads", "x=1"), "is no ROOM=LOAD")
 }
+
+// Calls for the list wait for room in the fleet's budget: a watch that breaks at once is not opened anew more often than that.
+func TestListCallsWaitForRoom(t *testing.T) {
+	host := nettest.Listen(t, served)
+	var mu sync.Mutex
+	var calls []time.Time
+	discovery := nettest.Listen(t, func(c *nettest.Call) { // tells the list, and breaks
+		mu.Lock()
+		calls = append(calls, time.Now())
+		mu.Unlock()
+		text := list(1, true, entry("s-0000000a", host.Addr, "in_service", 0)) + "\n"
+		c.Say("HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(text)) + "\r\nConnection: close\r\n\r\n" + text)
+		c.Conn.Close()
+	})
+	tmp := t.TempDir()
+	site := filepath.Join(tmp, "site.hcl")
+	require.NoError(t, os.WriteFile(site, []byte("budgets {\n  list_calls = 1\n}\n"), 0o600))
+	programWith(t, withQuota, list(1, true, entry("s-0000000a", host.Addr, "in_service", 0)), discovery.Addr, "NODE_SITE="+site, "TMPDIR="+tmp)
+	made := func() []time.Time { mu.Lock(); defer mu.Unlock(); return slices.Clone(calls) }
+	require.Eventually(t, func() bool { return len(made()) >= 4 }, nettest.Patience, 10*time.Millisecond)
+	all := made() // one a second, less a little for what lies between taking a token and the call
+	assert.Greater(t, all[3].Sub(all[0]), 2700*time.Millisecond, "%v", all) // without the bound three waits are at most 2.25 s
+}
--- a/internal/dispatch/sites.go
+++ b/internal/dispatch/sites.go
@@ -123,7 +123,12 @@
 		case Listed:
 			g.listed(&m)
 		case Probed:
-			g.judge.Heard(now, m.Worker, m.Result != policy.TimedOut)
+			switch m.Result {
+			case policy.OK:
+				g.judge.Heard(now, m.Worker, true)
+			case policy.TimedOut, policy.ConnectFailed: // a connection that does not come up, or is refused: nobody is there
+				g.judge.Heard(now, m.Worker, false)
+			}
 		case Started:
 			g.heard(now, m.Key, true)
 		case Progress:
@@ -132,6 +137,8 @@
 			switch m.Result {
 			case policy.OK, policy.AppError, policy.Full, policy.Rejected:
 				g.heard(now, m.Key, true)
+			case policy.ConnectFailed:
+				g.heard(now, m.Key, false)
 			}
 			delete(g.at, m.Key)
 		}
--- a/internal/dispatch/sites_test.go
+++ b/internal/dispatch/sites_test.go
@@ -50,7 +50,7 @@
 		for i, h := range all {
 			r := policy.OK
 			if h.Zone == 2 && job > 40 {
-				r = policy.TimedOut
+				r = []policy.Result{policy.TimedOut, policy.ConnectFailed}[i%2]
 			}
 			if i%6 == int(job%6) {
 				step(Probed{Worker: WorkerID(h.Name), Result: r})
--- a/internal/sites/sites.go
+++ b/internal/sites/sites.go
@@ -95,8 +95,7 @@
 	}
 }
 
-// Heard takes in that a host has answered, or has not where it should have. A host that refuses connections has answered: its
-// machine is there.
+// Heard takes in that a host has answered, or has not where it should have: it was silent, or nobody took the connection.
 func (j *Judge) Heard(now time.Duration, id uint32, answered bool) {
 	if h := j.hosts[id]; h != nil {
 		h.heard, h.at, h.known = answered, now, true
