--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -92,6 +92,9 @@
 	Hosts   []scenario.Hosts `hcl:"hosts,block"`
 	Classes []scenario.Class `hcl:"class,block"`
 	Clients *Clients         `hcl:"clients,block"`
+	Budgets *Budgets         `hcl:"budgets,block"`
+	Tenants []Tenant         `hcl:"tenant,block"`
+	Bounds  []Bound          `hcl:"bound,block"`
 }
 
 type scenarios struct {
@@ -110,6 +113,15 @@
 	if s.Clients == nil {
 		s.Clients = c.Clients
 	}
+	if s.Budgets == nil {
+		s.Budgets = c.Budgets
+	}
+	if len(s.Tenants) == 0 {
+		s.Tenants = slices.Clone(c.Tenants)
+	}
+	if len(s.Bounds) == 0 {
+		s.Bounds = slices.Clone(c.Bounds)
+	}
 }
 
 // linkKinds are the troubles of links, kinds all others.
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -170,13 +170,7 @@
 	r.number(b.Burst, &l.Burst)
 	r.number(b.Probes, &l.Probes)
 	r.number(b.ListCalls, &l.ListCalls)
-	if len(r.errs) > 0 {
-		return nil, errors.Join(r.errs...)
-	}
-	if err := l.Check(); err != nil {
-		return nil, place(err, "budgets", b.Range, b.Way, b.Floor, b.Burst, b.Probes, b.ListCalls)
-	}
-	return &l, nil
+	return done(&l, &r, b.Range, b.Way, b.Floor, b.Burst, b.Probes, b.ListCalls)
 }
 
 // limits reads the block sites.
@@ -185,13 +179,7 @@
 	r := reader{block: "sites"}
 	r.number(b.Usable, &l.Usable)
 	r.duration(b.Notice, &l.Notice)
-	if len(r.errs) > 0 {
-		return nil, errors.Join(r.errs...)
-	}
-	if err := l.Check(); err != nil {
-		return nil, place(err, "sites", b.Range, b.Usable, b.Notice)
-	}
-	return &l, nil
+	return done(&l, &r, b.Range, b.Usable, b.Notice)
 }
 
 // limits reads the block peers.
@@ -205,13 +193,7 @@
 	}
 	r.integer(b.Voters, &l.Voters)
 	r.number(b.Drift, &l.Drift)
-	if len(r.errs) > 0 {
-		return nil, errors.Join(r.errs...)
-	}
-	if err := l.Check(); err != nil {
-		return nil, place(err, "peers", b.Range, b.Listen, b.Members, b.Voters, b.Drift)
-	}
-	return &l, nil
+	return done(&l, &r, b.Range, b.Listen, b.Members, b.Voters, b.Drift)
 }
 
 // limits reads the block waiting.
@@ -237,14 +219,7 @@
 	default:
 		l.RunOnFailure = word == "run"
 	}
-	if len(r.errs) > 0 {
-		return nil, errors.Join(r.errs...)
-	}
-	if err := l.Check(); err != nil {
-		return nil, place(err, "waiting", b.Range, b.MaxJobs, b.MaxKept, b.MaxBytes, b.Retention, b.DefaultDue, b.MaxDue,
-			b.MaxDelay, b.Share, b.ClientShare)
-	}
-	return &l, nil
+	return done(&l, &r, b.Range, b.MaxJobs, b.MaxKept, b.MaxBytes, b.Retention, b.DefaultDue, b.MaxDue, b.MaxDelay, b.Share, b.ClientShare)
 }
 
 // limits reads the block overload.
@@ -260,13 +235,19 @@
 	r.boolean(b.Shed, &l.Shed)
 	r.number(b.Floor, &l.Floor)
 	r.texts(b.Order, &l.Order)
+	return done(&l, &r, b.Range, b.Questions, b.Enter, b.Leave, b.Margin, b.Repeats, b.Floor)
+}
+
+// done gives what a block holds, or what is wrong with it, at the place of the attribute that it is about.
+func done[L interface{ Check() error }](l L, r *reader, whole hcl.Range, all ...*hcl.Attribute) (L, error) {
+	var none L
 	if len(r.errs) > 0 {
-		return nil, errors.Join(r.errs...)
+		return none, errors.Join(r.errs...)
 	}
 	if err := l.Check(); err != nil {
-		return nil, place(err, "overload", b.Range, b.Questions, b.Enter, b.Leave, b.Margin, b.Repeats, b.Floor)
+		return none, place(err, r.block, whole, all...)
 	}
-	return &l, nil
+	return l, nil
 }
 
 // place gives an error that begins with a key the place of that key's attribute, or of its block where it is absent.
