--- a/internal/rig/front.go
+++ b/internal/rig/front.go
@@ -19,14 +19,15 @@
 
 // The front's habits, as the platform's pages have them.
 const (
-	pollEvery   = 200 * time.Millisecond
-	pollTimeout = time.Second
-	noticeLeast = 1700 * time.Millisecond // until it notices that a dispatcher is gone
-	noticeMost  = 3900 * time.Millisecond
-	clientIdle  = time.Second            // a client's kept connection, shorter than a dispatcher keeps it
-	answerGrace = 2 * time.Second        // after its deadline a client still listens, to tell late from never
-	noAdvice    = time.Second            // a client that was told no time waits so long
-	nobodyThere = 250 * time.Millisecond // until a client tries again where the front has no dispatcher
+	pollEvery    = 200 * time.Millisecond
+	pollTimeout  = time.Second
+	noticeLeast  = 1700 * time.Millisecond // until it notices that a dispatcher is gone
+	noticeMost   = 3900 * time.Millisecond
+	clientIdle   = time.Second            // a client's kept connection, shorter than a dispatcher keeps it
+	answerGrace  = 2 * time.Second        // after its deadline a client still listens, to tell late from never
+	bookedWithin = 500 * time.Millisecond // what it heard is in the record, on a machine under load
+	noAdvice     = time.Second            // a client that was told no time waits so long
+	nobodyThere  = 250 * time.Millisecond // until a client tries again where the front has no dispatcher
 )
 
 // member is a dispatcher as the front sees it.
--- a/scenarios/processes/short.hcl
+++ b/scenarios/processes/short.hcl
@@ -278,3 +278,30 @@
     service = 0.05
   }
 }
+
+processes "short-site" {
+  about       = "A room is lost with its game workers and dispatchers, and another has no way to the others."
+  length      = "9s"
+  load        = 0.5
+  dispatchers = 6
+  rooms       = 3
+  sites       = true
+  overload    = true
+
+  trouble "site" {
+    at   = "2s"
+    for  = "3s"
+    room = 3
+  }
+
+  trouble "site" {
+    at    = "4s"
+    for   = "2s"
+    room  = 2
+    loses = ["links"]
+  }
+
+  expect {
+    service = 0.05
+  }
+}
