--- a/policy/policy.go
+++ b/policy/policy.go
@@ -328,7 +328,7 @@
 	// over, and no crowd comes in a report's age or for the rare free one, for all that see one free. Half a
 	// part drains in a window.
 	of, warm, bulk := min(keepers, d.cfg.Replicas), d.power(w, d.now-d.cfg.OverloadFor), max(j.size, j.bulk)
-	all := of == keepers && d.cfg.TipMultiple*warm >= w.speed && d.age(w) > 0 && d.roomy >= 0.2 &&
+	all := of == keepers && d.cfg.TipMultiple*warm >= w.speed && d.age(w) > 0 && d.roomy >= 0.15 &&
 		(d.stale(w) || w.lanes > len(w.out)+int(w.busy+0.5)) &&
 		float64(d.cfg.Replicas)*3e8 < d.gap*float64(len(d.order))
 	if all {
