--- a/cmd/gaugeslip/shares_test.go
+++ b/cmd/gaugeslip/shares_test.go
@@ -172,6 +172,6 @@
 	programWith(t, withQuota, list(1, true, entry("s-0000000a", host.Addr, "in_service", 0)), discovery.Addr, "NODE_SITE="+site, "TMPDIR="+tmp)
 	made := func() []time.Time { mu.Lock(); defer mu.Unlock(); return slices.Clone(calls) }
 	require.Eventually(t, func() bool { return len(made()) >= 4 }, nettest.Patience, 10*time.Millisecond)
-	all := made() // one a second, less a little for what lies between taking a token and the call
+	all := made()                                                           // one a second, less a little for what lies between taking a token and the call
 	assert.Greater(t, all[3].Sub(all[0]), 2700*time.Millisecond, "%v", all) // without the bound three waits are at most 2.25 s
 }
