--- a/policy/types.go
+++ b/policy/types.go
@@ -88,9 +88,9 @@
 	// parts. 0: there is no bound.
 	Questions float64
 	KeepLanes bool // while most answers tell of no free lane, one that an own job frees is taken unasked
-	// Margin is how many times the delay that peers have caused at a worker a job's slack must be for it to be
-	// let onto that worker while no answer tells of a free lane; less in proportion where some do, half of it
-	// at least. 0: half of it, always.
+	// Margin is how many times the delay that peers have caused at a worker a job's slack must be for it to
+	// be let onto that worker while no answer tells of a free lane; less in proportion where some do, half
+	// of it at least. 0: half of it, always.
 	Margin float64
 	// Repeats is how many sends beyond a job's first are allowed for each first send. A scheduler begins with
 	// none and saves up one, so those of all together are at most Repeats x first sends. 0: no bound.
