--- a/internal/sites/plan.go
+++ b/internal/sites/plan.go
@@ -179,8 +179,8 @@
 	}
 	for i, c := range f.Classes {
 		k := Kept{Class: c.Name, Served: 1}
-		if c.Share > 0 && asked > 0 {
-			k.Served = served[i] / (asked * c.Share)
+		if want := asked * c.Share; want > 0 { // the product of two that are may not be
+			k.Served = min(1, served[i]/want)
 		}
 		all = append(all, k)
 	}
--- a/internal/sites/sites_test.go
+++ b/internal/sites/sites_test.go
@@ -203,6 +203,9 @@
 	assert.InDelta(t, 0.12, f.Back(0), 1e-9)
 	assert.InDelta(t, 0.56, f.Back(12*time.Second), 1e-9)
 	assert.Equal(t, 1.0, f.Back(time.Minute))
+	f = &Fleet{Sites: []Site{{"a", 1, 1, 5e-23}, {"b", 1, 1, 5e-23}}, Classes: []Class{{"x", 2e-302, 1}, {"y", 1, 1}}, Usable: 1, ColdFrom: 1}
+	require.NoError(t, f.Check())
+	assert.Equal(t, []Kept{{"x", 1}, {"y", 1}}, f.Plan()[0].Kept, "figures whose product is no more than nothing")
 	f.Sites = f.Sites[:1]
 	assert.ErrorContains(t, f.Check(), "sites: ")
 }
