Let a turn at the door be as long as the class's aim, and count who comes when told

Cause: a turn was the longest advice of the settings, 2 s, and a plot load there is wanted within 0.32 s, so that the module refused at once what the door had promised.

--- a/internal/overload/shed.go
+++ b/internal/overload/shed.go
@@ -14,7 +14,8 @@
 //
 //   - Each job has a place in its class that follows from its key (what it concerns) and the time alone. The place moves with
 //     time, through the whole class in one turn, so that a job refused here is refused elsewhere too as long as it comes at
-//     once, and nobody is shut out for ever.
+//     once, and nobody is shut out for ever. A turn is as long as the class's aim beyond its running time: who comes a turn
+//     later may still be in time.
 //   - Classes stand in one order, the dearest for its work first. The floor of each class comes before all else.
 //   - What share of the offered work is let in, is learned from what became of the jobs that were: it shrinks with each that
 //     the module refused or that ended late, and grows with each that ended in time.
@@ -24,7 +25,8 @@
 // use, see NewShedder.
 type Shedder struct {
 	floor, enter float64
-	turn         time.Duration
+	longest      time.Duration   // advice that can be given
+	turns        []time.Duration // by class
 	classes      []offered
 	order        []int // classes, the last refused first
 	admit        float64
@@ -58,10 +60,10 @@
 	drift      = 0.03
 	mostStreak = 8
 	// calm is where it is all again: it comes near to 1 of itself, but not up to it while now and then a job is late.
-	calm       = 0.995
-	forgetting = 0.02        // of the means, a job
-	leastTurn  = time.Second // a shorter advice is no turn
-	usualTurn  = 2 * time.Second
+	calm        = 0.995
+	forgetting  = 0.02 // of the means, a job
+	leastTurn   = 50 * time.Millisecond
+	usualAdvice = 2 * time.Second
 )
 
 // NewShedder makes one that lets everything in, for a dispatcher with these settings. Limits that are not sound, or that name
@@ -71,9 +73,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Shedder{floor: l.Floor, enter: l.Enter, order: order, admit: 1, turn: usualTurn}
-	if cfg.MaxRetryAfter > 0 { // a longer advice can't be given
-		s.turn = max(cfg.MaxRetryAfter, leastTurn)
+	s := &Shedder{floor: l.Floor, enter: l.Enter, order: order, admit: 1, longest: cmp.Or(cfg.MaxRetryAfter, usualAdvice)}
+	for _, c := range cfg.Classes { // who comes a turn later must still be in time
+		s.turns = append(s.turns, max(min(c.OnTime, s.longest), leastTurn))
 	}
 	s.classes = make([]offered, len(cfg.Classes))
 	for i := range s.classes {
@@ -122,11 +124,12 @@
 func (e *orderError) Error() string { return "order: class \"" + e.class + "\" " + e.why }
 
 // place is where a job stands in its class at a time, 0 to 1: 0 as its turn begins, 1 as it ends.
-func (s *Shedder) place(now time.Duration, key uint64) float64 {
+func (s *Shedder) place(now time.Duration, class int, key uint64) float64 {
+	turn := s.turns[class]
 	// Mixed, so that keys that count on from one another are spread.
 	key = (key ^ key>>30) * 0xbf58476d1ce4e5b9
 	key = (key ^ key>>27) * 0x94d049bb133111eb
-	at := float64(now%s.turn)/float64(s.turn) - float64((key^key>>31)>>11)/(1<<53)
+	at := float64(now%turn)/float64(turn) - float64((key^key>>31)>>11)/(1<<53)
 	return at - math.Floor(at)
 }
 
@@ -150,7 +153,7 @@
 			c.share += weight
 		}
 	}
-	place := s.place(now, j.Key)
+	place := s.place(now, j.Class, j.Key)
 	if j.Retry && !j.Keyed {
 		place = 1 // it may have been refused anywhere: it is not dealt another place
 	}
@@ -159,9 +162,9 @@
 		return true, 0
 	}
 	// Its turn begins when its place is 0 again; a little later, so that it surely has.
-	after = time.Duration((1 - place + s.floor/4) * float64(s.turn))
-	if !j.Keyed || s.promises < work || after > s.turn {
-		return false, s.turn * 3 / 4 // and has moved on by a quarter of a turn when it comes back
+	after = time.Duration((1 - place + s.floor/4) * float64(s.turns[j.Class]))
+	if !j.Keyed || s.promises < work || after >= s.longest {
+		return false, s.longest // there is no room in sight
 	}
 	s.promises -= work
 	return false, after
--- a/internal/rig/record.go
+++ b/internal/rig/record.go
@@ -172,6 +172,16 @@
 	}
 }
 
+// followed books what a client has got that came when it was told to.
+func (r *recorder) followed(served bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rep.Followed++
+	if served {
+		r.rep.Kept++
+	}
+}
+
 // gaveUp books a client that leaves by its own wish.
 func (r *recorder) gaveUp(id string, t *try) {
 	r.mu.Lock()
--- a/internal/rig/report.go
+++ b/internal/rig/report.go
@@ -43,6 +43,8 @@
 	Refused       int      `json:"refused"`
 	Failed        int      `json:"failed"`
 	GaveUp        int      `json:"gave_up"`
+	Followed      int      `json:"followed"`  // tries of clients that came when they were told to
+	Kept          int      `json:"kept"`      // of these, served
 	Unreached     int      `json:"unreached"` // no dispatcher was taken in
 	Excused       int      `json:"excused"`   // unanswered, and something was done to the dispatcher or the way there
 	Lost          int      `json:"lost"`      // unanswered otherwise
@@ -75,6 +77,9 @@
 		r.ProbesASecond, r.Work.Handshakes, r.Fallen)
 	fmt.Fprintf(w, "  of what they could do: %.3f in time, %.3f late, %.3f abandoned, %.3f repeated\n", r.Work.InTime, r.Work.Late,
 		r.Work.Abandoned, r.Work.Repeated)
+	if r.Followed > 0 {
+		fmt.Fprintf(w, "  %d tries came when they were told to, %.2f of them were served\n", r.Followed, float64(r.Kept)/float64(r.Followed))
+	}
 	if r.Used > 0 {
 		fmt.Fprintf(w, "  %.3f of the first tenant's quota used in the second half\n", r.Used)
 	}
