Drop what nothing reads, and say in the plan when clients come elsewhere

Found on reading the change again: Shedder.enter, offered.worth, World.Free, sites.Worst and Judge.Since were written and never read in the program; the setting sites.notice was carried into the plan and shown nowhere.

--- a/cmd/gaugeslip/plan.go
+++ b/cmd/gaugeslip/plan.go
@@ -175,6 +175,9 @@
 		} else {
 			fmt.Fprintf(w, ", nothing is refused up to %.2f times the load", l.RefusesAt)
 		}
+		if p.Fleet.Notice > 0 {
+			fmt.Fprintf(w, "; its clients come elsewhere within %v", p.Fleet.Notice)
+		}
 		fmt.Fprintf(w, "; it is back %v after its first answer, %.1f in 100 of its load more each second\n", l.Returns.Round(100*time.Millisecond), 100*l.Slope)
 		t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 		fmt.Fprintln(t, "  to\tspare\ttakes\tload then\t")
--- a/cmd/gaugeslip/shares_test.go
+++ b/cmd/gaugeslip/shares_test.go
@@ -147,6 +147,7 @@
 	text := plan(exitOK, "--config", path, "--load", "0.3", "--loads", "z=0.9", "--lost", "y")
 	assert.Contains(t, text, "y is lost")
 	assert.NotContains(t, text, "z is lost")
+	assert.Contains(t, text, "its clients come elsewhere within 4s")
 	assert.Contains(t, text, "are refused", "0.3 and 0.9 of one room's work do not fit into one")
 	assert.Contains(t, plan(exitOK, "--config", path, "--load", "0.3", "--json"), `"lost":"z"`)
 	assert.Contains(t, plan(exitUsage, "--config", path, "--lost", "x"), "is no site")
--- a/internal/lab/shares/world.go
+++ b/internal/lab/shares/world.go
@@ -28,7 +28,6 @@
 	Loss, Twice     float64 // share of the messages
 	Late            float64 // share that is a second late
 	Troubles        []Trouble
-	Free            bool // the sum is not checked: for showing what an unsound division does
 }
 
 // Trouble is something that goes wrong for a while.
@@ -249,7 +248,7 @@
 		total += x.node.Share(0).At(x.local(p.now))
 	}
 	p.all = live
-	if p.res.Most = max(p.res.Most, total); total > budget.Whole && !p.w.Free {
+	if p.res.Most = max(p.res.Most, total); total > budget.Whole {
 		p.breach("%v: %d of %d units are owned", p.now, total, budget.Whole)
 	}
 }
@@ -336,7 +335,7 @@
 			for p.uses[first] <= at-length {
 				first++
 			}
-			if n := float64(i - first + 1); n > most+1e-9 && !p.w.Free {
+			if n := float64(i - first + 1); n > most+1e-9 {
 				p.breach("%v: %g uses in %v, %g are the whole", at, n, length, most)
 				break
 			}
--- a/internal/overload/shed.go
+++ b/internal/overload/shed.go
@@ -24,21 +24,20 @@
 // promise: at that time its place is in the floor, and no more are promised than the floor can hold. The zero value is of no
 // use, see NewShedder.
 type Shedder struct {
-	floor, enter float64
-	longest      time.Duration   // advice that can be given
-	turns        []time.Duration // by class
-	classes      []offered
-	order        []int // classes, the last refused first
-	admit        float64
-	streak       int           // jobs that ended in time, one after the other
-	at           time.Duration // of the last arrival
-	mean         float64       // work of a job
-	promises     float64       // work that may yet be promised to come back
+	floor    float64
+	longest  time.Duration   // advice that can be given
+	turns    []time.Duration // by class
+	classes  []offered
+	order    []int // classes, the last refused first
+	admit    float64
+	streak   int           // jobs that ended in time, one after the other
+	at       time.Duration // of the last arrival
+	mean     float64       // work of a job
+	promises float64       // work that may yet be promised to come back
 }
 
 // offered is what is asked for of a class.
 type offered struct {
-	worth float64 // for its work
 	share float64 // of the work that is offered
 }
 
@@ -73,7 +72,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Shedder{floor: l.Floor, enter: l.Enter, order: order, admit: 1, longest: cmp.Or(cfg.MaxRetryAfter, usualAdvice)}
+	s := &Shedder{floor: l.Floor, order: order, admit: 1, longest: cmp.Or(cfg.MaxRetryAfter, usualAdvice)}
 	for _, c := range cfg.Classes { // who comes a turn later must still be in time
 		s.turns = append(s.turns, max(min(c.OnTime, s.longest), leastTurn))
 	}
--- a/internal/sites/plan.go
+++ b/internal/sites/plan.go
@@ -1,11 +1,9 @@
 package sites
 
 import (
-	"cmp"
 	"errors"
 	"fmt"
 	"math"
-	"slices"
 	"time"
 )
 
@@ -204,17 +202,3 @@
 	}
 	return a / b
 }
-
-// Worst is the loss that refuses most.
-func Worst(all []Loss) *Loss {
-	if len(all) == 0 {
-		return nil
-	}
-	i := 0
-	for k := range all {
-		if cmp.Compare(all[k].Refused, all[i].Refused) > 0 {
-			i = k
-		}
-	}
-	return &slices.Clone(all)[i]
-}
--- a/internal/sites/sites.go
+++ b/internal/sites/sites.go
@@ -108,9 +108,6 @@
 // Ground: see State.
 func (j *Judge) Ground(n int) string { return j.sites[n].ground }
 
-// Since is when a site came to its state.
-func (j *Judge) Since(n int) time.Duration { return j.sites[n].since }
-
 // Step judges all sites at a time, and gives what has changed.
 func (j *Judge) Step(now time.Duration) (all []Change) {
 	silent, heard := make([]int, j.set.Sites), make([]int, j.set.Sites)
--- a/internal/sites/sites_test.go
+++ b/internal/sites/sites_test.go
@@ -199,7 +199,6 @@
 	l := f.Plan()[2]
 	assert.InDelta(t, 10, l.Refused, 1e-9) // 90 asked for, 80 left: 8 of the lost site's, and 2 of the 42 that site a's own clients want
 	assert.InDelta(t, 1.0, l.Kept[0].Served, 1e-9)
-	assert.Equal(t, "a", Worst(f.Plan()).Site)
 	assert.InDelta(t, 0.12, f.Back(0), 1e-9)
 	assert.InDelta(t, 0.56, f.Back(12*time.Second), 1e-9)
 	assert.Equal(t, 1.0, f.Back(time.Minute))
