Let the lab and the rig share what a site loses, and commands one pool and one reader

Found on reading the change again: what the loss of a site takes and its check stood in lab/scenario.go and in the rig (scenario.Loses, Checker.Losses now); gaugelab plan read a file's one scenario beside resized, which calls one() now; budgets draw wrote playOn's pool over seeds again (eachOf serves both).

--- a/cmd/gaugelab/budgets.go
+++ b/cmd/gaugelab/budgets.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -34,28 +33,23 @@
 	c := &cobra.Command{Use: "draw", Short: "Play hard histories that are drawn by seeds, and check that no sum passes the whole",
 		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
 			var mu sync.Mutex
-			var all sync.WaitGroup
-			broken, used, asked := 0, 0, 0.0
-			free := make(chan struct{}, runtime.GOMAXPROCS(0))
-			for i := range seeds {
+			broken, used := 0, 0
+			eachOf(seeds, func(i int) {
 				if cmd.Context().Err() != nil {
-					break
+					return
 				}
-				free <- struct{}{}
-				all.Go(func() {
-					defer func() { <-free }()
-					seed := first + uint64(i)
-					r := shares.Play(shares.Draw(seed), seed)
-					mu.Lock()
-					defer mu.Unlock()
-					used, asked = used+r.Uses, asked+r.Asked
-					if len(r.Breaches) > 0 {
-						broken++
-						fmt.Fprintf(cmd.ErrOrStderr(), "BROKEN on seed %d (gaugelab budgets draw --seed %d --seeds 1): %s\n", seed, seed, r.Breaches[0])
-					}
-				})
+				seed := first + uint64(i)
+				r := shares.Play(shares.Draw(seed), seed)
+				mu.Lock()
+				defer mu.Unlock()
+				if used += r.Uses; len(r.Breaches) > 0 {
+					broken++
+					fmt.Fprintf(cmd.ErrOrStderr(), "BROKEN on seed %d (gaugelab budgets draw --seed %d --seeds 1): %s\n", seed, seed, r.Breaches[0])
+				}
+			})
+			if err := cmd.Context().Err(); err != nil {
+				return err
 			}
-			all.Wait()
 			fmt.Fprintf(cmd.OutOrStdout(), "%d histories, %d uses, the sum passed the whole in %d\n", seeds, used, broken)
 			return unmet(broken)
 		}}
--- a/cmd/gaugelab/run.go
+++ b/cmd/gaugelab/run.go
@@ -28,26 +28,33 @@
 func playOn(ctx context.Context, first uint64, seeds int, done func(*lab.Report), start func(seed uint64) (*lab.Lab, error)) (
 	[]*lab.Report, error) {
 	reports, errs := make([]*lab.Report, seeds), make([]error, seeds)
+	var mu sync.Mutex
+	eachOf(seeds, func(i int) {
+		l, err := start(first + uint64(i))
+		if err == nil {
+			reports[i], err = l.Run(ctx)
+		}
+		if errs[i] = err; err == nil && done != nil {
+			mu.Lock()
+			defer mu.Unlock()
+			done(reports[i])
+		}
+	})
+	return reports, errors.Join(errs...)
+}
+
+// eachOf does something for each number below n, as many at a time as there are cores.
+func eachOf(n int, do func(i int)) {
 	free := make(chan struct{}, runtime.GOMAXPROCS(0))
 	var all sync.WaitGroup
-	var mu sync.Mutex
-	for i := range seeds {
+	for i := range n {
 		free <- struct{}{}
 		all.Go(func() {
 			defer func() { <-free }()
-			l, err := start(first + uint64(i))
-			if err == nil {
-				reports[i], err = l.Run(ctx)
-			}
-			if errs[i] = err; err == nil && done != nil {
-				mu.Lock()
-				defer mu.Unlock()
-				done(reports[i])
-			}
+			do(i)
 		})
 	}
 	all.Wait()
-	return reports, errors.Join(errs...)
 }
 
 // scenarioFiles are those that a command names, and with --all those of a folder.
--- a/cmd/gaugelab/scale.go
+++ b/cmd/gaugelab/scale.go
@@ -48,14 +48,10 @@
 // resized plays a file's one scenario at a size and load, and the ideal on the same seeds.
 func resized(cmd *cobra.Command, path string, hosts, dispatchers int, load float64, length time.Duration, seeds int) (
 	real, ideal []*lab.Report, err error) {
-	all, err := lab.Load(path)
+	sc, err := one(path)
 	if err != nil {
 		return nil, nil, err
 	}
-	if len(all) != 1 {
-		return nil, nil, usageError{fmt.Errorf("%s: one scenario is wanted", cmd.Name())}
-	}
-	sc := all[0]
 	if err := sc.Resize(hosts, dispatchers, load, length); err != nil {
 		return nil, nil, usageError{fmt.Errorf("%s: %w", cmd.Name(), err)}
 	}
--- a/internal/lab/scenario.go
+++ b/internal/lab/scenario.go
@@ -113,12 +113,7 @@
 }
 
 // loses tells whether a site loses something.
-func (t *Trouble) loses(what string) bool {
-	if len(t.Loses) == 0 {
-		return what == "hosts" || what == "dispatchers"
-	}
-	return slices.Contains(t.Loses, what)
-}
+func (t *Trouble) loses(what string) bool { return scenario.Loses(t.Loses, what) }
 
 // partOf is how many of n it strikes: one at least.
 func (t *Trouble) partOf(n int) int { return max(1, int(math.Round(t.Part*float64(n)))) }
@@ -235,10 +230,7 @@
 		}
 		if t.Kind == "site" {
 			c.Want(t.Room > 0, t.Range, "room", "which is lost?")
-			for _, x := range t.Loses {
-				c.Want(x == "hosts" || x == "dispatchers" || x == "links" || x == "discovery", t.Range, "loses",
-					`%q is none of "hosts", "dispatchers", "links", "discovery"`, x)
-			}
+			c.Losses(t.Range, t.Loses)
 		}
 		if t.Kind == "surge" {
 			c.Want(t.Times > 0 && t.Times <= 100, t.Range, "times", "more than 0 and at most 100")
--- a/internal/rig/scenario.go
+++ b/internal/rig/scenario.go
@@ -217,10 +217,7 @@
 	case "site":
 		c.Want(t.Room > 0 && t.Room <= s.Rooms, t.Range, "room", "1 to the number of rooms")
 		c.Want(t.length > 0, t.Range, "for", "more than 0s")
-		for _, x := range t.Loses {
-			c.Want(x == "hosts" || x == "dispatchers" || x == "links" || x == "discovery", t.Range, "loses",
-				`%q is none of "hosts", "dispatchers", "links", "discovery"`, x)
-		}
+		c.Losses(t.Range, t.Loses)
 	case "slow":
 		c.Want(t.Share > 0, t.Range, "share", "more than 0")
 	case "storm":
--- a/internal/rig/site.go
+++ b/internal/rig/site.go
@@ -2,17 +2,10 @@
 
 import (
 	"errors"
-	"slices"
 	"syscall"
-)
 
-// loses tells whether a site loses something: its hosts and its dispatchers, where nothing else is said.
-func (t *Trouble) loses(what string) bool {
-	if len(t.Loses) == 0 {
-		return what == "hosts" || what == "dispatchers"
-	}
-	return slices.Contains(t.Loses, what)
-}
+	"gaugeslip/internal/scenario"
+)
 
 // beginSite takes a room: its hosts vanish, its dispatchers die, it has no way to other rooms or to discovery. What ends it gives the
 // room back, its hosts cold and its dispatchers with new seeds.
@@ -29,15 +22,15 @@
 	for _, n := range r.nodes {
 		mine := n.number%r.sc.Rooms == room
 		for h := range n.hosts {
-			if t.loses("links") && mine != (h%r.sc.Rooms == room) {
+			if scenario.Loses(t.Loses, "links") && mine != (h%r.sc.Rooms == room) {
 				put(n.hosts[h], silent)
 			}
 		}
-		if mine && t.loses("discovery") {
+		if mine && scenario.Loses(t.Loses, "discovery") {
 			put(n.disc[0], silent)
 			put(n.disc[1], silent)
 		}
-		if mine && t.loses("dispatchers") {
+		if mine && scenario.Loses(t.Loses, "dispatchers") {
 			n.proc.Signal(syscall.SIGKILL)
 			undo = append(undo, func() error {
 				n.proc.Await(stopWithin)
@@ -46,7 +39,7 @@
 		}
 	}
 	for h, host := range r.fleet.Hosts {
-		if t.loses("hosts") && h%r.sc.Rooms == room {
+		if scenario.Loses(t.Loses, "hosts") && h%r.sc.Rooms == room {
 			host.Vanish()
 			undo = append(undo, host.Restart)
 		}
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"slices"
 	"strings"
 	"time"
 
@@ -187,3 +188,19 @@
 		all[i].Part /= max(parts, 1e-9)
 	}
 }
+
+// Loses tells whether the loss of a site takes something with it: its hosts and its dispatchers, where nothing is named.
+func Loses(named []string, what string) bool {
+	if len(named) == 0 {
+		return what == "hosts" || what == "dispatchers"
+	}
+	return slices.Contains(named, what)
+}
+
+// Losses checks what the loss of a site is said to take.
+func (c *Checker) Losses(at hcl.Range, named []string) {
+	for _, x := range named {
+		c.Want(slices.Contains([]string{"hosts", "dispatchers", "links", "discovery"}, x), at, "loses",
+			`%q is none of "hosts", "dispatchers", "links", "discovery"`, x)
+	}
+}
