--- a/cmd/gaugeslip/serve.go
+++ b/cmd/gaugeslip/serve.go
@@ -30,6 +30,8 @@
 	// Before anything else: SIGHUP ends a process that does not ask for it. It is never given back either.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	// So does SIGTERM, also while the configuration is read and once more when all is answered: the exit is a planned one.
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	level := slog.LevelInfo
 	if verbose {
 		level = slog.LevelDebug
@@ -42,7 +44,5 @@
 	}
 	runtime.GOMAXPROCS(cfg.Limits.Procs())
 	debug.SetMemoryLimit(cfg.Limits.MemoryBytes())
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	return node.Run(ctx, cfg, own, f, hup)
 }
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -14,9 +15,11 @@
 // job is one entry of the table: a request that is owed an answer, or whose upstream requests are still out.
 type job struct {
 	deadline time.Duration
+	class    int
 	base     int // sends in earlier turns; attempts counts on from there
 	attempts []attempt
 	out      int
+	ran      int // attempts that are out or may have run
 	finished bool
 }
 
@@ -44,6 +47,7 @@
 	back        map[string]time.Duration // when hosts came back from a stay out by hand
 	over        []uint64                 // jobs that may leave the table when the Step is over
 	alarms      []alarm
+	closeAt     time.Duration // when all that is open is answered, as the program ends; 0: it does not
 	version     uint64
 	events      []policy.Event
 	actions     []policy.Action
@@ -87,6 +91,9 @@
 	for _, m := range in {
 		c.take(now, m)
 	}
+	if c.closeAt > 0 && now >= c.closeAt {
+		c.close()
+	}
 	c.alarms = slices.DeleteFunc(c.alarms, func(a alarm) bool {
 		if a.at <= now {
 			c.events = append(c.events, policy.Event{Kind: policy.TimerFired, Timer: a.id})
@@ -120,9 +127,42 @@
 			at, ok = a.at, true
 		}
 	}
+	if c.closeAt > 0 && len(c.jobs) > 0 && (!ok || c.closeAt < at) && c.owes() {
+		at, ok = c.closeAt, true
+	}
 	return at, ok
 }
 
+// owes tells whether any job in the table is owed its answer.
+func (c *Core) owes() bool {
+	for _, j := range c.jobs {
+		if !j.finished {
+			return true
+		}
+	}
+	return false
+}
+
+// close answers all that is open, as the program ends: a refusal where it is proved that a job never ran or a repeat is
+// harmless, else a failure. To the module their clients have left.
+func (c *Core) close() {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[id]
+		if j.finished {
+			continue
+		}
+		k := &c.cfg.Classes[j.class]
+		r := LocalReply{Job: id, Refused: j.ran == 0 || k.Effect == policy.Repeatable ||
+			k.Effect == policy.Keyed && k.Group == policy.GroupAll}
+		if r.Refused {
+			r.RetryAfter = c.cfg.MaxRetryAfter
+		}
+		c.out = append(c.out, r)
+		c.finish(id, j)
+		c.events = append(c.events, policy.Event{Kind: policy.ClientGone, Job: id})
+	}
+}
+
 // take turns one message into an event.
 func (c *Core) take(now time.Duration, m Message) {
 	e := policy.Event{}
@@ -131,7 +171,7 @@
 		if c.jobs[m.Job] != nil {
 			return
 		}
-		c.jobs[m.Job] = &job{deadline: m.At + m.Budget, base: m.Tried}
+		c.jobs[m.Job] = &job{deadline: m.At + m.Budget, class: m.Class, base: m.Tried}
 		e = policy.Event{Kind: policy.JobArrived, Job: m.Job, Class: m.Class, Tenant: m.Tenant,
 			Budget: m.Budget - (now - m.At), Size: m.Size, Slots: m.Slots, Retry: m.Retry,
 			Waited: m.Waited}
@@ -162,6 +202,9 @@
 		e = policy.Event{Kind: policy.ProbeEnded, Worker: m.Worker, Result: m.Result, Took: m.Took}
 		e.HasLoad, e.Load = load(m.Load)
 	case Listed:
+		if m.Version < c.version {
+			m = c.older(m)
+		}
 		c.version = m.Version
 		e = policy.Event{Kind: policy.WorkerList, Whole: m.Whole, Stale: m.Stale, Workers: c.list(m)}
 	case ListLost:
@@ -176,7 +219,10 @@
 	case HandSet:
 		c.handSet(now, m.Names)
 		return
-	case Asked, Unasked, Closing, Tuned: // for gates
+	case Closing:
+		c.closeAt = m.By
+		return
+	case Asked, Unasked, Tuned: // for gates
 		return
 	default:
 		panic(fmt.Sprintf("dispatch: unknown message %T", m))
@@ -206,6 +252,10 @@
 	j := c.jobs[m.Job]
 	a.ended = true
 	j.out--
+	switch m.Result {
+	case policy.Full, policy.ConnectFailed, policy.NeverSent: // proofs that it never ran
+		j.ran--
+	}
 	// The first OK has reached the client by itself and finishes the job.
 	if m.Result == policy.OK {
 		j.finished = true
@@ -293,9 +343,24 @@
 		return
 	}
 	j.out++
+	j.ran++
 	c.out = append(c.out, Send{Key: k, Addr: h.Addr, Until: until})
 }
 
+// older is what counts of a list that is older than the newest one: that hosts drain or are gone, which is safe to
+// obey, and hosts that the newest did not know or that have started since. What it says else has been told otherwise
+// since: a host that drains is not ready again by it, and one that it lacks is not gone.
+func (c *Core) older(m Listed) Listed {
+	l := Listed{Version: c.version}
+	for _, h := range m.Hosts {
+		old, known := c.hosts[WorkerID(h.Name)]
+		if !known || h.State != policy.Ready || h.Born > old.Born {
+			l.Hosts = append(l.Hosts, h)
+		}
+	}
+	return l
+}
+
 // list turns the cluster's entries into the module's workers, and keeps what the module need not know.
 func (c *Core) list(m Listed) []policy.Worker {
 	if m.Whole {
--- a/internal/net/cluster/cluster.go
+++ b/internal/net/cluster/cluster.go
@@ -3,6 +3,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -100,44 +101,88 @@
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
-	// Each read has its own limit: a machine that vanishes leaves the connection open and silent.
-	live := &limited{conn, d.Stall}
+	// Each line has its own limit: a machine that vanishes leaves the connection open and silent, and one that trickles
+	// tells nothing either.
+	alive := func() { conn.SetDeadline(time.Now().Add(d.Stall)) }
+	alive()
 	req := "GET /discovery/hosts?stream=1&index=" + strconv.FormatUint(after, 10) +
 		" HTTP/1.1\r\nHost: " + d.Addr + "\r\n\r\n"
-	if _, err := io.WriteString(live, req); err != nil {
+	if _, err := io.WriteString(conn, req); err != nil {
 		return fmt.Errorf("cluster: %w", err)
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(live), nil)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return fmt.Errorf("cluster: %w", err)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("cluster: status %d", resp.StatusCode)
 	}
+	alive()
 	lines := bufio.NewScanner(resp.Body)
 	lines.Buffer(make([]byte, 0, 4096), maxLine)
+	var text object
 	for lines.Scan() {
-		if len(lines.Bytes()) == 0 {
+		whole, err := text.add(lines.Bytes())
+		if err != nil {
+			return errors.Join(err, lines.Err())
+		}
+		if !text.begun() { // an empty line
+			alive()
+		}
+		if !whole {
 			continue
 		}
-		l, err := Decode(lines.Bytes(), d.Settings)
-		if err != nil {
-			return err
+		alive()
+		l, err := Decode(text.take(), d.Settings)
+		if err != nil { // of the last line it may be that the watch broke within it
+			return errors.Join(err, lines.Err())
 		}
 		each(l)
 	}
 	return errors.Join(errors.New("cluster: the watch ended"), lines.Err())
 }
 
-// limited gives each read and the write before it a time limit of its own.
-type limited struct {
-	net.Conn
-	limit time.Duration
+// object gathers the lines of one JSON object, which may be indented.
+type object struct {
+	text   []byte
+	depth  int
+	quoted bool // in a string
+	escape bool // after a backslash in one
 }
 
-func (l *limited) Read(b []byte) (int, error) {
-	if err := l.SetDeadline(time.Now().Add(l.limit)); err != nil {
-		return 0, err
+// add takes a line, and tells whether the object is whole with it.
+func (o *object) add(line []byte) (whole bool, err error) {
+	if !o.begun() && len(bytes.TrimSpace(line)) == 0 {
+		return false, nil
+	}
+	if len(o.text)+len(line) >= maxLine {
+		return false, errors.New("cluster: a list is too long")
 	}
-	return l.Conn.Read(b)
+	o.text = append(append(o.text, line...), '\n')
+	for _, b := range line {
+		switch {
+		case o.escape:
+			o.escape = false
+		case b == '\\' && o.quoted:
+			o.escape = true
+		case b == '"':
+			o.quoted = !o.quoted
+		case o.quoted:
+		case b == '{' || b == '[':
+			o.depth++
+		case b == '}' || b == ']':
+			o.depth--
+		}
+	}
+	return o.depth <= 0, nil
+}
+
+// begun tells whether some of an object is there.
+func (o *object) begun() bool { return len(o.text) > 0 }
+
+// take returns the whole object, valid until the next add.
+func (o *object) take() []byte {
+	t := o.text
+	*o = object{text: o.text[:0]}
+	return t
 }
--- a/internal/net/cluster/cluster_test.go
+++ b/internal/net/cluster/cluster_test.go
@@ -67,13 +67,15 @@
 	for name, say := range map[string]string{
 		"503":       "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
 		"ended":     nettest.Chunked(line),
-		"garbled":   nettest.Chunks("{"),
+		"garbled":   nettest.Chunks("{]"),
+		"no object": nettest.Chunks("hosts"),
+		"unended":   nettest.Chunks("{"),
 		"no answer": "",
 		"stalled":   nettest.Chunks(line),
 		"half line": nettest.Chunks(line) + "40\r\n{\"seq\":44,",
 	} {
 		stall := nettest.Patience
-		if name == "no answer" || name == "stalled" || name == "half line" {
+		if name == "no answer" || name == "stalled" || name == "unended" || name == "half line" {
 			stall = 50 * time.Millisecond
 		}
 		_, got, err := watch(t, stall, func(c *nettest.Call) { c.Say(say) })
--- /dev/null
+++ b/internal/net/cluster/endings_test.go
@@ -0,0 +1,78 @@
+package cluster
+
+import (
+	"errors"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/net/nettest"
+)
+
+// trickle sends a text byte by byte, a chunk each, until the other side has had enough.
+func trickle(c *nettest.Call, text string) {
+	for {
+		for i := range len(text) {
+			if _, err := c.Conn.Write([]byte("1\r\n" + text[i:i+1] + "\r\n")); err != nil {
+				return
+			}
+			time.Sleep(time.Millisecond) // the trickle's pace: nothing waits for it
+		}
+	}
+}
+
+// A watch that trickles, so that no single read waits long, tells nothing all the same: it is as broken as a silent one.
+// Guards against a time limit on each read in place of one on each line.
+func TestTrickle(t *testing.T) {
+	for name, begin := range map[string]string{"from the head on": "", "after a list": nettest.Chunks(line),
+		"within a list": nettest.Chunks(line, `{"seq":44,`)} {
+		t.Run(name, func(t *testing.T) {
+			type end struct {
+				got []dispatch.Listed
+				err error
+			}
+			ended := make(chan end, 1)
+			go func() {
+				_, got, err := watch(t, 200*time.Millisecond, func(c *nettest.Call) {
+					if begin == "" {
+						for c.Say("HTTP/1.1 200 OK\r\n"); ; time.Sleep(time.Millisecond) {
+							if _, err := c.Conn.Write([]byte("X: y\r\n")); err != nil {
+								return
+							}
+						}
+					}
+					c.Say(begin)
+					trickle(c, `"more":[1,2,3],`)
+				})
+				ended <- end{got, err}
+			}()
+			e := nettest.Wait(t, ended)
+			assert.True(t, errors.Is(e.err, os.ErrDeadlineExceeded), "%v", e.err)
+			assert.Len(t, e.got, min(1, len(begin)), "what came whole counts")
+		})
+	}
+}
+
+// Lists may come indented, on a watch too, whole or as changes, and with what looks like an end in a name. Guards against
+// reading each line as an object of its own.
+func TestIndentedLists(t *testing.T) {
+	const odd = `{"seq":44,"whole":false,"hosts":[{"host":"}]\"{","dial":"127.0.0.1:1","health":"in_service"}]}`
+	indent := func(s string) string {
+		return strings.NewReplacer("{\"", "{\n  \"", ",\"", ",\n  \"", ":[", ": [\n", "}", "\n}").Replace(s)
+	}
+	_, got, err := watch(t, nettest.Patience, func(c *nettest.Call) {
+		c.Say(nettest.Chunks(strings.Split(indent(line), "\n")...) + nettest.Chunk(""))
+		c.Say(nettest.Chunk(strings.ReplaceAll(odd, `,"whole"`, ",\r\n\t\"whole\"")) + nettest.Chunk(`{"seq":45,"whole":true}`))
+		c.Conn.Close()
+	})
+	require.Error(t, err)
+	require.Len(t, got, 3)
+	assert.Equal(t, want, got[0])
+	assert.Equal(t, `}]"{`, got[1].Hosts[0].Name)
+	assert.Equal(t, uint64(45), got[2].Version)
+}
--- a/internal/net/cluster/pace.go
+++ b/internal/net/cluster/pace.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"os"
 	"time"
 
 	"gaugeslip/internal/dispatch"
@@ -16,6 +18,14 @@
 	turn = 100 * time.Millisecond
 	// maxDoublings bounds the growth of the window: 16 times the first one.
 	maxDoublings = 4
+	// toldAfter is when what a silent watch misses counts as told, from its last line; reopenIn is what passes of that
+	// beside the silence itself and the pace: the module's wait and the call.
+	toldAfter = 6 * time.Second
+	reopenIn  = 1500 * time.Millisecond
+	// sparely is the part of a time within which a dispatcher has to have asked that the pace uses.
+	sparely = 0.8
+	// afterFailure is how many times as long the list may be held after a call that failed.
+	afterFailure = 4
 )
 
 // Pace says how long to wait before each call for the list: full jitter over a window that grows with the number of
@@ -24,20 +34,25 @@
 // for any more, then serves none of them. Few dispatchers don't wait at all. The zero value is that of few.
 type Pace struct {
 	first  time.Duration // bounded, as a dispatcher that hasn't asked for long counts as told
+	silent time.Duration // after a watch that fell silent: bounded by when what it misses counts as told
 	window time.Duration
+	most   time.Duration // after calls that failed
 	rng    *rand.Rand
 	failed int
+	stall  bool // the last watch fell silent
 }
 
 // NewPace makes the pace of one of so many dispatchers. askWithin is the time after the start within which it has to have
-// asked; 0: there is no such time.
-func NewPace(replicas int, seed uint64, askWithin time.Duration) *Pace {
+// asked, 0: there is no such time; grace is how long after it was told of a drain a dispatcher may still send.
+func NewPace(replicas int, seed uint64, askWithin, grace time.Duration) *Pace {
 	window := time.Duration(max(0, replicas-few)) * turn
-	first := window
+	p := &Pace{first: window, window: window, most: window << maxDoublings, rng: rand.New(rand.NewPCG(seed, 1))}
 	if askWithin > 0 {
-		first = min(window, askWithin*4/5)
+		within := time.Duration(sparely * float64(askWithin))
+		p.first, p.most = min(window, within), min(p.most, afterFailure*within)
 	}
-	return &Pace{first: first, window: window, rng: rand.New(rand.NewPCG(seed, 1))}
+	p.silent = min(p.first, max(0, toldAfter+grace-StallAfter-reopenIn))
+	return p
 }
 
 // Next is the wait before the next call.
@@ -45,18 +60,22 @@
 	if p.window <= 0 {
 		return 0
 	}
-	window := p.window << min(p.failed, maxDoublings)
-	if p.failed == 0 {
+	window := min(p.window<<min(p.failed, maxDoublings), p.most)
+	switch {
+	case p.stall:
+		window = p.silent
+	case p.failed == 0:
 		window = p.first
 	}
 	return time.Duration(p.rng.Float64() * float64(window))
 }
 
-// Ended takes in how a call went: whether discovery told anything before it broke.
-func (p *Pace) Ended(told bool) {
+// Ended takes in how a call went: whether discovery told anything before it broke, and whether it broke by silence.
+func (p *Pace) Ended(told, silent bool) {
 	if p.failed++; told {
 		p.failed = 0
 	}
+	p.stall = told && silent
 }
 
 // Paced is a Source whose calls are paced. Like any Source it is for one watch at a time.
@@ -81,6 +100,6 @@
 		told = true
 		each(l)
 	})
-	s.Pace.Ended(told)
+	s.Pace.Ended(told, errors.Is(err, os.ErrDeadlineExceeded))
 	return err
 }
--- a/internal/net/cluster/pace_test.go
+++ b/internal/net/cluster/pace_test.go
@@ -40,11 +40,11 @@
 	const n = 80
 	paces := make([]*Pace, n)
 	for i := range paces {
-		paces[i] = NewPace(n, uint64(i), 10*time.Second)
+		paces[i] = NewPace(n, uint64(i), 10*time.Second, 0)
 	}
 	assert.Equal(t, n, discovery(n, func(i int, failed bool) time.Duration {
 		if failed {
-			paces[i].Ended(false)
+			paces[i].Ended(false, false)
 		}
 		return paces[i].Next()
 	}), "all have the list")
@@ -63,19 +63,31 @@
 		}
 		return most
 	}
-	few := NewPace(few, 1, 10*time.Second)
-	few.Ended(false)
+	few := NewPace(few, 1, 10*time.Second, 0)
+	few.Ended(false, false)
 	assert.Zero(t, longest(few), "ten dispatchers ask at once, as one does")
-	assert.LessOrEqual(t, longest(NewPace(1000, 1, 10*time.Second)), 8., "asked before it counts as told")
-	p := NewPace(80, 1, 0)
+	assert.LessOrEqual(t, longest(NewPace(1000, 1, 10*time.Second, 0)), 8., "asked before it counts as told")
+	// A watch that fell silent 3.5 s ago has to be opened anew before what it misses counts as told, however many there are.
+	for grace, want := range map[time.Duration]float64{500 * time.Millisecond: 1.5, 3 * time.Second: 4} {
+		silent := NewPace(300, 1, 10*time.Second, grace)
+		silent.Ended(true, true)
+		assert.LessOrEqual(t, longest(silent), want)
+		silent.Ended(false, true)
+		assert.Greater(t, longest(silent), 8., "a call that was not answered failed")
+		for range 20 {
+			silent.Ended(false, false)
+		}
+		assert.LessOrEqual(t, longest(silent), 32., "held to its list for four times as long, and asked before")
+	}
+	p := NewPace(80, 1, 0, 0)
 	assert.InDelta(t, 7, longest(p), 0.5)
-	p.Ended(false)
+	p.Ended(false, false)
 	assert.InDelta(t, 14, longest(p), 1)
 	for range 20 {
-		p.Ended(false)
+		p.Ended(false, false)
 	}
 	assert.LessOrEqual(t, longest(p), 7.*(1<<maxDoublings))
-	p.Ended(true)
+	p.Ended(true, false)
 	assert.InDelta(t, 7, longest(p), 0.5, "a watch that told something forgives the failures")
 }
 
@@ -91,7 +103,7 @@
 	l := &lost{}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	s := &Paced{Source: l, Pace: NewPace(80, 1, 0)}
+	s := &Paced{Source: l, Pace: NewPace(80, 1, 0, 0)}
 	assert.ErrorIs(t, s.Watch(ctx, 0, nil), context.Canceled)
 	assert.Zero(t, l.calls)
 	s.Pace = &Pace{}
--- a/internal/net/downstream/downstream_test.go
+++ b/internal/net/downstream/downstream_test.go
@@ -41,8 +41,8 @@
 // running is the loop of the dispatcher that the test has started last.
 var running *loop.Loop
 
-// dispatcherWith has a waiting room where lim says so.
-func dispatcherWith(t *testing.T, acceptFor time.Duration, script func(*nettest.Call), lim *waiting.Limits) (
+// dispatcherWith has a waiting room where lim says so. What tunes it sees the server before it serves.
+func dispatcherWith(t *testing.T, acceptFor time.Duration, script func(*nettest.Call), lim *waiting.Limits, tunes ...func(*Server)) (
 	addr string, host *nettest.Peer, stop func(), ended chan struct{}) {
 	host = nettest.Listen(t, script)
 	set := nettest.Settings(t)
@@ -62,6 +62,9 @@
 	running = l
 	ln, err := s.Listen()
 	require.NoError(t, err)
+	for _, tune := range tunes {
+		tune(s)
+	}
 	inner, halt := context.WithCancel(context.Background())
 	outer, stop := context.WithCancel(context.Background())
 	looped, ended := make(chan struct{}), make(chan struct{})
@@ -395,12 +398,12 @@
 // before is waited for.
 func TestShutdown(t *testing.T) {
 	hold := make(chan struct{})
-	addr, host, stop, ended := dispatcher(t, 3*time.Second, func(c *nettest.Call) { // a slow machine has that long
+	addr, host, stop, ended := dispatcherWith(t, 3*time.Second, func(c *nettest.Call) { // a slow machine has that long
 		if c.Text == "slow" {
 			<-hold
 		}
 		serve(c)
-	})
+	}, nil, func(s *Server) { s.cfg.KilledAfter = nettest.Patience }) // else slow may have failed by then
 	release := sync.OnceFunc(func() { close(hold) })
 	t.Cleanup(release) // before the host ends, which waits for its script
 	slow, idle := nettest.Dial(t, addr), nettest.Dial(t, addr)
--- /dev/null
+++ b/internal/net/downstream/endings_test.go
@@ -0,0 +1,360 @@
+package downstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/net/loop"
+	"gaugeslip/internal/net/nettest"
+	"gaugeslip/internal/net/upstream"
+	"gaugeslip/policy"
+)
+
+// The instants at which a client, its connection or the dispatcher ends while something is still owed. In each one side
+// is held at the instant.
+
+// patient is a host's script that leaves jobs unanswered for as long as their connections last.
+func patient(c *nettest.Call) { io.Copy(io.Discard, c.Conn) }
+
+// A client that has sent more than its request leaves: that is seen, whatever came before the end. net/http looks no
+// further than one byte. Held is what is open; only a leave can end what this host holds.
+func TestLeaveIsSeenBehindMore(t *testing.T) {
+	for name, more := range map[string]string{"a line": "\r\n", "a second request": "POST /plot-load/x HTTP/1.1\r\nHost: h\r\n" +
+		"X-Trace-Id: t2\r\nContent-Length: 0\r\n\r\n", "much": strings.Repeat("x", maxAhead-1)} {
+		t.Run(name, func(t *testing.T) {
+			var leave func()
+			addr, host, _, _ := dispatcherWith(t, 0, serve, nil, func(s *Server) {
+				s.held = func(point string, r *http.Request) {
+					if point == "reading" { // before the job is before the loop
+						leave()
+					}
+				}
+			})
+			c := nettest.Dial(t, addr)
+			left := make(chan struct{})
+			leave = func() { // the request is read: now comes more, and the end
+				c.Send(more)
+				c.Conn.Close()
+				close(left)
+			}
+			c.Send("POST /harvest-sale/x HTTP/1.1\r\nHost: h\r\nX-Trace-Id: t1\r\nX-Not-Yet: 1\r\nContent-Length: 0\r\n\r\n")
+			nettest.Wait(t, left)
+			require.Eventually(t, func() bool { return running.Held() == 0 }, nettest.Patience, time.Millisecond)
+			for len(host.Calls) > 0 { // t1 may have gone out before the leave was seen, what came behind it never
+				assert.Equal(t, "t1", (<-host.Calls).Header.Get("X-Trace-Id"))
+			}
+		})
+	}
+	t.Run("while it is out", func(t *testing.T) {
+		addr, host, _, _ := dispatcher(t, 0, patient)
+		c := nettest.Dial(t, addr)
+		c.Post("/harvest-sale/x", "t1", "", "")
+		nettest.Wait(t, host.Calls)
+		c.Post("/harvest-sale/x", "t2", "", "")
+		c.Conn.Close()
+		require.Eventually(t, func() bool { return running.Held() == 0 }, nettest.Patience, time.Millisecond)
+		assert.Empty(t, host.Calls, "a request that came too early and whose client left is not sent on")
+	})
+}
+
+// What a client sends too early, and stays, is its next request.
+func TestEarlyRequestIsKept(t *testing.T) {
+	release := make(chan struct{})
+	addr, host, _, _ := dispatcher(t, 0, func(c *nettest.Call) {
+		if c.Text == "a" {
+			<-release
+		}
+		serve(c)
+	})
+	c := nettest.Dial(t, addr)
+	c.Post("/plot-load/x", "t1", "", "a")
+	nettest.Wait(t, host.Calls)
+	c.Post("/plot-load/x", "t2", "", strings.Repeat("b", maxAhead/2))
+	c.Post("/plot-load/x", "t3", "", strings.Repeat("c", maxAhead)) // beyond what is put aside
+	close(release)
+	for _, want := range []string{"a", strings.Repeat("b", maxAhead/2), strings.Repeat("c", maxAhead)} {
+		resp, got := c.Answer()
+		assert.Equal(t, 200, resp.StatusCode)
+		assert.Equal(t, want, got)
+	}
+}
+
+// The time limit of a body must not look like a leave: a request without one is held until the limit would have come.
+func TestBodyLimitIsNoLeave(t *testing.T) {
+	t.Parallel()
+	addr, _, _, _ := dispatcherWith(t, 0, serve, nil, func(s *Server) {
+		s.held = func(point string, r *http.Request) {
+			if point == "reading" {
+				select {
+				case <-r.Context().Done(): // the fault
+				case <-time.After(time.Until(bodyBy(clientOf(r), time.Now())) + 100*time.Millisecond):
+				}
+			}
+		}
+	})
+	c := nettest.Dial(t, addr)
+	c.Post("/plot-load/x", "t1", "", "")
+	resp, _ := c.Answer()
+	assert.Equal(t, 200, resp.StatusCode)
+	assert.NotEmpty(t, resp.Header.Get("Content-Type"), "an answer of ours, not net/http's for a handler that wrote none")
+}
+
+// A client that ends its sending has left; if it reads all the same it is not told that its job was served.
+func TestHalfClosed(t *testing.T) {
+	addr, host, _, _ := dispatcher(t, 0, patient)
+	c := nettest.Dial(t, addr)
+	c.Post("/harvest-sale/x", "t1", "", "x")
+	nettest.Wait(t, host.Calls)
+	c.Conn.(*net.TCPConn).CloseWrite()
+	resp, _ := c.Answer()
+	assert.Equal(t, 500, resp.StatusCode)
+	c.Closed()
+}
+
+// held is a connection on which each read is held once its bytes are there.
+type held struct {
+	net.Conn
+	after *func(n int)
+}
+
+func (h held) Read(b []byte) (int, error) {
+	n, err := h.Conn.Read(b)
+	(*h.after)(n)
+	return n, err
+}
+
+// listener hands out held connections.
+type listener struct {
+	net.Listener
+	after *func(n int)
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return held{nc, l.after}, nil
+}
+
+func (l *listener) SetDeadline(at time.Time) error {
+	return l.Listener.(*net.TCPListener).SetDeadline(at)
+}
+
+// A connection is closed, for the end or for room, at the instant at which its next request has been read but nobody
+// knows of it yet. Its client sees a close that crosses its request and sends that once more: it must not run here too.
+func TestCloseCrossesRequest(t *testing.T) {
+	for name, end := range map[string]func(*Server){
+		"for the end": func(s *Server) { s.gate.shed(lastWords) },
+		"for room": func(s *Server) {
+			s.gate.mu.Lock()
+			s.gate.max = 1
+			s.gate.mu.Unlock()
+			a, _ := net.Pipe()
+			require.NotNil(t, s.gate.admit(a))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var server *Server
+			after, calls := func(int) {}, atomic.Int64{}
+			addr, _, _, _ := dispatcherWith(t, 0, func(c *nettest.Call) { calls.Add(1); serve(c) }, nil, func(s *Server) {
+				server, s.gate.Listener = s, &listener{s.gate.Listener, &after}
+			})
+			c := nettest.Dial(t, addr)
+			c.Post("/plot-load/x", "t1", "", "x")
+			c.Answer()
+			require.Eventually(t, func() bool {
+				server.gate.mu.Lock()
+				defer server.gate.mu.Unlock()
+				return len(server.gate.conns[idle]) == 1
+			}, nettest.Patience, time.Millisecond)
+			once := sync.OnceFunc(func() { end(server) })
+			crossed := func(n int) {
+				if n > 0 {
+					once()
+				}
+			}
+			server.gate.mu.Lock() // orders the write for the reader
+			after = crossed
+			server.gate.mu.Unlock()
+			c.Post("/harvest-sale/x", "t2", "", "x") // the read that waits since before has the old hook's address
+			c.SetReadDeadline(time.Now().Add(nettest.Patience))
+			_, err := c.Conn.Read(make([]byte, 1))
+			require.Error(t, err, "closed with no answer")
+			assert.False(t, errors.Is(err, context.DeadlineExceeded))
+			fresh := nettest.Dial(t, addr) // a round trip later nothing has been sent on
+			fresh.Send("GET /up HTTP/1.1\r\nHost: h\r\n\r\n")
+			fresh.Answer()
+			assert.Equal(t, int64(1), calls.Load())
+		})
+	}
+}
+
+// A request whose head has been read is owed its answer from that instant on, before net/http calls its connection
+// active: nothing closes it for others.
+func TestReadRequestKeepsItsPlace(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	for _, begin := range []phase{unread, idle} {
+		g := newGate(ln, 1)
+		c := nettest.Dial(t, ln.Addr().String())
+		nc, err := g.Accept()
+		require.NoError(t, err)
+		g.move(nc.(*client), begin)
+		c.Post("/plot-load/x", "t1", "", "")
+		_, err = io.ReadAtLeast(nc, make([]byte, 4096), len("POST /plot-load/x HTTP/1.1\r\nHost: origin.svc\r\nX-Trace-Id: t1\r\nContent-Length: 0\r\n\r\n"))
+		require.NoError(t, err)
+		g.mu.Lock()
+		assert.Nil(t, g.spare())
+		g.mu.Unlock()
+		assert.Equal(t, 1, g.shed(0))
+		assert.False(t, nc.(*client).gone())
+		nc.Close()
+		nc.Close()
+		assert.Zero(t, g.shed(0), "its place comes back once")
+	}
+}
+
+// Half a request is not closed for the end before it had its time to come whole, and a connection that says nothing is.
+func TestHalfReadAtTheEnd(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	g := newGate(ln, 9)
+	half, silent := nettest.Dial(t, ln.Addr().String()), nettest.Dial(t, ln.Addr().String())
+	for range 2 {
+		nc, err := g.Accept()
+		require.NoError(t, err)
+		if nc.RemoteAddr().String() == half.LocalAddr().String() {
+			half.Send("POST /plot-load")
+			_, err := nc.Read(make([]byte, 64))
+			require.NoError(t, err)
+		}
+	}
+	assert.Equal(t, 2, g.shed(time.Hour))
+	assert.Equal(t, 1, g.shed(0))
+	silent.Closed()
+}
+
+// slowListener is held before it takes a connection, and tells when its accepting is ended.
+type slowListener struct {
+	*net.TCPListener
+	go_, ended chan struct{}
+	once       sync.Once
+}
+
+func (l *slowListener) Accept() (net.Conn, error) {
+	<-l.go_
+	return l.TCPListener.Accept()
+}
+
+func (l *slowListener) SetDeadline(at time.Time) error {
+	defer l.once.Do(func() { close(l.ended) })
+	return l.TCPListener.SetDeadline(at)
+}
+
+func (l *slowListener) Close() error {
+	defer l.once.Do(func() { close(l.ended) })
+	return l.TCPListener.Close()
+}
+
+// A connection that waits in the accept queue as the listener closes stands for its client: it is served and not reset.
+func TestAcceptQueueAtTheEnd(t *testing.T) {
+	l := &slowListener{go_: make(chan struct{}), ended: make(chan struct{})}
+	addr, _, stop, ended := dispatcherWith(t, 0, serve, nil, func(s *Server) {
+		l.TCPListener, s.gate.Listener = s.gate.Listener.(*net.TCPListener), l
+	})
+	c := nettest.Dial(t, addr)
+	c.Post("/plot-load/x", "t1", "", "x")
+	stop()
+	nettest.Wait(t, l.ended)
+	time.Sleep(2 * acceptRest) // later than any limit that was set at the end: only the held accept itself is waited for
+	close(l.go_)
+	resp, _ := c.Answer()
+	assert.Equal(t, 200, resp.StatusCode)
+	nettest.Wait(t, ended)
+}
+
+// What was taken before SIGTERM and would be open at the platform's kill has its answer before that: a failure where it
+// may have run, a refusal where it never ran or a repeat is harmless. Idle and half read connections hold nothing up.
+func TestAnsweredBeforeTheKill(t *testing.T) {
+	addr, host, stop, ended := dispatcherWith(t, 0, patient, nil, func(s *Server) { s.cfg.KilledAfter = 2 * time.Second })
+	unsafe, safe, half := nettest.Dial(t, addr), nettest.Dial(t, addr), nettest.Dial(t, addr)
+	unsafe.Post("/harvest-sale/x", "t1", "", "x")
+	safe.Post("/plot-load/x", "t2", "", "x")
+	nettest.Wait(t, host.Calls)
+	nettest.Wait(t, host.Calls)
+	half.Send("POST /harvest-sale/x HTTP/1.1\r\nHost: h\r\n")
+	stop()
+	begun := time.Now()
+	resp, _ := unsafe.Answer()
+	assert.Equal(t, 500, resp.StatusCode)
+	assert.Empty(t, resp.Header.Get("Retry-After"))
+	resp, _ = safe.Answer()
+	assert.Equal(t, 429, resp.StatusCode)
+	nettest.Wait(t, ended)
+	assert.Less(t, time.Since(begun), 10*time.Second, "not the 20 s that they had")
+	assert.Empty(t, host.Calls)
+}
+
+// An answer that was decided as the loop ended is the one that counts, also where the end is seen at the same time.
+func TestAnswerAtTheLoopsEnd(t *testing.T) {
+	for range 40 { // a random choice between the two would pass this with chance 2^-40
+		set := nettest.Settings(t)
+		core, err := dispatch.New(set.Policy, 1)
+		require.NoError(t, err)
+		up := &ending{}
+		l := loop.New(dispatch.NewChain(core, dispatch.Gates{}), set, up, none{}, loop.NewClock())
+		l.Post(dispatch.Listed{Whole: true, Stale: true, Hosts: []dispatch.Host{{Name: "s-0000000a", Addr: "127.0.0.1:1", Scale: 1}}})
+		ctx, halt := context.WithCancel(t.Context())
+		up.halt = halt
+		ended := make(chan error, 1)
+		go func() { ended <- l.Run(ctx) }()
+		s := New(Config{}, set, l)
+		s.held = func(string, *http.Request) { // both are there before the handler looks
+			require.NoError(t, nettest.Wait(t, ended))
+		}
+		w := httptest.NewRecorder()
+		k := &loop.Ticket{Arrived: time.Now(), Forward: upstream.Request{TraceID: "t1"},
+			Job: dispatch.Arrived{Tenant: -1, Budget: 15 * time.Second, Size: 100 * time.Millisecond, Slots: 1}}
+		s.await(w, httptest.NewRequest("POST", "/plot-load", nil), k, prefer{})
+		assert.Equal(t, "200 r", http.StatusText(0)+strings.TrimSpace(w.Result().Status[:3]+" "+w.Body.String()))
+	}
+}
+
+// ending is an upstream side whose answer ends the loop.
+type ending struct{ halt func() }
+
+func (e *ending) Do(_ context.Context, _ *upstream.Request, w upstream.Watcher) {
+	w.Ended(upstream.Outcome{Result: policy.OK, Body: []byte("r")})
+	e.halt()
+}
+
+func (e *ending) Probe(context.Context, string) upstream.Outcome { return upstream.Outcome{} }
+
+// A class may have any name that the settings give it, that of our own path too.
+func TestClassNamedUp(t *testing.T) {
+	addr, _, _, _ := dispatcherWith(t, 0, serve, nil, func(s *Server) { s.set.Classes["up"] = 0 })
+	c := nettest.Dial(t, addr)
+	c.Post("/up", "t1", "X-Qos: up\r\n", "x")
+	resp, got := c.Answer()
+	assert.Equal(t, 200, resp.StatusCode)
+	assert.Equal(t, "x", got)
+	c.Send("GET /up HTTP/1.1\r\nHost: h\r\n\r\n")
+	resp, _ = c.Answer()
+	assert.Equal(t, 200, resp.StatusCode)
+}
--- a/internal/net/downstream/gate.go
+++ b/internal/net/downstream/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"log/slog"
 	"maps"
 	"net"
@@ -9,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -28,14 +30,16 @@
 // listen queue behind a crowd that says nothing, and keeps to its limit by closing what can be spared.
 type gate struct {
 	net.Listener
-	max int
+	max    int
+	done   atomic.Bool // no more is to be accepted but what is there
+	rested bool        // Accept's own: it has looked for that
 
 	mu    sync.Mutex
 	conns [phases]map[*client]struct{}
 }
 
 // client is one connection of the gate. Its fields belong to the gate's lock, but head, which net/http's reads and
-// handlers of the connection use one at a time.
+// handlers of the connection use one at a time, and ahead, which its reads alone use.
 type client struct {
 	net.Conn
 	gate     *gate
@@ -44,8 +48,12 @@
 	since    time.Time // in this phase
 	closed   bool
 	head     head
+	ahead    []byte // came while the request before it was owed its answer; at most maxAhead
 }
 
+// maxAhead is how much of what a client sends beyond its request is kept while that is owed its answer.
+const maxAhead = 16 << 10
+
 // head keeps the first bytes of the request that is being read on a connection, from the end of the one before:
 // net/http drops a Content-Length that stands beside a Transfer-Encoding before any handler sees it.
 type head struct {
@@ -57,21 +65,76 @@
 // headEnd ends a head.
 const headEnd = "\r\n\r\n"
 
-// Read keeps what it reads of a request's head.
-func (c *client) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.head.mu.Lock()
-		if room := maxHeaderBytes + 4<<10 - len(c.head.text); room > 0 && !c.head.whole {
-			from := max(0, len(c.head.text)-len(headEnd)+1)
-			c.head.text = append(c.head.text, b[:min(n, room)]...)
-			c.head.whole = bytes.Contains(c.head.text[from:], []byte(headEnd))
+// Read keeps what it reads of a request's head, and what comes too early. What has been read is not given away once the
+// connection has been closed to make room: its client sends that request once more, and it must not run here as well.
+func (c *client) Read(b []byte) (n int, err error) {
+	if len(b) == 1 && c.owed() {
+		return c.watch(b)
+	}
+	if n = copy(b, c.ahead); n > 0 {
+		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+			c.ahead = nil
 		}
-		c.head.mu.Unlock()
+	} else {
+		n, err = c.Conn.Read(b)
+	}
+	if n > 0 && !c.took(c.keep(b[:n])) {
+		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
+// watch is the read with which net/http waits for its client to leave while a request is owed its answer: of one byte,
+// where all others have room for many. With that byte net/http would stop to look, though a client that has sent more
+// may leave as well; so what comes is put aside, up to maxAhead, and only the end of the connection ends the read.
+func (c *client) watch(b []byte) (int, error) {
+	for more := [512]byte{}; len(c.ahead) < maxAhead; {
+		n, err := c.Conn.Read(more[:min(len(more), maxAhead-len(c.ahead))])
+		if c.ahead = append(c.ahead, more[:n]...); err != nil {
+			return 0, err
+		}
+	}
+	n := copy(b, c.ahead)
+	c.ahead = c.ahead[n:]
+	c.keep(b[:n])
+	return n, nil
+}
+
+// owed tells whether a request of this connection is being read or answered.
+func (c *client) owed() bool {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	return c.phase == busy
+}
+
+// keep adds to the copy of a request's head, and tells whether the head is whole.
+func (c *client) keep(b []byte) (whole bool) {
+	c.head.mu.Lock()
+	defer c.head.mu.Unlock()
+	if room := maxHeaderBytes + 4<<10 - len(c.head.text); room > 0 && !c.head.whole {
+		from := max(0, len(c.head.text)-len(headEnd)+1)
+		c.head.text = append(c.head.text, b[:min(len(b), room)]...)
+		c.head.whole = bytes.Contains(c.head.text[from:], []byte(headEnd))
+	}
+	return c.head.whole
+}
+
+// took notes that bytes have been read: one whose head is whole is owed an answer from here on, not only when net/http
+// says so. False: the connection was closed for others before.
+func (c *client) took(whole bool) bool {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	switch {
+	case c.closed:
+		return false
+	case whole && (c.phase == unread || c.phase == idle):
+		c.gate.place(c, busy)
+	case c.phase == idle:
+		c.gate.place(c, unread)
+	}
+	return true
+}
+
 // lengthBesideChunks tells whether the head of the request in hand has a Content-Length line too.
 func (c *client) lengthBesideChunks() bool {
 	c.head.mu.Lock()
@@ -109,6 +172,13 @@
 func (g *gate) Accept() (net.Conn, error) {
 	for {
 		nc, err := g.Listener.Accept()
+		if err != nil && g.done.Load() {
+			if g.rested || !g.rest() {
+				return nil, errDone // net/http would take a time-out for a reason to go on
+			}
+			g.rested = true // this once: the limit may have passed before the queue was looked at
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -119,6 +189,27 @@
 	}
 }
 
+// errDone ends net/http's accepting.
+var errDone = errors.New("downstream: no more connections are taken")
+
+// acceptRest is how long what waits in the accept queue of a socket that is about to close is still taken.
+const acceptRest = 20 * time.Millisecond
+
+// stop ends accepting. Of a socket of our own what is in the queue is taken first: to its client it is a connection that
+// stands, and a close would reset it. On a socket that is shared the queue is the successor's.
+func (g *gate) stop(shared bool) {
+	g.done.Store(true)
+	if shared || !g.rest() {
+		g.Listener.Close()
+	}
+}
+
+// rest limits the wait for one more connection; the listener is closed with net/http's server. False: it can't be.
+func (g *gate) rest() bool {
+	l, ok := g.Listener.(interface{ SetDeadline(time.Time) error })
+	return ok && l.SetDeadline(time.Now().Add(acceptRest)) == nil
+}
+
 func (g *gate) admit(nc net.Conn) *client {
 	g.mu.Lock()
 	held := 0
@@ -190,21 +281,35 @@
 	return err == nil && n > 0
 }
 
-// shed closes the idle connections on which nothing waits to be read: a close between requests costs their
-// clients a new connection and nothing else.
-func (g *gate) shed() {
+// shed closes the connections that have been between requests, or have said nothing yet, for a while, and on which
+// nothing waits to be read: a close there costs their clients a new connection and nothing else. It returns how many
+// connections are left.
+func (g *gate) shed(unreadFor time.Duration) (left int) {
 	g.mu.Lock()
 	var out []*client
-	for c := range g.conns[idle] {
-		if !pending(c.Conn) {
-			g.forget(c)
-			out = append(out, c)
+	for p, least := range map[phase]time.Duration{idle: 0, unread: unreadFor} {
+		for c := range g.conns[p] {
+			if time.Since(c.since) >= least && !c.head.begun() && !pending(c.Conn) {
+				g.forget(c)
+				out = append(out, c)
+			}
 		}
 	}
+	for _, set := range g.conns {
+		left += len(set)
+	}
 	g.mu.Unlock()
 	for _, c := range out {
 		c.Conn.Close()
 	}
+	return left
+}
+
+// begun tells whether any of the request in hand has been read.
+func (h *head) begun() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.text) > 0
 }
 
 func (g *gate) forget(c *client) {
@@ -217,12 +322,24 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if !c.closed {
-		delete(g.conns[c.phase], c)
-		c.phase, c.since = p, time.Now()
-		g.conns[p][c] = struct{}{}
+		g.place(c, p)
 	}
 }
 
+// place is move under the lock.
+func (g *gate) place(c *client, p phase) {
+	delete(g.conns[c.phase], c)
+	c.phase, c.since = p, time.Now()
+	g.conns[p][c] = struct{}{}
+}
+
+// gone tells whether the connection has been closed.
+func (c *client) gone() bool {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	return c.closed
+}
+
 // state follows net/http's own view; a connection is active for it once a whole head has come.
 func (g *gate) state(nc net.Conn, s http.ConnState) {
 	if c, ok := nc.(*client); ok {
--- a/internal/net/downstream/jobs.go
+++ b/internal/net/downstream/jobs.go
@@ -258,7 +258,7 @@
 
 // closing tells the room that the program ends, and when its answers have to be out.
 func (s *Server) closing() {
-	if s.cfg.Waiting {
-		s.loop.Post(dispatch.Closing{By: s.loop.Clock().Since(s.killedAt().Add(-killMargin))})
+	if s.loop != nil {
+		s.loop.Post(dispatch.Closing{By: s.loop.Clock().Since(s.answerBy(s.killedAt()))})
 	}
 }
--- a/internal/net/downstream/server.go
+++ b/internal/net/downstream/server.go
@@ -50,8 +50,14 @@
 	return min(longest, 3*time.Second) + AcceptFor
 }
 
+// killMargin is how long before the platform's kill the last answer is decided; of short deadlines less.
 const killMargin = 300 * time.Millisecond
 
+// answerBy is when all that was taken has to be decided, given when the platform kills the process.
+func (s *Server) answerBy(killed time.Time) time.Time {
+	return killed.Add(-min(killMargin, s.cfg.KilledAfter/4))
+}
+
 // Config is what a Server must keep to.
 type Config struct {
 	Listen    string
@@ -80,6 +86,7 @@
 	killed   atomic.Int64 // when the platform ends the process, in Unix nanoseconds; 0: not known yet
 	handover chan struct{}
 	handing  sync.Once
+	held     func(point string, r *http.Request) // called where a test holds a request; nil elsewhere
 }
 
 // New makes a server that hands its requests to a loop.
@@ -161,24 +168,45 @@
 		// The socket is the platform's: whoever comes now waits in its queue for the successor, which is
 		// serving already, and not for a process that ends. Idle connections go now, unless a request is
 		// already on its way on them, so that clients open new ones there.
-		s.gate.shed()
-	}
-	if err := s.http.Shutdown(context.Background()); err != nil {
-		return fmt.Errorf("downstream: %w", err)
+		s.gate.shed(lastWords)
 	}
-	if err := <-failed; !errors.Is(err, http.ErrServerClosed) {
+	s.gate.stop(s.cfg.Inherited != 0)
+	if err := <-failed; !errors.Is(err, errDone) {
 		return fmt.Errorf("downstream: %w", err)
 	}
+	s.finish()
 	<-ctx.Done() // after a handover the platform still ends the process itself
 	s.terminated()
 	if s.cfg.Waiting { // jobs without a connection that are out may still end
-		ctx, cancel := context.WithDeadline(context.Background(), s.killedAt().Add(-killMargin))
+		ctx, cancel := context.WithDeadline(context.Background(), s.answerBy(s.killedAt()))
 		defer cancel()
 		s.loop.Idle(ctx)
 	}
 	return nil
 }
 
+const (
+	lastWords = 500 * time.Millisecond // how long a connection may say nothing at all at an end
+	lastLook  = 5 * time.Millisecond
+	lastWrite = 100 * time.Millisecond // before the platform's kill: what is not written by then never is
+)
+
+// finish waits until no connection is owed an answer, or half read, and closes all others; on a socket of our own no
+// later than shortly before the platform's kill. net/http's Shutdown closes connections that it holds for idle though
+// their next request has just been read: such a request would run, and its client send it once more.
+func (s *Server) finish() {
+	tick := time.NewTicker(lastLook)
+	defer tick.Stop()
+	for s.gate.shed(lastWords) > 0 {
+		if at := s.killedAt(); !at.IsZero() && time.Until(at) < lastWrite {
+			slog.Warn("connections closed before the platform's kill, all that was taken is answered")
+			break
+		}
+		<-tick.C
+	}
+	s.http.Close()
+}
+
 // Handover tells that a successor serves on the inherited socket: see Serve. It may be called more than once.
 func (s *Server) Handover() { s.handing.Do(func() { close(s.handover) }) }
 
@@ -201,19 +229,28 @@
 // run, so the answer is a failure and not a refusal.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	from := clientOf(r)
+	if from != nil && from.gone() { // closed for others: its client sends the request once more, elsewhere
+		panic(http.ErrAbortHandler)
+	}
 	defer func() {
-		if p := recover(); p != nil {
+		if p := recover(); p == http.ErrAbortHandler {
+			panic(p)
+		} else if p != nil {
 			slog.Error("panic in a handler", "panic", p, "stack", string(debug.Stack()))
 			s.reply(w, http.StatusInternalServerError, "internal error")
 		}
 	}()
 	control := http.NewResponseController(w)
-	control.SetReadDeadline(bodyBy(clientOf(r), arrived))
+	if r.Body != http.NoBody { // else a read waits already for the client to leave, and its time-out would look like that
+		control.SetReadDeadline(bodyBy(from, arrived))
+	}
+	s.hold("reading", r)
 	if err := framed(r); err != nil {
 		s.reject(w, r, err)
 		return
 	}
-	if r.URL.Path == "/up" {
+	if _, _, job := classOf(r, s.set); r.URL.Path == "/up" && !(job && r.Method == http.MethodPost) {
 		s.up(w, r)
 		return
 	}
@@ -243,7 +280,7 @@
 	// Only the body has a limit: one on the connection would end the wait for the answer too.
 	control.SetReadDeadline(time.Time{})
 	if killed := s.killedAt(); !killed.IsZero() {
-		t.Job.Budget = min(t.Job.Budget, max(0, killed.Sub(arrived)-killMargin))
+		t.Job.Budget = min(t.Job.Budget, max(0, s.answerBy(killed).Sub(arrived)))
 	}
 	s.await(w, r, t, p)
 }
@@ -341,6 +378,7 @@
 // await hands a ticket in and sends its answer.
 func (s *Server) await(w http.ResponseWriter, r *http.Request, t *loop.Ticket, p prefer) {
 	class := t.Job.Class
+	t.Forward.Client = r.Context()
 	if err := s.loop.Submit(t); err != nil {
 		if errors.Is(err, loop.ErrOpen) {
 			s.tally(class, s.reject(w, r, &fault{http.StatusConflict, err.Error()}))
@@ -352,20 +390,41 @@
 	}
 	left := false
 	defer func() { s.loop.Release(t, left) }()
+	s.hold("waiting", r)
 	select {
 	case a := <-t.Answer():
-		if a.Accepted {
-			s.accepted(w, r, t.Forward.TraceID, p)
-			return
-		}
-		s.tally(class, s.answer(w, a))
+		s.final(w, r, t, p, a)
 	case <-r.Context().Done():
 		left = true
 		slog.Debug("client left", "id", t.Forward.TraceID)
+		// One that has only ended its sending still reads: net/http's own answer would be that its job was served.
+		w.Header().Set("Connection", "close")
+		s.reply(w, http.StatusInternalServerError, "the client left")
 	case <-s.loop.Stopped():
-		s.reply(w, http.StatusInternalServerError, "stopped")
-		s.tally(class, http.StatusInternalServerError)
+		select {
+		case a := <-t.Answer(): // decided before the end
+			s.final(w, r, t, p, a)
+		default:
+			s.reply(w, http.StatusInternalServerError, "stopped")
+			s.tally(class, http.StatusInternalServerError)
+		}
+	}
+}
+
+// hold lets a test hold a request at a point.
+func (s *Server) hold(point string, r *http.Request) {
+	if s.held != nil {
+		s.held(point, r)
+	}
+}
+
+// final sends the loop's answer to a ticket.
+func (s *Server) final(w http.ResponseWriter, r *http.Request, t *loop.Ticket, p prefer, a loop.Answer) {
+	if a.Accepted {
+		s.accepted(w, r, t.Forward.TraceID, p)
+		return
 	}
+	s.tally(t.Job.Class, s.answer(w, a))
 }
 
 // answer sends a final answer and returns its status.
--- /dev/null
+++ b/internal/net/upstream/endings_test.go
@@ -0,0 +1,283 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/net/nettest"
+	"gaugeslip/policy"
+)
+
+// The instants at which an upstream request or its connection ends while something is still owed. In each one side is
+// held at the instant.
+
+// raw is a host that hands each connection to the test, which plays it by hand.
+func raw(t *testing.T) (addr string, conns <-chan net.Conn) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	c := make(chan net.Conn, 9)
+	go func() {
+		for {
+			nc, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			c <- nc
+		}
+	}()
+	t.Cleanup(func() { ln.Close() })
+	return ln.Addr().String(), c
+}
+
+// A connection to a host may come up late, after the client has left: nothing is sent on it, and its place comes back.
+func TestClientLeavesDuringConnect(t *testing.T) {
+	addr, conns := raw(t)
+	for _, once := range []bool{false, true} {
+		p := pool(time.Minute)
+		p.cfg.Settle = time.Millisecond
+		client, leave := context.WithCancel(t.Context())
+		p.dial = func(_ context.Context, network, addr string) (net.Conn, error) {
+			leave() // and comes up all the same
+			return net.Dial(network, addr)
+		}
+		q := request(addr)
+		q.Client, q.Once = client, once
+		assert.Equal(t, policy.NeverSent, do(t.Context(), p, q).result(), "it never ran, and not by the host's fault")
+		got, _ := io.ReadAll(nettest.Wait(t, conns))
+		assert.Empty(t, got)
+		assert.Zero(t, p.held)
+	}
+}
+
+// The connect itself ends when the client leaves.
+func TestConnectEndsWithItsClient(t *testing.T) {
+	p := pool(time.Minute)
+	client, leave := context.WithCancel(t.Context())
+	p.dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+		leave()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	q := request("127.0.0.1:1")
+	q.Client = client
+	ended := make(chan *heard, 1)
+	go func() { ended <- do(t.Context(), p, q) }()
+	assert.Equal(t, policy.NeverSent, nettest.Wait(t, ended).result())
+	assert.Zero(t, p.held)
+}
+
+// The settle time before the last byte of a request that must not run twice: the host has all but that byte, and then its
+// client leaves, or it speaks as if it had the whole request, which can only be for another. The last byte never comes.
+func TestSettleBreaks(t *testing.T) {
+	for name, c := range map[string]struct {
+		kept bool
+		say  string
+		want policy.Result
+	}{
+		"the client leaves":                {false, "", policy.NeverSent},
+		"the client leaves, kept":          {true, "", policy.NeverSent},
+		"the host speaks":                  {false, nettest.Chunked(done), policy.ConnectFailed},
+		"a late second answer, kept":       {true, nettest.Chunked(done), policy.NeverSent},
+		"a late refusal for another, kept": {true, status("503 No", "X-Never-Ran: 1\r\n"), policy.NeverSent},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, conns := raw(t)
+			p := pool(time.Minute)
+			var host net.Conn
+			if c.kept {
+				go do(t.Context(), p, request(addr))
+				host = nettest.Wait(t, conns)
+				readBody(t, host, 4)
+				io.WriteString(host, nettest.Chunked(done))
+				require.Eventually(t, func() bool { p.mu.Lock(); defer p.mu.Unlock(); return len(p.idle[addr]) == 1 }, nettest.Patience, time.Millisecond)
+			}
+			p.cfg.Settle = 2 * time.Second // all of it only where the fault is there
+			client, leave := context.WithCancel(t.Context())
+			defer leave()
+			q := request(addr)
+			q.Once, q.Client = true, client
+			ended := make(chan *heard, 1)
+			go func() { ended <- do(t.Context(), p, q) }()
+			if host == nil {
+				host = nettest.Wait(t, conns)
+			}
+			readBody(t, host, 3)
+			if io.WriteString(host, c.say); c.say == "" {
+				leave()
+			}
+			assert.Equal(t, c.want, nettest.Wait(t, ended).result())
+			rest, _ := io.ReadAll(host)
+			assert.Empty(t, rest, "the last byte")
+			assert.Zero(t, p.held)
+		})
+	}
+}
+
+// readBody reads a request from a host's side up to the given part of its body.
+func readBody(t *testing.T, host net.Conn, n int) {
+	t.Helper()
+	host.SetReadDeadline(time.Now().Add(nettest.Patience))
+	var text []byte
+	for b := make([]byte, 1); !strings.Contains(string(text), "\r\n\r\n"+"body"[:n]); text = append(text, b...) {
+		_, err := io.ReadFull(host, b)
+		require.NoError(t, err)
+	}
+}
+
+// A client that leaves after the last byte changes nothing for the request: it is out, and its outcome is heard.
+func TestClientLeavesAfterLastByte(t *testing.T) {
+	addr, conns := raw(t)
+	p := pool(time.Minute)
+	client, leave := context.WithCancel(t.Context())
+	p.cfg.Written = leave
+	q := request(addr)
+	q.Client = client
+	ended := make(chan *heard, 1)
+	go func() { ended <- do(t.Context(), p, q) }()
+	host := nettest.Wait(t, conns)
+	readBody(t, host, 4)
+	io.WriteString(host, nettest.Chunked(done))
+	assert.Equal(t, policy.OK, nettest.Wait(t, ended).result())
+	assert.Len(t, p.idle[addr], 1, "the connection is as good as before")
+}
+
+// A second answer comes when its connection has been lent again: it must not pass for an answer to the next job, least of
+// all as proof that this one never ran. A connection rests after a job's answer; another is opened meanwhile. Probes,
+// whose answers come once, leave it ready at once.
+func TestLateSecondAnswer(t *testing.T) {
+	host := nettest.Listen(t, func(c *nettest.Call) {
+		if c.Nth > 0 && c.Method == http.MethodPost { // held back until the connection is lent again
+			c.Say(status("503 No", "X-Never-Ran: 1\r\n"))
+		}
+		if c.Method == http.MethodGet {
+			c.Say(status("200 OK", ""))
+			return
+		}
+		answer(c)
+	})
+	for _, once := range []bool{false, true} {
+		p := pool(time.Minute)
+		p.cfg.Rest, p.cfg.Settle = time.Hour, time.Millisecond
+		for range 2 {
+			q := request(host.Addr)
+			q.Once = once
+			assert.Equal(t, policy.OK, do(t.Context(), p, q).result())
+			assert.Zero(t, nettest.Wait(t, host.Calls).Nth)
+		}
+		assert.Equal(t, 2, p.held)
+		p.cfg.Rest = 0
+		c, err := p.get(t.Context(), host.Addr)
+		require.NoError(t, err)
+		p.put(c)
+		assert.Equal(t, 2, p.held, "lent again once it has rested")
+	}
+	p := pool(time.Minute)
+	p.cfg.Rest = time.Hour
+	assert.Equal(t, policy.OK, p.Probe(t.Context(), host.Addr).Result)
+	assert.Equal(t, policy.OK, p.Probe(t.Context(), host.Addr).Result)
+	assert.Equal(t, 1, p.held)
+}
+
+// Answers of 1xx come before the one that counts: taken for it, they would leave that to the connection's next request.
+func TestEarlyAnswers(t *testing.T) {
+	for text, want := range map[string]policy.Result{
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + nettest.Chunked(done): policy.OK,
+		strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 50):                                              policy.ConnectionLost,
+		"HTTP/1.1 101 Switching Protocols\r\n\r\n" + nettest.Chunked(done):                                 policy.ConnectionLost,
+	} {
+		host := nettest.Listen(t, func(c *nettest.Call) { c.Say(text) })
+		p := pool(time.Minute)
+		assert.Equal(t, want, do(t.Context(), p, request(host.Addr)).result())
+		assert.Equal(t, want == policy.OK, p.held == 1, "only a sound connection is kept")
+	}
+}
+
+// A head without end is given up when it is too long, not when the memory or the client's time is used up.
+func TestEndlessHead(t *testing.T) {
+	for _, text := range []string{"HTTP/1.1 200 OK\r\n" + strings.Repeat("X: y\r\n", 4<<10),
+		"HTTP/1.1 200 " + strings.Repeat("x", 4<<10)} {
+		host := nettest.Listen(t, func(c *nettest.Call) {
+			for c.Say(text); ; {
+				if _, err := io.WriteString(c.Conn, strings.Repeat("X: y\r\n", 100)); err != nil {
+					return
+				}
+			}
+		})
+		p := pool(time.Minute)
+		ended := make(chan *heard, 1)
+		go func() { ended <- do(t.Context(), p, request(host.Addr)) }()
+		assert.Equal(t, policy.ConnectionLost, nettest.Wait(t, ended).result())
+		assert.Zero(t, p.held)
+	}
+}
+
+// leaver ends a context as the answer's last line but one is heard, with the last line read already.
+type leaver struct {
+	*heard
+	end func()
+}
+
+func (l *leaver) Progress(float64) { l.end() }
+
+// The time runs out as the last line arrives: the answer that is there counts, and the connection goes.
+func TestTimeOutAtLastLine(t *testing.T) {
+	host := nettest.Listen(t, func(c *nettest.Call) {
+		c.Say(nettest.Chunked(`{"id":"t1","state":"running","share":0.9}`, done))
+	})
+	p := pool(time.Minute)
+	ctx, cancel := context.WithCancel(t.Context())
+	h := &leaver{newHeard(), cancel}
+	p.Do(ctx, request(host.Addr), h)
+	assert.Equal(t, policy.OK, h.result())
+	assert.Len(t, h.ended, 1)
+	assert.Zero(t, p.held)
+}
+
+// An answer that does not end after its last line holds nothing up for longer than its request may take.
+func TestAnswerWithoutEnd(t *testing.T) {
+	host := nettest.Listen(t, func(c *nettest.Call) { c.Say(nettest.Chunks(done)) })
+	p := pool(time.Minute)
+	p.end = time.Hour
+	ctx, cancel := context.WithCancel(t.Context())
+	h := &ender{newHeard(), cancel}
+	ended := make(chan struct{})
+	go func() { defer close(ended); p.Do(ctx, request(host.Addr), h) }()
+	nettest.Wait(t, ended)
+	assert.Equal(t, policy.OK, h.result())
+	assert.Zero(t, p.held)
+}
+
+// ender ends a context as soon as the outcome is told.
+type ender struct {
+	*heard
+	end func()
+}
+
+func (e *ender) Ended(o Outcome) { e.heard.Ended(o); e.end() }
+
+// An idle connection that is taken while others are retired, or evicted for room, is one or the other, and its place
+// comes back once.
+func TestTakenIsNotRetired(t *testing.T) {
+	host := nettest.Listen(t, answer)
+	p := pool(time.Minute)
+	do(t.Context(), p, request(host.Addr))
+	c := p.takeIdle(host.Addr)
+	require.NotNil(t, c)
+	p.retire(0)
+	p.cfg.MaxConns = 1
+	assert.False(t, p.reserve(), "one in use makes no room")
+	assert.True(t, alive(c))
+	assert.Equal(t, 1, p.held)
+	p.put(c)
+	assert.True(t, p.reserve(), "an idle one does")
+	assert.Equal(t, 1, p.held)
+	assert.Nil(t, p.takeIdle(host.Addr))
+}
--- a/internal/net/upstream/pool.go
+++ b/internal/net/upstream/pool.go
@@ -6,7 +6,9 @@
 	"bufio"
 	"context"
 	"errors"
+	"math"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -21,6 +23,7 @@
 	ConnIdle       time.Duration // an upstream host closes a connection that has stood idle this long
 	ProbeTimeout   time.Duration
 	Settle         time.Duration // how long the last byte of a request that must not run twice waits, see write
+	Rest           time.Duration // how long a connection is left alone after a job's answer: a second one may come late
 	MaxConns       int           // connections at once, idle ones included
 	Written        func()        // called for each upstream request whose last byte has been written; nil: none
 }
@@ -28,21 +31,46 @@
 // conn is a connection with its reader; both live as long as the connection.
 type conn struct {
 	net.Conn
+	in    *bounded
 	r     *bufio.Reader
 	addr  string
 	since time.Time // idle since; zero: it has carried nothing yet
+	rests bool      // what it carried last was a job's answer, see Config.Rest
 }
 
+// bounded is what a connection's reader reads from, no more than left bytes.
+type bounded struct {
+	net.Conn
+	left int
+}
+
+func (b *bounded) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errLong
+	}
+	n, err := b.Conn.Read(p[:min(len(p), b.left)])
+	b.left -= n
+	return n, err
+}
+
+// errLong says that the head of an answer does not end.
+var errLong = errors.New("upstream: the head of an answer is too long")
+
 // Pool holds the connections to all upstream hosts.
 type Pool struct {
 	cfg  Config
+	dial func(ctx context.Context, network, addr string) (net.Conn, error) // tests hold it
+	end  time.Duration                                                     // how long the end of an answer may take after its last line
 	mu   sync.Mutex
 	idle map[string][]*conn // by address, the longest idle first
 	held int                // connections open or being opened
 }
 
 // NewPool makes an empty pool.
-func NewPool(cfg Config) *Pool { return &Pool{cfg: cfg, idle: map[string][]*conn{}} }
+func NewPool(cfg Config) *Pool {
+	d := net.Dialer{Timeout: cfg.ConnectTimeout, KeepAlive: -1}
+	return &Pool{cfg: cfg, dial: d.DialContext, end: drainFor, idle: map[string][]*conn{}}
+}
 
 // keepFor is how long a connection may stand idle here: well under the host's limit, since a request written
 // as the host closes ends as a reset, which a job that must not run twice can't recover from.
@@ -63,27 +91,31 @@
 	if !p.reserve() {
 		return nil, errBudget
 	}
-	d := net.Dialer{Timeout: p.cfg.ConnectTimeout, KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := p.dial(ctx, "tcp", addr)
 	if err != nil {
 		p.release()
 		return nil, err
 	}
-	return &conn{Conn: nc, r: bufio.NewReaderSize(nc, 4096), addr: addr}, nil
+	in := &bounded{nc, math.MaxInt}
+	return &conn{Conn: nc, in: in, r: bufio.NewReaderSize(in, 4096), addr: addr}, nil
 }
 
+// takeIdle takes the connection that was used last of those that need no rest.
+
 func (p *Pool) takeIdle(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
-	if len(list) == 0 {
-		return nil
-	}
-	c := list[len(list)-1]
-	if p.idle[addr] = list[:len(list)-1]; len(list) == 1 {
-		delete(p.idle, addr)
+	for i, c := range slices.Backward(list) {
+		if c.rests && time.Since(c.since) < p.cfg.Rest {
+			continue
+		}
+		if p.idle[addr] = slices.Delete(list, i, i+1); len(list) == 1 {
+			delete(p.idle, addr)
+		}
+		return c
 	}
-	return c
+	return nil
 }
 
 // reserve books a descriptor for a new connection; where all are in use, an idle connection to any host
--- a/internal/net/upstream/request.go
+++ b/internal/net/upstream/request.go
@@ -7,10 +7,12 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"gaugeslip/policy"
@@ -18,8 +20,10 @@
 
 const (
 	maxLine  = 128 << 10 // a line of an answer: a body of 64 KiB, escaped
+	maxHead  = 32 << 10
+	maxEarly = 4 // answers of 1xx before the one that counts
 	maxProbe = 4 << 10
-	drainFor = time.Second // how long the end of an answer may take after its last line
+	drainFor = time.Second // see Pool.end
 )
 
 // Request is one upstream request. Its deadline is that of the context it is sent with.
@@ -27,7 +31,8 @@
 	Addr                       string
 	Method, URI, Host, TraceID string
 	Body                       []byte
-	Once                       bool // it must not run twice
+	Once                       bool            // it must not run twice
+	Client                     context.Context // ends when its client has left: nothing is sent then; nil: none waits
 }
 
 // Report is a load report: values by name.
@@ -65,18 +70,21 @@
 		o.Took = time.Since(start)
 		w.Ended(o)
 	}
-	c, err := p.get(ctx, q.Addr)
+	sending, halt := context.WithCancel(ctx)
+	defer halt()
+	if q.Client != nil {
+		defer context.AfterFunc(q.Client, halt)()
+	}
+	c, err := p.get(sending, q.Addr)
 	if err != nil {
-		end(Outcome{Result: notSent(ctx, err)})
+		end(Outcome{Result: notSent(sending, err)})
 		return
 	}
-	stop := p.interrupt(ctx, c)
-	defer stop()
-	whole, err := q.write(ctx, c, p.cfg.Settle)
+	whole, err := p.write(sending, c, q)
 	q.Body = nil // not held for as long as the job runs
 	if !whole {
 		p.drop(c) // the last byte was not written: the protocol's proof that the job never ran
-		result := notSent(ctx, err)
+		result := notSent(sending, err)
 		if !c.since.IsZero() { // a kept connection that breaks tells nothing of its host
 			result = policy.NeverSent
 		}
@@ -86,19 +94,47 @@
 	if p.cfg.Written != nil {
 		p.cfg.Written()
 	}
-	o, resp := q.read(c.r, w)
+	stop := p.interrupt(ctx, c)
+	defer stop()
+	o, resp := q.read(c, w)
 	if o.Result == policy.ConnectionLost && ctx.Err() != nil {
 		o = Outcome{Result: gaveUp(ctx)}
 	}
 	end(o)
-	p.recycle(c, resp, stop)
+	p.recycle(ctx, c, resp, stop, true)
+}
+
+// write is Request.write, to be given up when ctx ends. Where that comes as the last byte goes out, the request has been
+// sent, and the connection is as good as before.
+func (p *Pool) write(ctx context.Context, c *conn, q *Request) (whole bool, err error) {
+	var mu sync.Mutex
+	done := false
+	stop := context.AfterFunc(ctx, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if !done {
+			c.SetDeadline(time.Unix(1, 0))
+		}
+	})
+	whole, err = q.write(ctx, c, p.cfg.Settle)
+	mu.Lock()
+	done = true
+	mu.Unlock()
+	if !stop() && whole {
+		err = c.SetDeadline(time.Time{})
+	}
+	return whole, err
 }
 
 // write sends the request and tells whether its last byte was written. Where it must not run twice that byte waits
 // until the connection has taken the rest in silence: one that the host closes as the request comes, or has closed
-// unheard, then breaks while the job has provably not run and may go elsewhere.
+// unheard, then breaks while the job has provably not run and may go elsewhere. One on which the host speaks before it
+// has the whole request is as unfit: what it says is not for this request.
 func (q *Request) write(ctx context.Context, c *conn, settle time.Duration) (whole bool, err error) {
 	msg := q.encode(ctx)
+	if err := q.over(ctx); err != nil {
+		return false, err
+	}
 	if q.Once {
 		n, err := c.Write(msg[:len(msg)-1])
 		if err == nil {
@@ -106,10 +142,13 @@
 			_, err = c.r.Peek(1)
 			c.SetReadDeadline(time.Time{})
 		}
-		if ctx.Err() != nil { // its interruption may have been undone just now
-			return false, ctx.Err()
+		if p := q.over(ctx); p != nil { // its interruption may have been undone just now
+			return false, p
 		}
-		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		if err == nil {
+			return false, errSpeaks
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return false, err
 		}
 		msg = msg[n:]
@@ -118,24 +157,41 @@
 	return n == len(msg), err
 }
 
+// over tells whether a request is to be sent no more. An interruption by its client's leave may not have come through yet.
+func (q *Request) over(ctx context.Context) error {
+	if q.Client != nil && q.Client.Err() != nil {
+		return context.Canceled
+	}
+	return ctx.Err()
+}
+
+// errSpeaks says that a host spoke before it had a request.
+var errSpeaks = errors.New("upstream: the host speaks before it has the request")
+
 // interrupt ends reads and writes of c when ctx does; the function it returns calls that off.
 func (p *Pool) interrupt(ctx context.Context, c *conn) func() bool {
 	return context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 }
 
 // recycle gives back a connection whose answer has been read to its very end, and closes any other. The
-// interruption is called off first: one that came later would hit the connection's next request.
-func (p *Pool) recycle(c *conn, resp *http.Response, stop func() bool) {
-	if !stop() || resp == nil || resp.Close {
+// interruption is called off first: one that came later would hit the connection's next request. job: the answer was
+// one to a job, and a second one may come.
+func (p *Pool) recycle(ctx context.Context, c *conn, resp *http.Response, stop func() bool, job bool) {
+	if resp == nil || resp.Close {
+		p.drop(c)
+		return
+	}
+	c.SetReadDeadline(time.Now().Add(p.end))
+	if ctx.Err() != nil { // its interruption may have been undone just now
 		p.drop(c)
 		return
 	}
-	c.SetReadDeadline(time.Now().Add(drainFor))
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxLine))
-	if err != nil || n == maxLine {
+	if err != nil || n == maxLine || !stop() {
 		p.drop(c)
 		return
 	}
+	c.rests = job
 	p.put(c)
 }
 
@@ -150,7 +206,7 @@
 // notSent is the outcome of a request that found no connection: the host is to blame unless the time ran
 // out, the request was called off or no descriptor was left.
 func notSent(ctx context.Context, err error) policy.Result {
-	if ctx.Err() != nil || errors.Is(err, errBudget) {
+	if ctx.Err() != nil || errors.Is(err, errBudget) || errors.Is(err, context.Canceled) {
 		return policy.NeverSent
 	}
 	return policy.ConnectFailed
@@ -174,8 +230,8 @@
 }
 
 // read follows an answer to the line that ends it. The response is nil where the connection is of no more use.
-func (q *Request) read(r *bufio.Reader, w Watcher) (Outcome, *http.Response) {
-	resp, err := http.ReadResponse(r, &http.Request{Method: q.Method})
+func (q *Request) read(c *conn, w Watcher) (Outcome, *http.Response) {
+	resp, err := c.head(q.Method)
 	if err != nil {
 		return Outcome{Result: policy.ConnectionLost}, nil
 	}
@@ -217,6 +273,25 @@
 	}
 }
 
+// head reads the head of an answer, of bounded length, and passes over those that only say that one will come: what
+// follows them is still the answer to this request.
+func (c *conn) head(method string) (*http.Response, error) {
+	for range maxEarly {
+		c.in.left = maxHead
+		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
+		if c.in.left = math.MaxInt; err != nil {
+			return nil, err
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			break
+		}
+		if resp.StatusCode/100 != 1 {
+			return resp, nil
+		}
+	}
+	return nil, errors.New("upstream: no answer but 1xx")
+}
+
 // body is the result as bytes: a string's text, any other value as it stands.
 func (l *line) body() []byte {
 	var s string
@@ -292,7 +367,7 @@
 		p.drop(c)
 		return o
 	}
-	p.recycle(c, resp, stop)
+	p.recycle(ctx, c, resp, stop, false)
 	return o
 }
 
@@ -300,7 +375,7 @@
 	if _, err := io.WriteString(c, "GET /metrics/load HTTP/1.1\r\nHost: "+addr+"\r\n\r\n"); err != nil {
 		return nil, nil, err
 	}
-	resp, err := http.ReadResponse(c.r, nil)
+	resp, err := c.head(http.MethodGet)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,7 +31,8 @@
 	downstreamParts = 5  // of nine: a request holds a connection on each side, downstream some more
 	upstreamParts   = 4
 	probeTimeout    = 500 * time.Millisecond
-	settle          = 5 * time.Millisecond // some round trips between server rooms
+	settle          = 5 * time.Millisecond  // some round trips between server rooms
+	rest            = 25 * time.Millisecond // a second answer to a job comes some milliseconds late
 )
 
 // Budget shares the descriptors out.
@@ -119,7 +120,7 @@
 		return err
 	}
 	pool := upstream.NewPool(upstream.Config{ConnectTimeout: cfg.Settings.Policy.ConnectTimeout,
-		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, Settle: settle, MaxConns: up,
+		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, Settle: settle, Rest: rest, MaxConns: up,
 		Written: figures.Attempt})
 	gates := dispatch.Gates{Shed: shed}
 	if own.Waiting != nil {
@@ -296,7 +297,7 @@
 // paced is the source at a start, when many dispatchers may start together.
 func paced(cfg *config.Config) cluster.Source {
 	p := &cfg.Settings.Policy
-	return &cluster.Paced{Source: source(cfg), Pace: cluster.NewPace(p.Replicas, cfg.Seed, p.AskWithin)}
+	return &cluster.Paced{Source: source(cfg), Pace: cluster.NewPace(p.Replicas, cfg.Seed, p.AskWithin, p.DrainGrace)}
 }
 
 // source is the source that a reload moves to, which has to be asked at once.
--- a/internal/waiting/room.go
+++ b/internal/waiting/room.go
@@ -603,6 +603,9 @@
 		i := r.open[n]
 		e := r.all.at(i)
 		if !e.is(attached) || e.is(fresh) || e.state > Ready {
+			if e.is(attached) && e.state == Released { // what the module then refuses is not held once more
+				e.deadline = min(e.deadline, by)
+			}
 			continue
 		}
 		if e.deadline = min(e.deadline, by); e.state == Waiting && e.ready >= by {
