Call back a decided send that waits for its connection when its host drains

Found by reading: loop.go send started an upstream request that nothing but its client or its deadline could end before its last byte; the core told no one of a drain. core.go unsend now names the upstream requests that are out at hosts that drain, are gone, are missing in a whole list or are out by hand; the loop ends their wait, and one that has been written goes on.

Two were found that could not fail (an answer's end, the crossing's own proof) and are made to.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -207,6 +207,7 @@
 		}
 		c.version = m.Version
 		e = policy.Event{Kind: policy.WorkerList, Whole: m.Whole, Stale: m.Stale, Workers: c.list(m)}
+		c.unsend()
 	case ListLost:
 		e = policy.Event{Kind: policy.ListLost}
 	case Hand:
@@ -347,6 +348,20 @@
 	c.out = append(c.out, Send{Key: k, Addr: h.Addr, Until: until})
 }
 
+// unsend calls back what was decided for hosts that are to get nothing new, and may still wait for a connection: the
+// time within which a drain has to be obeyed counts for it too.
+func (c *Core) unsend() {
+	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
+		j := c.jobs[id]
+		for n := range j.attempts {
+			a := &j.attempts[n]
+			if h, ok := c.hosts[a.worker]; !a.ended && (!ok || c.worker(h).State != policy.Ready) {
+				c.out = append(c.out, Unsend{Key{id, j.base + n}})
+			}
+		}
+	}
+}
+
 // older is what counts of a list that is older than the newest one: that hosts drain or are gone, which is safe to
 // obey, and hosts that the newest did not know or that have started since. What it says else has been told otherwise
 // since: a host that drains is not ready again by it, and one that it lacks is not gone.
--- a/internal/dispatch/endings_test.go
+++ b/internal/dispatch/endings_test.go
@@ -76,3 +76,41 @@
 		}
 	}
 }
+
+// A client that leaves in the same Step in which its job would be sent, first or once more, is seen: nothing goes out.
+func TestLeavesAtTheDecision(t *testing.T) {
+	full := Ended{Key: Key{1, 0}, Result: policy.Full}
+	for name, batch := range map[string][]Message{"first": {arrival(1, 1), Left{Job: 1}}, "retry": {full, Left{Job: 1}},
+		"retry, told after": {Left{Job: 1}, full}} {
+		k := newCore(t, one, two)
+		if name != "first" {
+			k.Step(start, []Message{arrival(1, 1)})
+		}
+		out := k.Step(start+ms, batch)
+		if len(of[Send](out))+len(of[LocalReply](out)) > 0 || k.Open() > 0 {
+			t.Errorf("%s: %+v, %d open", name, out, k.Open())
+		}
+	}
+}
+
+// A send that is decided and may still wait for its connection is called back when its host drains, is gone, is missing in
+// a whole list or is taken out by hand; one at another host is not.
+func TestDrainCallsBack(t *testing.T) {
+	drains, gone := one, one
+	drains.State, gone.State = policy.Draining, policy.Gone
+	for name, c := range map[string]struct {
+		told Message
+		want int
+	}{
+		"drains": {Listed{Version: 8, Hosts: []Host{drains}}, 1}, "gone": {Listed{Version: 8, Hosts: []Host{gone}}, 1},
+		"missing": {Listed{Version: 8, Whole: true, Hosts: []Host{two}}, 1}, "by hand": {Hand{Ask: 1, Name: one.Name, Out: true}, 1},
+		"another":  {Listed{Version: 8, Hosts: []Host{{Name: two.Name, State: policy.Draining}}}, 0},
+		"the same": {Listed{Version: 8, Hosts: []Host{one}}, 0},
+	} {
+		k := newCore(t, one)
+		k.Step(start, []Message{arrival(1, 1)})
+		if got := of[Unsend](k.Step(start+ms, []Message{c.told})); len(got) != c.want || c.want > 0 && got[0].Key != (Key{1, 0}) {
+			t.Errorf("%s: %+v", name, got)
+		}
+	}
+}
--- a/internal/dispatch/hands.go
+++ b/internal/dispatch/hands.go
@@ -50,6 +50,7 @@
 		return
 	}
 	c.events = append(c.events, policy.Event{Kind: policy.WorkerList, Workers: []policy.Worker{c.worker(h)}})
+	c.unsend()
 }
 
 // isOut tells whether a host is out by hand.
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -133,6 +133,10 @@
 // CancelSend gives up an upstream request.
 type CancelSend struct{ Key }
 
+// Unsend gives up an upstream request whose last byte has not been written: its host is to get nothing new. One that has
+// been sent goes on.
+type Unsend struct{ Key }
+
 // LocalReply is the final answer to a job that no upstream host served. Refused promises that a repeat is
 // harmless, and only then may RetryAfter advise when to come back.
 type LocalReply struct {
@@ -171,6 +175,7 @@
 
 func (Send) command()       {}
 func (CancelSend) command() {}
+func (Unsend) command()     {}
 func (LocalReply) command() {}
 func (Probe) command()      {}
 func (Watch) command()      {}
--- a/internal/net/downstream/endings_test.go
+++ b/internal/net/downstream/endings_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -181,7 +182,8 @@
 				defer server.gate.mu.Unlock()
 				return len(server.gate.conns[idle]) == 1
 			}, nettest.Patience, time.Millisecond)
-			once := sync.OnceFunc(func() { end(server) })
+			var crossing atomic.Bool
+			once := sync.OnceFunc(func() { end(server); crossing.Store(true) })
 			crossed := func(n int) {
 				if n > 0 {
 					once()
@@ -194,7 +196,8 @@
 			c.SetReadDeadline(time.Now().Add(nettest.Patience))
 			_, err := c.Conn.Read(make([]byte, 1))
 			require.Error(t, err, "closed with no answer")
-			assert.False(t, errors.Is(err, context.DeadlineExceeded))
+			require.False(t, errors.Is(err, os.ErrDeadlineExceeded))
+			assert.True(t, crossing.Load())
 			fresh := nettest.Dial(t, addr) // a round trip later nothing has been sent on
 			fresh.Send("GET /up HTTP/1.1\r\nHost: h\r\n\r\n")
 			fresh.Answer()
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -104,17 +104,18 @@
 	hands   map[uint64]chan bool
 	idle    []chan struct{}
 	cancels map[dispatch.Key]context.CancelFunc
-	watch   context.CancelFunc // ends the watch that is on; nil: none is
-	watches uint64             // watches begun; the last one's number
-	moved   bool               // to a source that is not watched yet
-	renewed []dispatch.Message // for a core that took the place of one that panicked
+	unsends map[dispatch.Key]context.CancelFunc // of those that may not be written yet
+	watch   context.CancelFunc                  // ends the watch that is on; nil: none is
+	watches uint64                              // watches begun; the last one's number
+	moved   bool                                // to a source that is not watched yet
+	renewed []dispatch.Message                  // for a core that took the place of one that panicked
 }
 
 // New makes a loop round a core.
 func New(core *dispatch.Chain, set *settings.Settings, up Upstream, source cluster.Source, clock Clock) *Loop {
 	return &Loop{core: core, set: set, upstream: up, source: source, clock: clock,
 		queue: make(chan envelope, queueLen), urgent: make(chan envelope, urgentLen), hands: map[uint64]chan bool{}, ids: ids{until: map[string]time.Time{}}, stopped: make(chan struct{}),
-		asks: map[uint64]chan dispatch.Told{}, parked: map[uint64]*parked{}, tickets: map[uint64]*Ticket{}, cancels: map[dispatch.Key]context.CancelFunc{}}
+		asks: map[uint64]chan dispatch.Told{}, parked: map[uint64]*parked{}, tickets: map[uint64]*Ticket{}, cancels: map[dispatch.Key]context.CancelFunc{}, unsends: map[dispatch.Key]context.CancelFunc{}}
 }
 
 // Post puts a message in the queue.
@@ -375,6 +376,7 @@
 			delete(l.tickets, m.Job)
 		case dispatch.Ended:
 			delete(l.cancels, m.Key)
+			delete(l.unsends, m.Key)
 			if m.Result == policy.OK {
 				delete(l.tickets, m.Job)
 			}
@@ -441,6 +443,7 @@
 		l.watch = nil
 	}
 	clear(l.cancels)
+	clear(l.unsends)
 	for _, told := range l.asks { // the askers may ask again
 		told <- dispatch.Told{Status: waiting.StatusFull}
 	}
@@ -459,6 +462,10 @@
 		if cancel := l.cancels[c.Key]; cancel != nil {
 			cancel()
 		}
+	case dispatch.Unsend:
+		if unsend := l.unsends[c.Key]; unsend != nil {
+			unsend()
+		}
 	case dispatch.LocalReply:
 		if t := l.tickets[c.Job]; t != nil {
 			delete(l.tickets, c.Job)
@@ -516,12 +523,18 @@
 	if t == nil { // the core sends for open jobs only
 		panic(fmt.Sprintf("loop: a request for job %d, which is over", c.Job))
 	}
-	ctx, cancel := context.WithDeadline(ctx, l.clock.Time(c.Until))
-	l.cancels[c.Key] = cancel
 	q := t.Forward
-	q.Addr = c.Addr
+	ctx, cancel := context.WithDeadline(ctx, l.clock.Time(c.Until))
+	client := q.Client
+	if client == nil {
+		client = context.Background()
+	}
+	wanted, unsend := context.WithCancel(client) // ends with its client, or when its host is to get nothing new
+	l.cancels[c.Key], l.unsends[c.Key] = cancel, unsend
+	q.Addr, q.Client = c.Addr, wanted
 	l.spawn(func() {
 		defer cancel()
+		defer unsend()
 		l.upstream.Do(ctx, &q, &follower{l, t, c.Key})
 	}, dispatch.Ended{Key: c.Key, Result: policy.ConnectionLost}) // it may have run
 }
--- a/internal/net/upstream/endings_test.go
+++ b/internal/net/upstream/endings_test.go
@@ -247,21 +247,30 @@
 	p := pool(time.Minute)
 	p.end = time.Hour
 	ctx, cancel := context.WithCancel(t.Context())
-	h := &ender{newHeard(), cancel}
+	h := newHeard()
+	p.dial = func(_ context.Context, network, addr string) (net.Conn, error) {
+		nc, err := net.Dial(network, addr)
+		return &reads{nc, func() {
+			if len(h.ended) > 0 { // the read for the answer's end begins
+				cancel()
+			}
+		}}, err
+	}
 	ended := make(chan struct{})
 	go func() { defer close(ended); p.Do(ctx, request(host.Addr), h) }()
 	nettest.Wait(t, ended)
+	require.Error(t, ctx.Err(), "the crossing")
 	assert.Equal(t, policy.OK, h.result())
 	assert.Zero(t, p.held)
 }
 
-// ender ends a context as soon as the outcome is told.
-type ender struct {
-	*heard
-	end func()
+// reads is a connection that tells before each read.
+type reads struct {
+	net.Conn
+	before func()
 }
 
-func (e *ender) Ended(o Outcome) { e.heard.Ended(o); e.end() }
+func (r *reads) Read(b []byte) (int, error) { r.before(); return r.Conn.Read(b) }
 
 // An idle connection that is taken while others are retired, or evicted for room, is one or the other, and its place
 // comes back once.
--- a/internal/net/upstream/request.go
+++ b/internal/net/upstream/request.go
@@ -33,7 +33,7 @@
 	IdempotencyKey             string // by which hosts know a repeat of a keyed class; empty: none
 	Body                       []byte
 	Once                       bool            // it must not run twice
-	Client                     context.Context // ends when its client has left: nothing is sent then; nil: none waits
+	Client                     context.Context // ends when its client has left or its host drains: nothing is sent then; nil: never
 }
 
 // Report is a load report: values by name.
