Let the test of a link to nobody hear its reset in the dial as well

Cause: the link takes the connection, finds nobody behind it and resets it; where the reset comes before Dial has asked the kernel how its connect went, Dial itself returns it (link_test.go:131 took that for an error). Ruled out: the link, which does the same either way. The test is as strict: the reset is wanted from the dial or from the first read, and the link has to know of it.

--- a/internal/rig/link_test.go
+++ b/internal/rig/link_test.go
@@ -129,9 +129,10 @@
 	before := time.Now()
 	assert.False(t, l.Troubled(before))
 	c, err := net.Dial("tcp", l.Addr)
-	require.NoError(t, err)
-	defer c.Close()
-	_, err = c.Read(make([]byte, 1))
+	if err == nil { // else the reset came before the dial had looked how its connect went
+		defer c.Close()
+		_, err = c.Read(make([]byte, 1))
+	}
 	assert.ErrorIs(t, err, syscall.ECONNRESET)
 	assert.True(t, l.Troubled(before))
 }
