--- a/internal/dispatch/endings_test.go
+++ b/internal/dispatch/endings_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"gaugeslip/internal/waiting"
 	"gaugeslip/policy"
 )
 
@@ -114,3 +115,27 @@
 		}
 	}
 }
+
+// A waiting job that is before the module as the program ends: what the core refuses then, the room does not hold once
+// more. The host's one lane is taken, so that the job is held and not out.
+func TestClosingWithWaitingJob(t *testing.T) {
+	core := newCore(t, one)
+	chain := NewChain(core, Gates{Waiting: NewWaitingGate(waiting.Defaults(), core.cfg)})
+	long, waits := arrival(1, 0), arrival(2, 0)
+	long.Size, long.Name, long.Client = 1500*ms, "a", "c"
+	waits.Name, waits.Client, waits.Wait = "b", "c", &Wait{NotBefore: 5 * ms}
+	chain.Step(start, []Message{long})
+	chain.Step(start+ms, []Message{waits})
+	chain.Step(start+10*ms, nil)
+	if core.Open() != 2 {
+		t.Fatalf("%d before the module", core.Open())
+	}
+	chain.Step(start+20*ms, []Message{Closing{By: start + 500*ms}})
+	got := of[LocalReply](chain.Step(start+500*ms, nil))
+	if len(got) != 2 || !got[0].Refused || !got[1].Refused {
+		t.Errorf("answered %+v", got)
+	}
+	if out := chain.Step(start+4*time.Second, nil); len(of[Send](out))+len(of[LocalReply](out)) > 0 {
+		t.Errorf("after that %+v", out)
+	}
+}
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -78,8 +78,7 @@
 			continue
 		case Closing:
 			g.room.Close(now, m.By)
-			g.carry(now, p)
-			continue
+			g.carry(now, p) // and the core answers what is before it
 		case Tuned:
 			g.lim = m.Waiting
 			g.room.SetLimits(m.Waiting)
--- a/internal/net/loop/endings_test.go
+++ b/internal/net/loop/endings_test.go
@@ -1,6 +1,7 @@
 package loop
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -32,3 +33,17 @@
 	next.end <- upstream.Outcome{Result: policy.OK, Body: []byte("r")}
 	assert.True(t, nettest.Wait(t, k.Answer()).Served)
 }
+
+// Discovery goes down and comes back with a drain at once: nothing is sent to that host, whether its news come while the
+// module still waits to ask or on the new watch.
+func TestDrainAtDiscoverysReturn(t *testing.T) {
+	l, s := run(t)
+	assert.Equal(t, uint64(5), nettest.Wait(t, s.watches))
+	s.breaks <- errors.New("down")
+	assert.Equal(t, uint64(5), nettest.Wait(t, s.watches), "it asks again")
+	drains := host
+	drains.State = policy.Draining
+	l.Post(dispatch.Listed{Version: 6, Hosts: []dispatch.Host{drains}})
+	assert.True(t, nettest.Wait(t, submit(t, l, 1, 15*time.Second).Answer()).Refused)
+	assert.Empty(t, s.sends)
+}
