See a leave behind more than is put aside, and count on processes what is sent for nobody

Need: a request whose client left while it waited is not sent on 0.3 s later. Two lines of docs/design/endings.md were open.

- gate.go watch: with 16 KiB of early bytes put aside it gave net/http a byte, which then looked no further: a client that had sent more and left was not seen.
The end is now looked for behind what nobody reads (poll's RDHUP, asked each time that something comes); nothing is read for it, and what stays is served as before. golang.org/x/sys was there indirectly.
- A client that leaves while a full queue keeps its handler: sound, by the request's own context; TestLeavesBeforeTheQueue holds the loop back until it has left.
- A handover in the middle of requests: sound; TestHandoverCrossesRequests holds one read, one half read, one resting.

Seen to fail: without the poll TestLeaveIsSeenBehindMore; without Request.Client TestLeavesBeforeTheQueue (2 calls for 1).

Two tests could fail by chance: TestCloseCrossesRequest set its proof after the close that its client sees (once in 1 run under -race), now before; TestLeaveIsSeenBehindMore used a host that answers, so t1 could be served before the leave was read and t2 come in behind it (once in 20); its host now holds what it gets, so only the leave can end it. Both as strict.

--- a/internal/net/downstream/endings_test.go
+++ b/internal/net/downstream/endings_test.go
@@ -34,10 +34,11 @@
 // further than one byte. Held is what is open; only a leave can end what this host holds.
 func TestLeaveIsSeenBehindMore(t *testing.T) {
 	for name, more := range map[string]string{"a line": "\r\n", "a second request": "POST /plot-load/x HTTP/1.1\r\nHost: h\r\n" +
-		"X-Trace-Id: t2\r\nContent-Length: 0\r\n\r\n", "much": strings.Repeat("x", maxAhead-1)} {
+		"X-Trace-Id: t2\r\nContent-Length: 0\r\n\r\n", "much": strings.Repeat("x", maxAhead-1),
+		"more than is put aside": strings.Repeat("x", 2*maxAhead)} {
 		t.Run(name, func(t *testing.T) {
 			var leave func()
-			addr, host, _, _ := dispatcherWith(t, 0, serve, nil, func(s *Server) {
+			addr, host, _, _ := dispatcherWith(t, 0, patient, nil, func(s *Server) {
 				s.held = func(point string, r *http.Request) {
 					if point == "reading" { // before the job is before the loop
 						leave()
@@ -59,16 +60,43 @@
 			}
 		})
 	}
-	t.Run("while it is out", func(t *testing.T) {
-		addr, host, _, _ := dispatcher(t, 0, patient)
-		c := nettest.Dial(t, addr)
-		c.Post("/harvest-sale/x", "t1", "", "")
-		nettest.Wait(t, host.Calls)
-		c.Post("/harvest-sale/x", "t2", "", "")
-		c.Conn.Close()
-		require.Eventually(t, func() bool { return running.Held() == 0 }, nettest.Patience, time.Millisecond)
-		assert.Empty(t, host.Calls, "a request that came too early and whose client left is not sent on")
+	for name, more := range map[string]string{"while it is out": "", "more than is put aside, while it is out": strings.Repeat("x", 2*maxAhead)} {
+		t.Run(name, func(t *testing.T) {
+			addr, host, _, _ := dispatcher(t, 0, patient)
+			c := nettest.Dial(t, addr)
+			c.Post("/harvest-sale/x", "t1", "", "")
+			nettest.Wait(t, host.Calls)
+			c.Post("/harvest-sale/x", "t2", "", more)
+			c.Conn.Close()
+			require.Eventually(t, func() bool { return running.Held() == 0 }, nettest.Patience, time.Millisecond)
+			assert.Empty(t, host.Calls, "a request that came too early and whose client left is not sent on")
+		})
+	}
+}
+
+// A client that has sent much more than its request, which nobody reads for now, and stays: it is not taken for one that
+// left, has its answer, and is served what it sent.
+func TestStaysBehindMore(t *testing.T) {
+	release := make(chan struct{})
+	addr, host, _, _ := dispatcher(t, 0, func(c *nettest.Call) {
+		if c.Text == "a" {
+			<-release
+		}
+		serve(c)
 	})
+	c := nettest.Dial(t, addr)
+	c.Post("/harvest-sale/x", "t1", "", "a")
+	nettest.Wait(t, host.Calls)
+	c.Post("/harvest-sale/x", "t2", "", strings.Repeat("b", 2*maxAhead)) // what is put aside is full
+	require.Never(t, func() bool { return running.Held() == 0 }, 200*time.Millisecond, 10*time.Millisecond)
+	c.Post("/harvest-sale/x", "t3", "", "c") // it is woken, and there is still no end
+	require.Never(t, func() bool { return running.Held() == 0 }, 200*time.Millisecond, 10*time.Millisecond)
+	close(release)
+	for _, want := range []string{"a", strings.Repeat("b", 2*maxAhead), "c"} {
+		resp, got := c.Answer()
+		assert.Equal(t, 200, resp.StatusCode)
+		assert.Equal(t, want, got)
+	}
 }
 
 // What a client sends too early, and stays, is its next request.
@@ -183,7 +211,7 @@
 				return len(server.gate.conns[idle]) == 1
 			}, nettest.Patience, time.Millisecond)
 			var crossing atomic.Bool
-			once := sync.OnceFunc(func() { end(server); crossing.Store(true) })
+			once := sync.OnceFunc(func() { crossing.Store(true); end(server) }) // its client may see the end at once
 			crossed := func(n int) {
 				if n > 0 {
 					once()
@@ -381,3 +409,68 @@
 	}
 	assert.Empty(t, host.Calls)
 }
+
+// A successor serves on the inherited socket just as one request has been read, another is half there and a connection
+// rests: the first two are answered here, the third is closed, and who comes now waits in the queue for the successor.
+func TestHandoverCrossesRequests(t *testing.T) {
+	l := &slowListener{go_: make(chan struct{}), ended: make(chan struct{})}
+	close(l.go_)
+	read, release := make(chan struct{}, 9), make(chan struct{})
+	var server *Server
+	var successor net.Listener
+	addr, host, stop, ended := dispatcherWith(t, 0, serve, nil, func(s *Server) {
+		server, s.cfg.Inherited = s, 1
+		l.TCPListener, s.gate.Listener = s.gate.Listener.(*net.TCPListener), l
+		f, err := l.File()
+		require.NoError(t, err)
+		defer f.Close()
+		successor, err = net.FileListener(f)
+		require.NoError(t, err)
+		s.held = func(point string, r *http.Request) {
+			if point == "reading" && r.Method == http.MethodPost {
+				read <- struct{}{}
+				<-release
+			}
+		}
+	})
+	defer successor.Close()
+	rests := nettest.Dial(t, addr)
+	rests.Send("GET /up HTTP/1.1\r\nHost: h\r\n\r\n")
+	rests.Answer()
+	half := nettest.Dial(t, addr)
+	half.Send("POST /harvest-sale/x HTTP/1.1\r\nHost: h\r\nX-Trace-Id: t2\r\n")
+	require.Eventually(t, func() bool { // the half is read
+		server.gate.mu.Lock()
+		defer server.gate.mu.Unlock()
+		for c := range server.gate.conns[unread] {
+			if c.head.begun() {
+				return len(server.gate.conns[idle]) == 1
+			}
+		}
+		return false
+	}, nettest.Patience, time.Millisecond)
+	taken := nettest.Dial(t, addr)
+	taken.Post("/harvest-sale/x", "t1", "", "x")
+	nettest.Wait(t, read)
+	server.Handover()
+	rests.Closed()
+	nettest.Wait(t, l.ended)
+	fresh := nettest.Dial(t, addr)
+	fresh.Post("/harvest-sale/x", "t3", "", "x")
+	successor.(*net.TCPListener).SetDeadline(time.Now().Add(nettest.Patience))
+	nc, err := successor.Accept()
+	require.NoError(t, err)
+	defer nc.Close()
+	assert.Equal(t, fresh.LocalAddr().String(), nc.RemoteAddr().String())
+	half.Send("Content-Length: 1\r\n\r\nx")
+	nettest.Wait(t, read)
+	close(release)
+	for _, c := range []*nettest.Client{taken, half} {
+		resp, _ := c.Answer()
+		assert.Equal(t, 200, resp.StatusCode)
+		assert.True(t, resp.Close, "the next goes to the successor")
+	}
+	assert.Len(t, host.Calls, 2)
+	stop()
+	nettest.Wait(t, ended)
+}
--- a/internal/net/downstream/gate.go
+++ b/internal/net/downstream/gate.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -13,6 +14,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // phase says what a connection is doing, in the order in which connections have to make room for new ones.
@@ -86,7 +89,8 @@
 
 // watch is the read with which net/http waits for its client to leave while a request is owed its answer: of one byte,
 // where all others have room for many. With that byte net/http would stop to look, though a client that has sent more
-// may leave as well; so what comes is put aside, up to maxAhead, and only the end of the connection ends the read.
+// may leave as well; so what comes is put aside, up to maxAhead, and only the end of the connection ends the read. What
+// comes beyond stays with the system, and the end is looked for behind it.
 func (c *client) watch(b []byte) (int, error) {
 	for more := [512]byte{}; len(c.ahead) < maxAhead; {
 		n, err := c.Conn.Read(more[:min(len(more), maxAhead-len(c.ahead))])
@@ -94,12 +98,39 @@
 			return 0, err
 		}
 	}
+	if err := hungUp(c.Conn); err != nil {
+		return 0, err
+	}
 	n := copy(b, c.ahead)
 	c.ahead = c.ahead[n:]
 	c.keep(b[:n])
 	return n, nil
 }
 
+// hungUp waits for the other side to end its sending, behind whatever it has sent that nobody has read. An error says
+// that it has, or that the wait was called off; nil that nothing can be told here.
+func hungUp(nc net.Conn) error {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return err
+	}
+	ended := false
+	err = raw.Read(func(fd uintptr) bool { // asked again each time that something comes, the end too
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		_, err := unix.Poll(p, 0)
+		ended = err == nil && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+		return ended || err != nil && err != unix.EINTR
+	})
+	if err == nil && ended {
+		err = io.EOF
+	}
+	return err
+}
+
 // owed tells whether a request of this connection is being read or answered.
 func (c *client) owed() bool {
 	c.gate.mu.Lock()
--- a/internal/net/loop/endings_test.go
+++ b/internal/net/loop/endings_test.go
@@ -1,7 +1,9 @@
 package loop
 
 import (
+	"context"
 	"errors"
+	"fmt"
 	"testing"
 	"time"
 
@@ -47,3 +49,48 @@
 	assert.True(t, nettest.Wait(t, submit(t, l, 1, 15*time.Second).Answer()).Refused)
 	assert.Empty(t, s.sends)
 }
+
+// A client leaves while a full queue still keeps its handler, which can't tell the loop: the loop decides to send its job,
+// and yet nothing goes out. The loop is held back until the client has left; what came behind the job is served.
+func TestLeavesBeforeTheQueue(t *testing.T) {
+	peer := nettest.Listen(t, func(c *nettest.Call) {
+		c.Say(nettest.Chunked(`{"id":"` + c.Header.Get("X-Trace-Id") + `","state":"done","result":"r"}`))
+	})
+	set := nettest.Settings(t)
+	core, err := dispatch.New(set.Policy, 1)
+	require.NoError(t, err)
+	s := &side{make(chan *sent, 9), make(chan uint64, 9), make(chan error)}
+	pool := upstream.NewPool(upstream.Config{ConnectTimeout: time.Second, ConnIdle: time.Minute, Settle: time.Millisecond, MaxConns: 9})
+	l := New(dispatch.NewChain(core, dispatch.Gates{}), set, pool, s, NewClock())
+	at := host
+	at.Addr = peer.Addr
+	l.Post(dispatch.Listed{Version: 5, Whole: true, Stale: true, Hosts: []dispatch.Host{at}})
+	for len(l.queue) < queueLen {
+		l.Post(dispatch.Unasked{})
+	}
+	client, leave := context.WithCancel(t.Context())
+	left, stays := &Ticket{}, &Ticket{}
+	in := make(chan error, 2)
+	for i, k := range []*Ticket{left, stays} {
+		k.Arrived, k.Job = time.Now(), dispatch.Arrived{Class: 1, Tenant: -1, Budget: 15 * time.Second, Size: 100 * time.Millisecond, Slots: 1}
+		k.Forward = upstream.Request{Method: "POST", URI: "/harvest-sale/x", Host: "h", TraceID: fmt.Sprint("t", i), Once: true}
+		if k == left {
+			k.Forward.Client = client
+		}
+		go func() { in <- l.Submit(k) }()
+		require.Eventually(t, func() bool { return l.Held() == int64(i+1) }, nettest.Patience, time.Millisecond)
+	}
+	leave()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	require.NoError(t, nettest.Wait(t, in))
+	require.NoError(t, nettest.Wait(t, in))
+	assert.True(t, nettest.Wait(t, stays.Answer()).Served)
+	assert.False(t, nettest.Wait(t, left.Answer()).Served, "its handler has not said yet that it left")
+	l.Release(left, true)
+	cancel()
+	assert.NoError(t, nettest.Wait(t, ended))
+	require.Len(t, peer.Calls, 1)
+	assert.Equal(t, "t1", (<-peer.Calls).Header.Get("X-Trace-Id"))
+}
--- a/internal/rig/front.go
+++ b/internal/rig/front.go
@@ -221,9 +221,9 @@
 	if left <= 0 {
 		return 0, 0
 	}
-	listen := left
-	if !early {
-		listen += answerGrace
+	listen, said := left+answerGrace, left
+	if early { // nobody was told that it would
+		listen, said = left, o.first+o.patience-f.now()
 	}
 	inner, cancel := context.WithTimeout(ctx, listen)
 	defer cancel()
@@ -238,7 +238,7 @@
 		req.Header.Set("X-Object", strconv.Itoa(o.number))
 	}
 	req.Header.Set("X-Size-Hint", strconv.FormatInt(o.hint.Microseconds(), 10))
-	req.Header.Set("X-Expires-In-Ms", strconv.FormatInt(max(1, left.Milliseconds()), 10))
+	req.Header.Set("X-Expires-In-Ms", strconv.FormatInt(max(1, said.Milliseconds()), 10))
 	if o.tenant >= 0 {
 		req.Header.Set("X-Customer", f.sc.Tenants[o.tenant].Name)
 	}
--- a/internal/rig/record.go
+++ b/internal/rig/record.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math"
 	"slices"
@@ -49,7 +50,8 @@
 	order  *order
 	node   int
 	number uint64
-	left   bool // its client waits no longer
+	left   bool          // its client waits no longer
+	gave   time.Duration // when it gave up of its own wish, while no host had the job; 0: it did not
 	at     time.Duration
 	taken  bool // it has come to a host
 }
@@ -186,10 +188,14 @@
 func (r *recorder) gaveUp(id string, t *try) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	at := r.now()
 	t.left = true
-	r.rep.GaveUp++
-	r.check.See(check.Event{Kind: check.Left, At: r.now(), Job: t.number})
-	r.line(Seen{At: r.now().Seconds(), What: "left", Job: id, Order: t.order.number, Node: t.node, Host: -1})
+	if r.rep.GaveUp++; !t.taken {
+		t.gave = at
+		r.rep.LeftWaiting++
+	}
+	r.check.See(check.Event{Kind: check.Left, At: at, Job: t.number})
+	r.line(Seen{At: at.Seconds(), What: "left", Job: id, Order: t.order.number, Node: t.node, Host: -1})
 }
 
 // use books a use of what the fleet has only so much of. The lock is held.
@@ -235,10 +241,13 @@
 	switch o := t.order; s.Kind {
 	case emulator.Took:
 		r.rep.Sends++
-		if o.tenant >= 0 && !t.taken {
-			t.taken = true
+		if !t.taken && o.tenant >= 0 {
 			r.paid = append(r.paid, paid{t.at, o.tenant})
 		}
+		if !t.taken && t.gave > 0 && at > t.gave+leaveSeen {
+			r.rep.SentForNobody++
+		}
+		t.taken = true
 		r.use("sends", s.Host, at)
 		if s.Verdict == fleet.Full {
 			r.rep.Turned++
@@ -261,6 +270,19 @@
 	}
 }
 
+// leaveSeen is how long after a client's leave its job may still come to a host for the first time.
+const leaveSeen = 300 * time.Millisecond
+
+// forNobody says where too many jobs went on to hosts after their clients had left: over a fiftieth of those that waited
+// then, and five at least. The operators' own bound is a quarter; a dispatcher that sees no leave at all came to 0.044 here,
+// as it holds few jobs for that long. A few are the fault of a process that stands still or of a link that is late.
+func (r *Report) forNobody() (breach string) {
+	if n := r.SentForNobody; n >= 5 && 50*n > r.LeftWaiting {
+		return fmt.Sprintf("of %d jobs whose clients left while they waited, %d were sent on over %v later", r.LeftWaiting, n, leaveSeen)
+	}
+	return ""
+}
+
 // finish ends the day and gives the report.
 func (r *recorder) finish(length time.Duration, capacity float64) *Report {
 	r.mu.Lock()
@@ -288,6 +310,9 @@
 	for _, b := range r.check.Breaches() {
 		rep.Breaches = append(rep.Breaches, b.String())
 	}
+	if b := rep.forNobody(); b != "" {
+		rep.Breaches = append(rep.Breaches, b)
+	}
 	return rep
 }
 
--- a/internal/rig/report.go
+++ b/internal/rig/report.go
@@ -43,12 +43,14 @@
 	Refused       int      `json:"refused"`
 	Failed        int      `json:"failed"`
 	GaveUp        int      `json:"gave_up"`
-	Followed      int      `json:"followed"`  // tries of clients that came when they were told to
-	Kept          int      `json:"kept"`      // of these, served
-	Unreached     int      `json:"unreached"` // no dispatcher was taken in
-	Excused       int      `json:"excused"`   // unanswered, and something was done to the dispatcher or the way there
-	Lost          int      `json:"lost"`      // unanswered otherwise
-	Sends         int      `json:"sends"`     // that came to hosts
+	LeftWaiting   int      `json:"left_waiting"`    // of these, before any host had their jobs
+	SentForNobody int      `json:"sent_for_nobody"` // of those, sent on over leaveSeen later
+	Followed      int      `json:"followed"`        // tries of clients that came when they were told to
+	Kept          int      `json:"kept"`            // of these, served
+	Unreached     int      `json:"unreached"`       // no dispatcher was taken in
+	Excused       int      `json:"excused"`         // unanswered, and something was done to the dispatcher or the way there
+	Lost          int      `json:"lost"`            // unanswered otherwise
+	Sends         int      `json:"sends"`           // that came to hosts
 	Turned        int      `json:"turned_away"`
 	TriesAJob     float64  `json:"tries_a_job"` // sends to hosts for each job
 	ProbesASecond float64  `json:"probes_a_second"`
@@ -77,6 +79,9 @@
 		r.ProbesASecond, r.Work.Handshakes, r.Fallen)
 	fmt.Fprintf(w, "  of what they could do: %.3f in time, %.3f late, %.3f abandoned, %.3f repeated\n", r.Work.InTime, r.Work.Late,
 		r.Work.Abandoned, r.Work.Repeated)
+	if r.LeftWaiting > 0 {
+		fmt.Fprintf(w, "  %d clients left while their jobs waited, %d of these were sent on later\n", r.LeftWaiting, r.SentForNobody)
+	}
 	if r.Followed > 0 {
 		fmt.Fprintf(w, "  %d tries came when they were told to, %.2f of them were served\n", r.Followed, float64(r.Kept)/float64(r.Followed))
 	}
--- a/internal/rig/rig_test.go
+++ b/internal/rig/rig_test.go
@@ -19,6 +19,7 @@
 
 	"gaugeslip/internal/check"
 	"gaugeslip/internal/emulator"
+	"gaugeslip/internal/scenario"
 )
 
 const shortDays = "../../scenarios/processes/short.hcl"
@@ -66,6 +67,43 @@
 	}
 }
 
+// What goes on for clients that have left is counted: a few are let pass, over a quarter of those that waited are not.
+func TestSentForNobody(t *testing.T) {
+	all, err := Load(shortDays)
+	require.NoError(t, err)
+	for name, c := range map[string]struct {
+		late, inTime, never int
+		broken              bool
+	}{"over a fiftieth": {5, 244, 0, true}, "a fiftieth": {5, 245, 0, false}, "few": {4, 0, 0, false}, "never sent on": {5, 0, 245, false}} {
+		var now time.Duration
+		r := newRecorder(all[0], func() time.Duration { return now }, nil)
+		first := &order{class: &scenario.Class{}, tenant: -1}
+		send := func(id string, at time.Duration) {
+			now = at
+			r.saw(emulator.Sight{Kind: emulator.Took, Job: id}, 0)
+		}
+		out := r.taken("out", first, 0, time.Minute)
+		send("out", 0)
+		now = time.Second
+		r.gaveUp("out", out)
+		n := c.late + c.inTime + c.never
+		for i := range n {
+			id := fmt.Sprint(i)
+			r.gaveUp(id, r.taken(id, first, 0, time.Minute))
+		}
+		for i := range c.inTime {
+			send(fmt.Sprint(i), time.Second+leaveSeen)
+		}
+		for i := range c.late {
+			send(fmt.Sprint(c.inTime+i), time.Second+leaveSeen+time.Millisecond)
+		}
+		send("out", 2*time.Second) // a second send of one that had been out is another matter
+		rep := r.finish(5*time.Second, 1)
+		assert.Equal(t, []int{n + 1, n, c.late}, []int{rep.GaveUp, rep.LeftWaiting, rep.SentForNobody}, name)
+		assert.Equal(t, c.broken, len(rep.Breaches) > 0, "%s: %q", name, rep.Breaches)
+	}
+}
+
 // A day that is broken off leaves neither a process nor a file.
 func TestBrokenOff(t *testing.T) {
 	tmp := t.TempDir()
--- a/scenarios/processes/short.hcl
+++ b/scenarios/processes/short.hcl
@@ -305,3 +305,27 @@
     service = 0.05
   }
 }
+
+processes "short-leaves" {
+  about       = "Half of the clients leave early, at a load at which jobs wait, and connections to hosts come up late: nothing goes on for nobody."
+  length      = "5s"
+  load        = 3
+  dispatchers = 4
+  rooms       = 1
+
+  clients {
+    retries    = 1
+    after      = "now"
+    hint_sigma = 0.3
+    early      = 0.5
+  }
+
+  trouble "delay" {
+    at          = "1s"
+    for         = "3s"
+    path        = "host"
+    delay       = "100ms"
+    jitter      = "100ms"
+    dispatchers = 0.5
+  }
+}
