Take a host that a whole older list lacks for gone, and go on from what was told last

Where a discovery begins its versions anew, a host that it no longer names stayed in use for good, and changes between were missed.

Now a whole older list takes such hosts away, a host that was only new comes back with the changes that follow, and a watch begins after the last version told (Heard). What drains is still not ready again by an older list.

Tests: TestDiscoveryBeginsAnew on sockets, with a scripted discovery: without the change a job goes to the host that is gone.

--- a/internal/dispatch/chain.go
+++ b/internal/dispatch/chain.go
@@ -131,6 +131,9 @@
 // Version is that of the newest list taken in.
 func (c *Chain) Version() uint64 { return c.core.Version() }
 
+// Heard is the version that a watch begins after.
+func (c *Chain) Heard() uint64 { return c.core.Heard() }
+
 // Renew makes a Chain for when a panic has left this one in doubt, and the list to begin it with. Gates go on with what
 // is theirs alone where the panic was in the module; keeps tells which jobs that are. After one in a gate nothing
 // of it is trusted.
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -48,7 +48,8 @@
 	over        []uint64                 // jobs that may leave the table when the Step is over
 	alarms      []alarm
 	closeAt     time.Duration // when all that is open is answered, as the program ends; 0: it does not
-	version     uint64
+	version     uint64        // of the newest list
+	heard       uint64        // of the last one, from which a watch goes on
 	events      []policy.Event
 	actions     []policy.Action
 	out         []Command
@@ -84,6 +85,10 @@
 // Version is that of the newest list taken in.
 func (c *Core) Version() uint64 { return c.version }
 
+// Heard is the version of the last list taken in, which is what a watch begins after: it is lower than Version where the
+// cluster has told an older list since.
+func (c *Core) Heard() uint64 { return c.heard }
+
 // Step takes in what happened up to now and returns what to do, in order. The result is valid until the
 // next Step.
 func (c *Core) Step(now time.Duration, in []Message) []Command {
@@ -202,7 +207,7 @@
 		e = policy.Event{Kind: policy.ProbeEnded, Worker: m.Worker, Result: m.Result, Took: m.Took}
 		e.HasLoad, e.Load = load(m.Load)
 	case Listed:
-		if m.Version < c.version {
+		if c.heard = m.Version; m.Version < c.version {
 			m = c.older(m)
 		}
 		c.version = m.Version
@@ -315,7 +320,7 @@
 	case policy.Timer:
 		c.alarms = append(c.alarms, alarm{now + a.After, a.Timer})
 	case policy.Watch:
-		c.out = append(c.out, Watch{c.version})
+		c.out = append(c.out, Watch{c.heard})
 	case policy.Log:
 		c.out = append(c.out, Log{Text: a.Text})
 	default:
@@ -362,14 +367,23 @@
 	}
 }
 
-// older is what counts of a list that is older than the newest one: that hosts drain or are gone, which is safe to
-// obey, and hosts that the newest did not know or that have started since. What it says else has been told otherwise
-// since: a host that drains is not ready again by it, and one that it lacks is not gone.
+// older is what counts of a list that is older than the newest one: that hosts drain or are gone, of a whole one by being
+// missing too, and hosts that the newest did not know or that have started since. What it says else has been told otherwise
+// since: a host that drains is not ready again by it. A host that is missing only as it was new then comes again with the
+// changes that follow.
 func (c *Core) older(m Listed) Listed {
 	l := Listed{Version: c.version}
+	told := map[uint32]bool{}
 	for _, h := range m.Hosts {
-		old, known := c.hosts[WorkerID(h.Name)]
-		if !known || h.State != policy.Ready || h.Born > old.Born {
+		id := WorkerID(h.Name)
+		old, known := c.hosts[id]
+		if told[id] = true; !known || h.State != policy.Ready || h.Born > old.Born {
+			l.Hosts = append(l.Hosts, h)
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(c.hosts)) {
+		if h := c.hosts[id]; m.Whole && !told[id] {
+			h.State = policy.Gone
 			l.Hosts = append(l.Hosts, h)
 		}
 	}
--- a/internal/net/loop/endings_test.go
+++ b/internal/net/loop/endings_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/net/cluster"
 	"gaugeslip/internal/net/nettest"
 	"gaugeslip/internal/net/upstream"
 	"gaugeslip/policy"
@@ -94,3 +95,56 @@
 	require.Len(t, peer.Calls, 1)
 	assert.Equal(t, "t1", (<-peer.Calls).Header.Get("X-Trace-Id"))
 }
+
+// Discovery comes back having begun its versions anew, with a host gone that it does not name: nothing more is sent there,
+// and the next watch goes on from the version that it told, not from one that it has yet to reach.
+func TestDiscoveryBeginsAnew(t *testing.T) {
+	entry := func(id string) string {
+		return fmt.Sprintf(`{"host":"s-%s","dial":"127.0.0.1:1%s","health":"in_service","share":1}`, id, id[6:])
+	}
+	next := make(chan string) // the list that a watch tells; empty: it ends
+	discovery := nettest.Listen(t, func(c *nettest.Call) {
+		c.Say(nettest.Chunks())
+		for text := range next {
+			if text == "" {
+				c.Conn.Close()
+				return
+			}
+			c.Say(nettest.Chunk(text))
+		}
+	})
+	t.Cleanup(func() { close(next) })
+	set := nettest.Settings(t)
+	core, err := dispatch.New(set.Policy, 1)
+	require.NoError(t, err)
+	s := &side{make(chan *sent, 9), nil, nil}
+	l := New(dispatch.NewChain(core, dispatch.Gates{}), set, s, &cluster.Discovery{Addr: discovery.Addr, Stall: time.Minute, Settings: set}, NewClock())
+	l.Post(dispatch.Listed{Version: 41, Whole: true, Stale: true, Hosts: []dispatch.Host{{Name: "s-0000000a", Addr: "127.0.0.1:10a", Scale: 1}}})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	defer func() {
+		cancel()
+		assert.NoError(t, nettest.Wait(t, ended))
+	}()
+	assert.Equal(t, "41", nettest.Wait(t, discovery.Calls).URL.Query().Get("index"))
+	next <- ""
+	assert.Equal(t, "41", nettest.Wait(t, discovery.Calls).URL.Query().Get("index"))
+	next <- `{"seq":3,"whole":true,"hosts":[` + entry("0000000b") + `]}`
+	next <- ""
+	assert.Equal(t, "3", nettest.Wait(t, discovery.Calls).URL.Query().Get("index"))
+	next <- `{"seq":4,"whole":false,"hosts":[` + entry("0000000c") + `]}`
+	next <- ""
+	assert.Equal(t, "4", nettest.Wait(t, discovery.Calls).URL.Query().Get("index"))
+	for range 2 { // a host has one lane
+		k := submit(t, l, 0, 15*time.Second)
+		x := nettest.Wait(t, s.sends)
+		assert.Contains(t, []string{"127.0.0.1:10b", "127.0.0.1:10c"}, x.Addr)
+		defer func() {
+			x.end <- upstream.Outcome{Result: policy.OK}
+			assert.True(t, nettest.Wait(t, k.Answer()).Served)
+		}()
+	}
+	k := submit(t, l, 0, 10*time.Millisecond)
+	assert.True(t, nettest.Wait(t, k.Answer()).Refused, "the one that is left has gone")
+}
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -292,7 +292,7 @@
 		}
 		l.tellIdle()
 		if l.moved { // not before the step: what the old source told last counts
-			l.startWatch(ctx, dispatch.Watch{Version: l.core.Version()})
+			l.startWatch(ctx, dispatch.Watch{Version: l.core.Heard()})
 		}
 		if l.renewed != nil {
 			timer.Reset(0)
