Follow pushed lists from the start on, whether or not the module asks

On sockets nobody opened a watch then at all: the dispatcher lived on the list of its configuration.

Change: where lists are pushed the loop begins a watch after its first Step, and after a panic; cluster.Pushed keeps one open: again at once when one broke that had told something, else after 25 ms, doubling to a quarter of the drain's grace, with jitter. The pace of starts is for lists that are asked for.

--- a/cmd/gaugeslip/endings_test.go
+++ b/cmd/gaugeslip/endings_test.go
@@ -68,6 +68,53 @@
 	require.NoError(t, cmd.Wait(), log)
 }
 
+// Where lists are pushed a dispatcher follows them from its start on, though its module asks for none, and again at once when
+// they break: what the service has counts as told whether or not a watch is open.
+func TestPushedLists(t *testing.T) {
+	answer := func(c *nettest.Call) {
+		c.Say(nettest.Chunked(`{"id":"` + c.Header.Get("X-Trace-Id") + `","state":"done","result":"r"}`))
+	}
+	a, b := nettest.Listen(t, answer), nettest.Listen(t, answer)
+	lists := make(chan string, 1)
+	discovery := nettest.Listen(t, func(c *nettest.Call) { c.Say(nettest.Chunks(<-lists)) })
+	t.Cleanup(func() { close(lists) })
+	at := func(health ...string) []string {
+		return []string{entry("s-0000000a", a.Addr, health[0], 0), entry("s-0000000b", b.Addr, health[1], 0)}
+	}
+	settings := strings.Replace(nettest.SettingsJSON, `"registry-mode":"ask"`, `"registry-mode":"push"`, 1)
+	addr, _, _ := programWith(t, settings, list(1, true, at("in_service", "in_service")...), discovery.Addr)
+	for i, health := range [][]string{{"terminating", "in_service"}, {"in_service", "terminated"}, {"terminated", "in_service"}} {
+		assert.Equal(t, []string{"1", "2", "3"}[i], nettest.Wait(t, discovery.Calls).URL.Query().Get("index"))
+		host, other := a, b
+		if health[1] == "in_service" {
+			host, other = b, a
+		}
+		hosts := at(health...)
+		for h := range hosts { // what drained has started anew
+			hosts[h] = strings.Replace(hosts[h], `"born_ms":0`, fmt.Sprintf(`"born_ms":%d`, i), 1)
+		}
+		lists <- list(i+2, i%2 == 0, hosts...)
+		n := 0
+		goesTo := func() (calls [2]int) { // where the next job goes
+			c := nettest.Dial(t, addr)
+			c.Post("/harvest-sale/7", fmt.Sprint("t", i, "-", n), "", "x")
+			c.Answer()
+			n++
+			for i, p := range []*nettest.Peer{host, other} {
+				for ; len(p.Calls) > 0; calls[i]++ {
+					<-p.Calls
+				}
+			}
+			return calls
+		}
+		require.Eventually(t, func() bool { return goesTo() == [2]int{1, 0} }, nettest.Patience, time.Millisecond, "it hears of it")
+		for range 5 {
+			assert.Equal(t, [2]int{1, 0}, goesTo(), "nothing goes to what drains or is gone")
+		}
+		discovery.Hangup()
+	}
+}
+
 // Nothing in the program, the module or the deploy file is fitted to one deployment: neither the names of those that it
 // is tried on stand there, nor the figures by which they can be told.
 func TestFittedToNoDeployment(t *testing.T) {
@@ -82,7 +129,7 @@
 		}
 	}
 	names := regexp.MustCompile(`(?i)addis|zarqa|plot.?load|harvest|bole|kazanchis|piassa|russeifa|hashemiya|small.?box|wide.?box|` +
-		`status.?check|renewal|members-workers|duty\.question|declaration|north-quay|south-quay|look_up|settlement|bid-2|` +
+		`status.?check|renewal|members-workers|duty\.question|declaration|north-quay|south-quay|look_up|settlement|bid-2|probe-temp|weigh.in|seal-lot|` +
 		`\b(490|950|2900|5700|0\.018|0\.051)\b`)
 	require.Regexp(t, names, nettest.SettingsJSON, "a test that can fail")
 	seen := 0
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -274,6 +274,7 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	batch := make([]dispatch.Message, 0, batchLen)
+	l.moved = !l.set.Policy.Ask // where lists are pushed the module does not ask for them
 	for {
 		batch = append(batch[:0], l.renewed...)
 		l.renewed = nil
@@ -291,7 +292,7 @@
 			return err
 		}
 		l.tellIdle()
-		if l.moved { // not before the step: what the old source told last counts
+		if l.moved && l.renewed == nil { // not before the step: what the old source told last counts
 			l.startWatch(ctx, dispatch.Watch{Version: l.core.Heard()})
 		}
 		if l.renewed != nil {
@@ -450,6 +451,7 @@
 	clear(l.asks)
 	clear(l.hands) // their callers give up by their own deadlines
 	l.core, l.renewed = core, []dispatch.Message{known}
+	l.moved = l.moved || !l.set.Policy.Ask
 	return nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -136,7 +136,7 @@
 	if shares != nil {
 		gates.Budget = shares.gate
 	}
-	l = loop.New(dispatch.NewChain(core, gates), cfg.Settings, pool, shares.bound(paced(cfg)), clock)
+	l = loop.New(dispatch.NewChain(core, gates), cfg.Settings, pool, watched(cfg, shares, true), clock)
 	l.Post(known)
 	server := downstream.New(downstream.Config{Listen: cfg.Listen, Inherited: cfg.Inherited, MaxConns: down,
 		MaxBodies: cfg.Limits.BodyBytes(), AcceptFor: downstream.AcceptFor,
@@ -294,15 +294,18 @@
 	return v
 }
 
-// paced is the source at a start, when many dispatchers may start together.
-func paced(cfg *config.Config) cluster.Source {
+// watched is where the list comes from: at a start, when many dispatchers may start together, its calls are paced; a reload
+// moves to one that has to be asked at once. Where lists are pushed nobody waits.
+func watched(cfg *config.Config, shares *budgets, start bool) cluster.Source {
 	p := &cfg.Settings.Policy
-	return &cluster.Paced{Source: source(cfg), Pace: cluster.NewPace(p.Replicas, cfg.Seed, p.AskWithin, p.DrainGrace)}
-}
-
-// source is the source that a reload moves to, which has to be asked at once.
-func source(cfg *config.Config) cluster.Source {
-	return &cluster.Discovery{Addr: cfg.Discovery, Stall: cluster.StallAfter, Settings: cfg.Settings}
+	var s cluster.Source = &cluster.Discovery{Addr: cfg.Discovery, Stall: cluster.StallAfter, Settings: cfg.Settings}
+	switch {
+	case !p.Ask:
+		return &cluster.Pushed{Source: shares.bound(s), Grace: p.DrainGrace}
+	case start:
+		s = &cluster.Paced{Source: s, Pace: cluster.NewPace(p.Replicas, cfg.Seed, p.AskWithin, p.DrainGrace)}
+	}
+	return shares.bound(s)
 }
 
 // reload reads the configuration and our own settings again at each signal until ctx ends, and moves the watch to where
@@ -346,7 +349,7 @@
 			at = newer.Discovery
 			moved := *cfg // what is fixed stays
 			moved.Discovery = at
-			l.Move(shares.bound(source(&moved)))
+			l.Move(watched(&moved, shares, false))
 		}
 	}
 }
