--- a/internal/net/loop/endings_test.go
+++ b/internal/net/loop/endings_test.go
@@ -148,3 +148,24 @@
 	k := submit(t, l, 0, 10*time.Millisecond)
 	assert.True(t, nettest.Wait(t, k.Answer()).Refused, "the one that is left has gone")
 }
+
+// Where lists are pushed the loop watches without being asked, from the newest list that it begins with on, and once more
+// when a panic has ended the watch with the module.
+func TestPushedIsWatched(t *testing.T) {
+	s := &side{make(chan *sent, 9), make(chan uint64, 9), make(chan error)}
+	set := nettest.Settings(t)
+	set.Policy.Ask = false
+	core, err := dispatch.New(set.Policy, 1)
+	require.NoError(t, err)
+	l := New(dispatch.NewChain(core, dispatch.Gates{}), set, s, s, NewClock())
+	l.Post(dispatch.Listed{Version: 5, Whole: true, Stale: true, Hosts: []dispatch.Host{host}})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(ctx) }()
+	assert.Equal(t, uint64(5), nettest.Wait(t, s.watches))
+	assert.Equal(t, Answer{}, nettest.Wait(t, submit(t, l, 99, 15*time.Second).Answer()), "no such class: it panics")
+	assert.Equal(t, uint64(5), nettest.Wait(t, s.watches))
+	cancel()
+	assert.NoError(t, nettest.Wait(t, ended))
+	assert.Empty(t, s.watches)
+}
