Let an answer decided before a leave was seen be the one that counts

Need: one final answer, with the right meaning, also where an answer and an end come together. Found by reading: server.go await chose by chance between an answer that was there and a client seen to leave, so one that had only ended its sending read 'the client left' for a job that was served, and the count of answers missed it. The answer now goes first, as at the loop's end.

Test: TestAnswerAtTheEnd, which takes in TestAnswerAtTheLoopsEnd with both ends: both are there before the handler looks, 40 times each. Without the change: '500 the client left' for '200 r'.

--- a/internal/net/downstream/endings_test.go
+++ b/internal/net/downstream/endings_test.go
@@ -342,28 +342,50 @@
 	assert.Empty(t, host.Calls)
 }
 
-// An answer that was decided as the loop ended is the one that counts, also where the end is seen at the same time.
-func TestAnswerAtTheLoopsEnd(t *testing.T) {
-	for range 40 { // a random choice between the two would pass this with chance 2^-40
-		set := nettest.Settings(t)
-		core, err := dispatch.New(set.Policy, 1)
-		require.NoError(t, err)
-		up := &ending{}
-		l := loop.New(dispatch.NewChain(core, dispatch.Gates{}), set, up, none{}, loop.NewClock())
-		l.Post(dispatch.Listed{Whole: true, Stale: true, Hosts: []dispatch.Host{{Name: "s-0000000a", Addr: "127.0.0.1:1", Scale: 1}}})
-		ctx, halt := context.WithCancel(t.Context())
-		up.halt = halt
-		ended := make(chan error, 1)
-		go func() { ended <- l.Run(ctx) }()
-		s := New(Config{}, set, l)
-		s.held = func(string, *http.Request) { // both are there before the handler looks
-			require.NoError(t, nettest.Wait(t, ended))
+// An answer that was decided as the loop ended, or as its client left, is the one that counts, also where the end is seen at
+// the same time.
+func TestAnswerAtTheEnd(t *testing.T) {
+	for _, ends := range []string{"the loop", "the client"} {
+		for range 40 { // a random choice between the two would pass this with chance 2^-40
+			set := nettest.Settings(t)
+			core, err := dispatch.New(set.Policy, 1)
+			require.NoError(t, err)
+			answered := make(chan struct{})
+			up := &ending{}
+			l := loop.New(dispatch.NewChain(core, dispatch.Gates{}), set, up, none{}, loop.NewClock())
+			l.Post(dispatch.Listed{Whole: true, Stale: true, Hosts: []dispatch.Host{{Name: "s-0000000a", Addr: "127.0.0.1:1", Scale: 1}}})
+			ctx, halt := context.WithCancel(t.Context())
+			client, leave := context.WithCancel(t.Context())
+			up.halt = func() {
+				if ends == "the loop" {
+					halt()
+				}
+				leave()
+				close(answered)
+			}
+			ended := make(chan error, 1)
+			go func() { ended <- l.Run(ctx) }()
+			s := New(Config{}, set, l)
+			r := httptest.NewRequest("POST", "/plot-load", nil)
+			s.held = func(string, *http.Request) { // both are there before the handler looks
+				nettest.Wait(t, answered)
+				if ends == "the loop" {
+					require.NoError(t, nettest.Wait(t, ended))
+				}
+			}
+			if ends == "the client" {
+				r = r.WithContext(client)
+			}
+			w := httptest.NewRecorder()
+			k := &loop.Ticket{Arrived: time.Now(), Forward: upstream.Request{TraceID: "t1"},
+				Job: dispatch.Arrived{Tenant: -1, Budget: 15 * time.Second, Size: 100 * time.Millisecond, Slots: 1}}
+			s.await(w, r, k, prefer{})
+			assert.Equal(t, "200 r", strings.TrimSpace(w.Result().Status[:3]+" "+w.Body.String()), ends)
+			assert.Zero(t, l.Held())
+			if halt(); ends == "the client" {
+				require.NoError(t, nettest.Wait(t, ended))
+			}
 		}
-		w := httptest.NewRecorder()
-		k := &loop.Ticket{Arrived: time.Now(), Forward: upstream.Request{TraceID: "t1"},
-			Job: dispatch.Arrived{Tenant: -1, Budget: 15 * time.Second, Size: 100 * time.Millisecond, Slots: 1}}
-		s.await(w, httptest.NewRequest("POST", "/plot-load", nil), k, prefer{})
-		assert.Equal(t, "200 r", http.StatusText(0)+strings.TrimSpace(w.Result().Status[:3]+" "+w.Body.String()))
 	}
 }
 
--- a/internal/net/downstream/server.go
+++ b/internal/net/downstream/server.go
@@ -395,11 +395,16 @@
 	case a := <-t.Answer():
 		s.final(w, r, t, p, a)
 	case <-r.Context().Done():
-		left = true
-		slog.Debug("client left", "id", t.Forward.TraceID)
 		// One that has only ended its sending still reads: net/http's own answer would be that its job was served.
 		w.Header().Set("Connection", "close")
-		s.reply(w, http.StatusInternalServerError, "the client left")
+		select {
+		case a := <-t.Answer(): // decided before the leave was seen
+			s.final(w, r, t, p, a)
+		default:
+			left = true
+			slog.Debug("client left", "id", t.Forward.TraceID)
+			s.reply(w, http.StatusInternalServerError, "the client left")
+		}
 	case <-s.loop.Stopped():
 		select {
 		case a := <-t.Answer(): // decided before the end
