Let a panic in the module not forget when the program ends

Need: all that was taken before SIGTERM is answered before the platform's kill, also where the module panics in between. Jobs that waited in the queue then, with budgets beyond the kill, came before a core that knew of no end. Ruled out: those before the old module, which the loop answers at the panic, and those that come after SIGTERM, whose budgets end before it. Renew now carries the end over as well.

Test: TestClosingOutlivesPanic; without the change it fails: the new core wakes later, or answers nothing at the end.

--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -68,8 +68,8 @@
 // Renew makes a Core for when a panic has left this one's module in doubt, and the list to begin it with.
 func (c *Core) Renew() (*Core, Listed, error) {
 	n, err := New(c.cfg, c.seed+1)
-	if err == nil { // what was done by hand is not in doubt
-		n.hands, n.back = c.hands, c.back
+	if err == nil { // what was done by hand is not in doubt, nor that the program ends
+		n.hands, n.back, n.closeAt = c.hands, c.back, c.closeAt
 	}
 	known := Listed{Version: c.version, Whole: true, Stale: true}
 	for _, h := range c.hosts {
--- a/internal/dispatch/endings_test.go
+++ b/internal/dispatch/endings_test.go
@@ -47,6 +47,23 @@
 	}
 }
 
+// A panic in the module after SIGTERM does not forget the end: what is still to come to the new core is answered before it.
+func TestClosingOutlivesPanic(t *testing.T) {
+	k := newCore(t, one)
+	k.Step(start, []Message{Closing{By: start + 2*time.Second}})
+	n, known, err := k.Renew()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.Step(start+ms, []Message{known, arrival(1, 1)})
+	if at, ok := n.Wake(); !ok || at > start+2*time.Second {
+		t.Errorf("wakes at %v, %v", at-start, ok)
+	}
+	if got := of[LocalReply](n.Step(start+2*time.Second, nil)); len(got) != 1 || got[0].Refused {
+		t.Errorf("answered %+v", got)
+	}
+}
+
 // A list that is older than the newest: a drain in it counts, and what is new, and that a host is missing in a whole one,
 // but it sets nothing back. The next watch begins where the cluster is, or what it tells next would be missed.
 func TestOlderList(t *testing.T) {
