--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -156,9 +156,7 @@
 		if j.finished {
 			continue
 		}
-		k := &c.cfg.Classes[j.class]
-		r := LocalReply{Job: id, Refused: j.ran == 0 || k.Effect == policy.Repeatable ||
-			k.Effect == policy.Keyed && k.Group == policy.GroupAll}
+		r := LocalReply{Job: id, Refused: j.ran == 0 || c.cfg.Classes[j.class].Harmless()}
 		if r.Refused {
 			r.RetryAfter = c.cfg.MaxRetryAfter
 		}
@@ -258,8 +256,7 @@
 	j := c.jobs[m.Job]
 	a.ended = true
 	j.out--
-	switch m.Result {
-	case policy.Full, policy.ConnectFailed, policy.NeverSent: // proofs that it never ran
+	if m.Result.NeverRan() {
 		j.ran--
 	}
 	// The first OK has reached the client by itself and finishes the job.
--- a/internal/dispatch/waiting.go
+++ b/internal/dispatch/waiting.go
@@ -110,12 +110,12 @@
 
 // outcome is a result as the room weighs it: the protocol's table proves what never ran.
 func outcome(r policy.Result) waiting.Outcome {
-	switch r {
-	case policy.OK:
+	switch {
+	case r == policy.OK:
 		return waiting.OK
-	case policy.Full, policy.ConnectFailed, policy.NeverSent:
+	case r.NeverRan():
 		return waiting.NeverRan
-	case policy.Rejected:
+	case r == policy.Rejected:
 		return waiting.TurnedOff
 	}
 	return waiting.MayHave
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -651,11 +651,11 @@
 	if n.life != s.life || !n.up {
 		return
 	}
-	switch r {
-	case policy.Full, policy.ConnectFailed, policy.NeverSent:
+	switch {
+	case r.NeverRan():
 		l.see(check.Event{Kind: check.NeverRan, Job: s.key.Job, Attempt: s.key.Attempt})
 		fallthrough
-	case policy.OK, policy.AppError:
+	case r == policy.OK, r == policy.AppError:
 		n.idle[s.host]++
 	default:
 		l.hosts[s.host].Disconnect()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -360,8 +360,7 @@
 
 // finish is the only way to give an answer: a refusal where a repeat is harmless, else a failure.
 func (d *Dispatcher) finish(j *job) {
-	c := &d.cfg.Classes[j.class]
-	if c.Effect == Repeatable || j.mayRun == nil || c.Effect == Keyed && c.Group == GroupAll {
+	if j.mayRun == nil || d.cfg.Classes[j.class].Harmless() {
 		d.act = append(d.act, Action{Kind: Refuse, Job: j.id, After: d.cfg.MaxRetryAfter})
 	} else {
 		d.act = append(d.act, Action{Kind: Fail, Job: j.id})
@@ -394,7 +393,7 @@
 		return
 	}
 	a.done, j.out, j.closed = true, j.out-1, j.closed || e.Finished
-	if j.mayRun == a && (e.Result == Full || e.Result == ConnectFailed || e.Result == NeverSent) {
+	if j.mayRun == a && e.Result.NeverRan() {
 		j.mayRun = nil // proved: and no other attempt was out with it
 	}
 	d.report(w, e)
--- a/policy/types.go
+++ b/policy/types.go
@@ -160,7 +160,7 @@
 // Result is how an attempt or a probe ended.
 type Result uint8
 
-// The results. Full, ConnectFailed and NeverSent prove that the job did not run.
+// The results; see NeverRan.
 const (
 	OK Result = iota
 	AppError
@@ -173,6 +173,14 @@
 	Rejected // the worker will not take a job like this one, which says nothing about the worker
 )
 
+// NeverRan tells whether a result proves that the job did not run.
+func (r Result) NeverRan() bool { return r == Full || r == ConnectFailed || r == NeverSent }
+
+// Harmless tells whether a repeat of a job does no harm though it may have run.
+func (c *Class) Harmless() bool {
+	return c.Effect == Repeatable || c.Effect == Keyed && c.Group == GroupAll
+}
+
 // EventKind says which fields of an Event count.
 type EventKind uint8
 
