Keep one table of what is out, drop an unread accessor, sort only what is called back

Need: read once more, three things that the last changes left more complicated than need be, none of them a fault. - loop.go kept cancels and unsends in two maps with the same keys, to be filled, emptied and cleared together: one map now. - Version of the core and of its chain had no caller but a test since watches begin after Heard: gone; the test reads the field, with the same assertion. - core.go unsend sorted every job of the table at each list and each change by hand, to find the few, mostly none, that are called back: it sorts those, with the same commands in the same order.

--- a/internal/dispatch/chain.go
+++ b/internal/dispatch/chain.go
@@ -128,9 +128,6 @@
 // Open is how many jobs the core's table holds.
 func (c *Chain) Open() int { return c.core.Open() }
 
-// Version is that of the newest list taken in.
-func (c *Chain) Version() uint64 { return c.core.Version() }
-
 // Heard is the version that a watch begins after.
 func (c *Chain) Heard() uint64 { return c.core.Heard() }
 
--- a/internal/dispatch/core.go
+++ b/internal/dispatch/core.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"maps"
@@ -82,11 +83,8 @@
 // Open is how many jobs the table holds, answered ones with requests still out included.
 func (c *Core) Open() int { return len(c.jobs) }
 
-// Version is that of the newest list taken in.
-func (c *Core) Version() uint64 { return c.version }
-
-// Heard is the version of the last list taken in, which is what a watch begins after: it is lower than Version where the
-// cluster has told an older list since.
+// Heard is the version of the last list taken in, which is what a watch begins after: lower than the newest's where the
+// cluster has told an older one since.
 func (c *Core) Heard() uint64 { return c.heard }
 
 // Step takes in what happened up to now and returns what to do, in order. The result is valid until the
@@ -353,8 +351,8 @@
 // unsend calls back what was decided for hosts that are to get nothing new, and may still wait for a connection: the
 // time within which a drain has to be obeyed counts for it too.
 func (c *Core) unsend() {
-	for _, id := range slices.Sorted(maps.Keys(c.jobs)) {
-		j := c.jobs[id]
+	from := len(c.out)
+	for id, j := range c.jobs {
 		for n := range j.attempts {
 			a := &j.attempts[n]
 			if h, ok := c.hosts[a.worker]; !a.ended && (!ok || c.worker(h).State != policy.Ready) {
@@ -362,6 +360,10 @@
 			}
 		}
 	}
+	slices.SortFunc(c.out[from:], func(a, b Command) int { // the same in each run
+		x, y := a.(Unsend).Key, b.(Unsend).Key
+		return cmp.Or(cmp.Compare(x.Job, y.Job), cmp.Compare(x.Attempt, y.Attempt))
+	})
 }
 
 // older is what counts of a list that is older than the newest one: that hosts drain or are gone, of a whole one by being
--- a/internal/dispatch/endings_test.go
+++ b/internal/dispatch/endings_test.go
@@ -84,8 +84,8 @@
 			k := newCore(t)
 			k.Step(start, []Message{Listed{Version: 9, Whole: true, Hosts: c.newest}})
 			k.Step(start, []Message{Listed{Version: 8, Whole: whole, Hosts: c.old}})
-			if k.Version() != 9 || k.Heard() != 8 {
-				t.Errorf("%s: version %d, heard %d", name, k.Version(), k.Heard())
+			if k.version != 9 || k.Heard() != 8 {
+				t.Errorf("%s: version %d, heard %d", name, k.version, k.Heard())
 			}
 			a := arrival(1, 0)
 			a.Size = ms                                                       // little enough for a host that has just started
--- a/internal/net/loop/loop.go
+++ b/internal/net/loop/loop.go
@@ -78,6 +78,9 @@
 	source cluster.Source     // a new source in place of a message
 }
 
+// calls end an upstream request: cancel at any time, unsend only where its last byte has not been written.
+type calls struct{ cancel, unsend context.CancelFunc }
+
 // Loop owns the core. Run is its goroutine.
 type Loop struct {
 	core     *dispatch.Chain
@@ -103,19 +106,18 @@
 	asks    map[uint64]chan dispatch.Told
 	hands   map[uint64]chan bool
 	idle    []chan struct{}
-	cancels map[dispatch.Key]context.CancelFunc
-	unsends map[dispatch.Key]context.CancelFunc // of those that may not be written yet
-	watch   context.CancelFunc                  // ends the watch that is on; nil: none is
-	watches uint64                              // watches begun; the last one's number
-	moved   bool                                // to a source that is not watched yet
-	renewed []dispatch.Message                  // for a core that took the place of one that panicked
+	out     map[dispatch.Key]calls
+	watch   context.CancelFunc // ends the watch that is on; nil: none is
+	watches uint64             // watches begun; the last one's number
+	moved   bool               // to a source that is not watched yet
+	renewed []dispatch.Message // for a core that took the place of one that panicked
 }
 
 // New makes a loop round a core.
 func New(core *dispatch.Chain, set *settings.Settings, up Upstream, source cluster.Source, clock Clock) *Loop {
 	return &Loop{core: core, set: set, upstream: up, source: source, clock: clock,
 		queue: make(chan envelope, queueLen), urgent: make(chan envelope, urgentLen), hands: map[uint64]chan bool{}, ids: ids{until: map[string]time.Time{}}, stopped: make(chan struct{}),
-		asks: map[uint64]chan dispatch.Told{}, parked: map[uint64]*parked{}, tickets: map[uint64]*Ticket{}, cancels: map[dispatch.Key]context.CancelFunc{}, unsends: map[dispatch.Key]context.CancelFunc{}}
+		asks: map[uint64]chan dispatch.Told{}, parked: map[uint64]*parked{}, tickets: map[uint64]*Ticket{}, out: map[dispatch.Key]calls{}}
 }
 
 // Post puts a message in the queue.
@@ -376,8 +378,7 @@
 		case dispatch.Left:
 			delete(l.tickets, m.Job)
 		case dispatch.Ended:
-			delete(l.cancels, m.Key)
-			delete(l.unsends, m.Key)
+			delete(l.out, m.Key)
 			if m.Result == policy.OK {
 				delete(l.tickets, m.Job)
 			}
@@ -435,16 +436,15 @@
 			delete(l.tickets, job)
 		}
 	}
-	for _, cancel := range l.cancels {
-		cancel()
+	for _, out := range l.out {
+		out.cancel()
 	}
 	maps.DeleteFunc(l.parked, func(job uint64, _ *parked) bool { return !keeps(job) })
 	if l.watch != nil {
 		l.watch()
 		l.watch = nil
 	}
-	clear(l.cancels)
-	clear(l.unsends)
+	clear(l.out)
 	for _, told := range l.asks { // the askers may ask again
 		told <- dispatch.Told{Status: waiting.StatusFull}
 	}
@@ -461,12 +461,12 @@
 	case dispatch.Send:
 		l.send(ctx, c)
 	case dispatch.CancelSend:
-		if cancel := l.cancels[c.Key]; cancel != nil {
-			cancel()
+		if out, ok := l.out[c.Key]; ok {
+			out.cancel()
 		}
 	case dispatch.Unsend:
-		if unsend := l.unsends[c.Key]; unsend != nil {
-			unsend()
+		if out, ok := l.out[c.Key]; ok {
+			out.unsend()
 		}
 	case dispatch.LocalReply:
 		if t := l.tickets[c.Job]; t != nil {
@@ -532,7 +532,7 @@
 		client = context.Background()
 	}
 	wanted, unsend := context.WithCancel(client) // ends with its client, or when its host is to get nothing new
-	l.cancels[c.Key], l.unsends[c.Key] = cancel, unsend
+	l.out[c.Key] = calls{cancel, unsend}
 	q.Addr, q.Client = c.Addr, wanted
 	l.spawn(func() {
 		defer cancel()
