Let a watched client's bytes and the waits before a call go one way each

Need: read once more. gate.go watch gave out what was put aside by a copy of what Read does just after it; it now only says how the watch ended, and Read goes on. The wait that ends with its context stood in pace.go and again in pushed.go, which brought in: pause serves both.

Behaviour stays: where the end can't be looked for, the bytes put aside are given out as before.

--- a/internal/net/cluster/pace.go
+++ b/internal/net/cluster/pace.go
@@ -86,14 +86,8 @@
 
 // Watch waits its turn, then watches.
 func (s *Paced) Watch(ctx context.Context, after uint64, each func(dispatch.Listed)) error {
-	if wait := s.Pace.Next(); wait > 0 {
-		t := time.NewTimer(wait)
-		defer t.Stop()
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	if err := pause(ctx, s.Pace.Next()); err != nil {
+		return err
 	}
 	told := false
 	err := s.Source.Watch(ctx, after, func(l dispatch.Listed) {
@@ -103,3 +97,18 @@
 	s.Pace.Ended(told, errors.Is(err, os.ErrDeadlineExceeded))
 	return err
 }
+
+// pause waits, unless ctx ends first.
+func pause(ctx context.Context, wait time.Duration) error {
+	if wait <= 0 {
+		return nil
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/net/cluster/pushed.go
+++ b/internal/net/cluster/pushed.go
@@ -48,12 +48,8 @@
 		}
 		slog.Debug("pushed lists can't be had", "error", err)
 		wait = min(max(retryFirst, 2*wait), most)
-		t := time.NewTimer(wait/2 + rand.N(wait/2))
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-			return ctx.Err()
+		if err := pause(ctx, wait/2+rand.N(wait/2)); err != nil {
+			return err
 		}
 	}
 }
--- a/internal/net/downstream/gate.go
+++ b/internal/net/downstream/gate.go
@@ -72,7 +72,9 @@
 // connection has been closed to make room: its client sends that request once more, and it must not run here as well.
 func (c *client) Read(b []byte) (n int, err error) {
 	if len(b) == 1 && c.owed() {
-		return c.watch(b)
+		if err := c.watch(); err != nil {
+			return 0, err
+		}
 	}
 	if n = copy(b, c.ahead); n > 0 {
 		if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
@@ -90,21 +92,15 @@
 // watch is the read with which net/http waits for its client to leave while a request is owed its answer: of one byte,
 // where all others have room for many. With that byte net/http would stop to look, though a client that has sent more
 // may leave as well; so what comes is put aside, up to maxAhead, and only the end of the connection ends the read. What
-// comes beyond stays with the system, and the end is looked for behind it.
-func (c *client) watch(b []byte) (int, error) {
+// comes beyond stays with the system, and the end is looked for behind it. Nil: it can't be, and the read goes on.
+func (c *client) watch() error {
 	for more := [512]byte{}; len(c.ahead) < maxAhead; {
 		n, err := c.Conn.Read(more[:min(len(more), maxAhead-len(c.ahead))])
 		if c.ahead = append(c.ahead, more[:n]...); err != nil {
-			return 0, err
+			return err
 		}
 	}
-	if err := hungUp(c.Conn); err != nil {
-		return 0, err
-	}
-	n := copy(b, c.ahead)
-	c.ahead = c.ahead[n:]
-	c.keep(b[:n])
-	return n, nil
+	return hungUp(c.Conn)
 }
 
 // hungUp waits for the other side to end its sending, behind whatever it has sent that nobody has read. An error says
