--- a/cmd/gaugeslip/endings_test.go
+++ b/cmd/gaugeslip/endings_test.go
@@ -71,10 +71,7 @@
 // Where lists are pushed a dispatcher follows them from its start on, though its module asks for none, and again at once when
 // they break: what the service has counts as told whether or not a watch is open.
 func TestPushedLists(t *testing.T) {
-	answer := func(c *nettest.Call) {
-		c.Say(nettest.Chunked(`{"id":"` + c.Header.Get("X-Trace-Id") + `","state":"done","result":"r"}`))
-	}
-	a, b := nettest.Listen(t, answer), nettest.Listen(t, answer)
+	a, b := nettest.Listen(t, nettest.Serve), nettest.Listen(t, nettest.Serve)
 	lists := make(chan string, 1)
 	discovery := nettest.Listen(t, func(c *nettest.Call) { c.Say(nettest.Chunks(<-lists)) })
 	t.Cleanup(func() { close(lists) })
--- a/internal/net/downstream/downstream_test.go
+++ b/internal/net/downstream/downstream_test.go
@@ -80,15 +80,10 @@
 	return ln.Addr().String(), host, stop, ended
 }
 
-// serve answers with the request's own body.
-func serve(c *nettest.Call) {
-	c.Say(nettest.Chunked(`{"id":"` + c.Header.Get("X-Trace-Id") + `","state":"done","result":"` + c.Text + `"}`))
-}
-
 // A body may come in chunks, and in pieces: it goes on whole, with its length, and its answer comes back. Whatever
 // came on the connection before does not count for the next request's head.
 func TestServesChunks(t *testing.T) {
-	addr, host, _, _ := dispatcher(t, 0, serve)
+	addr, host, _, _ := dispatcher(t, 0, nettest.Serve)
 	c := nettest.Dial(t, addr)
 	for i, pieces := range [][]string{{"3\r\nabc\r\n", "2\r\nde\r\n0\r\n\r\n"}, {"1\r\nf\r\n0\r\n\r\n"}} {
 		head := "POST /plot-load/x HTTP/1.1\r\nHost: h\r\nX-Trace-Id: c" + strconv.Itoa(i) +
@@ -113,7 +108,7 @@
 }
 
 func TestServes(t *testing.T) {
-	addr, _, _, _ := dispatcher(t, 0, serve)
+	addr, _, _, _ := dispatcher(t, 0, nettest.Serve)
 	c := nettest.Dial(t, addr)
 	for _, body := range []string{"a", "", "b"} { // one connection carries one request after the other
 		c.Post("/plot-load/x", "t"+body, "X-Expires-In-Ms: 15000\r\nX-Size-Hint: 1000\r\nX-Qos: plot-load\r\n", body)
@@ -125,7 +120,7 @@
 
 // Bad input gets its own status, never one that promises anything about a job.
 func TestBadInput(t *testing.T) {
-	addr, host, _, _ := dispatcher(t, 0, serve)
+	addr, host, _, _ := dispatcher(t, 0, nettest.Serve)
 	post := func(path, headers string) string {
 		return "POST " + path + " HTTP/1.1\r\nHost: h\r\n" + headers + "Content-Length: 0\r\n\r\n"
 	}
@@ -170,7 +165,7 @@
 
 // A request with both Content-Length and Transfer-Encoding hides another: neither goes on, whichever path it names.
 func TestHiddenRequest(t *testing.T) {
-	addr, host, _, _ := dispatcher(t, 0, serve)
+	addr, host, _, _ := dispatcher(t, 0, nettest.Serve)
 	hidden := "0\r\n\r\nPOST /plot-load HTTP/1.1\r\nHost: h\r\nX-Trace-Id: b\r\nContent-Length: 0\r\n\r\n"
 	for _, line := range []string{"POST /plot-load", "GET /up"} {
 		c := nettest.Dial(t, addr)
@@ -186,7 +181,7 @@
 // The id of an open request gets an error, and the open one its own answer.
 func TestOpenID(t *testing.T) {
 	hold := make(chan struct{})
-	addr, host, _, _ := dispatcher(t, 0, func(c *nettest.Call) { <-hold; serve(c) })
+	addr, host, _, _ := dispatcher(t, 0, func(c *nettest.Call) { <-hold; nettest.Serve(c) })
 	first, second := nettest.Dial(t, addr), nettest.Dial(t, addr)
 	first.Post("/harvest-sale", "t1", "", "one")
 	nettest.Wait(t, host.Calls)
@@ -202,7 +197,7 @@
 // A crowd that connects and says nothing makes room for clients that speak, and is closed in time. An idle connection
 // makes room before a fresh one, which may be a client on its way: its client only connects anew.
 func TestSilentCrowd(t *testing.T) {
-	addr, _, _, _ := dispatcher(t, 0, serve)
+	addr, _, _, _ := dispatcher(t, 0, nettest.Serve)
 	usual, begun := nettest.Dial(t, addr), time.Now()
 	ask := func(c *nettest.Client, id string) {
 		c.Post("/plot-load", id, "", id)
@@ -226,7 +221,7 @@
 // At the limit, a client that has just connected keeps its place: an idle connection goes for the next newcomer, not
 // one that is on its way to send its request.
 func TestFreshClientKeepsItsPlace(t *testing.T) {
-	addr, _, _, _ := dispatcher(t, 0, serve)
+	addr, _, _, _ := dispatcher(t, 0, nettest.Serve)
 	idle := make([]*nettest.Client, maxConns)
 	for i := range idle {
 		idle[i] = nettest.Dial(t, addr)
@@ -257,7 +252,7 @@
 // A long body beyond what bodies may take together is refused at once; short ones still pass.
 func TestBodiesAreBounded(t *testing.T) {
 	hold := make(chan struct{})
-	addr, host, _, _ := dispatcher(t, 0, func(c *nettest.Call) { <-hold; serve(c) })
+	addr, host, _, _ := dispatcher(t, 0, func(c *nettest.Call) { <-hold; nettest.Serve(c) })
 	first, second := nettest.Dial(t, addr), nettest.Dial(t, addr)
 	first.Post("/harvest-sale", "t1", "", strings.Repeat("x", maxBody))
 	nettest.Wait(t, host.Calls)
@@ -273,7 +268,7 @@
 }
 
 func TestLongestBody(t *testing.T) {
-	addr, host, _, _ := dispatcher(t, 0, serve)
+	addr, host, _, _ := dispatcher(t, 0, nettest.Serve)
 	body := strings.Repeat("x", maxBody)
 	c := nettest.Dial(t, addr)
 	c.Post("/harvest-sale", "t1", "", body)
@@ -379,7 +374,7 @@
 // During a shutdown a job that the platform's kill would cut off is refused at once; a short one is still served.
 func TestTooLongForAShutdown(t *testing.T) {
 	for hint, want := range map[string]int{"50000": 200, "9000000": 429} {
-		addr, _, stop, _ := dispatcher(t, 3*time.Second, serve)
+		addr, _, stop, _ := dispatcher(t, 3*time.Second, nettest.Serve)
 		stop()
 		for status := 200; status != 503; {
 			up := nettest.Dial(t, addr)
@@ -402,7 +397,7 @@
 		if c.Text == "slow" {
 			<-hold
 		}
-		serve(c)
+		nettest.Serve(c)
 	}, nil, func(s *Server) { s.cfg.KilledAfter = nettest.Patience }) // else slow may have failed by then
 	release := sync.OnceFunc(func() { close(hold) })
 	t.Cleanup(release) // before the host ends, which waits for its script
--- a/internal/net/downstream/endings_test.go
+++ b/internal/net/downstream/endings_test.go
@@ -77,22 +77,33 @@
 // A client that has sent much more than its request, which nobody reads for now, and stays: it is not taken for one that
 // left, has its answer, and is served what it sent.
 func TestStaysBehindMore(t *testing.T) {
-	release := make(chan struct{})
+	c, release := heldFirst(t)
+	c.Post("/harvest-sale/x", "t2", "", strings.Repeat("b", 2*maxAhead)) // what is put aside is full
+	require.Never(t, func() bool { return running.Held() == 0 }, 200*time.Millisecond, 10*time.Millisecond)
+	c.Post("/harvest-sale/x", "t3", "", "c") // it is woken, and there is still no end
+	require.Never(t, func() bool { return running.Held() == 0 }, 200*time.Millisecond, 10*time.Millisecond)
+	release()
+	answers(t, c, "a", strings.Repeat("b", 2*maxAhead), "c")
+}
+
+// heldFirst is a client whose job "a" is out at a host that holds it until release.
+func heldFirst(t *testing.T) (c *nettest.Client, release func()) {
+	released := make(chan struct{})
 	addr, host, _, _ := dispatcher(t, 0, func(c *nettest.Call) {
 		if c.Text == "a" {
-			<-release
+			<-released
 		}
-		serve(c)
+		nettest.Serve(c)
 	})
-	c := nettest.Dial(t, addr)
+	c = nettest.Dial(t, addr)
 	c.Post("/harvest-sale/x", "t1", "", "a")
 	nettest.Wait(t, host.Calls)
-	c.Post("/harvest-sale/x", "t2", "", strings.Repeat("b", 2*maxAhead)) // what is put aside is full
-	require.Never(t, func() bool { return running.Held() == 0 }, 200*time.Millisecond, 10*time.Millisecond)
-	c.Post("/harvest-sale/x", "t3", "", "c") // it is woken, and there is still no end
-	require.Never(t, func() bool { return running.Held() == 0 }, 200*time.Millisecond, 10*time.Millisecond)
-	close(release)
-	for _, want := range []string{"a", strings.Repeat("b", 2*maxAhead), "c"} {
+	return c, func() { close(released) }
+}
+
+// answers are a client's next ones, each that of a job served.
+func answers(t *testing.T, c *nettest.Client, wants ...string) {
+	for _, want := range wants {
 		resp, got := c.Answer()
 		assert.Equal(t, 200, resp.StatusCode)
 		assert.Equal(t, want, got)
@@ -101,30 +112,17 @@
 
 // What a client sends too early, and stays, is its next request.
 func TestEarlyRequestIsKept(t *testing.T) {
-	release := make(chan struct{})
-	addr, host, _, _ := dispatcher(t, 0, func(c *nettest.Call) {
-		if c.Text == "a" {
-			<-release
-		}
-		serve(c)
-	})
-	c := nettest.Dial(t, addr)
-	c.Post("/plot-load/x", "t1", "", "a")
-	nettest.Wait(t, host.Calls)
+	c, release := heldFirst(t)
 	c.Post("/plot-load/x", "t2", "", strings.Repeat("b", maxAhead/2))
 	c.Post("/plot-load/x", "t3", "", strings.Repeat("c", maxAhead)) // beyond what is put aside
-	close(release)
-	for _, want := range []string{"a", strings.Repeat("b", maxAhead/2), strings.Repeat("c", maxAhead)} {
-		resp, got := c.Answer()
-		assert.Equal(t, 200, resp.StatusCode)
-		assert.Equal(t, want, got)
-	}
+	release()
+	answers(t, c, "a", strings.Repeat("b", maxAhead/2), strings.Repeat("c", maxAhead))
 }
 
 // The time limit of a body must not look like a leave: a request without one is held until the limit would have come.
 func TestBodyLimitIsNoLeave(t *testing.T) {
 	t.Parallel()
-	addr, _, _, _ := dispatcherWith(t, 0, serve, nil, func(s *Server) {
+	addr, _, _, _ := dispatcherWith(t, 0, nettest.Serve, nil, func(s *Server) {
 		s.held = func(point string, r *http.Request) {
 			if point == "reading" {
 				select {
@@ -199,7 +197,7 @@
 		t.Run(name, func(t *testing.T) {
 			var server *Server
 			after, calls := func(int) {}, atomic.Int64{}
-			addr, _, _, _ := dispatcherWith(t, 0, func(c *nettest.Call) { calls.Add(1); serve(c) }, nil, func(s *Server) {
+			addr, _, _, _ := dispatcherWith(t, 0, func(c *nettest.Call) { calls.Add(1); nettest.Serve(c) }, nil, func(s *Server) {
 				server, s.gate.Listener = s, &listener{s.gate.Listener, &after}
 			})
 			c := nettest.Dial(t, addr)
@@ -306,7 +304,7 @@
 // A connection that waits in the accept queue as the listener closes stands for its client: it is served and not reset.
 func TestAcceptQueueAtTheEnd(t *testing.T) {
 	l := &slowListener{go_: make(chan struct{}), ended: make(chan struct{})}
-	addr, _, stop, ended := dispatcherWith(t, 0, serve, nil, func(s *Server) {
+	addr, _, stop, ended := dispatcherWith(t, 0, nettest.Serve, nil, func(s *Server) {
 		l.TCPListener, s.gate.Listener = s.gate.Listener.(*net.TCPListener), l
 	})
 	c := nettest.Dial(t, addr)
@@ -401,7 +399,7 @@
 
 // A class may have any name that the settings give it, that of our own path too.
 func TestClassNamedUp(t *testing.T) {
-	addr, _, _, _ := dispatcherWith(t, 0, serve, nil, func(s *Server) { s.set.Classes["up"] = 0 })
+	addr, _, _, _ := dispatcherWith(t, 0, nettest.Serve, nil, func(s *Server) { s.set.Classes["up"] = 0 })
 	c := nettest.Dial(t, addr)
 	c.Post("/up", "t1", "X-Qos: up\r\n", "x")
 	resp, got := c.Answer()
@@ -415,7 +413,7 @@
 // Hosts know the repeat of a keyed class by the client's Idempotency-Key: it goes on as it came, and one that can't be
 // read one way alone does not.
 func TestIdempotencyKey(t *testing.T) {
-	addr, host, _, _ := dispatcher(t, 0, serve)
+	addr, host, _, _ := dispatcher(t, 0, nettest.Serve)
 	c := nettest.Dial(t, addr)
 	c.Post("/plot-load/x", "t1", "idempotency-key: \"4021~ 06\"\r\n", "x")
 	c.Answer()
@@ -440,7 +438,7 @@
 	read, release := make(chan struct{}, 9), make(chan struct{})
 	var server *Server
 	var successor net.Listener
-	addr, host, stop, ended := dispatcherWith(t, 0, serve, nil, func(s *Server) {
+	addr, host, stop, ended := dispatcherWith(t, 0, nettest.Serve, nil, func(s *Server) {
 		server, s.cfg.Inherited = s, 1
 		l.TCPListener, s.gate.Listener = s.gate.Listener.(*net.TCPListener), l
 		f, err := l.File()
--- a/internal/net/downstream/jobs_test.go
+++ b/internal/net/downstream/jobs_test.go
@@ -43,7 +43,7 @@
 
 // A job that lives on without its connection: promised, found by its id, told once it ends, its result kept.
 func TestLivesOn(t *testing.T) {
-	addr, host, _, _ := waitingRoom(t, serve, nil)
+	addr, host, _, _ := waitingRoom(t, nettest.Serve, nil)
 	c := nettest.Dial(t, addr)
 	c.Post("/harvest-sale/7?q=1", "t1", async+"X-Not-Before-Ms: 100\r\nX-Due-Ms: 15000\r\n", "body")
 	resp, text := c.Answer()
@@ -65,7 +65,7 @@
 
 // A client that stays on the line has the host's answer there; one that prefers to wait a while first, too.
 func TestAttachedWaits(t *testing.T) {
-	addr, _, _, _ := waitingRoom(t, serve, nil)
+	addr, _, _, _ := waitingRoom(t, nettest.Serve, nil)
 	for id, headers := range map[string]string{"t1": "X-Not-Before-Ms: 50\r\nX-Expires-In-Ms: 15000\r\n",
 		"t2": "Prefer: respond-async, wait=20\r\nX-Not-Before-Ms: 50\r\n"} {
 		c := nettest.Dial(t, addr)
@@ -89,7 +89,7 @@
 			c.Say("HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
 			return
 		}
-		serve(c)
+		nettest.Serve(c)
 	}, nil)
 	say := func(id, headers string) int {
 		c := nettest.Dial(t, addr)
@@ -120,7 +120,7 @@
 
 // Strict values, each error with its header; nothing is taken.
 func TestWaitHeaders(t *testing.T) {
-	addr, host, _, _ := waitingRoom(t, serve, nil)
+	addr, host, _, _ := waitingRoom(t, nettest.Serve, nil)
 	many := strings.Repeat("a,", 5) + "b,c,d,e,f,g,h,i,j,k,l,m,n,o,p,q"
 	n := 0
 	for headers, want := range map[string]string{
@@ -174,7 +174,7 @@
 // Looking, calling off and listing: each status, by the book.
 func TestJobsInterface(t *testing.T) {
 	hold := make(chan struct{})
-	addr, host, _, _ := waitingRoom(t, func(c *nettest.Call) { <-hold; serve(c) }, nil)
+	addr, host, _, _ := waitingRoom(t, func(c *nettest.Call) { <-hold; nettest.Serve(c) }, nil)
 	ask := func(line string) string {
 		c := nettest.Dial(t, addr)
 		c.Send(line + " HTTP/1.1\r\nHost: h\r\n\r\n")
@@ -205,7 +205,7 @@
 
 // A client that leaves while its job waits has called it off; nothing goes out.
 func TestLeavesWhileWaiting(t *testing.T) {
-	addr, host, _, _ := waitingRoom(t, serve, nil)
+	addr, host, _, _ := waitingRoom(t, nettest.Serve, nil)
 	c := nettest.Dial(t, addr)
 	c.Post("/harvest-sale", "t1", "X-Not-Before-Ms: 10000\r\nX-Expires-In-Ms: 20000\r\n", "")
 	known := func(state string) func() bool {
@@ -219,7 +219,7 @@
 
 // A full room says so, with advice.
 func TestRoomIsFull(t *testing.T) {
-	addr, _, _, _ := waitingRoom(t, serve, func(l *waiting.Limits) { l.MaxJobs, l.ClientShare = 2, 1 })
+	addr, _, _, _ := waitingRoom(t, nettest.Serve, func(l *waiting.Limits) { l.MaxJobs, l.ClientShare = 2, 1 })
 	c := nettest.Dial(t, addr)
 	status := func(id string) string {
 		c.Post("/plot-load", id, async+"X-Not-Before-Ms: 60000\r\n", "")
@@ -237,7 +237,7 @@
 	t.Cleanup(func() { goleak.VerifyNone(t, before) }) // the last of all
 	hold := make(chan struct{})
 	lim := waiting.Defaults()
-	addr, host, stop, ended := dispatcherWith(t, 0, func(c *nettest.Call) { <-hold; serve(c) }, &lim)
+	addr, host, stop, ended := dispatcherWith(t, 0, func(c *nettest.Call) { <-hold; nettest.Serve(c) }, &lim)
 	line, asks, out := nettest.Dial(t, addr), nettest.Dial(t, addr), nettest.Dial(t, addr)
 	line.Post("/plot-load", "line", "X-Not-Before-Ms: 15000\r\nX-Expires-In-Ms: 20000\r\n", "")
 	out.Post("/harvest-sale", "out", async, "")
@@ -263,7 +263,7 @@
 
 // A panic in the decisions fails what was before the module; what only waits goes on.
 func TestPanicLeavesTheRoom(t *testing.T) {
-	addr, host, _, _ := waitingRoom(t, serve, nil)
+	addr, host, _, _ := waitingRoom(t, nettest.Serve, nil)
 	c := nettest.Dial(t, addr)
 	c.Post("/plot-load", "waits", async+"X-Not-Before-Ms: 1000\r\n", "body")
 	resp, _ := c.Answer()
--- a/internal/net/loop/endings_test.go
+++ b/internal/net/loop/endings_test.go
@@ -54,9 +54,7 @@
 // A client leaves while a full queue still keeps its handler, which can't tell the loop: the loop decides to send its job,
 // and yet nothing goes out. The loop is held back until the client has left; what came behind the job is served.
 func TestLeavesBeforeTheQueue(t *testing.T) {
-	peer := nettest.Listen(t, func(c *nettest.Call) {
-		c.Say(nettest.Chunked(`{"id":"` + c.Header.Get("X-Trace-Id") + `","state":"done","result":"r"}`))
-	})
+	peer := nettest.Listen(t, nettest.Serve)
 	set := nettest.Settings(t)
 	core, err := dispatch.New(set.Policy, 1)
 	require.NoError(t, err)
@@ -82,16 +80,13 @@
 		require.Eventually(t, func() bool { return l.Held() == int64(i+1) }, nettest.Patience, time.Millisecond)
 	}
 	leave()
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- l.Run(ctx) }()
+	end := start(t, l)
 	require.NoError(t, nettest.Wait(t, in))
 	require.NoError(t, nettest.Wait(t, in))
 	assert.True(t, nettest.Wait(t, stays.Answer()).Served)
 	assert.False(t, nettest.Wait(t, left.Answer()).Served, "its handler has not said yet that it left")
 	l.Release(left, true)
-	cancel()
-	assert.NoError(t, nettest.Wait(t, ended))
+	end()
 	require.Len(t, peer.Calls, 1)
 	assert.Equal(t, "t1", (<-peer.Calls).Header.Get("X-Trace-Id"))
 }
@@ -120,13 +115,7 @@
 	s := &side{make(chan *sent, 9), nil, nil}
 	l := New(dispatch.NewChain(core, dispatch.Gates{}), set, s, &cluster.Discovery{Addr: discovery.Addr, Stall: time.Minute, Settings: set}, NewClock())
 	l.Post(dispatch.Listed{Version: 41, Whole: true, Stale: true, Hosts: []dispatch.Host{{Name: "s-0000000a", Addr: "127.0.0.1:10a", Scale: 1}}})
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- l.Run(ctx) }()
-	defer func() {
-		cancel()
-		assert.NoError(t, nettest.Wait(t, ended))
-	}()
+	defer start(t, l)()
 	assert.Equal(t, "41", nettest.Wait(t, discovery.Calls).URL.Query().Get("index"))
 	next <- ""
 	assert.Equal(t, "41", nettest.Wait(t, discovery.Calls).URL.Query().Get("index"))
@@ -159,13 +148,10 @@
 	require.NoError(t, err)
 	l := New(dispatch.NewChain(core, dispatch.Gates{}), set, s, s, NewClock())
 	l.Post(dispatch.Listed{Version: 5, Whole: true, Stale: true, Hosts: []dispatch.Host{host}})
-	ctx, cancel := context.WithCancel(t.Context())
-	ended := make(chan error, 1)
-	go func() { ended <- l.Run(ctx) }()
+	end := start(t, l)
 	assert.Equal(t, uint64(5), nettest.Wait(t, s.watches))
 	assert.Equal(t, Answer{}, nettest.Wait(t, submit(t, l, 99, 15*time.Second).Answer()), "no such class: it panics")
 	assert.Equal(t, uint64(5), nettest.Wait(t, s.watches))
-	cancel()
-	assert.NoError(t, nettest.Wait(t, ended))
+	end()
 	assert.Empty(t, s.watches)
 }
--- a/internal/net/loop/loop_test.go
+++ b/internal/net/loop/loop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -67,14 +68,21 @@
 	require.NoError(t, err)
 	l := New(dispatch.NewChain(core, dispatch.Gates{}), set, s, s, NewClock())
 	l.Post(dispatch.Listed{Version: 5, Whole: true, Stale: true, Hosts: []dispatch.Host{host}})
-	ctx, cancel := context.WithCancel(t.Context())
+	start(t, l)
+	return l, s
+}
+
+// start runs a loop until end is called or the test ends; it must leave nothing behind.
+func start(t testing.TB, l *Loop) (end func()) {
+	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() { ended <- l.Run(ctx) }()
-	t.Cleanup(func() {
+	end = sync.OnceFunc(func() {
 		cancel()
 		assert.NoError(t, nettest.Wait(t, ended))
 	})
-	return l, s
+	t.Cleanup(end)
+	return end
 }
 
 func submit(t *testing.T, l *Loop, class int, budget time.Duration) *Ticket {
--- a/internal/net/loop/waiting_test.go
+++ b/internal/net/loop/waiting_test.go
@@ -1,7 +1,6 @@
 package loop
 
 import (
-	"context"
 	"fmt"
 	"os"
 	"runtime"
@@ -9,7 +8,6 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"gaugeslip/internal/dispatch"
@@ -27,13 +25,7 @@
 	require.NoError(t, err)
 	l := New(dispatch.NewChain(core, dispatch.Gates{Waiting: dispatch.NewWaitingGate(lim, set.Policy)}), set, s, s, NewClock())
 	l.Post(dispatch.Listed{Version: 5, Whole: true, Stale: true, Hosts: []dispatch.Host{host}})
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- l.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		assert.NoError(t, nettest.Wait(t, ended))
-	})
+	start(t, l)
 	return l, s
 }
 
--- a/internal/net/nettest/nettest.go
+++ b/internal/net/nettest/nettest.go
@@ -47,6 +47,11 @@
 	Nth  int // its number on its connection, from 0
 }
 
+// Serve answers a job with its own body as the result.
+func Serve(c *Call) {
+	c.Say(Chunked(`{"id":"` + c.Header.Get("X-Trace-Id") + `","state":"done","result":"` + c.Text + `"}`))
+}
+
 // Say writes raw text back.
 func (c *Call) Say(text string) { io.WriteString(c.Conn, text) }
 
