Take a job's next turn for one in the test of one verdict, however long the turn is

Cause: the test lets a job pass that comes to its next turn within the millisecond between the two questions, and told that by a place of 0.999, true of turns of a second. Since a turn is the class's aim, 400 ms for the light one, so a millisecond is 0.0025 of it: at 0.9975 the job's next turn had begun and it was let in, rightly. Ruled out: the shedder, whose two positions are 0.9988 and 0.5000 as they should be, and this change, which touches nothing there.

The test now asks whether the place has begun anew in between. That is as strict, and stricter for turns of 2 s, where 0.999 to 0.9995 was let pass. Two shedders made wrong on purpose are found by it (one lets in more the harder it is pressed).

--- a/internal/overload/shed_test.go
+++ b/internal/overload/shed_test.go
@@ -45,7 +45,8 @@
 		j := Job{Class: rapid.IntRange(0, 1).Draw(t, "class"), Key: rapid.Uint64().Draw(t, "key"), Keyed: true, Work: time.Second}
 		if ok, _ := a.ask(now, j); !ok {
 			other, _ := b.ask(now+time.Millisecond, j)
-			if place := a.place(now, j.Class, j.Key); other && place < 0.999 {
+			turned := b.place(now+time.Millisecond, j.Class, j.Key) < a.place(now, j.Class, j.Key) // its next turn has begun
+			if other && !turned {
 				t.Fatal("refused by one, let in by another that is harder pressed")
 			}
 		}
