Split the decision module by concern: events, size map, admission, holding, estimates

policy.go was one file for everything that is decided. Its functions move as they stand into step.go (events), sizemap.go, admission.go, holding.go and estimate.go.

--- a/policy/estimate.go
+++ b/policy/estimate.go
@@ -69,6 +69,22 @@
 	}
 }
 
+// began learns from a start notice: what it waited beyond the way there is the backlog of peers.
+func (d *Dispatcher) began(a *attempt) {
+	w, running, took := a.w, 0, d.now-a.sent
+	a.began, w.net = d.now, min(cmp.Or(w.net, took), took)
+	for _, o := range w.out {
+		running += o.job.slots * min(1, int(o.began))
+	}
+	delay := float64(took - w.net)
+	if a.clean {
+		d.delayed(w, delay)
+	}
+	if w.lanes = max(w.lanes, running); delay > d.meanRun/5 {
+		w.lanes, a.full = max(1, running), false
+	}
+}
+
 // report takes in a load report: free slots bound the lanes that peers hold.
 func (d *Dispatcher) report(w *worker, e *Event) {
 	if slots := int(e.Load.FreeSlots + 0.5); e.HasLoad && e.Load.FreeSlots >= 0 {
@@ -82,6 +98,22 @@
 	}
 }
 
+// judge shuts a suspect worker or opens it at a sign of life. When it is shut, held jobs go elsewhere.
+func (d *Dispatcher) judge(w *worker, bad bool) {
+	if !bad {
+		if w.seen = d.now; w.errs > 0 {
+			return
+		}
+	}
+	if bad != w.suspect {
+		verdict := map[bool]string{true: "suspected", false: "reopened"}[bad]
+		d.act = append(d.act, Action{Kind: Log, Text: "worker " + verdict})
+	}
+	if w.suspect, w.trial = bad, d.now+2*time.Second; bad {
+		d.pump(w, true)
+	}
+}
+
 // power is what a lane of a worker does at a time, cold start included.
 func (d *Dispatcher) power(w *worker, at time.Duration) float64 {
 	if w.Since <= 0 || d.cfg.WarmUp <= 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// What a scheduler remembers. Types only: what is done with them is in policy.go.
+// What a scheduler remembers. Types only: what is done with them begins in step.go.
 
 // attempt is one send of a job.
 type attempt struct {
@@ -63,7 +63,7 @@
 	workers                         map[uint32]*worker
 	order, active                   []*worker       // listed and ready, by id; with attempts out or jobs held
 	near                            [4][]*worker    // per range own zone's and then others', in own order
-	asking                          []*job          // that wait for probes
+	asking, queue                   []*job          // that wait for probes; scratch
 	fit                             []fit           // per class
 	firstTry, lanes                 []time.Duration // per class: a first try's budget; scratch
 	kindLog                         []float64       // per kind: log of speed
--- a/policy/types.go
+++ b/policy/types.go
@@ -2,7 +2,7 @@
 // and which jobs are held, refused or failed. It is RT-ClassBased of Gamini Abhaya, Tari and Bertok,
 // extended where a fleet with failing workers and unseen peers breaks the paper's assumptions.
 //
-// This file is the interface: settings, events, actions. All decisions are in policy.go.
+// This file is the interface: settings, events, actions. The decisions begin in step.go.
 // A Dispatcher is single-threaded and deterministic: it reads no clock, does no I/O and starts no
 // goroutine; equal settings, seed and events give equal actions.
 package policy
