Keep a log of checksummed records that outlasts any loss of power

A log is a row of generation files of which the highest complete one counts, so that no lost rename or removal brings old content back; Rewrite makes the next one, and a log with a failed write takes nothing until it is rewritten or opened anew. A simulated disk (torn and missing writes, lost names, full, stalled, wiped) drives the tests: what was synced is read back, in order, with nothing invented. go test -race ./coord/wal/...

--- /dev/null
+++ b/coord/wal/log_test.go
@@ -0,0 +1,219 @@
+package wal_test
+
+import (
+	"bytes"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/coord/wal"
+	"gaugeslip/coord/wal/simdisk"
+)
+
+func record(text string) wal.Record {
+	return wal.Record{Kind: byte(len(text)), Data: []byte(text)}
+}
+
+func texts(records []wal.Record) []string {
+	found := []string{}
+	for _, entry := range records {
+		found = append(found, string(entry.Data))
+	}
+	return found
+}
+
+func reopened(t *testing.T, disk wal.Disk) (*wal.Log, []string) {
+	t.Helper()
+	log, records, err := wal.Open(disk, "test")
+	require.NoError(t, err)
+	return log, texts(records)
+}
+
+func TestRecordsOfTheRealDiskAreReadBack(t *testing.T) {
+	folder := filepath.Join(t.TempDir(), "made", "here")
+	disk, err := wal.OSDisk(folder)
+	require.NoError(t, err)
+
+	log, found := reopened(t, disk)
+	require.Empty(t, found)
+	require.NoError(t, log.Append(record("a"), record(""), record("ccc")))
+	require.NoError(t, log.Sync())
+	require.NoError(t, log.Close())
+
+	log, found = reopened(t, disk)
+	require.Equal(t, []string{"a", "", "ccc"}, found)
+	require.NoError(t, log.Rewrite([]wal.Record{record("whole")}))
+	require.NoError(t, log.Append(record("more")))
+	size := log.Size()
+	require.NoError(t, log.Close())
+
+	files, err := disk.List()
+	require.NoError(t, err)
+	require.Equal(t, []string{"test-000002.log"}, files)
+	information, err := os.Stat(filepath.Join(folder, files[0]))
+	require.NoError(t, err)
+	require.Equal(t, information.Size(), size)
+
+	log, records, err := wal.Open(disk, "test")
+	require.NoError(t, err)
+	require.Equal(t, []wal.Record{record("whole"), record("more")}, records)
+	require.Equal(t, size, log.Size())
+	require.NoError(t, log.Close())
+}
+
+func TestLogsOfOneFolderAreApart(t *testing.T) {
+	disk := simdisk.New(1)
+	first, _, err := wal.Open(disk, "a")
+	require.NoError(t, err)
+	second, _, err := wal.Open(disk, "a-000001")
+	require.NoError(t, err)
+	require.NoError(t, first.Append(record("first")))
+	require.NoError(t, second.Append(record("second")))
+	require.NoError(t, second.Rewrite(nil))
+
+	_, records, err := wal.Open(disk, "a")
+	require.NoError(t, err)
+	require.Equal(t, []string{"first"}, texts(records))
+}
+
+func TestEveryCutAndEveryFlippedByteLeavesAPrefix(t *testing.T) {
+	disk := simdisk.New(1)
+	log, _ := reopened(t, disk)
+	all := []string{"one", "two", "three", "four"}
+	for _, text := range all {
+		require.NoError(t, log.Append(record(text)))
+	}
+	whole, err := disk.ReadFile("test-000001.log")
+	require.NoError(t, err)
+
+	for at := range whole {
+		requirePrefix(t, all, whole[:at])
+		flipped := bytes.Clone(whole)
+		flipped[at] ^= 0x10
+		requirePrefix(t, all, flipped)
+	}
+}
+
+// requirePrefix opens a log whose file has the content, appends to it and opens it once more.
+func requirePrefix(t *testing.T, all []string, content []byte) {
+	t.Helper()
+	disk := simdisk.New(1)
+	file, err := disk.Create("test-000001.log")
+	require.NoError(t, err)
+	_, err = file.Write(content)
+	require.NoError(t, err)
+
+	log, found := reopened(t, disk)
+	require.Less(t, len(found), len(all))
+	require.Equal(t, all[:len(found)], found)
+	require.NoError(t, log.Append(record("after")))
+	_, again := reopened(t, disk)
+	require.Equal(t, append(found, "after"), again)
+}
+
+func TestStaleBytesOfAnOlderFileAreNoRecords(t *testing.T) {
+	disk := simdisk.New(1)
+	log, _ := reopened(t, disk)
+	empty := log.Size()
+	require.NoError(t, log.Append(record("stale")))
+	old, err := disk.ReadFile("test-000001.log")
+	require.NoError(t, err)
+	require.NoError(t, log.Rewrite(nil))
+
+	file, err := disk.OpenAppend("test-000002.log")
+	require.NoError(t, err)
+	_, err = file.Write(old[empty:])
+	require.NoError(t, err)
+	_, found := reopened(t, disk)
+	require.Empty(t, found)
+}
+
+func TestAFailedLogTakesNothingUntilItIsRewritten(t *testing.T) {
+	disk := simdisk.New(3)
+	log, _ := reopened(t, disk)
+	require.NoError(t, log.Append(record("kept")))
+	disk.SetCapacity(int(log.Size()) + 12)
+	err := log.Append(record("does not fit"))
+	require.ErrorIs(t, err, wal.ErrFailed)
+	require.ErrorIs(t, err, simdisk.ErrNoSpace)
+	require.ErrorIs(t, log.Append(record("x")), wal.ErrFailed)
+	require.ErrorIs(t, log.Sync(), wal.ErrFailed)
+	require.ErrorIs(t, log.Rewrite([]wal.Record{record("no room either")}), wal.ErrFailed)
+
+	disk.SetCapacity(-1)
+	require.ErrorIs(t, log.Append(record("x")), wal.ErrFailed)
+	require.NoError(t, log.Rewrite([]wal.Record{record("new")}))
+	require.NoError(t, log.Append(record("next")))
+	require.NoError(t, log.Sync())
+	disk.PowerLoss()
+	_, found := reopened(t, disk)
+	require.Equal(t, []string{"new", "next"}, found)
+}
+
+func TestAFailedSyncFailsTheLog(t *testing.T) {
+	disk := simdisk.New(1)
+	log, _ := reopened(t, disk)
+	require.NoError(t, log.Append(record("a")))
+	disk.SetFaults(simdisk.Faults{Sync: 1})
+	require.ErrorIs(t, log.Sync(), simdisk.ErrStalled)
+	disk.SetFaults(simdisk.Faults{})
+	require.ErrorIs(t, log.Sync(), wal.ErrFailed)
+	require.ErrorIs(t, log.Append(record("b")), wal.ErrFailed)
+}
+
+func TestClosedLogAndOversizeRecordsAreRefused(t *testing.T) {
+	log, _ := reopened(t, simdisk.New(1))
+	huge := wal.Record{Data: make([]byte, wal.MaxRecordBytes+1)}
+	require.ErrorIs(t, log.Append(huge), wal.ErrTooLarge)
+	require.ErrorIs(t, log.Rewrite([]wal.Record{huge}), wal.ErrTooLarge)
+	require.NoError(t, log.Append())
+	require.NoError(t, log.Close())
+	require.NoError(t, log.Close())
+	require.ErrorIs(t, log.Append(record("a")), wal.ErrClosed)
+	require.ErrorIs(t, log.Sync(), wal.ErrClosed)
+	require.ErrorIs(t, log.Rewrite(nil), wal.ErrClosed)
+}
+
+func TestARewriteOfManyChunksIsReadBack(t *testing.T) {
+	disk := simdisk.New(1)
+	log, _ := reopened(t, disk)
+	const count, size = 40, 100_000
+	var records []wal.Record
+	for number := range count {
+		records = append(records, wal.Record{Kind: byte(number), Data: bytes.Repeat([]byte{byte(number)}, size)})
+	}
+	require.NoError(t, log.Rewrite(records))
+	disk.PowerLoss()
+	_, found, err := wal.Open(disk, "test")
+	require.NoError(t, err)
+	require.Equal(t, records, found)
+}
+
+func TestAppendsSyncsAndRewritesMayGoOnAtOnce(t *testing.T) {
+	disk := simdisk.New(1)
+	log, _ := reopened(t, disk)
+	const writers, each = 4, 100
+	var group sync.WaitGroup
+	for writer := range writers {
+		group.Go(func() {
+			for number := range each {
+				if log.Append(record(fmt.Sprint(writer, number))) != nil || log.Sync() != nil {
+					t.Error("append or sync failed")
+				}
+			}
+		})
+	}
+	group.Go(func() {
+		for range each {
+			_ = log.Size()
+		}
+	})
+	group.Wait()
+	disk.PowerLoss()
+	_, found := reopened(t, disk)
+	require.Len(t, found, writers*each)
+}
--- /dev/null
+++ b/coord/wal/record.go
@@ -0,0 +1,81 @@
+package wal
+
+import (
+	"encoding/binary"
+	"hash/crc32"
+)
+
+// MaxRecordBytes bounds the data of one record.
+const MaxRecordBytes = 64 << 20
+
+// A record on disk: length of the data (4 bytes), kind (1), CRC-32C over the file's salt, length, kind and data (4), data.
+const (
+	lengthBytes      = 4
+	kindOffset       = lengthBytes
+	checksumOffset   = kindOffset + 1
+	recordHeadBytes  = checksumOffset + 4
+	maxKeptBuffer    = 1 << 20
+	rewriteChunkSize = 256 << 10
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// Record is one entry of a log. Its kind and data mean nothing to the log.
+type Record struct {
+	Kind byte
+	Data []byte
+}
+
+func encodedBytes(records []Record) int {
+	total := 0
+	for _, record := range records {
+		total += recordHeadBytes + len(record.Data)
+	}
+	return total
+}
+
+// appendRecord appends the record's bytes to the buffer. The salt is the file's own start value of each checksum.
+func appendRecord(buffer []byte, salt uint32, record Record) []byte {
+	start := len(buffer)
+	buffer = binary.LittleEndian.AppendUint32(buffer, uint32(len(record.Data)))
+	buffer = append(buffer, record.Kind)
+	checksum := recordChecksum(salt, buffer[start:], record.Data)
+	buffer = binary.LittleEndian.AppendUint32(buffer, checksum)
+	return append(buffer, record.Data...)
+}
+
+func recordChecksum(salt uint32, lengthAndKind, data []byte) uint32 {
+	checksum := crc32.Update(salt, castagnoli, lengthAndKind)
+	return crc32.Update(checksum, castagnoli, data)
+}
+
+// nextRecord reads the record at the start of the content. The record shares the content's memory; ok is false if there
+// is no whole, valid record.
+func nextRecord(content []byte, salt uint32) (record Record, size int, ok bool) {
+	if len(content) < recordHeadBytes {
+		return Record{}, 0, false
+	}
+	length := binary.LittleEndian.Uint32(content)
+	if length > MaxRecordBytes || int(length) > len(content)-recordHeadBytes {
+		return Record{}, 0, false
+	}
+	size = recordHeadBytes + int(length)
+	data := content[recordHeadBytes:size:size]
+	checksum := binary.LittleEndian.Uint32(content[checksumOffset:])
+	if checksum != recordChecksum(salt, content[:checksumOffset], data) {
+		return Record{}, 0, false
+	}
+	return Record{Kind: content[kindOffset], Data: data}, size, true
+}
+
+// validRecords reads records up to the first that is torn or corrupt; size is the number of bytes that they take.
+func validRecords(content []byte, salt uint32) (records []Record, size int) {
+	for {
+		record, step, ok := nextRecord(content[size:], salt)
+		if !ok {
+			return records, size
+		}
+		records = append(records, record)
+		size += step
+	}
+}
--- /dev/null
+++ b/coord/wal/simdisk/disk.go
@@ -0,0 +1,270 @@
+// Package simdisk simulates a disk that loses power, fills up, stalls and is lost, for tests.
+//
+// After a loss of power a file has what its last sync covered; each later write is there, missing or torn, and at some
+// losses all of them are gone. A new file's name lasts with the file's own sync; renamed and removed names are kept or lost
+// one by one unless the folder was synced. The same seed and the same calls give the same disk.
+package simdisk
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"syscall"
+
+	"gaugeslip/coord/wal"
+)
+
+var (
+	// ErrNoPower says that the disk stopped at a point set by StopAfter, or that a file was opened before the last end of its
+	// process.
+	ErrNoPower = errors.New("simulated disk has no power")
+	// ErrStalled is an injected failure of a write or a sync, of which any part may have been done.
+	ErrStalled = errors.New("simulated disk stalled")
+	// ErrNoSpace is what the operating system gives for a full disk.
+	ErrNoSpace error = syscall.ENOSPC
+)
+
+// Faults are the chances, 0 to 1, that a call fails with ErrStalled.
+type Faults struct {
+	Write  float64
+	Sync   float64
+	Folder float64
+}
+
+const (
+	neverStop = -1
+	stopped   = -2
+	unlimited = -1
+)
+
+// Disk is the simulated disk. It implements wal.Disk and is safe for concurrent use.
+type Disk struct {
+	mu       sync.Mutex
+	random   *rand.Rand
+	faults   Faults
+	capacity int
+	stopIn   int
+	life     int
+	live     map[string]*inode
+	lasting  map[string]*inode
+	changes  []nameChange
+}
+
+var _ wal.Disk = (*Disk)(nil)
+
+// New returns an empty disk without faults or bounds.
+func New(seed uint64) *Disk {
+	return &Disk{
+		random:   rand.New(rand.NewPCG(seed, 0)),
+		capacity: unlimited,
+		stopIn:   neverStop,
+		live:     map[string]*inode{},
+		lasting:  map[string]*inode{},
+	}
+}
+
+// SetFaults sets the chances of failures from now on.
+func (d *Disk) SetFaults(faults Faults) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.faults = faults
+}
+
+// SetCapacity bounds the bytes of all files; a write that goes over it is cut short with ErrNoSpace. A negative number
+// takes the bound away.
+func (d *Disk) SetCapacity(bytes int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.capacity = bytes
+}
+
+// StopAfter lets that many more calls through; all after them fail with ErrNoPower and do nothing, until PowerLoss,
+// Restart or Wipe. The first call to fail, if it is a write, may have been done in part.
+func (d *Disk) StopAfter(calls int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopIn = calls
+}
+
+// Restart is the end of the process: open files are gone, what was written stays.
+func (d *Disk) Restart() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.nextLife()
+}
+
+// PowerLoss is a loss of power of the machine.
+func (d *Disk) PowerLoss() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	const allGone = 0.25
+	loseAll := d.random.Float64() < allGone
+	d.settleNames(loseAll)
+	d.settleContents(loseAll)
+	d.nextLife()
+}
+
+// Wipe is the loss of the disk: an empty one takes its place.
+func (d *Disk) Wipe() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	clear(d.live)
+	clear(d.lasting)
+	d.changes = nil
+	d.nextLife()
+}
+
+func (d *Disk) nextLife() {
+	d.life++
+	d.stopIn = neverStop
+}
+
+// powered counts one call. The caller holds mu.
+func (d *Disk) powered() bool {
+	switch d.stopIn {
+	case neverStop:
+		return true
+	case stopped:
+		return false
+	case 0:
+		d.stopIn = stopped
+		return false
+	default:
+		d.stopIn--
+		return true
+	}
+}
+
+// List implements wal.Disk.
+func (d *Disk) List() ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.powered() {
+		return nil, ErrNoPower
+	}
+	names := make([]string, 0, len(d.live))
+	for name := range d.live {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names, nil
+}
+
+// ReadFile implements wal.Disk.
+func (d *Disk) ReadFile(name string) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.powered() {
+		return nil, ErrNoPower
+	}
+	file, found := d.live[name]
+	if !found {
+		return nil, missing("read", name)
+	}
+	return slices.Clone(file.content), nil
+}
+
+// Create implements wal.Disk.
+func (d *Disk) Create(name string) (wal.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.powered() {
+		return nil, ErrNoPower
+	}
+	file, found := d.live[name]
+	if found {
+		file.truncate()
+	} else {
+		file = &inode{}
+		d.live[name] = file
+		d.changes = append(d.changes, nameChange{kind: nameMade, name: name, file: file})
+	}
+	return &handle{disk: d, file: file, life: d.life}, nil
+}
+
+// OpenAppend implements wal.Disk.
+func (d *Disk) OpenAppend(name string) (wal.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.powered() {
+		return nil, ErrNoPower
+	}
+	file, found := d.live[name]
+	if !found {
+		return nil, missing("open", name)
+	}
+	return &handle{disk: d, file: file, life: d.life}, nil
+}
+
+// Rename implements wal.Disk.
+func (d *Disk) Rename(oldName, newName string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.powered() {
+		return ErrNoPower
+	}
+	file, found := d.live[oldName]
+	if !found {
+		return missing("rename", oldName)
+	}
+	delete(d.live, oldName)
+	d.live[newName] = file
+	d.changes = append(d.changes, nameChange{kind: nameChanged, name: oldName, newName: newName, file: file})
+	return nil
+}
+
+// Remove implements wal.Disk.
+func (d *Disk) Remove(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.powered() {
+		return ErrNoPower
+	}
+	file, found := d.live[name]
+	if !found {
+		return missing("remove", name)
+	}
+	delete(d.live, name)
+	d.changes = append(d.changes, nameChange{kind: nameRemoved, name: name, file: file})
+	return nil
+}
+
+// SyncFolder implements wal.Disk.
+func (d *Disk) SyncFolder() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.powered() {
+		return ErrNoPower
+	}
+	if d.happens(d.faults.Folder) {
+		if d.evenChance() {
+			d.syncNames()
+		}
+		return ErrStalled
+	}
+	d.syncNames()
+	return nil
+}
+
+func (d *Disk) happens(chance float64) bool {
+	return chance > 0 && d.random.Float64() < chance
+}
+
+func (d *Disk) evenChance() bool {
+	return d.random.IntN(2) == 0
+}
+
+func (d *Disk) usedBytes() int {
+	used := 0
+	for _, file := range d.live {
+		used += len(file.content)
+	}
+	return used
+}
+
+func missing(operation, name string) error {
+	return fmt.Errorf("%s %s: %w", operation, name, fs.ErrNotExist)
+}
