Read and check settings files, the operator's configurations and clients' jobs

The programs of the scheduler need all three in checked, typed form. What is wrong with a document is collected with its place and reported at once (findings).

Tested with: go test -race ./internal/system/{findings,nodesettings,clusterconfig,jobspec}/...

--- /dev/null
+++ b/internal/system/clusterconfig/check.go
@@ -0,0 +1,61 @@
+package clusterconfig
+
+import (
+	"strings"
+
+	"gaugeslip/internal/system/findings"
+)
+
+// check takes note of what the parts of a configuration have to be to each other.
+func check(config *Config, found *findings.Findings) {
+	services := checkServices(config.Services, found)
+	names := make(map[string]int, len(config.Routes))
+	places := make(map[[2]string]int, len(config.Routes))
+	for index := range config.Routes {
+		route := &config.Routes[index]
+		checkPlace(index, route, places, found)
+		checkName(index, route, names, found)
+		if _, known := services[route.Backend]; !known {
+			found.Add(findings.Item("routes", index, "backend"), "unknown service %q", route.Backend)
+		}
+	}
+}
+
+func checkServices(services []Service, found *findings.Findings) map[string]int {
+	seen := make(map[string]int, len(services))
+	for index := range services {
+		name := services[index].Name
+		if first, double := seen[name]; double {
+			found.Add(findings.Item("services", index, "name"), "%q is also the name of services[%d]", name, first)
+			continue
+		}
+		seen[name] = index
+	}
+	return seen
+}
+
+func checkPlace(index int, route *Route, places map[[2]string]int, found *findings.Findings) {
+	if route.Host == "" {
+		found.Add(findings.Item("routes", index, "host"), "is empty")
+	}
+	if !strings.HasPrefix(route.PathPrefix, "/") {
+		found.Add(findings.Item("routes", index, "pathPrefix"), "%q doesn't begin with a slash", route.PathPrefix)
+	}
+	place := [2]string{route.Host, route.PathPrefix}
+	if first, double := places[place]; double {
+		found.Add(findings.Item("routes", index, ""), "has the host and pathPrefix of routes[%d]", first)
+		return
+	}
+	places[place] = index
+}
+
+func checkName(index int, route *Route, names map[string]int, found *findings.Findings) {
+	if route.Name == "" {
+		return
+	}
+	if first, double := names[route.Name]; double {
+		found.Add(findings.Item("routes", index, "name"), "%q is also the name of routes[%d]", route.Name, first)
+		return
+	}
+	names[route.Name] = index
+}
--- /dev/null
+++ b/internal/system/nodesettings/changed.go
@@ -0,0 +1,36 @@
+package nodesettings
+
+import "reflect"
+
+// Changed names the keys whose values differ between two settings, in the order of the fields; keys of tables as
+// `table.key`. Nil when there are none.
+func Changed(before, after *Settings) []string {
+	return changed("", reflect.ValueOf(before).Elem(), reflect.ValueOf(after).Elem())
+}
+
+func changed(path string, before, after reflect.Value) []string {
+	var keys []string
+	for index := range before.NumField() {
+		key := join(path, before.Type().Field(index).Tag.Get(keyTag))
+		old, current := before.Field(index), after.Field(index)
+		if old.Kind() == reflect.Struct {
+			keys = append(keys, changed(key, old, current)...)
+			continue
+		}
+		if !same(old, current) {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// same takes a list that is missing for an empty one.
+func same(old, current reflect.Value) bool {
+	switch old.Kind() {
+	case reflect.Slice, reflect.Map:
+		if old.Len() == 0 && current.Len() == 0 {
+			return true
+		}
+	}
+	return reflect.DeepEqual(old.Interface(), current.Interface())
+}
