--- /dev/null
+++ b/coord/gossip/pulls.go
@@ -0,0 +1,46 @@
+package gossip
+
+import "time"
+
+const (
+	// pullPatience is how long a value that was asked for isn't asked for elsewhere, were it empty.
+	pullPatience = time.Second
+	// pullRate is the bandwidth, in bytes a second, that a pull is given time for.
+	pullRate = 64 << 10
+)
+
+// TransferTime is how long a transfer of bytes may take on a slow link, besides the call's usual time.
+func TransferTime(bytes int) time.Duration {
+	return time.Duration(bytes) * time.Second / pullRate
+}
+
+// pulls are the values that were asked for and haven't come, so that a long one is sent once only.
+type pulls map[Key]pull
+
+type pull struct {
+	version Version
+	until   time.Duration
+}
+
+// begin notes a pull unless the same version, or a newer one, is on its way.
+func (p pulls) begin(now time.Duration, wanted KeyVersion) bool {
+	if out, ok := p[wanted.Key]; ok && now < out.until && !wanted.Version.Newer(out.version) {
+		return false
+	}
+	p[wanted.Key] = pull{version: wanted.Version, until: now + pullPatience + TransferTime(int(wanted.Size))}
+	return true
+}
+
+// arrived ends the pull that a value answers.
+func (p pulls) arrived(value Value) {
+	if out, ok := p[value.Key]; ok && !out.version.Newer(value.Version) {
+		delete(p, value.Key)
+	}
+}
+
+// failed ends a pull that won't be answered.
+func (p pulls) failed(wanted KeyVersion) {
+	if p[wanted.Key].version == wanted.Version {
+		delete(p, wanted.Key)
+	}
+}
--- /dev/null
+++ b/coord/gossip/store.go
@@ -0,0 +1,115 @@
+// Package gossip spreads few versioned values epidemically: a newly learned value is pushed to some peers once (rumor), and
+// pairwise exchanges of state bring the rest (anti-entropy, push and pull). Two peers with the same state exchange one hash only,
+// long values are announced and sent only to those who want them, and nothing goes back to an older version within a life.
+//
+// The package is a pure core: it does no I/O, reads no clock and isn't safe for concurrent use. Times are on a steady clock.
+package gossip
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+)
+
+// MaxValueBytes is the longest data that a value may have.
+const MaxValueBytes = 256 << 10
+
+// ErrTooLong is returned for a value with more data than MaxValueBytes.
+var ErrTooLong = errors.New("the value is too long")
+
+// Store holds the newest known version of each key.
+type Store struct {
+	values map[Key]Value
+	// keys are those of values, sorted.
+	keys    []Key
+	hash    uint64
+	history history
+	pulls   pulls
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{values: map[Key]Value{}, pulls: pulls{}}
+}
+
+// Set takes in a value and reports whether it is newer than what was there. The data isn't copied. The error wraps ErrTooLong.
+func (s *Store) Set(value Value) (learned bool, err error) {
+	if len(value.Data) > MaxValueBytes {
+		return false, fmt.Errorf("gossip: %s: %w: %d bytes", value.Key, ErrTooLong, len(value.Data))
+	}
+	return s.learn(value), nil
+}
+
+// Get returns the newest known value of a key.
+func (s *Store) Get(key Key) (Value, bool) {
+	value, ok := s.values[key]
+	return value, ok
+}
+
+// Values returns all values, sorted by key.
+func (s *Store) Values() []Value {
+	all := make([]Value, 0, len(s.keys))
+	for _, key := range s.keys {
+		all = append(all, s.values[key])
+	}
+	return all
+}
+
+// Hash is the hash of all keys and versions; zero for an empty store.
+func (s *Store) Hash() uint64 { return s.hash }
+
+// Digest names all values, sorted by key.
+func (s *Store) Digest() []KeyVersion {
+	digest := make([]KeyVersion, 0, len(s.keys))
+	for _, key := range s.keys {
+		digest = append(digest, s.values[key].KeyVersion())
+	}
+	return digest
+}
+
+// learn takes in a value if it is newer than what is there.
+func (s *Store) learn(value Value) bool {
+	if !s.isNews(value.KeyVersion()) || len(value.Data) > MaxValueBytes {
+		return false
+	}
+	s.history.note(s.hash, value.Key)
+	if before, ok := s.values[value.Key]; ok {
+		s.hash ^= before.hash()
+	} else {
+		index, _ := slices.BinarySearch(s.keys, value.Key)
+		s.keys = slices.Insert(s.keys, index, value.Key)
+	}
+	s.hash ^= value.hash()
+	s.values[value.Key] = value
+	s.pulls.arrived(value)
+	return true
+}
+
+// learnAll takes in values and returns those that were news.
+func (s *Store) learnAll(values []Value) (learned []Value) {
+	for _, value := range values {
+		if s.learn(value) {
+			learned = append(learned, value)
+		}
+	}
+	return learned
+}
+
+// isNews reports whether a version is newer than what is here.
+func (s *Store) isNews(named KeyVersion) bool {
+	return named.Version.Newer(s.values[named.Key].Version)
+}
+
+// want picks from what a peer has that which is news and isn't being pulled already, and notes the pulls.
+func (s *Store) want(now time.Duration, named []KeyVersion) (wanted []KeyVersion) {
+	for _, each := range named {
+		if each.Size > MaxValueBytes || !s.isNews(each) {
+			continue
+		}
+		if s.pulls.begin(now, each) {
+			wanted = append(wanted, each)
+		}
+	}
+	return wanted
+}
