--- /dev/null
+++ b/policy/sizing/queue.go
@@ -0,0 +1,78 @@
+package sizing
+
+import (
+	"cmp"
+	"iter"
+	"time"
+
+	"github.com/google/btree"
+)
+
+// queueDegree is the degree of the tree that a Queue is.
+const queueDegree = 16
+
+// Ticket names what a Queue holds: its deadline, and its number among all that were pushed.
+type Ticket struct {
+	Deadline time.Duration
+	number   uint64
+}
+
+// Queue holds values earliest deadline first, those of equal deadlines in the order in which they came. Push, Pop and
+// Remove take O(log n). Make one with NewQueue.
+type Queue[T any] struct {
+	tree *btree.BTreeG[queued[T]]
+	last uint64
+}
+
+type queued[T any] struct {
+	ticket Ticket
+	value  T
+}
+
+// NewQueue returns an empty Queue.
+func NewQueue[T any]() *Queue[T] {
+	return &Queue[T]{tree: btree.NewG(queueDegree, before[T])}
+}
+
+func before[T any](a, b queued[T]) bool {
+	order := cmp.Compare(a.ticket.Deadline, b.ticket.Deadline)
+	return order < 0 || order == 0 && a.ticket.number < b.ticket.number
+}
+
+// Len returns how many values are held.
+func (q *Queue[T]) Len() int { return q.tree.Len() }
+
+// Push holds a value, and returns the ticket by which Remove finds it.
+func (q *Queue[T]) Push(deadline time.Duration, value T) Ticket {
+	q.last++
+	ticket := Ticket{Deadline: deadline, number: q.last}
+	q.tree.ReplaceOrInsert(queued[T]{ticket, value})
+	return ticket
+}
+
+// First returns what has the earliest deadline; false: nothing is held.
+func (q *Queue[T]) First() (Ticket, T, bool) {
+	first, ok := q.tree.Min()
+	return first.ticket, first.value, ok
+}
+
+// Pop takes out what has the earliest deadline; false: nothing is held.
+func (q *Queue[T]) Pop() (Ticket, T, bool) {
+	first, ok := q.tree.DeleteMin()
+	return first.ticket, first.value, ok
+}
+
+// Remove takes out a value by its ticket; false: it is held no more.
+func (q *Queue[T]) Remove(ticket Ticket) (T, bool) {
+	removed, ok := q.tree.Delete(queued[T]{ticket: ticket})
+	return removed.value, ok
+}
+
+// All goes through what is held, earliest deadline first, as far as the caller wants. The Queue mustn't change meanwhile.
+func (q *Queue[T]) All() iter.Seq2[Ticket, T] {
+	return func(yield func(Ticket, T) bool) {
+		q.tree.Ascend(func(held queued[T]) bool {
+			return yield(held.ticket, held.value)
+		})
+	}
+}
--- /dev/null
+++ b/policy/sizing/queue_test.go
@@ -0,0 +1,104 @@
+package sizing
+
+import (
+	"cmp"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+type reference struct {
+	ticket Ticket
+	value  int
+}
+
+// A Queue is a slice that is sorted stably by deadline.
+func TestQueueIsASortedSlice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		queue, next := NewQueue[int](), 0
+		var want, gone []reference
+		t.Repeat(map[string]func(*rapid.T){
+			"push": func(t *rapid.T) {
+				deadline := time.Duration(rapid.IntRange(0, 20).Draw(t, "deadline"))
+				next++
+				want = append(want, reference{queue.Push(deadline, next), next})
+				slices.SortStableFunc(want, func(a, b reference) int {
+					return cmp.Compare(a.ticket.Deadline, b.ticket.Deadline)
+				})
+			},
+			"pop": func(t *rapid.T) {
+				ticket, value, ok := queue.Pop()
+				require.Equal(t, len(want) > 0, ok)
+				if ok {
+					require.Equal(t, want[0], reference{ticket, value})
+					gone, want = append(gone, want[0]), want[1:]
+				}
+			},
+			"remove": func(t *rapid.T) {
+				if len(want) == 0 {
+					t.Skip("nothing is held")
+				}
+				at := rapid.IntRange(0, len(want)-1).Draw(t, "at")
+				value, ok := queue.Remove(want[at].ticket)
+				require.True(t, ok)
+				require.Equal(t, want[at].value, value)
+				gone, want = append(gone, want[at]), slices.Delete(want, at, at+1)
+			},
+			"remove what is gone": func(t *rapid.T) {
+				if len(gone) == 0 {
+					t.Skip("nothing is gone")
+				}
+				_, ok := queue.Remove(rapid.SampledFrom(gone).Draw(t, "gone").ticket)
+				require.False(t, ok)
+			},
+			"stop early": func(t *rapid.T) {
+				limit := rapid.IntRange(0, len(want)).Draw(t, "limit")
+				var seen []reference
+				for ticket, value := range queue.All() {
+					if len(seen) == limit {
+						break
+					}
+					seen = append(seen, reference{ticket, value})
+				}
+				require.True(t, slices.Equal(want[:limit], seen), "want %v, seen %v", want[:limit], seen)
+			},
+			"": func(t *rapid.T) {
+				require.Equal(t, len(want), queue.Len())
+				ticket, value, ok := queue.First()
+				require.Equal(t, len(want) > 0, ok)
+				if ok {
+					require.Equal(t, want[0], reference{ticket, value})
+				}
+			},
+		})
+	})
+}
+
+func TestQueueKeepsTheOrderOfEquals(t *testing.T) {
+	queue := NewQueue[string]()
+	for _, value := range []string{"first", "second", "third"} {
+		queue.Push(time.Second, value)
+	}
+	queue.Push(0, "urgent")
+	var seen []string
+	for _, value := range queue.All() {
+		seen = append(seen, value)
+	}
+	assert.Equal(t, []string{"urgent", "first", "second", "third"}, seen)
+}
+
+func BenchmarkQueue(b *testing.B) {
+	queue := NewQueue[int]()
+	for i := range 10000 {
+		queue.Push(time.Duration(i*7919%10000), i)
+	}
+	b.ReportAllocs()
+	for i := 0; b.Loop(); i++ {
+		ticket, value, _ := queue.Pop()
+		queue.Push(ticket.Deadline+time.Duration(i*7919%10000), value)
+	}
+}
