Add the dispatcher: clients' jobs go to the head, and every refusal is certain

The frontend finds a job's queue in the newest configuration, checks the body and repeats the call to the head known while time is left. 429 and 503 are answered only while every call surely came to nothing; after one unknown outcome only 200 and 504 are left. Views and configurations come by gossip and by looks at the core, and never go back. On SIGTERM it is unready at once, ends each connection with its answer and stops accepting when the platform has noticed.

Tested: go test -race ./internal/system/dataplane (300 seeds of faults between dispatcher and core, on a clock of their own).

--- /dev/null
+++ b/internal/system/dataplane/certainty_test.go
@@ -0,0 +1,98 @@
+package dataplane
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/system/jobspec"
+)
+
+var certaintySeed = flag.Uint64("certainty-seed", 0, "replay one seed of TestAnswersAreCertain")
+
+const (
+	certaintySeeds    = 300
+	certaintyRequests = 40
+)
+
+// Whatever goes wrong between the dispatcher and the core: a job whose handing in was answered 2xx is in custody, one that was
+// answered 429 or 503 never gets there, and nobody is kept for longer than it waits.
+func TestAnswersAreCertain(t *testing.T) {
+	first, last := uint64(1), uint64(certaintySeeds)
+	if *certaintySeed != 0 {
+		first, last = *certaintySeed, *certaintySeed
+	}
+	statuses := map[int]int{}
+	for seed := first; seed <= last; seed++ {
+		synctest.Test(t, func(t *testing.T) { certaintyRun(t, seed, statuses) })
+	}
+	t.Logf("answers: %v", statuses)
+	if *certaintySeed == 0 {
+		for _, status := range []int{200, 429, 503, 504} {
+			require.NotZero(t, statuses[status], "no answer was %d: the faults are too few", status)
+		}
+	}
+}
+
+func certaintyRun(t *testing.T, seed uint64, statuses map[int]int) {
+	core := newFaultyCore(seed)
+	directory := knowing(t, "a", "b", "c")
+	poller := NewPoller(core, directory, []string{"a", "b", "c"}, func(error) {}, Options{})
+	dispatcher := NewDispatcher(core, directory, poller.Poke, Options{})
+	ctx, cancel := context.WithCancel(t.Context())
+	var background, clients sync.WaitGroup
+	background.Go(func() { poller.Run(ctx) })
+	background.Go(func() { turnOvers(ctx, core) })
+
+	answers := make([]int, certaintyRequests+1)
+	for number := 1; number <= certaintyRequests; number++ {
+		start := time.Duration(core.draw(4000)) * time.Millisecond
+		wait := time.Duration(50+core.draw(4000)) * time.Millisecond
+		clients.Go(func() {
+			pass(start)
+			begun := time.Now()
+			answers[number] = handIn(dispatcher, uint64(number), wait)
+			kept := time.Since(begun)
+			if answers[number] == http.StatusOK && !core.inCustody(uint64(number)) {
+				t.Errorf("seed %d: job %d was accepted and isn't in custody", seed, number)
+			}
+			if limit := wait*85/100 + callSlack; kept > limit {
+				t.Errorf("seed %d: job %d was kept for %v, more than %v", seed, number, kept, limit)
+			}
+		})
+	}
+	clients.Wait()
+	cancel()
+	background.Wait()
+	dispatcher.Wait()
+	core.late.Wait()
+	for number, status := range answers[1:] {
+		id := uint64(number + 1)
+		switch status {
+		case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+			require.False(t, core.inCustody(id), "seed %d: job %d was answered %d and is in custody", seed, id, status)
+		case http.StatusOK, http.StatusGatewayTimeout:
+		default:
+			t.Errorf("seed %d: job %d was answered %d", seed, id, status)
+		}
+		statuses[status]++
+	}
+}
+
+func handIn(dispatcher *Dispatcher, number uint64, wait time.Duration) int {
+	path := testPrefix + jobspec.ID(number).String()
+	return ask(dispatcher, http.MethodPost, path, testBody, deadlineHeader, fmt.Sprint(wait.Milliseconds())).Code
+}
+
+func turnOvers(ctx context.Context, core *faultyCore) {
+	for sleep(ctx, time.Duration(1+core.draw(1500))*time.Millisecond) {
+		core.turnOver()
+	}
+}
--- /dev/null
+++ b/internal/system/dataplane/directory.go
@@ -0,0 +1,123 @@
+package dataplane
+
+import (
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gaugeslip/coord/view"
+	"gaugeslip/internal/system/clusterconfig"
+)
+
+// Configuration is one configuration in use: as it came, and as routes are found in it.
+type Configuration struct {
+	Version uint64
+	// Body is never changed.
+	Body   []byte
+	Router *clusterconfig.Router
+}
+
+// Directory is what a dispatcher has learnt: the newest view of the chain, the newest configuration, and when the core was last
+// seen to serve. View and configuration never go back. It is safe for concurrent use.
+type Directory struct {
+	mutex       sync.Mutex
+	viewChanged chan struct{}
+	// refused is the newest version whose body couldn't be used.
+	refused uint64
+	news    chan struct{}
+
+	view   atomic.Pointer[view.View]
+	config atomic.Pointer[Configuration]
+	// seen is the last sign of a serving core, in nanoseconds after started; 0 means none.
+	started time.Time
+	seen    atomic.Int64
+}
+
+// NewDirectory is a directory that knows nothing.
+func NewDirectory() *Directory {
+	d := &Directory{
+		viewChanged: make(chan struct{}),
+		news:        make(chan struct{}, 1),
+		started:     time.Now(),
+	}
+	d.view.Store(&view.View{})
+	return d
+}
+
+// News gets a value after each change, or after several, for one reader.
+func (d *Directory) News() <-chan struct{} { return d.news }
+
+// View is the newest view; without voters it is unknown. Nobody may change it.
+func (d *Directory) View() *view.View { return d.view.Load() }
+
+// Watch gives the newest view, and a channel that is closed once there is a newer one.
+func (d *Directory) Watch() (*view.View, <-chan struct{}) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.view.Load(), d.viewChanged
+}
+
+// Config is the newest configuration; nil while there is none. Nobody may change it.
+func (d *Directory) Config() *Configuration { return d.config.Load() }
+
+// ConfigVersion is the newest configuration's version, 0 while there is none.
+func (d *Directory) ConfigVersion() uint64 {
+	config := d.config.Load()
+	if config == nil {
+		return 0
+	}
+	return config.Version
+}
+
+// LearnView takes a view in if it is newer than the one known, and tells whether it was.
+func (d *Directory) LearnView(newest view.View) bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	before := d.view.Load()
+	if !newest.Known() || (before.Known() && newest.Epoch <= before.Epoch) {
+		return false
+	}
+	d.view.Store(&newest)
+	close(d.viewChanged)
+	d.viewChanged = make(chan struct{})
+	d.tell()
+	return true
+}
+
+// LearnConfig takes a configuration in if it is newer than the one in force, and tells whether it was. A body that can't be
+// used is an error once; it changes nothing.
+func (d *Directory) LearnConfig(version uint64, body []byte) (bool, error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if version <= d.ConfigVersion() || version == d.refused {
+		return false, nil
+	}
+	parsed, err := clusterconfig.Parse(body)
+	if err == nil && uint64(parsed.Version) != version {
+		err = fmt.Errorf("the body says %d", parsed.Version)
+	}
+	if err != nil {
+		d.refused = version
+		return false, fmt.Errorf("configuration %d: %w", version, err)
+	}
+	d.config.Store(&Configuration{Version: version, Body: body, Router: clusterconfig.NewRouter(parsed)})
+	d.tell()
+	return true, nil
+}
+
+func (d *Directory) tell() {
+	select {
+	case d.news <- struct{}{}:
+	default:
+	}
+}
+
+// Contact takes note that a replica which serves has just answered.
+func (d *Directory) Contact() { d.seen.Store(int64(time.Since(d.started)) + 1) }
+
+// Reachable tells whether a replica that serves was heard of within that time.
+func (d *Directory) Reachable(within time.Duration) bool {
+	seen := d.seen.Load()
+	return seen != 0 && time.Since(d.started)-time.Duration(seen) < within
+}
--- /dev/null
+++ b/internal/system/dataplane/dispatcher.go
@@ -0,0 +1,126 @@
+package dataplane
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/puzpuzpuz/xsync/v4"
+
+	"gaugeslip/internal/system/clusterconfig"
+	"gaugeslip/internal/system/jobspec"
+)
+
+// staleContact is how long after the last sign of the core an unknown route may be due to a configuration that we missed.
+const staleContact = 1500 * time.Millisecond
+
+// Dispatcher answers clients. It is an http.Handler, safe for concurrent use.
+type Dispatcher struct {
+	caller    Caller
+	directory *Directory
+	options   Options
+	poke      func()
+	counts    *xsync.Map[queue, int]
+	draining  atomic.Bool
+	// calls are the calls under way, those among them that nobody waits for any more.
+	calls sync.WaitGroup
+}
+
+// NewDispatcher makes a dispatcher. poke is called, often and from any goroutine, when there may be news at the core.
+func NewDispatcher(caller Caller, directory *Directory, poke func(), options Options) *Dispatcher {
+	return &Dispatcher{
+		caller:    caller,
+		directory: directory,
+		options:   options.withDefaults(),
+		poke:      poke,
+		counts:    xsync.NewMap[queue, int](),
+	}
+}
+
+// Drain has every answer from now on end its connection.
+func (d *Dispatcher) Drain() { d.draining.Store(true) }
+
+// Wait returns once no call is under way any more; no request may come after it was called.
+func (d *Dispatcher) Wait() { d.calls.Wait() }
+
+// ServeHTTP answers one request of a client. It doesn't end early when the client is gone: it may have closed one way only.
+func (d *Dispatcher) ServeHTTP(w http.ResponseWriter, request *http.Request) {
+	arrived := time.Now()
+	if request.ContentLength != 0 {
+		boundBody(w, arrived)
+	}
+	reply := d.answer(w, request, arrived)
+	if d.draining.Load() {
+		w.Header()["Connection"] = closeValue
+	}
+	reply.write(w)
+}
+
+func (d *Dispatcher) answer(w http.ResponseWriter, request *http.Request, arrived time.Time) answer {
+	config := d.directory.Config()
+	if config == nil {
+		return unavailable
+	}
+	route, rest, ok := config.Router.Match(request.Host, request.URL.Path)
+	if !ok {
+		return d.noRoute()
+	}
+	wait := d.wait(request, route, arrived)
+	if rest == "" {
+		return d.answerQueue(request, route, arrived, wait)
+	}
+	switch request.Method {
+	case http.MethodPost:
+		return d.answerPost(w, request, config.Router.Config().Limits, route, rest, arrived, wait)
+	case http.MethodGet, http.MethodHead:
+		id, ok := jobspec.ParseID(rest)
+		if !ok {
+			return badID
+		}
+		return d.status(id, newPatience(arrived, wait, doubtShare))
+	case http.MethodDelete:
+		id, ok := jobspec.ParseID(rest)
+		if !ok {
+			return badID
+		}
+		return d.cancel(id, newPatience(arrived, wait, doubtShare))
+	}
+	return wrongMethod
+}
+
+// noRoute answers for a route that isn't in the configuration; out of the core's reach, it may be in one that we missed.
+func (d *Dispatcher) noRoute() answer {
+	if !d.directory.Reachable(staleContact) {
+		return unavailable
+	}
+	return notFound
+}
+
+func (d *Dispatcher) answerQueue(request *http.Request, route *clusterconfig.Route, arrived time.Time, wait time.Duration) answer {
+	switch request.Method {
+	case http.MethodGet, http.MethodHead:
+		wait = min(wait, d.options.CountPatience)
+		return d.count(route, newPatience(arrived, wait, doubtShare))
+	case http.MethodPost, http.MethodDelete:
+		return badID
+	}
+	return wrongRouteMethod
+}
+
+func (d *Dispatcher) answerPost(w http.ResponseWriter, request *http.Request, limits clusterconfig.Limits,
+	route *clusterconfig.Route, rest string, arrived time.Time, wait time.Duration,
+) answer {
+	id, ok := jobspec.ParseID(rest)
+	if !ok {
+		return badID
+	}
+	body, refusal := readBody(w, request, limits.MaxBodyBytes)
+	if body == nil {
+		return refusal
+	}
+	if _, err := jobspec.Parse(body); err != nil {
+		return invalid(err)
+	}
+	return d.submit(id, route, body, newPatience(arrived, wait, sureShare))
+}
--- /dev/null
+++ b/internal/system/dataplane/errands.go
@@ -0,0 +1,162 @@
+package dataplane
+
+import (
+	"net/http"
+	"time"
+
+	"gaugeslip/coord/view"
+	"gaugeslip/internal/system/clusterconfig"
+	"gaugeslip/internal/system/findings"
+	"gaugeslip/internal/system/internalapi"
+	"gaugeslip/internal/system/jobspec"
+)
+
+// submit hands a job to the head.
+func (d *Dispatcher) submit(id jobspec.ID, route *clusterconfig.Route, body []byte, limits patience) answer {
+	end := d.carryOut(&errand{
+		method:   internalapi.MethodSubmit,
+		args:     &internalapi.SubmitArgs{ID: uint64(id), Route: route.Name, Body: body},
+		writes:   true,
+		target:   headOnly,
+		stays:    isHead,
+		patience: limits,
+	})
+	if end.reply == nil {
+		return givenUp(end.inDoubt)
+	}
+	switch end.reply.Verdict {
+	case internalapi.Done:
+		return accepted
+	case internalapi.NoRoute:
+		return notFound
+	case internalapi.Invalid:
+		return invalid(findings.Findings{{Text: end.reply.Text}})
+	}
+	return overloaded
+}
+
+// cancel ends a job at the head.
+func (d *Dispatcher) cancel(id jobspec.ID, limits patience) answer {
+	end := d.carryOut(&errand{
+		method:          internalapi.MethodCancel,
+		args:            &internalapi.CancelArgs{ID: uint64(id)},
+		writes:          true,
+		target:          headOnly,
+		stays:           isHead,
+		notKnownSettles: true,
+		patience:        limits,
+	})
+	if end.reply == nil {
+		return givenUp(end.inDoubt)
+	}
+	switch end.reply.Verdict {
+	case internalapi.Done:
+		return cancelled
+	case internalapi.NotKnown, internalapi.NoRoute:
+		return gone
+	}
+	return overloaded
+}
+
+// status reads a job's state at the tail.
+func (d *Dispatcher) status(id jobspec.ID, limits patience) answer {
+	end := d.carryOut(&errand{
+		method:          internalapi.MethodStatus,
+		args:            &internalapi.StatusArgs{ID: uint64(id)},
+		target:          tailFirst,
+		stays:           inChain,
+		notKnownSettles: true,
+		patience:        limits,
+	})
+	if end.reply == nil {
+		return unavailable
+	}
+	switch end.reply.Verdict {
+	case internalapi.Done:
+		if known, ok := states[end.reply.State]; ok {
+			return known
+		}
+		return stateAnswer(end.reply.State)
+	case internalapi.NotKnown:
+		return gone
+	}
+	return unavailable
+}
+
+// count reads at the tail how many jobs of a queue aren't over; failing that, it tells the last known count.
+func (d *Dispatcher) count(route *clusterconfig.Route, limits patience) answer {
+	end := d.carryOut(&errand{
+		method:   internalapi.MethodCount,
+		args:     &internalapi.CountArgs{Route: route.Name},
+		target:   tailFirst,
+		stays:    inChain,
+		patience: limits,
+	})
+	queue := queueOf(route)
+	if end.reply == nil {
+		known, _ := d.counts.Load(queue)
+		return countAnswer(known)
+	}
+	switch end.reply.Verdict {
+	case internalapi.Done:
+		d.counts.Store(queue, end.reply.Pending)
+		return countAnswer(end.reply.Pending)
+	case internalapi.NoRoute:
+		return notFound
+	}
+	known, _ := d.counts.Load(queue)
+	return countAnswer(known)
+}
+
+func givenUp(inDoubt bool) answer {
+	if inDoubt {
+		return timedOut
+	}
+	return unavailable
+}
+
+// queue names a route by what it takes; its name may be empty.
+type queue struct{ host, prefix string }
+
+func queueOf(route *clusterconfig.Route) queue {
+	return queue{host: route.Host, prefix: route.PathPrefix}
+}
+
+func headOnly(current *view.View, _ int) string { return current.Head().Address }
+
+func isHead(current *view.View, address string) bool { return current.Head().Address == address }
+
+// tailFirst goes to the tail, then to the head, then up the chain from the tail's predecessor.
+func tailFirst(current *view.View, try int) string {
+	length := len(current.Chain)
+	if length == 0 {
+		return ""
+	}
+	switch try %= length; try {
+	case 0:
+		return current.Tail().Address
+	case 1:
+		return current.Head().Address
+	}
+	return current.Chain[length-try].Address
+}
+
+func inChain(current *view.View, address string) bool {
+	for index := range current.Chain {
+		if current.Chain[index].Address == address {
+			return true
+		}
+	}
+	return false
+}
+
+// wait is how long a client waits for its answer: what it says, or else its route's timeout.
+func (d *Dispatcher) wait(request *http.Request, route *clusterconfig.Route, now time.Time) time.Duration {
+	if wait, ok := clientWait(request.Header.Get(deadlineHeader), now); ok {
+		return wait
+	}
+	if route.Timeout > 0 {
+		return route.Timeout
+	}
+	return d.options.DefaultWait
+}
--- /dev/null
+++ b/internal/system/dataplane/fake_test.go
@@ -0,0 +1,221 @@
+package dataplane
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/rpc"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/coord/transport"
+	"gaugeslip/coord/view"
+	"gaugeslip/internal/system/internalapi"
+)
+
+const (
+	testHost   = "jobs.example"
+	testPrefix = "/queue/"
+	testID     = "00000000000000a1"
+	testBody   = `{"spec":"text","stages":[{"count":1,"cpu":500}]}`
+)
+
+// configBody is a configuration with one queue.
+func configBody(version int) []byte {
+	return fmt.Appendf(nil, `{"version":%d,"routes":[{"name":"route","host":"%s","pathPrefix":"%s","timeoutMs":3000,`+
+		`"backend":"service"}],"services":[{"name":"service"}],"limits":{"maxBodyBytes":1000}}`, version, testHost, testPrefix)
+}
+
+func members(addresses ...string) []view.Member {
+	list := make([]view.Member, len(addresses))
+	for index, address := range addresses {
+		list[index] = view.Member{ID: view.ReplicaID(address), Address: address}
+	}
+	return list
+}
+
+func chainOf(epoch uint64, addresses ...string) view.View {
+	return view.View{Epoch: epoch, Voters: members("a", "b", "c"), Chain: members(addresses...)}
+}
+
+// callerFunc is a Caller that is told all it does.
+type callerFunc func(address, method string, args, reply any, timeout time.Duration) error
+
+func (f callerFunc) Call(address, method string, args, reply any, timeout time.Duration) error {
+	return f(address, method, args, reply, timeout)
+}
+
+// replying answers each call on a job with what the function says.
+func replying(answer func(address, method string) (internalapi.JobReply, error)) callerFunc {
+	return func(address, method string, _, reply any, _ time.Duration) error {
+		made, err := answer(address, method)
+		if err == nil {
+			*reply.(*internalapi.JobReply) = made
+		}
+		return err
+	}
+}
+
+// knowing is a directory with a configuration and a view, whose core has just been heard of.
+func knowing(t testing.TB, chain ...string) *Directory {
+	directory := NewDirectory()
+	_, err := directory.LearnConfig(1, configBody(1))
+	require.NoError(t, err)
+	require.True(t, directory.LearnView(chainOf(1, chain...)))
+	directory.Contact()
+	return directory
+}
+
+func noPoke() {}
+
+// ask sends one request to a dispatcher, and gives its answer.
+func ask(handler http.Handler, method, path, body string, header ...string) *httptest.ResponseRecorder {
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	request := httptest.NewRequest(method, path, reader)
+	request.Host = testHost
+	for index := 0; index < len(header); index += 2 {
+		request.Header.Set(header[index], header[index+1])
+	}
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, request)
+	return recorder
+}
+
+// pass lets time of the bubble pass.
+func pass(duration time.Duration) { <-time.After(duration) }
+
+// faultyCore is a chain of replicas whose calls go wrong at random. The head takes jobs into custody; whatever it replies, and
+// whenever it does.
+type faultyCore struct {
+	mutex   sync.Mutex
+	random  *rand.Rand
+	current view.View
+	custody map[uint64]bool
+	// calm has every call go well.
+	calm bool
+	late sync.WaitGroup
+}
+
+func newFaultyCore(seed uint64) *faultyCore {
+	return &faultyCore{
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		current: chainOf(1, "a", "b", "c"),
+		custody: map[uint64]bool{},
+	}
+}
+
+func (c *faultyCore) draw(n int) int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.random.IntN(n)
+}
+
+func (c *faultyCore) view() view.View {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.current
+}
+
+// turnOver makes a new view, with another order of the chain.
+func (c *faultyCore) turnOver() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	addresses := []string{"a", "b", "c"}
+	c.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	c.current = chainOf(c.current.Epoch+1, addresses[:1+c.random.IntN(3)]...)
+}
+
+func (c *faultyCore) inCustody(id uint64) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.custody[id]
+}
+
+func (c *faultyCore) take(id uint64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.custody[id] = true
+}
+
+// Call is a call on a replica; jobs are handed in by Submit only.
+func (c *faultyCore) Call(address, method string, args, reply any, timeout time.Duration) error {
+	if method != internalapi.MethodSubmit {
+		return c.look(method, reply)
+	}
+	id := args.(*internalapi.SubmitArgs).ID
+	answer := reply.(*internalapi.JobReply)
+	newest := c.view()
+	fault := c.draw(14)
+	if c.calm {
+		fault = 13
+	}
+	delay := time.Duration(c.draw(300)) * time.Millisecond
+	switch fault {
+	case 0: // refused
+		return fmt.Errorf("%w: refused", transport.ErrNotSent)
+	case 1: // nobody there
+		pass(min(timeout, 400*time.Millisecond))
+		return fmt.Errorf("%w: no answer", transport.ErrNotSent)
+	case 2: // lost on its way
+		pass(timeout)
+		return fmt.Errorf("%w: no answer", transport.ErrUnknown)
+	case 3: // carried out, answer lost
+		c.take(id)
+		pass(timeout)
+		return fmt.Errorf("%w: no answer", transport.ErrUnknown)
+	case 4: // carried out long after
+		c.late.Go(func() {
+			pass(timeout + 5*delay)
+			c.take(id)
+		})
+		pass(min(timeout, delay))
+		return fmt.Errorf("%w: connection lost", transport.ErrUnknown)
+	case 5:
+		*answer = internalapi.JobReply{Verdict: internalapi.Overloaded}
+		return nil
+	case 6:
+		c.take(id)
+		*answer = internalapi.JobReply{Verdict: internalapi.InDoubt}
+		return nil
+	case 7:
+		*answer = internalapi.JobReply{Verdict: internalapi.NotHead, View: newest}
+		return nil
+	case 8:
+		return rpc.ServerError("rpc: can't find service Control.Submit")
+	case 9: // it failed on the way, having taken it
+		c.take(id)
+		return rpc.ServerError("shutting down")
+	case 10: // never answers, not even when the time is over
+		c.take(id)
+		pass(timeout + time.Second)
+		return fmt.Errorf("%w: no answer", transport.ErrUnknown)
+	}
+	if newest.Head().Address != address {
+		*answer = internalapi.JobReply{Verdict: internalapi.NotHead, View: newest}
+		return nil
+	}
+	pass(min(delay, timeout-1))
+	c.take(id)
+	*answer = internalapi.JobReply{Verdict: internalapi.Done}
+	return nil
+}
+
+func (c *faultyCore) look(method string, reply any) error {
+	newest := c.view()
+	switch method {
+	case internalapi.MethodDigest:
+		*reply.(*internalapi.DigestReply) = internalapi.DigestReply{Epoch: newest.Epoch, Serving: true}
+	case internalapi.MethodFetch:
+		*reply.(*internalapi.FetchReply) = internalapi.FetchReply{View: newest}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/system/dataplane/follow.go
@@ -0,0 +1,59 @@
+package dataplane
+
+import (
+	"context"
+
+	"gaugeslip/coord/gossip"
+	"gaugeslip/internal/system/internalapi"
+)
+
+// follow acts on what the directory learns, until the context ends.
+func (p *Process) follow(ctx context.Context) {
+	head, version, epoch := "", uint64(0), uint64(0)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.directory.News():
+		}
+		if config := p.directory.Config(); config != nil && config.Version != version {
+			version = config.Version
+			p.configured(config)
+		}
+		current := p.directory.View()
+		if !current.Known() || (head != "" && current.Epoch == epoch) {
+			continue
+		}
+		epoch = current.Epoch
+		if address := current.Head().Address; address != head {
+			p.logger.Info("head changed", "head", address, "epoch", epoch)
+			head = address
+		}
+		p.spreadView()
+	}
+}
+
+// configured puts a configuration's limits in force and passes it on.
+func (p *Process) configured(config *Configuration) {
+	parsed := config.Router.Config()
+	p.logger.Info("configuration taken", "version", config.Version, "routes", len(parsed.Routes))
+	p.frontend.Serve(parsed.Limits)
+	p.spread(internalapi.KeyConfig, config.Version, config.Body)
+}
+
+func (p *Process) spreadView() {
+	current := p.directory.View()
+	data, err := internalapi.EncodeView(*current)
+	if err != nil {
+		p.unusable(err)
+		return
+	}
+	p.spread(internalapi.KeyView, internalapi.ViewVersion(*current), data)
+}
+
+func (p *Process) spread(key gossip.Key, major uint64, data []byte) {
+	err := p.node.Set(gossip.Value{Key: key, Version: gossip.Version{Major: major}, Data: data})
+	if err != nil {
+		p.unusable(err)
+	}
+}
--- /dev/null
+++ b/internal/system/dataplane/options.go
@@ -0,0 +1,62 @@
+package dataplane
+
+import "time"
+
+// Options are the dispatcher's figures. The zero value of each field stands for its default.
+type Options struct {
+	// FirstTry bounds the first call to a replica on behalf of a client.
+	FirstTry time.Duration
+	// LaterTry bounds each call after that.
+	LaterTry time.Duration
+	// CountPatience bounds how long a count of jobs is asked for before the last known one is told.
+	CountPatience time.Duration
+	// FirstPause is the pause after a call that came to nothing; it doubles up to LongestPause.
+	FirstPause, LongestPause time.Duration
+	// PollInterval is the time between two looks at the core, give or take a quarter.
+	PollInterval time.Duration
+	// PollTimeout bounds each call of such a look.
+	PollTimeout time.Duration
+	// PokeGap is the least time between two looks that failed calls ask for.
+	PokeGap time.Duration
+	// ContactLife is how long after the last sign of a serving core it counts as within reach.
+	ContactLife time.Duration
+	// DefaultWait is how long a client waits when neither it nor its route says.
+	DefaultWait time.Duration
+	// Announce is how long a dispatcher that is to end goes on accepting: the platform has to miss two looks, a second apart.
+	Announce time.Duration
+}
+
+const (
+	defaultFirstTry      = 700 * time.Millisecond
+	defaultLaterTry      = time.Second
+	defaultCountPatience = time.Second
+	defaultFirstPause    = 50 * time.Millisecond
+	defaultLongestPause  = 200 * time.Millisecond
+	defaultPollInterval  = 500 * time.Millisecond
+	defaultPollTimeout   = 400 * time.Millisecond
+	defaultPokeGap       = 50 * time.Millisecond
+	defaultContactLife   = 2500 * time.Millisecond
+	defaultWait          = 3 * time.Second
+	defaultAnnounce      = 2200 * time.Millisecond
+)
+
+func (o Options) withDefaults() Options {
+	orDefault(&o.FirstTry, defaultFirstTry)
+	orDefault(&o.LaterTry, defaultLaterTry)
+	orDefault(&o.CountPatience, defaultCountPatience)
+	orDefault(&o.FirstPause, defaultFirstPause)
+	orDefault(&o.LongestPause, defaultLongestPause)
+	orDefault(&o.PollInterval, defaultPollInterval)
+	orDefault(&o.PollTimeout, defaultPollTimeout)
+	orDefault(&o.PokeGap, defaultPokeGap)
+	orDefault(&o.ContactLife, defaultContactLife)
+	orDefault(&o.DefaultWait, defaultWait)
+	orDefault(&o.Announce, defaultAnnounce)
+	return o
+}
+
+func orDefault(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/system/dataplane/poller.go
@@ -0,0 +1,163 @@
+package dataplane
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"gaugeslip/internal/system/internalapi"
+)
+
+// seedShare is how many looks go to the chain for one that goes to a seed, while the chain is known.
+const seedShare = 4
+
+// Poller looks at the core, at intervals and when poked, for newer views and configurations. That is also how a dispatcher
+// knows that the core is within reach.
+type Poller struct {
+	caller    Caller
+	directory *Directory
+	options   Options
+	seeds     atomic.Pointer[[]string]
+	poked     chan struct{}
+	looks     int
+	// onError is told what could not be used.
+	onError func(error)
+}
+
+// NewPoller makes a poller; seeds are internal addresses of a few replicas. onError must not block.
+func NewPoller(caller Caller, directory *Directory, seeds []string, onError func(error), options Options) *Poller {
+	p := &Poller{
+		caller:    caller,
+		directory: directory,
+		options:   options.withDefaults(),
+		poked:     make(chan struct{}, 1),
+		looks:     rand.IntN(1 << 16),
+		onError:   onError,
+	}
+	p.SetSeeds(seeds)
+	return p
+}
+
+// SetSeeds takes other seeds in place of those before.
+func (p *Poller) SetSeeds(seeds []string) {
+	kept := slices.Clone(seeds)
+	p.seeds.Store(&kept)
+}
+
+// Poke asks for a look soon. It never blocks.
+func (p *Poller) Poke() {
+	select {
+	case p.poked <- struct{}{}:
+	default:
+	}
+}
+
+// Run looks until the context ends.
+func (p *Poller) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-p.poked:
+		}
+		p.Look()
+		if !sleep(ctx, p.options.PokeGap) {
+			return
+		}
+		timer.Reset(p.interval())
+	}
+}
+
+// interval is the time to the next look, spread so that dispatchers don't look all at once.
+func (p *Poller) interval() time.Duration {
+	return p.options.PollInterval*3/4 + rand.N(p.options.PollInterval/2) - p.options.PokeGap
+}
+
+// Look asks replicas, one after the other, until one that serves has answered.
+func (p *Poller) Look() {
+	candidates := p.candidates()
+	p.looks++
+	for offset := range candidates {
+		if p.ask(candidates[(p.looks+offset)%len(candidates)]) {
+			return
+		}
+	}
+}
+
+// candidates are the chain's members or, now and then and while there is none, the seeds; the others come after them.
+func (p *Poller) candidates() []string {
+	seeds := *p.seeds.Load()
+	chain := p.directory.View().Chain
+	if p.looks%seedShare == 0 {
+		chain = nil
+	}
+	addresses := make([]string, 0, len(chain)+len(seeds))
+	for index := range chain {
+		addresses = append(addresses, chain[index].Address)
+	}
+	if len(addresses) > 0 {
+		return addresses
+	}
+	return append(addresses, seeds...)
+}
+
+// ask looks at one replica, and fetches from it what is newer there; it tells whether that one serves.
+func (p *Poller) ask(address string) bool {
+	var digest internalapi.DigestReply
+	err := p.caller.Call(address, internalapi.MethodDigest, &internalapi.DigestArgs{}, &digest, p.options.PollTimeout)
+	if err != nil {
+		return false
+	}
+	if digest.Serving {
+		p.directory.Contact()
+	}
+	if p.newer(&digest) {
+		p.fetch(address)
+	}
+	return digest.Serving
+}
+
+func (p *Poller) newer(digest *internalapi.DigestReply) bool {
+	known := p.directory.View()
+	if !known.Known() || digest.Epoch > known.Epoch {
+		return true
+	}
+	return digest.ConfigVersion > p.directory.ConfigVersion()
+}
+
+func (p *Poller) fetch(address string) {
+	known := p.directory.View()
+	args := internalapi.FetchArgs{
+		Epoch:         known.Epoch,
+		ConfigVersion: p.directory.ConfigVersion(),
+		HasView:       known.Known(),
+	}
+	var reply internalapi.FetchReply
+	if err := p.caller.Call(address, internalapi.MethodFetch, &args, &reply, p.options.PollTimeout); err != nil {
+		return
+	}
+	p.directory.LearnView(reply.View)
+	if len(reply.Config) == 0 {
+		return
+	}
+	if _, err := p.directory.LearnConfig(reply.ConfigVersion, reply.Config); err != nil {
+		p.onError(err)
+	}
+}
+
+// sleep waits; false when the context ended.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/system/dataplane/readiness.go
@@ -0,0 +1,49 @@
+package dataplane
+
+import (
+	"net/http"
+	"sync/atomic"
+)
+
+// Readiness tells the platform whether the dispatcher wants new connections: it has a configuration, knows the head, hears of
+// a core that serves, and isn't being shut down. It is an http.Handler.
+type Readiness struct {
+	directory *Directory
+	options   Options
+	draining  atomic.Bool
+	last      atomic.Bool
+	// onChange is told when the answer differs from the one before.
+	onChange func(ready bool)
+}
+
+// NewReadiness makes a readiness that answers from what the directory knows. onChange must not block.
+func NewReadiness(directory *Directory, onChange func(ready bool), options Options) *Readiness {
+	return &Readiness{directory: directory, options: options.withDefaults(), onChange: onChange}
+}
+
+// Drain makes it unready for good.
+func (r *Readiness) Drain() { r.draining.Store(true) }
+
+// Ready is what the platform is answered.
+func (r *Readiness) Ready() bool {
+	if r.draining.Load() || r.directory.Config() == nil {
+		return false
+	}
+	if r.directory.View().Head().Address == "" {
+		return false
+	}
+	return r.directory.Reachable(r.options.ContactLife)
+}
+
+// ServeHTTP answers 200 or 503.
+func (r *Readiness) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	ready := r.Ready()
+	if r.last.Swap(ready) != ready {
+		r.onChange(ready)
+	}
+	if !ready {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
