Add the scheduler's core: holds, starts, placement and the queue of held steps

Pure core of the scheduler role: rebuilds itself from the replicated state, proposes intents before it orders starts, renews holds, proposes ends before they are acknowledged, settles doubtful starts by the worker's clock, gives up lost workers by the bound of their holds, and places tasks by size range and EDF demand test.

--- /dev/null
+++ b/internal/system/scheduler/check.go
@@ -0,0 +1,136 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+
+	"gaugeslip/internal/system/state"
+)
+
+// Check looks for broken invariants and tells the first: sums of room, tasks that are neither held nor run, and runs that differ from
+// the replicated state. It is for tests: it looks at everything.
+func (s *Scheduler) Check() error {
+	for instance, w := range s.workers {
+		if err := s.checkWorker(w); err != nil {
+			return fmt.Errorf("worker %s: %w", instance, err)
+		}
+	}
+	for id, j := range s.jobs {
+		if err := s.checkJob(j); err != nil {
+			return fmt.Errorf("job %s: %w", id, err)
+		}
+	}
+	return s.checkPlacements()
+}
+
+func (s *Scheduler) checkWorker(w *worker) error {
+	used := Resources{}
+	for name, r := range w.runs {
+		if r.name != name || r.worker != w {
+			return fmt.Errorf("run %v is kept under %v", r.name, name)
+		}
+		if r.phase.takesRoom() {
+			used = used.plus(r.need)
+		}
+	}
+	if used != w.used {
+		return fmt.Errorf("%v is used, counted %v", used, w.used)
+	}
+	if w.open() && len(w.withheld) == 0 && !used.fitsInto(w.room) && !w.overrun() {
+		return fmt.Errorf("%v is used of %v", used, w.room)
+	}
+	return nil
+}
+
+// overrun tells whether something runs that isn't ours to order.
+func (w *worker) overrun() bool {
+	for _, r := range w.runs {
+		if r.foreign || r.phase == runInherited || r.resumed {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *Scheduler) checkJob(j *job) error {
+	if j.record.State.Over() {
+		return fmt.Errorf("is over as %s", j.record.State)
+	}
+	for _, t := range j.times {
+		for number, st := range t.steps {
+			if st == nil {
+				if j.record.StepReady(t.number, uint32(number)) {
+					return fmt.Errorf("step %d.%d is ready and not open", t.number, number)
+				}
+				continue
+			}
+			if err := s.checkStep(st); err != nil {
+				return fmt.Errorf("step %d.%d: %w", t.number, number, err)
+			}
+		}
+	}
+	return nil
+}
+
+func (s *Scheduler) checkStep(st *step) error {
+	if st.queued != (st.hasWaiting() && !st.closed) {
+		return fmt.Errorf("queued is %v with %d waiting, closed %v", st.queued, len(st.waiting), st.closed)
+	}
+	for i := range st.tasks {
+		if err := s.checkTask(st, uint32(i)); err != nil {
+			return fmt.Errorf("task %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+func (s *Scheduler) checkTask(st *step, index uint32) error {
+	t := &st.tasks[index]
+	record := st.record(index)
+	done := record != nil && record.Done
+	switch {
+	case !st.opened || st.stage.Gang:
+		return nil
+	case done != (t.state == taskDone):
+		return fmt.Errorf("done is %v in state %d", done, t.state)
+	case t.state == taskActive && len(t.runs) == 0:
+		return fmt.Errorf("is active without a run")
+	case (t.state == taskWaiting) != slices.Contains(st.waiting, index) && !st.stage.Speculative:
+		return fmt.Errorf("is in state %d, held: %v", t.state, slices.Contains(st.waiting, index))
+	case t.state == taskIdle:
+		return fmt.Errorf("is idle in an open step")
+	}
+	return nil
+}
+
+// checkPlacements compares the runs with those of the replicated state.
+func (s *Scheduler) checkPlacements() error {
+	for instance, record := range s.machine.Workers() {
+		w := s.workers[instance]
+		for name := range record.Runs {
+			if w == nil || w.runs[name] == nil {
+				return fmt.Errorf("run %v on %s isn't known", name, instance)
+			}
+		}
+	}
+	for instance, w := range s.workers {
+		record := s.machine.Worker(instance)
+		for name, r := range w.runs {
+			if r.foreign || r.phase == runProposed {
+				continue
+			}
+			if !placed(record, name) {
+				return fmt.Errorf("run %v on %s, %s, is no placement", name, instance, phaseNames[r.phase])
+			}
+		}
+	}
+	return nil
+}
+
+func placed(record *state.Worker, name state.Run) bool {
+	if record == nil {
+		return false
+	}
+	_, ok := record.Runs[name]
+	return ok
+}
--- /dev/null
+++ b/internal/system/scheduler/gangs.go
@@ -0,0 +1,224 @@
+package scheduler
+
+import (
+	"time"
+)
+
+// gangState tells what becomes of a gang.
+type gangState uint8
+
+const (
+	gangIdle    gangState = iota
+	gangWaiting           // for room for all of its members at once
+	gangActive            // runs of it are proposed or may exist
+	gangPaused            // it is tried again after a pause
+)
+
+const (
+	// gangEndGrace is how long the members of a gang that is done have to be listed themselves.
+	gangEndGrace = 500 * time.Millisecond
+	// gangRetry is how often a held gang is tried while room is freed.
+	gangRetry = 20 * time.Millisecond
+)
+
+// settleGang brings a gang in line with the replicated state and with the runs of its members.
+func (s *Scheduler) settleGang(st *step) {
+	if st.closed {
+		return
+	}
+	if st.allDone() {
+		s.gangIsDone(st)
+		return
+	}
+	with := 0
+	for i := range st.tasks {
+		if len(st.tasks[i].runs) > 0 {
+			with++
+		}
+	}
+	switch {
+	case with == 0:
+		s.awaitGangRoom(st)
+	case with < len(st.tasks):
+		st.gang = gangActive
+		s.stopGang(st)
+	default:
+		st.gang = gangActive
+	}
+}
+
+func (s *Scheduler) gangIsDone(st *step) {
+	for i := range st.tasks {
+		st.tasks[i].state = taskDone
+		for _, r := range st.tasks[i].runs {
+			s.at(s.now+gangEndGrace, func() { s.wantStop(r) })
+		}
+	}
+	s.closeStep(st)
+}
+
+// awaitGangRoom has the whole gang wait for room, after a pause where it was refused too often.
+func (s *Scheduler) awaitGangRoom(st *step) {
+	if st.gang == gangWaiting || st.gang == gangPaused {
+		return
+	}
+	pause := time.Duration(0)
+	for i := range st.tasks {
+		st.tasks[i].state = taskWaiting
+		pause = max(pause, st.tasks[i].pause())
+	}
+	if pause > 0 {
+		st.gang = gangPaused
+		s.at(s.now+pause, func() { s.gangPauseOver(st) })
+		return
+	}
+	st.gang = gangWaiting
+	s.enqueue(st)
+}
+
+func (s *Scheduler) gangPauseOver(st *step) {
+	if st.gang != gangPaused || st.closed {
+		return
+	}
+	st.gang = gangWaiting
+	s.enqueue(st)
+}
+
+// stopGang stops all members of a gang that isn't whole any more.
+func (s *Scheduler) stopGang(st *step) {
+	for i := range st.tasks {
+		for _, r := range st.tasks[i].runs {
+			s.wantStop(r)
+		}
+	}
+}
+
+// spoilGang stops the other members of a gang of which one wasn't started.
+func (s *Scheduler) spoilGang(r *run) {
+	if r.step != nil && !r.foreign && r.step.stage.Gang && !r.step.closed {
+		s.stopGang(r.step)
+	}
+}
+
+// retryGang tries a held gang again, not too often.
+func (s *Scheduler) retryGang(st *step) {
+	if s.now >= st.retryAt {
+		s.placeGang(st)
+	}
+}
+
+// placeGang starts all members at once, or none.
+func (s *Scheduler) placeGang(st *step) {
+	if st.gang != gangWaiting {
+		return
+	}
+	st.retryAt = s.now + gangRetry
+	members := s.chooseGang(st)
+	if members == nil {
+		s.at(st.retryAt, func() {})
+		return
+	}
+	attempt, text := uint32(0), s.gangCheckpoint(st)
+	for i := range st.tasks {
+		if record := st.record(uint32(i)); record != nil {
+			attempt = max(attempt, record.Attempt)
+		}
+	}
+	st.gang = gangActive
+	for i, w := range members {
+		s.proposeRun(st, uint32(i), w, attempt+1, text)
+	}
+}
+
+// gangCheckpoint is the newest progress of any member, which serves for all.
+func (s *Scheduler) gangCheckpoint(st *step) string {
+	newest := checkpoint{}
+	for i := range st.tasks {
+		if seen := st.tasks[i].checkpoint; seen.text != "" && seen.attempt >= newest.attempt {
+			newest = seen
+		}
+		record := st.record(uint32(i))
+		if record != nil && record.Checkpoint != "" && (newest.text == "" || record.Attempt > newest.attempt) {
+			newest = checkpoint{attempt: record.Attempt, text: record.Checkpoint}
+		}
+	}
+	return newest.text
+}
+
+// chooseGang finds room for all members: in one rack where the gang wants that, else anywhere. Nil: there is none.
+func (s *Scheduler) chooseGang(st *step) []*worker {
+	if st.stage.SameRack {
+		if members := s.chooseRack(st); members != nil {
+			return members
+		}
+	}
+	return s.chooseAmong(st, func(*worker) bool { return true })
+}
+
+// chooseRack finds the rack in which all members have room with the least to spare.
+func (s *Scheduler) chooseRack(st *step) []*worker {
+	room := make(map[string]int)
+	for _, w := range st.service.workers {
+		if s.suits(w, st, &st.tasks[0]) {
+			room[w.rack()] += s.roomForGang(w, st)
+		}
+	}
+	best := ""
+	for rack, fits := range room {
+		if fits < len(st.tasks) {
+			continue
+		}
+		if best == "" || fits < room[best] || fits == room[best] && rack < best {
+			best = rack
+		}
+	}
+	if best == "" {
+		return nil
+	}
+	return s.chooseAmong(st, func(w *worker) bool { return w.rack() == best })
+}
+
+// roomForGang is how many members fit on a worker.
+func (s *Scheduler) roomForGang(w *worker, st *step) int {
+	fits := st.need.times(w.free())
+	if st.stage.AntiAffinity > 0 {
+		fits = min(fits, st.stage.AntiAffinity)
+	}
+	if w.health.onTrial() {
+		fits = min(fits, 1)
+	}
+	return fits
+}
+
+// chooseAmong deals the members out to the best workers that are allowed.
+func (s *Scheduler) chooseAmong(st *step, allowed func(*worker) bool) []*worker {
+	members := s.scratch.members[:0]
+	s.lastMark++
+	mark := s.lastMark
+	for len(members) < len(st.tasks) {
+		w := s.bestUntaken(st, allowed, mark)
+		if w == nil {
+			return nil
+		}
+		w.hold.taken = mark
+		for range min(s.roomForGang(w, st), len(st.tasks)-len(members)) {
+			members = append(members, w)
+		}
+	}
+	s.scratch.members = members
+	return members
+}
+
+func (s *Scheduler) bestUntaken(st *step, allowed func(*worker) bool, mark uint64) *worker {
+	var found *worker
+	highest := 0.0
+	for _, w := range st.service.workers {
+		if w.hold.taken == mark || !allowed(w) || !s.suits(w, st, &st.tasks[0]) {
+			continue
+		}
+		if score := s.score(w, st); found == nil || score > highest {
+			found, highest = w, score
+		}
+	}
+	return found
+}
--- /dev/null
+++ b/internal/system/scheduler/holds.go
@@ -0,0 +1,252 @@
+package scheduler
+
+import (
+	"time"
+
+	"gaugeslip/internal/system/jobspec"
+	"gaugeslip/internal/system/state"
+	"gaugeslip/internal/system/workerapi"
+)
+
+const (
+	// longestWait is how long a hold waits for an end.
+	longestWait = workerapi.MaxWaitMs * time.Millisecond
+	// shortWait is how long a hold waits where a run is overdue.
+	shortWait = 700 * time.Millisecond
+	// commitPatience is how long the next hold waits for the commit of the ends that the last one listed.
+	commitPatience = 300 * time.Millisecond
+	firstRetry     = 100 * time.Millisecond
+	longestRetry   = 500 * time.Millisecond
+	idleRetry      = 2 * time.Second
+	// quickAnswer is how soon an answer without ends is too soon for a hold that was to wait.
+	quickAnswer   = 50 * time.Millisecond
+	emptyInterval = 250 * time.Millisecond
+)
+
+// holdState is the loop of holds of one worker: one is out, or the next has a time.
+type holdState struct {
+	out      uint64
+	wait     time.Duration
+	nextAt   time.Duration // 0: none
+	failures int
+	mark     uint64 // of the last list
+	lossAt   time.Duration
+	taken    uint64 // the gang for which it was chosen last
+}
+
+// holdAt has the next hold sent at a time, or earlier if that was settled before.
+func (s *Scheduler) holdAt(w *worker, at time.Duration) {
+	if w.hold.out != 0 || w.reach == over || w.losing || w.life.Address == "" {
+		return
+	}
+	if at <= s.now {
+		s.sendHold(w)
+		return
+	}
+	if w.hold.nextAt > s.now && w.hold.nextAt <= at {
+		return
+	}
+	w.hold.nextAt = at
+	s.at(at, func() {
+		if w.hold.nextAt == at && s.workers[w.life.Instance] == w {
+			s.holdAt(w, s.now)
+		}
+	})
+}
+
+func (s *Scheduler) sendHold(w *worker) {
+	w.hold.nextAt = 0
+	w.hold.wait = s.holdWait(w)
+	order := workerapi.HoldOrder{
+		FenceToken: s.token,
+		LastSeen:   s.lastSeen(w),
+		WaitMs:     w.hold.wait.Milliseconds(),
+	}
+	if w.clock.known {
+		order.DueAtMs = w.clock.lower(s.now) + s.bounds.MaxHold().Milliseconds()
+		w.highestDue = max(w.highestDue, order.DueAtMs)
+	}
+	w.hold.out = s.send(Call{Kind: CallHold, Hold: order, Timeout: w.hold.wait + holdTimeout}, w, nil)
+}
+
+// lastSeen is the number up to which ends are committed.
+func (s *Scheduler) lastSeen(w *worker) uint64 {
+	if record := s.machine.Worker(w.life.Instance); record != nil {
+		return record.LastSeen
+	}
+	return 0
+}
+
+// holdWait is how long the next hold is to wait for an end.
+func (s *Scheduler) holdWait(w *worker) time.Duration {
+	if w.reach != answering || !w.clock.known {
+		return 0
+	}
+	wait := min(longestWait, s.bounds.MaxHold()/3)
+	for _, r := range w.runs {
+		wait = min(wait, s.waitFor(r))
+	}
+	return max(wait, 0).Truncate(time.Millisecond)
+}
+
+// waitFor is how long a hold may wait for the sake of one run.
+func (s *Scheduler) waitFor(r *run) time.Duration {
+	switch {
+	case r.phase == runDoubtful:
+		return max(r.worker.clock.surelyPast(r.dueAtMs)-s.now, 0) + firstRetry
+	case r.stopWanted && r.phase.mayRun():
+		return s.bounds.Stop() + firstRetry
+	case r.overdue(s.now):
+		return shortWait
+	}
+	return longestWait
+}
+
+// holdEnded takes in the answer to a hold, or its failure.
+func (s *Scheduler) holdEnded(ended *call, reply *workerapi.HoldReply) {
+	w := ended.worker
+	w.hold.out = 0
+	switch reply.Outcome {
+	case workerapi.Done:
+		s.holdAnswered(w, ended, reply)
+	case workerapi.OtherLife:
+		s.lifeOver(w)
+	default:
+		w.clock.read(reply.ClockMs, s.now)
+		s.holdFailed(w)
+	}
+}
+
+// holdFailed takes note of a worker that can't be reached, and tries again.
+func (s *Scheduler) holdFailed(w *worker) {
+	if w.reach == answering {
+		w.reach = silent
+		s.suspected(w)
+	}
+	w.hold.failures++
+	s.checkLoss(w)
+	retry := idleRetry
+	if len(w.runs) > 0 {
+		retry = min(firstRetry<<min(w.hold.failures-1, 8), longestRetry)
+	}
+	s.holdAt(w, s.now+retry)
+}
+
+// holdAnswered takes in both lists of a worker.
+func (s *Scheduler) holdAnswered(w *worker, ended *call, reply *workerapi.HoldReply) {
+	w.hold.failures = 0
+	w.clock.read(reply.ClockMs, s.now)
+	s.lastMark++
+	s.takeRunning(w, reply.Running, s.lastMark)
+	news := s.takeFinished(w, reply.Finished)
+	if len(reply.Finished) < workerapi.MaxFinished {
+		s.voidAbsent(w, ended, reply.ClockMs, s.lastMark)
+	}
+	if w.reach != answering {
+		w.reach = answering
+		s.roomFreed(w)
+	}
+	if reply.RemainingMs > 0 {
+		s.drain(w, reply.RemainingMs)
+	}
+	s.watch(w)
+	s.holdAt(w, s.now+s.holdPause(w, ended, news))
+}
+
+// holdPause is how long to wait before the next hold: for the commit of ends, or since the last answer came too soon.
+func (s *Scheduler) holdPause(w *worker, ended *call, news bool) time.Duration {
+	if w.seen > s.lastSeen(w) {
+		return commitPatience
+	}
+	if !news && w.hold.wait > quickAnswer && s.now-ended.sentAt < quickAnswer {
+		return emptyInterval
+	}
+	return 0
+}
+
+// takeRunning takes in the list of what runs.
+func (s *Scheduler) takeRunning(w *worker, running []workerapi.RunningTask, mark uint64) {
+	for i := range running {
+		listed := &running[i]
+		name, ok := jobspec.ParseTask(listed.Task)
+		if !ok {
+			continue
+		}
+		key := state.Run{Task: name, Attempt: uint32(listed.Attempt)}
+		r := w.runs[key]
+		if r == nil {
+			r = s.foreign(w, key)
+		}
+		r.mark = mark
+		s.present(r)
+		s.progress(r, listed)
+	}
+}
+
+// takeFinished takes in the list of ends and proposes those that are new.
+func (s *Scheduler) takeFinished(w *worker, finished []workerapi.FinishedTask) (news bool) {
+	seen := max(w.seen, s.lastSeen(w))
+	var ends []state.End
+	for i := range finished {
+		listed := &finished[i]
+		if listed.N <= seen {
+			continue
+		}
+		name, _ := jobspec.ParseTask(listed.Task)
+		end := state.End{
+			Run:        state.Run{Task: name, Attempt: uint32(listed.Attempt)},
+			Number:     listed.N,
+			How:        howOf(listed.How),
+			Checkpoint: listed.Checkpoint,
+		}
+		ends = append(ends, end)
+		seen = listed.N
+		if r := w.runs[end.Run]; r != nil {
+			s.ended(r, &end)
+		}
+	}
+	if len(ends) == 0 {
+		return false
+	}
+	w.seen = seen
+	ended := &state.TasksEnded{Worker: w.life.Instance, Ends: ends}
+	s.propose(state.Command{Kind: state.KindTasksEnded, TasksEnded: ended})
+	return true
+}
+
+// howOf reads the way in which a run ended; one that isn't known spends no attempt.
+func howOf(how workerapi.How) state.How {
+	switch how {
+	case workerapi.HowDone:
+		return state.Done
+	case workerapi.HowFailed:
+		return state.Failed
+	case workerapi.HowLapsed:
+		return state.Lapsed
+	case workerapi.HowBroken:
+		return state.Broken
+	case workerapi.HowAlone:
+		return state.Alone
+	}
+	return state.Stopped
+}
+
+// endsCommitted takes in the commit of ends that a worker listed.
+func (s *Scheduler) endsCommitted(ended *state.TasksEnded, finished []*state.Job) {
+	w := s.workers[ended.Worker]
+	for i := range ended.Ends {
+		if w == nil {
+			break
+		}
+		if r := w.runs[ended.Ends[i].Run]; r != nil {
+			s.drop(r)
+		}
+	}
+	s.jobsOver(finished)
+	for i := range ended.Ends {
+		s.settleName(ended.Ends[i].Task)
+	}
+	if w != nil && w.seen <= s.lastSeen(w) {
+		s.holdAt(w, s.now)
+	}
+}
--- /dev/null
+++ b/internal/system/scheduler/queue.go
@@ -0,0 +1,206 @@
+package scheduler
+
+import (
+	"time"
+
+	"gaugeslip/internal/system/state"
+)
+
+// standing ranks held steps: those that can make their job's objective, those that are late, and those that earn nothing.
+type standing uint8
+
+const (
+	onTime standing = iota
+	late
+	worthless
+)
+
+const (
+	// lateFactor is how many objectives after its start a job still earns something.
+	lateFactor = 3
+	// standingSpan and prioritySpan set the deadlines of lower standings and priorities apart from all others.
+	standingSpan = 50 * 365 * 24 * time.Hour
+	prioritySpan = 20 * 365 * 24 * time.Hour
+	// believed is the part of the estimated work ahead that decides whether a job still makes its objective.
+	believed = 0.7
+)
+
+// objective is how long the job may take from the begin of its objective on.
+func (j *job) objective() time.Duration {
+	extension := max(j.record.Extension, 1)
+	target := time.Duration(j.record.TargetLatencyMs * float64(time.Millisecond))
+	return target + time.Duration(extension*float64(j.longest))
+}
+
+// deadline is when the step's tasks are to end at the latest, so that the steps behind it can end in time.
+func (st *step) deadline() time.Duration {
+	behind := st.job.chains[st.number] - st.stage.Estimated
+	return st.time.from + st.job.objective() - behind
+}
+
+// standingAt ranks the step at a time, and tells when it falls to the next rank; 0: never.
+func (st *step) standingAt(now time.Duration) (rank standing, until time.Duration) {
+	if st.stage.LongRunning {
+		return onTime, 0
+	}
+	ahead := time.Duration(believed * float64(st.job.chains[st.number]))
+	objective := st.job.objective()
+	if last := st.time.from + objective - ahead; now <= last {
+		return onTime, last
+	}
+	if last := st.time.from + lateFactor*objective - ahead; now <= last {
+		return late, last
+	}
+	return worthless, 0
+}
+
+// key orders held steps: by standing, the most urgent queue before the others, then by deadline.
+func (st *step) key(rank standing) time.Duration {
+	key := st.deadline() + time.Duration(rank)*standingSpan
+	if st.job.record.Priority > 0 {
+		key += prioritySpan
+	}
+	return key
+}
+
+// enqueue holds a step of which tasks wait for room, and has it tried on all workers.
+func (s *Scheduler) enqueue(st *step) {
+	st.fresh = true
+	st.service.fresh = true
+	if st.queued {
+		return
+	}
+	rank, until := st.standingAt(s.now)
+	st.queued = true
+	st.ticket = st.service.queue.Push(st.key(rank), st)
+	if until > 0 {
+		ticket := st.ticket
+		s.at(until+time.Millisecond, func() {
+			if st.queued && st.ticket == ticket {
+				s.requeue(st)
+			}
+		})
+	}
+}
+
+// dequeue takes a step out of the queue.
+func (s *Scheduler) dequeue(st *step) {
+	if !st.queued {
+		return
+	}
+	st.service.queue.Remove(st.ticket)
+	st.queued = false
+}
+
+// requeue gives a held step its present rank.
+func (s *Scheduler) requeue(st *step) {
+	fresh := st.fresh
+	s.dequeue(st)
+	s.enqueue(st)
+	st.fresh = fresh
+}
+
+// dispatch starts what can be started.
+func (s *Scheduler) dispatch() {
+	for _, svc := range s.services {
+		if svc.fresh || len(svc.freed) > 0 {
+			s.dispatchService(svc)
+		}
+	}
+}
+
+// dispatchService goes once through the held steps, earliest deadline first: those that have just come are tried on all workers,
+// the others where room has been freed.
+func (s *Scheduler) dispatchService(svc *service) {
+	held := s.scratch.held[:0]
+	if svc.queue.Len() > 0 {
+		for _, st := range svc.queue.All() {
+			held = append(held, st)
+		}
+		s.refreshLayout(svc)
+	}
+	for _, st := range held {
+		if st.fresh {
+			s.placeAnywhere(st)
+		} else if len(svc.freed) > 0 {
+			s.placeOnFreed(st, svc.freed)
+		}
+		if !st.hasWaiting() {
+			s.dequeue(st)
+		}
+	}
+	for _, w := range svc.freed {
+		w.freed = false
+	}
+	svc.freed = svc.freed[:0]
+	svc.fresh = false
+	clear(held)
+	s.scratch.held = held[:0]
+}
+
+// hasWaiting tells whether something of the step waits for room.
+func (st *step) hasWaiting() bool {
+	if st.stage.Gang {
+		return st.gang == gangWaiting
+	}
+	return len(st.waiting) > 0
+}
+
+// placeAnywhere starts as many of the step's tasks as find a worker.
+func (s *Scheduler) placeAnywhere(st *step) {
+	st.fresh = false
+	if st.stage.Gang {
+		s.placeGang(st)
+		return
+	}
+	left := st.waiting[:0]
+	full := false
+	for at, index := range st.waiting {
+		if full && st.tasks[index].avoid == nil {
+			left = append(left, index)
+			continue
+		}
+		w := s.choose(st, &st.tasks[index])
+		if w == nil {
+			full = full || st.tasks[index].avoid == nil
+			left = append(left, st.waiting[at])
+			continue
+		}
+		s.proposeStart(st, index, w)
+	}
+	st.waiting = left
+}
+
+// placeOnFreed starts tasks of the step where room has been freed.
+func (s *Scheduler) placeOnFreed(st *step, freed []*worker) {
+	if st.stage.Gang {
+		s.retryGang(st)
+		return
+	}
+	for _, w := range freed {
+		if !st.need.fitsInto(w.free()) || !s.nearEnough(st, w) {
+			continue
+		}
+		s.fill(st, w)
+	}
+}
+
+// fill starts tasks of the step on one worker.
+func (s *Scheduler) fill(st *step, w *worker) {
+	left := st.waiting[:0]
+	for _, index := range st.waiting {
+		if !s.suits(w, st, &st.tasks[index]) {
+			left = append(left, index)
+			continue
+		}
+		s.proposeStart(st, index, w)
+	}
+	st.waiting = left
+}
+
+// settleName brings a task in line with the replicated state.
+func (s *Scheduler) settleName(name state.TaskName) {
+	if st := s.findStep(name); st != nil {
+		s.settle(st, name.Index)
+	}
+}
--- /dev/null
+++ b/internal/system/scheduler/scheduler.go
@@ -0,0 +1,225 @@
+// Package scheduler is the pure core of the scheduler role: it takes in what was committed, what the platform lists and what
+// workers answered, and says which commands to propose and which calls to make.
+//
+// It runs at the head of the chain and nowhere else, and is thrown away when that role is lost: a new one rebuilds everything from
+// the replicated state. It does no I/O, reads no clock and starts no goroutine: times are readings of one steady clock. A Scheduler
+// and its Machine belong to one goroutine.
+//
+// A start is ordered only once its intent was committed. Whether a run exists is taken only from what proves it: the worker's own
+// answer, its lists, its clock that has passed the order's due time, or the end of its hold.
+package scheduler
+
+import (
+	"time"
+
+	"gaugeslip/internal/system/clusterconfig"
+	"gaugeslip/internal/system/nodesettings"
+	"gaugeslip/internal/system/state"
+	"gaugeslip/internal/system/workerapi"
+	"gaugeslip/policy/sizing"
+)
+
+// Options are what a scheduler is made of.
+type Options struct {
+	// Token is the fencing token of all its orders: the epoch of the view.
+	Token uint64
+	// Machine is the replicated state, with everything applied that is committed.
+	Machine *state.Machine
+	// Bounds are the figures of the rules in force.
+	Bounds nodesettings.Bounds
+	// Seed varies choices between equals.
+	Seed uint64
+}
+
+// Output is what is to be done now.
+type Output struct {
+	// Commands are to be proposed in this order.
+	Commands []state.Command
+	// Calls are to be made, in any order and at once.
+	Calls []Call
+	// Wake is when Tick is to be called at the latest; 0: not at all.
+	Wake time.Duration
+	// Superseded tells that a worker has seen a higher token: this scheduler orders nothing any more.
+	Superseded bool
+}
+
+// Scheduler is the scheduler role. Make one with New.
+type Scheduler struct {
+	token   uint64
+	machine *state.Machine
+	bounds  nodesettings.Bounds
+	started time.Duration
+	now     time.Duration
+	wall    wallClock
+
+	workers    map[string]*worker
+	services   map[string]*service
+	jobs       map[state.JobID]*job
+	estimates  map[estimateKey]*estimate
+	timers     timerQueue
+	dues       dueQueue
+	calls      map[uint64]*call
+	lastCall   uint64
+	lastMark   uint64
+	superseded bool
+
+	commands []state.Command
+	out      []Call
+	starts   []state.Start
+	voids    []state.Run
+	voiding  map[state.Run]*run
+	ordered  []*run
+	scratch  scratch
+}
+
+// New makes the scheduler of a new head from the replicated state alone.
+func New(options Options, now time.Duration) *Scheduler {
+	s := &Scheduler{
+		token:     options.Token,
+		machine:   options.Machine,
+		bounds:    options.Bounds,
+		started:   now,
+		now:       now,
+		workers:   make(map[string]*worker),
+		services:  make(map[string]*service),
+		jobs:      make(map[state.JobID]*job),
+		estimates: make(map[estimateKey]*estimate),
+		calls:     make(map[uint64]*call),
+		voiding:   make(map[state.Run]*run),
+	}
+	s.rebuild()
+	return s
+}
+
+// rebuild takes over jobs and runs from the replicated state.
+func (s *Scheduler) rebuild() {
+	for _, record := range s.machine.Jobs() {
+		if !record.State.Over() {
+			s.addJob(record)
+		}
+	}
+	for instance, record := range s.machine.Workers() {
+		w := s.openWorker(instance)
+		for name := range record.Runs {
+			s.adopt(w, name)
+		}
+		s.at(s.lossBound(w), func() { s.checkLoss(w) })
+	}
+	for _, j := range s.jobs {
+		s.openJob(j)
+	}
+}
+
+// advance brings the scheduler up to a time.
+func (s *Scheduler) advance(now time.Duration) {
+	if now > s.now {
+		s.now = now
+	}
+	s.fireTimers()
+	s.openDueTimes()
+}
+
+// Tick lets time pass.
+func (s *Scheduler) Tick(now time.Duration) { s.advance(now) }
+
+// WallClock tells the trusted time of day, in milliseconds since 1970.
+func (s *Scheduler) WallClock(now time.Duration, unixMs int64) {
+	first := !s.wall.known
+	s.wall.set(now, unixMs)
+	if first {
+		s.recallAcceptance()
+	}
+	s.advance(now)
+}
+
+// Configured takes in the newest committed configuration. A job keeps the service that its queue had when it was accepted.
+func (s *Scheduler) Configured(now time.Duration, config *clusterconfig.Config) {
+	s.advance(now)
+	for i := range config.Services {
+		s.openService(config.Services[i].Name).guarded = config.Services[i].Preconditions
+	}
+}
+
+// Applied takes in what a committed command has changed, in the order of the chain.
+func (s *Scheduler) Applied(now time.Duration, result state.Result) {
+	s.advance(now)
+	command := &result.Command
+	switch command.Kind {
+	case state.KindJobAccepted:
+		s.jobAccepted(&result)
+	case state.KindJobCancelled:
+		s.jobsOver(result.Finished)
+	case state.KindTasksStarting:
+		s.startsCommitted(command.TasksStarting, result.Started)
+	case state.KindStartsVoided:
+		s.voidsCommitted(command.StartsVoided)
+	case state.KindTasksEnded:
+		s.endsCommitted(command.TasksEnded, result.Finished)
+	case state.KindWorkerLost:
+		s.lossCommitted(command.WorkerLost)
+	}
+}
+
+// CallEnded takes in the answer or the failure of a call; one that isn't known any more is passed over.
+func (s *Scheduler) CallEnded(now time.Duration, result CallResult) {
+	s.advance(now)
+	ended := s.calls[result.ID]
+	if ended == nil {
+		return
+	}
+	delete(s.calls, result.ID)
+	if result.Reply.Outcome == workerapi.RefusedFence {
+		s.superseded = true
+	}
+	if s.workers[ended.worker.life.Instance] != ended.worker {
+		return
+	}
+	switch ended.kind {
+	case CallHold:
+		s.holdEnded(ended, &result.Reply)
+	case CallStart:
+		s.startEnded(ended, &result.Reply)
+	case CallStop:
+		s.stopEnded(ended, &result.Reply)
+	}
+}
+
+// Drain gives what is to be done since the last Drain. Call it after each batch of inputs.
+func (s *Scheduler) Drain() Output {
+	if s.superseded {
+		return Output{Superseded: true}
+	}
+	s.dispatch()
+	s.proposeStarts()
+	s.orderStarts()
+	s.proposeVoids()
+	output := Output{Commands: s.commands, Calls: s.out, Wake: s.nextWake()}
+	s.commands, s.out = nil, nil
+	return output
+}
+
+// scratch is room that is used again and again.
+type scratch struct {
+	held     []*step
+	names    []state.Run
+	accepted []sizing.Task
+	demand   sizing.Demand
+	members  []*worker
+}
+
+func (s *Scheduler) propose(command state.Command) { s.commands = append(s.commands, command) }
+
+// nextWake is the earliest time at which something falls due.
+func (s *Scheduler) nextWake() time.Duration {
+	wake, any := s.timers.first()
+	if due, timed := s.dues.first(); timed && s.wall.known {
+		at := s.wall.steady(due)
+		if !any || at < wake {
+			wake, any = at, true
+		}
+	}
+	if !any {
+		return 0
+	}
+	return max(wake, s.now+time.Millisecond)
+}
--- /dev/null
+++ b/internal/system/scheduler/starts.go
@@ -0,0 +1,320 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"gaugeslip/internal/system/state"
+	"gaugeslip/internal/system/workerapi"
+)
+
+// startWindow is how long a worker may carry out a start, on its clock.
+const startWindow = time.Second
+
+// runPhase tells how much is certain of a run.
+type runPhase uint8
+
+const (
+	runProposed  runPhase = iota // its intent isn't committed
+	runCommitted                 // its start hasn't been sent
+	runOrdered                   // its start is out
+	runDoubtful                  // its start got no clear answer
+	runInherited                 // a predecessor may have started it
+	runPresent                   // the worker has said that it is there
+	runEnded                     // the worker has listed its end
+	runVoided                    // it surely doesn't exist, and never will
+)
+
+var phaseNames = [...]string{"proposed", "committed", "ordered", "doubtful", "inherited", "present", "ended", "voided"}
+
+// takesRoom tells whether a run in this phase uses its worker's room, or may come to.
+func (p runPhase) takesRoom() bool { return p < runEnded }
+
+// mayRun tells whether a run in this phase may exist on its worker.
+func (p runPhase) mayRun() bool { return p >= runOrdered && p < runEnded }
+
+// run is one run of a task that is proposed or may exist on a worker.
+type run struct {
+	name    state.Run
+	worker  *worker
+	step    *step // nil where the job is over and gone
+	need    Resources
+	phase   runPhase
+	foreign bool // it is no placement of the replicated state
+	mark    uint64
+	dueAtMs int64 // of its start
+	resumed bool  // it was started from a checkpoint
+
+	orderedAt  time.Duration
+	presentAt  time.Duration
+	percent    int
+	percentAt  time.Duration // when it changed last
+	firstAt    time.Duration // the first progress that was seen, and when
+	firstShown int
+
+	stopWanted    bool
+	stopOut       bool
+	stopFailures  int
+	stopAnswered  bool
+	stopAnswerAt  time.Duration
+	moved         bool // its stop was ordered to start it elsewhere
+	stopScheduled bool
+}
+
+// setPhase is the only way in which a run's phase changes; it keeps the worker's sum of what is used.
+func (r *run) setPhase(phase runPhase) {
+	if r.phase.takesRoom() && !phase.takesRoom() {
+		r.worker.used = r.worker.used.minus(r.need)
+	}
+	r.phase = phase
+}
+
+// add makes a run's record on its worker, where it takes room from now on.
+func (s *Scheduler) add(r *run) {
+	w := r.worker
+	w.runs[r.name] = r
+	w.used = w.used.plus(r.need)
+	if r.step == nil || r.foreign {
+		return
+	}
+	t := &r.step.tasks[r.name.Task.Index]
+	t.runs = append(t.runs, r)
+	t.state = taskActive
+	if r.step.onWorker != nil {
+		r.step.onWorker[w]++
+	}
+}
+
+// drop ends a run's record.
+func (s *Scheduler) drop(r *run) {
+	w := r.worker
+	if r.phase.takesRoom() {
+		w.used = w.used.minus(r.need)
+		r.phase = runEnded
+	}
+	delete(w.runs, r.name)
+	s.roomFreed(w)
+	if r.step == nil || r.foreign {
+		return
+	}
+	t := &r.step.tasks[r.name.Task.Index]
+	if at := slices.Index(t.runs, r); at >= 0 {
+		t.runs = slices.Delete(t.runs, at, at+1)
+	}
+	if r.step.onWorker != nil {
+		if r.step.onWorker[w]--; r.step.onWorker[w] <= 0 {
+			delete(r.step.onWorker, w)
+		}
+	}
+}
+
+// proposeStart sets room aside for the next run of a task and proposes its intent.
+func (s *Scheduler) proposeStart(st *step, index uint32, w *worker) {
+	attempt, checkpoint := uint32(1), ""
+	if record := st.record(index); record != nil {
+		attempt, checkpoint = record.Attempt+1, record.Checkpoint
+	}
+	s.proposeRun(st, index, w, attempt, st.tasks[index].checkpoint.newest(attempt-1, checkpoint))
+}
+
+// newest is the checkpoint to start from: the one that was seen last, unless the replicated one is of a later attempt.
+func (c checkpoint) newest(attempt uint32, replicated string) string {
+	if c.text != "" && c.attempt >= attempt {
+		return c.text
+	}
+	return replicated
+}
+
+func (s *Scheduler) proposeRun(st *step, index uint32, w *worker, attempt uint32, checkpoint string) {
+	name := state.Run{Task: st.name(index), Attempt: attempt}
+	s.add(&run{name: name, worker: w, step: st, need: st.need, resumed: checkpoint != ""})
+	s.starts = append(s.starts, state.Start{Run: name, Worker: w.life.Instance, Checkpoint: checkpoint})
+}
+
+// mostStarts is how many intents one command holds, but for those of one step, which stay together.
+const mostStarts = 1000
+
+// proposeStarts puts the intents of this round into few commands.
+func (s *Scheduler) proposeStarts() {
+	for len(s.starts) > 0 {
+		end := min(mostStarts, len(s.starts))
+		for end < len(s.starts) && sameStep(&s.starts[end-1], &s.starts[end]) {
+			end++
+		}
+		s.propose(state.Command{Kind: state.KindTasksStarting, TasksStarting: s.starts[:end:end]})
+		s.starts = s.starts[end:]
+	}
+	s.starts = nil
+}
+
+func sameStep(a, b *state.Start) bool {
+	return a.Task.Job == b.Task.Job && a.Task.Time == b.Task.Time && a.Task.Step == b.Task.Step
+}
+
+// startsCommitted takes in which intents hold: those are ordered, the others never happen.
+func (s *Scheduler) startsCommitted(all, held []state.Start) {
+	for i := range all {
+		holds := len(held) > 0 && held[0].Run == all[i].Run
+		if holds {
+			held = held[1:]
+		}
+		s.startCommitted(&all[i], holds)
+	}
+}
+
+func (s *Scheduler) startCommitted(start *state.Start, holds bool) {
+	w := s.openWorker(start.Worker)
+	r := w.runs[start.Run]
+	switch {
+	case r == nil || r.phase != runProposed:
+		if holds && r == nil {
+			s.adopt(w, start.Run)
+		}
+	case holds:
+		r.setPhase(runCommitted)
+		s.ordered = append(s.ordered, r)
+	default:
+		s.drop(r)
+		s.settleName(start.Task)
+	}
+}
+
+// adopt takes over a run that a predecessor may have started.
+func (s *Scheduler) adopt(w *worker, name state.Run) {
+	r := &run{name: name, worker: w, phase: runInherited, resumed: true}
+	if stage := s.stageOf(name.Task); stage != nil {
+		r.need = stageNeed(stage)
+	}
+	j := s.jobs[name.Task.Job]
+	if j != nil {
+		r.step = s.ensureStep(j, s.ensureTime(j, name.Task.Time), name.Task.Step)
+	}
+	if r.step != nil {
+		r.step.unwait(name.Task.Index)
+	}
+	s.add(r)
+	if j == nil {
+		s.wantStop(r)
+	}
+}
+
+// orderStarts sends the starts whose intents were committed, but for those that are unwanted by now.
+func (s *Scheduler) orderStarts() {
+	for _, r := range s.ordered {
+		if r.phase == runCommitted && !s.orderable(r) {
+			s.spoilGang(r)
+		}
+	}
+	for _, r := range s.ordered {
+		if r.phase != runCommitted {
+			continue
+		}
+		if !s.orderable(r) {
+			s.void(r)
+			continue
+		}
+		s.orderStart(r)
+	}
+	clear(s.ordered)
+	s.ordered = s.ordered[:0]
+}
+
+func (s *Scheduler) orderable(r *run) bool {
+	return !r.stopWanted && r.worker.open() && r.step != nil && r.worker.runs[r.name] == r
+}
+
+func (s *Scheduler) orderStart(r *run) {
+	w := r.worker
+	r.setPhase(runOrdered)
+	r.orderedAt = s.now
+	r.dueAtMs = w.clock.lower(s.now) + startWindow.Milliseconds()
+	w.highestDue = max(w.highestDue, r.dueAtMs)
+	order := workerapi.StartOrder{
+		Task:       r.name.Task.String(),
+		Attempt:    int(r.name.Attempt),
+		Spec:       r.step.job.record.Spec.Text,
+		DueAtMs:    r.dueAtMs,
+		FenceToken: s.token,
+		Checkpoint: r.step.record(r.name.Task.Index).Checkpoint,
+	}
+	s.send(Call{Kind: CallStart, Start: order, Timeout: startTimeout}, w, r)
+	s.holdAt(w, s.now)
+}
+
+// startEnded takes in the answer to a start. What the worker has listed since goes before it.
+func (s *Scheduler) startEnded(ended *call, reply *workerapi.HoldReply) {
+	r, w := ended.run, ended.worker
+	w.clock.read(reply.ClockMs, s.now)
+	if reply.Outcome == workerapi.OtherLife {
+		s.lifeOver(w)
+		return
+	}
+	if r.phase != runOrdered || w.runs[r.name] != r {
+		return
+	}
+	switch reply.Outcome {
+	case workerapi.Done:
+		s.present(r)
+	case workerapi.Unknown:
+		r.setPhase(runDoubtful)
+		s.holdAt(w, s.now)
+		s.spoilGang(r)
+	case workerapi.RefusedFence:
+	case workerapi.RefusedRoom:
+		s.full(w, r.need)
+		s.refused(r)
+	case workerapi.Busy:
+		s.busy(w)
+		s.refused(r)
+	default:
+		s.refused(r)
+	}
+}
+
+// refused gives up a run that the worker surely hasn't started and won't.
+func (s *Scheduler) refused(r *run) {
+	if t := r.task(); t != nil {
+		t.refusals++
+		t.avoid = r.worker
+	}
+	s.spoilGang(r)
+	s.void(r)
+}
+
+func (r *run) task() *task {
+	if r.step == nil || r.foreign {
+		return nil
+	}
+	return &r.step.tasks[r.name.Task.Index]
+}
+
+// void proposes that a run doesn't exist and never will.
+func (s *Scheduler) void(r *run) {
+	r.setPhase(runVoided)
+	s.roomFreed(r.worker)
+	if r.foreign {
+		s.drop(r)
+		return
+	}
+	s.voiding[r.name] = r
+	s.voids = append(s.voids, r.name)
+}
+
+func (s *Scheduler) proposeVoids() {
+	if len(s.voids) == 0 {
+		return
+	}
+	s.propose(state.Command{Kind: state.KindStartsVoided, StartsVoided: s.voids})
+	s.voids = nil
+}
+
+// voidsCommitted takes in the commit of runs that don't exist.
+func (s *Scheduler) voidsCommitted(names []state.Run) {
+	for _, name := range names {
+		if r := s.voiding[name]; r != nil {
+			delete(s.voiding, name)
+			s.drop(r)
+		}
+		s.settleName(name.Task)
+	}
+}
--- /dev/null
+++ b/internal/system/scheduler/timers.go
@@ -0,0 +1,106 @@
+package scheduler
+
+import (
+	"cmp"
+	"container/heap"
+	"time"
+
+	"gaugeslip/internal/system/state"
+)
+
+// timer is something to be done at a time.
+type timer struct {
+	at   time.Duration
+	fire func()
+}
+
+type timerHeap []timer
+
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(added any)    { *h = append(*h, added.(timer)) }
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	popped := (*h)[last]
+	(*h)[last] = timer{}
+	*h = (*h)[:last]
+	return popped
+}
+
+// timerQueue holds timers, earliest first.
+type timerQueue struct{ heap timerHeap }
+
+func (q *timerQueue) first() (at time.Duration, any bool) {
+	if len(q.heap) == 0 {
+		return 0, false
+	}
+	return q.heap[0].at, true
+}
+
+// after has something done at a time; whatever it is has to look whether it still applies.
+func (s *Scheduler) at(at time.Duration, fire func()) {
+	heap.Push(&s.timers.heap, timer{at: at, fire: fire})
+}
+
+func (s *Scheduler) fireTimers() {
+	for {
+		at, any := s.timers.first()
+		if !any || at > s.now {
+			return
+		}
+		heap.Pop(&s.timers.heap).(timer).fire()
+	}
+}
+
+// due is the next due time of a timed job.
+type due struct {
+	unixMs int64
+	job    state.JobID
+}
+
+type dueHeap []due
+
+func (h dueHeap) Len() int { return len(h) }
+func (h dueHeap) Less(i, j int) bool {
+	return cmp.Or(cmp.Compare(h[i].unixMs, h[j].unixMs), cmp.Compare(h[i].job, h[j].job)) < 0
+}
+func (h dueHeap) Swap(i, j int)   { h[i], h[j] = h[j], h[i] }
+func (h *dueHeap) Push(added any) { *h = append(*h, added.(due)) }
+func (h *dueHeap) Pop() any {
+	last := len(*h) - 1
+	popped := (*h)[last]
+	*h = (*h)[:last]
+	return popped
+}
+
+// dueQueue holds one entry for each timed job of which due times are left.
+type dueQueue struct{ heap dueHeap }
+
+func (q *dueQueue) first() (unixMs int64, any bool) {
+	if len(q.heap) == 0 {
+		return 0, false
+	}
+	return q.heap[0].unixMs, true
+}
+
+// openDueTimes opens the due times that have come by the trusted time of day.
+func (s *Scheduler) openDueTimes() {
+	for s.wall.known && len(s.dues.heap) > 0 {
+		next := s.dues.heap[0]
+		if s.wall.steady(next.unixMs) > s.now {
+			return
+		}
+		heap.Pop(&s.dues.heap)
+		if j := s.jobs[next.job]; j != nil {
+			s.openNextTime(j)
+		}
+	}
+}
+
+// awaitDue queues the next due time of a timed job.
+func (s *Scheduler) awaitDue(j *job) {
+	if j.nextTime < j.record.TimeCount() {
+		heap.Push(&s.dues.heap, due{unixMs: j.record.DueMs(j.nextTime), job: j.record.ID})
+	}
+}
