Run peer sampling and gossip between processes

coord/membership does rounds of 250 ms with jitter: one of the preferred peers in turn at least twice a second, shuffles and exchanges with others between, pushes of what is learned, and pulls of long values with time for their length. Subscribers get each newer value one after the other, never an older one.

Tests: go test -race ./coord/membership

--- /dev/null
+++ b/coord/membership/cluster_test.go
@@ -0,0 +1,198 @@
+package membership
+
+import (
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/rpc"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/coord/gossip"
+	"gaugeslip/coord/peersampling"
+)
+
+var errNoAnswer = errors.New("no answer")
+
+// cluster is a number of nodes in virtual time. Calls take none; each way of one may get lost.
+type cluster struct {
+	t       *testing.T
+	random  *rand.Rand
+	now     time.Duration
+	nodes   map[string]*Node
+	members []*member
+	seeds   []string
+	core    []string
+	tasks   []func()
+	loss    float64
+	cut     func(from, to string) bool
+	wire    *wire
+	calls   []call
+}
+
+type member struct {
+	address string
+	node    *Node
+	next    time.Duration
+	newest  map[gossip.Key]gossip.Version
+	learned time.Duration
+}
+
+type call struct {
+	from, to, method string
+	at, timeout      time.Duration
+}
+
+// newCluster starts n nodes, of which the first few are the core.
+func newCluster(t *testing.T, n int, seed uint64) *cluster {
+	c := &cluster{t: t, random: rand.New(rand.NewPCG(seed, 3)), nodes: map[string]*Node{}}
+	c.cut = func(string, string) bool { return false }
+	const coreSize, seedCount = 5, 3
+	addresses := make([]string, 0, n)
+	for i := range n {
+		addresses = append(addresses, fmt.Sprintf("10.1.%d.%d:7660", i/200, i%200))
+	}
+	c.core = addresses[:min(n, coreSize)]
+	c.seeds = addresses[:min(n, seedCount)]
+	for i, address := range addresses {
+		c.add(address, uint64(i))
+	}
+	return c
+}
+
+func (c *cluster) add(address string, incarnation uint64) {
+	node := New(clusterCaller{c, address}, Options{
+		Self:       peersampling.Peer{Address: address, Role: "carrier", Zone: "bole", Incarnation: 1_700_000_000_000 + incarnation},
+		Seeds:      c.seeds,
+		RandomSeed: c.random.Uint64(),
+		Preferred:  func() []string { return c.core },
+		Clock:      func() time.Duration { return c.now },
+	})
+	node.spawn = func(task func()) { c.tasks = append(c.tasks, task) }
+	start := c.now + time.Duration(c.random.Int64N(int64(DefaultInterval)))
+	m := &member{address: address, node: node, next: start, newest: map[gossip.Key]gossip.Version{}}
+	node.Subscribe(func(value gossip.Value) { c.learned(m, value) })
+	c.nodes[address] = node
+	c.members = append(c.members, m)
+}
+
+// learned checks that nothing goes back.
+func (c *cluster) learned(m *member, value gossip.Value) {
+	if !value.Version.Newer(m.newest[value.Key]) {
+		c.t.Fatalf("%s went back to %v of %s", m.address, value.Version, value.Key)
+	}
+	m.newest[value.Key] = value.Version
+	m.learned = c.now
+}
+
+func (c *cluster) set(m *member, value gossip.Value) {
+	require.NoError(c.t, m.node.Set(value))
+	c.drain()
+}
+
+// play lets a length of time pass.
+func (c *cluster) play(length time.Duration) {
+	end := c.now + length
+	for {
+		next := slices.MinFunc(c.members, func(a, b *member) int { return int(a.next - b.next) })
+		if next.next > end {
+			c.now = end
+			return
+		}
+		c.now = next.next
+		next.next += next.node.Round()
+		c.drain()
+	}
+}
+
+func (c *cluster) drain() {
+	for len(c.tasks) > 0 {
+		task := c.tasks[0]
+		c.tasks = c.tasks[1:]
+		task()
+	}
+}
+
+// having counts the nodes that have a version of a key, or a newer one.
+func (c *cluster) having(key gossip.Key, version gossip.Version) int {
+	count := 0
+	for _, m := range c.members {
+		if value, ok := m.node.Get(key); ok && !version.Newer(value.Version) {
+			count++
+		}
+	}
+	return count
+}
+
+// clusterCaller calls for one node.
+type clusterCaller struct {
+	cluster *cluster
+	from    string
+}
+
+func (caller clusterCaller) Call(address, method string, args, reply any, timeout time.Duration) error {
+	c := caller.cluster
+	c.calls = append(c.calls, call{from: caller.from, to: address, method: method, at: c.now, timeout: timeout})
+	node := c.nodes[address]
+	if node == nil || c.cut(caller.from, address) || c.random.Float64() < c.loss {
+		return errNoAnswer
+	}
+	answer, err := serve(node.Service(), method, args)
+	if err != nil || c.random.Float64() < c.loss {
+		return errNoAnswer
+	}
+	if c.wire != nil {
+		c.wire.count(c.t, caller.from, address, method, args, answer)
+	}
+	switch reply := reply.(type) {
+	case *ExchangeReply:
+		*reply = answer.(ExchangeReply)
+	case *PushReply:
+		*reply = answer.(PushReply)
+	}
+	return nil
+}
+
+func serve(service *Service, method string, args any) (any, error) {
+	switch args := args.(type) {
+	case ExchangeArgs:
+		var reply ExchangeReply
+		err := service.Exchange(args, &reply)
+		return reply, err
+	case PushArgs:
+		var reply PushReply
+		err := service.Push(args, &reply)
+		return reply, err
+	}
+	return nil, fmt.Errorf("no method %s", method)
+}
+
+// wire counts what net/rpc's gob codec would send, over connections that stay.
+type wire struct {
+	bytes    int
+	encoders map[[2]string]*gob.Encoder
+}
+
+func (w *wire) count(t *testing.T, from, to, method string, args, reply any) {
+	there, back := w.encoder(from, to+"?"), w.encoder(to+"!", from)
+	require.NoError(t, there.Encode(&rpc.Request{ServiceMethod: method, Seq: 1000}))
+	require.NoError(t, there.Encode(args))
+	require.NoError(t, back.Encode(&rpc.Response{ServiceMethod: method, Seq: 1000}))
+	require.NoError(t, back.Encode(reply))
+}
+
+func (w *wire) encoder(from, to string) *gob.Encoder {
+	if w.encoders[[2]string{from, to}] == nil {
+		w.encoders[[2]string{from, to}] = gob.NewEncoder(w)
+	}
+	return w.encoders[[2]string{from, to}]
+}
+
+func (w *wire) Write(data []byte) (int, error) {
+	w.bytes += len(data)
+	return len(data), nil
+}
--- /dev/null
+++ b/coord/membership/node.go
@@ -0,0 +1,135 @@
+// Package membership runs peer sampling and gossip between processes: in each round a node exchanges state with a peer, now and
+// then shuffles views with one, and pushes on what it learns.
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"gaugeslip/coord/gossip"
+	"gaugeslip/coord/peersampling"
+)
+
+// Node is the part of one process. Its methods are safe for concurrent use.
+type Node struct {
+	options    Options
+	caller     Caller
+	tasks      tasks
+	spawn      func(func())
+	deliveries deliveries
+
+	mu       sync.Mutex
+	random   *rand.Rand
+	sampler  *peersampling.Sampler
+	store    *gossip.Store
+	rotation rotation
+	rounds   uint64
+	// freeRounds counts the rounds in which neither a shuffle nor a preferred peer was due.
+	freeRounds uint64
+	// lastPreferred is when a preferred peer was asked, if preferredAsked.
+	lastPreferred  time.Duration
+	preferredAsked bool
+	// exchanges counts those that are out.
+	exchanges int
+
+	stop    context.CancelFunc
+	stopped chan struct{}
+}
+
+// New returns a node that doesn't run yet. Its service should be registered before Start.
+func New(caller Caller, options Options) *Node {
+	options = options.withDefaults()
+	random := rand.New(rand.NewPCG(options.RandomSeed, options.Self.Incarnation))
+	n := &Node{
+		options:  options,
+		caller:   caller,
+		random:   random,
+		sampler:  peersampling.New(options.Self, options.Seeds, options.ViewSize, random.Uint64()),
+		store:    gossip.NewStore(),
+		rotation: newRotation(random.IntN(1 << 16)),
+	}
+	n.spawn = n.tasks.spawn
+	return n
+}
+
+// Service returns the net/rpc service that other nodes call.
+func (n *Node) Service() *Service { return &Service{node: n} }
+
+// Start begins the rounds. A node is started once.
+func (n *Node) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.stop = cancel
+	n.stopped = make(chan struct{})
+	go n.run(ctx)
+}
+
+// Stop ends the rounds and waits for the calls that are out, at most for their time-outs. The service goes on answering.
+func (n *Node) Stop() {
+	if n.stop != nil {
+		n.stop()
+		<-n.stopped
+	}
+	n.tasks.close()
+}
+
+func (n *Node) run(ctx context.Context) {
+	defer close(n.stopped)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			timer.Reset(n.Round())
+		}
+	}
+}
+
+// Peers returns the present sample of live processes, in no order.
+func (n *Node) Peers() []peersampling.Peer {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.sampler.Peers()
+}
+
+// SetSeeds takes other seeds in place of those before.
+func (n *Node) SetSeeds(seeds []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sampler.SetSeeds(seeds)
+}
+
+// Get returns the newest known value of a key.
+func (n *Node) Get(key gossip.Key) (gossip.Value, bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.store.Get(key)
+}
+
+// Set takes in a value of this process's own and spreads it if it is newer than what is known. Its data must not be changed any
+// more. The error wraps gossip.ErrTooLong.
+func (n *Node) Set(value gossip.Value) error {
+	n.mu.Lock()
+	newer, err := n.store.Set(value)
+	var learned []gossip.Value
+	if newer {
+		learned = []gossip.Value{value}
+	}
+	targets := n.noteLearned(learned, n.options.Self.Address)
+	n.mu.Unlock()
+
+	n.spread(learned, targets)
+	return err
+}
+
+// Subscribe has each value handed over that is known now, and each newer one that is learned or set later. The calls come one
+// after the other, in the order of learning; versions of a key never go back. A call should be short and may call the node.
+func (n *Node) Subscribe(subscriber func(gossip.Value)) {
+	n.mu.Lock()
+	n.deliveries.subscribe(subscriber, n.store.Values())
+	n.mu.Unlock()
+	n.deliveries.run()
+}
