--- /dev/null
+++ b/internal/system/control/disk.go
@@ -0,0 +1,104 @@
+package control
+
+import (
+	"sync"
+
+	"gaugeslip/coord/wal"
+)
+
+// diskJob is one piece of work for the disk: records to append and sync, or a whole new content.
+type diskJob struct {
+	records []wal.Record
+	rewrite bool
+	done    func(error)
+}
+
+// disk writes to the log on a goroutine of its own. Jobs are done in order; appends that wait together share one sync.
+type disk struct {
+	log     *wal.Log
+	mutex   sync.Mutex
+	waiting []diskJob
+	wake    chan struct{}
+	stopped chan struct{}
+	once    sync.Once
+	size    int64
+}
+
+func newDisk(log *wal.Log) *disk {
+	return &disk{log: log, wake: make(chan struct{}, 1), stopped: make(chan struct{}), size: log.Size()}
+}
+
+// submit queues a job; done is called on the disk's goroutine.
+func (d *disk) submit(job diskJob) {
+	d.mutex.Lock()
+	d.waiting = append(d.waiting, job)
+	d.mutex.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (d *disk) run() {
+	for {
+		select {
+		case <-d.wake:
+			d.work(d.take())
+		case <-d.stopped:
+			return
+		}
+	}
+}
+
+func (d *disk) stop() { d.once.Do(func() { close(d.stopped) }) }
+
+func (d *disk) take() []diskJob {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	jobs := d.waiting
+	d.waiting = nil
+	return jobs
+}
+
+// bytes is the log's length after the last job.
+func (d *disk) bytes() int64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.size
+}
+
+// work does jobs in order: a run of appends with one write and one sync, a rewrite by itself.
+func (d *disk) work(jobs []diskJob) {
+	for len(jobs) > 0 {
+		n := 1
+		if jobs[0].rewrite {
+			d.finish(jobs[:1], d.log.Rewrite(jobs[0].records))
+		} else {
+			for n < len(jobs) && !jobs[n].rewrite {
+				n++
+			}
+			d.finish(jobs[:n], d.append(jobs[:n]))
+		}
+		jobs = jobs[n:]
+	}
+}
+
+func (d *disk) append(jobs []diskJob) error {
+	records := jobs[0].records
+	for _, job := range jobs[1:] {
+		records = append(records, job.records...)
+	}
+	if err := d.log.Append(records...); err != nil {
+		return err
+	}
+	return d.log.Sync()
+}
+
+func (d *disk) finish(jobs []diskJob, err error) {
+	d.mutex.Lock()
+	d.size = d.log.Size()
+	d.mutex.Unlock()
+	for _, job := range jobs {
+		job.done(err)
+	}
+}
--- /dev/null
+++ b/internal/system/control/engine.go
@@ -0,0 +1,293 @@
+package control
+
+import (
+	"time"
+
+	"gaugeslip/coord/chain"
+	"gaugeslip/coord/replica"
+	"gaugeslip/coord/view"
+	"gaugeslip/coord/wal"
+	"gaugeslip/internal/system/state"
+)
+
+// proposal is a command on its way through the chain. Its done is called once: with the command's result when it is committed,
+// or with lost set when its fate isn't known or it was surely never appended (then certain is set too).
+type proposal struct {
+	data  []byte
+	epoch uint64
+	done  func(result state.Result, fate fate)
+}
+
+// fate tells what became of a proposal.
+type fate byte
+
+const (
+	fateCommitted fate = iota
+	fateInDoubt        // it may be committed or not
+	fateRefused        // it surely isn't committed and never will be
+)
+
+// engineOptions are what an engine is made of; its callbacks run on the node's loop.
+type engineOptions struct {
+	config   replica.Config
+	log      *wal.Log
+	records  []wal.Record
+	now      func() time.Duration
+	post     func(func())
+	send     func(to string, message *replica.Message)
+	applied  func(state.Result)
+	installd func() // a snapshot took the place of the state
+	event    func(replica.Event)
+	failed   func(error)
+}
+
+// engine drives one replica core: its records to disk, its messages to peers, its committed entries to the machine. All its methods
+// run on the node's loop.
+type engine struct {
+	options   engineOptions
+	replica   *replica.Replica
+	machine   *state.Machine
+	disk      *disk
+	appliedTo uint64
+	queue     []*proposal
+	flying    map[uint64]*proposal
+	wake      time.Duration
+	closed    bool
+	rewriting bool
+	compactAt int64
+}
+
+// leastCompaction is the length at which the log is rewritten, and again at each multiple of its compacted length.
+const (
+	leastCompaction   = 8 << 20
+	compactionGrowth  = 3
+	mostProposalBatch = 512
+)
+
+// newEngine reads what the disk holds; begin sets it going.
+func newEngine(options engineOptions) (*engine, error) {
+	persisted, err := restore(options.records)
+	if err != nil {
+		return nil, err
+	}
+	options.records = nil
+	e := &engine{options: options, machine: state.New(), disk: newDisk(options.log), flying: map[uint64]*proposal{},
+		compactAt: leastCompaction}
+	if persisted.Snapshot != nil {
+		if err := e.machine.Restore(persisted.Snapshot.Data); err != nil {
+			return nil, err
+		}
+		e.appliedTo = persisted.Snapshot.Index
+	}
+	e.replica = replica.New(options.config, persisted, options.now())
+	return e, nil
+}
+
+// begin starts the engine; from here on it calls back.
+func (e *engine) begin() {
+	go e.disk.run()
+	e.step(replica.Tick{})
+}
+
+func restore(records []wal.Record) (replica.Persisted, error) {
+	converted := make([]replica.Record, len(records))
+	for i, record := range records {
+		converted[i] = replica.Record{Kind: record.Kind, Data: record.Data}
+	}
+	return replica.Restore(converted)
+}
+
+// step hands one input to the core and does what it asks for.
+func (e *engine) step(input replica.Input) {
+	if e.closed {
+		return
+	}
+	e.carryOut(e.replica.Step(e.options.now(), input))
+}
+
+// carryOut does what the core asks for.
+func (e *engine) carryOut(output replica.Output) {
+	for _, envelope := range output.Send {
+		e.options.send(envelope.To, envelope.Message)
+	}
+	if len(output.Persist) > 0 {
+		e.persist(output.Persist, output.Token)
+	}
+	if output.Install != nil {
+		e.install(output.Install)
+	}
+	for _, entry := range output.Committed {
+		e.apply(entry)
+	}
+	for _, event := range output.Events {
+		e.options.event(event)
+	}
+	e.wake = output.Wake
+	if output.Fault != nil {
+		e.options.failed(output.Fault)
+		return
+	}
+	if output.NeedSnapshot {
+		e.step(replica.SnapshotReady{Index: e.appliedTo, Data: e.machine.Snapshot()})
+	}
+}
+
+func (e *engine) persist(records []replica.Record, token uint64) {
+	e.disk.submit(diskJob{records: toLog(records), done: func(err error) {
+		e.options.post(func() { e.persisted(token, err) })
+	}})
+}
+
+func toLog(records []replica.Record) []wal.Record {
+	converted := make([]wal.Record, len(records))
+	for i, record := range records {
+		converted[i] = wal.Record{Kind: record.Kind, Data: record.Data}
+	}
+	return converted
+}
+
+func (e *engine) persisted(token uint64, err error) {
+	if e.closed {
+		return
+	}
+	if err != nil {
+		e.options.failed(err)
+		return
+	}
+	e.step(replica.Synced{Token: token})
+	e.compact()
+}
+
+// compact rewrites the log once it has grown long.
+func (e *engine) compact() {
+	if e.rewriting || e.disk.bytes() < e.compactAt {
+		return
+	}
+	records := e.replica.Compact(e.machine.Snapshot(), e.appliedTo)
+	if records == nil {
+		return
+	}
+	e.rewriting = true
+	e.disk.submit(diskJob{records: toLog(records), rewrite: true, done: func(err error) {
+		e.options.post(func() { e.compacted(err) })
+	}})
+}
+
+func (e *engine) compacted(err error) {
+	if e.closed {
+		return
+	}
+	e.rewriting = false
+	if err != nil {
+		e.options.failed(err)
+		return
+	}
+	e.compactAt = max(leastCompaction, compactionGrowth*e.disk.bytes())
+}
+
+// install puts a snapshot in the place of the state; what was proposed and isn't known to be committed is in doubt.
+func (e *engine) install(snapshot *chain.Snapshot) {
+	if err := e.machine.Restore(snapshot.Data); err != nil {
+		e.options.failed(err)
+		return
+	}
+	e.appliedTo = snapshot.Index
+	for index, waiting := range e.flying {
+		if index <= snapshot.Index {
+			delete(e.flying, index)
+			waiting.done(state.Result{}, fateInDoubt)
+		}
+	}
+	e.options.installd()
+}
+
+func (e *engine) apply(entry chain.Entry) {
+	if entry.Index <= e.appliedTo {
+		return
+	}
+	e.appliedTo = entry.Index
+	if len(entry.Data) == 0 {
+		e.settle(entry, state.Result{})
+		return
+	}
+	result := e.machine.ApplyBytes(entry.Data)
+	e.options.applied(result)
+	e.settle(entry, result)
+}
+
+// settle tells a proposal what became of it.
+func (e *engine) settle(entry chain.Entry, result state.Result) {
+	waiting := e.flying[entry.Index]
+	if waiting == nil {
+		return
+	}
+	delete(e.flying, entry.Index)
+	if waiting.epoch != entry.Epoch {
+		waiting.done(state.Result{}, fateRefused)
+		return
+	}
+	waiting.done(result, fateCommitted)
+}
+
+// propose queues a command; it is appended as soon as this replica may.
+func (e *engine) propose(command state.Command, done func(state.Result, fate)) {
+	e.queue = append(e.queue, &proposal{data: command.Encode(), done: done})
+}
+
+// flush appends what waits and tells whether anything was.
+func (e *engine) flush() bool {
+	if len(e.queue) == 0 || e.closed || e.replica.CanPropose(e.options.now()) != nil {
+		return false
+	}
+	batch := e.queue[:min(len(e.queue), mostProposalBatch)]
+	data := make([][]byte, len(batch))
+	for i, waiting := range batch {
+		data[i] = waiting.data
+	}
+	epoch := e.replica.View().Epoch
+	first, output, err := e.replica.Propose(e.options.now(), data)
+	if err == nil {
+		for i, waiting := range batch {
+			waiting.epoch, waiting.data = epoch, nil
+			e.flying[first+uint64(i)] = waiting
+		}
+		e.queue = append([]*proposal(nil), e.queue[len(batch):]...)
+	}
+	e.carryOut(output)
+	return err == nil
+}
+
+// refuseQueued ends all that was never appended.
+func (e *engine) refuseQueued() {
+	queued := e.queue
+	e.queue = nil
+	for _, waiting := range queued {
+		waiting.done(state.Result{}, fateRefused)
+	}
+}
+
+// isHead tells whether this replica may act as the head now.
+func (e *engine) isHead() bool { return !e.closed && e.replica.IsHead(e.options.now()) }
+
+// mayRead tells whether the state may be shown to clients now: at the tail with its permission, or at the head with its lease.
+func (e *engine) mayRead() bool {
+	now := e.options.now()
+	return !e.closed && (e.replica.IsTail(now) || e.replica.IsHead(now))
+}
+
+// view is the newest view known here.
+func (e *engine) view() view.View { return e.replica.View() }
+
+// close ends the engine; all that waits is in doubt, but for what was never appended.
+func (e *engine) close() {
+	if e.closed {
+		return
+	}
+	e.closed = true
+	e.disk.stop()
+	e.refuseQueued()
+	for index, waiting := range e.flying {
+		delete(e.flying, index)
+		waiting.done(state.Result{}, fateInDoubt)
+	}
+}
--- /dev/null
+++ b/internal/system/control/operator.go
@@ -0,0 +1,78 @@
+package control
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"gaugeslip/internal/system/internalapi"
+)
+
+const (
+	baseVersionHeader = "X-Gaugeslip-Base-Version"
+	// operatorPatience is how long an order may take before it is left without a clear answer.
+	operatorPatience = 3 * time.Second
+	mostConfigBytes  = 8 << 20
+)
+
+// operatorAPI is the operator's API over HTTP. It knows how to reach whoever may answer.
+type operatorAPI struct {
+	replace func(internalapi.ReplaceArgs, time.Duration) internalapi.ReplaceReply
+	read    func(time.Duration) internalapi.ReadReply
+}
+
+func (o *operatorAPI) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /Config.Replace", o.serveReplace)
+	mux.HandleFunc("GET /Config.Read", o.serveRead)
+	return mux
+}
+
+func (o *operatorAPI) serveReplace(writer http.ResponseWriter, request *http.Request) {
+	base, err := parseBase(request.Header.Get(baseVersionHeader))
+	if err != nil {
+		http.Error(writer, baseVersionHeader+": "+err.Error(), http.StatusBadRequest)
+		return
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, mostConfigBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		http.Error(writer, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	if err != nil {
+		return // the caller broke off: nothing was taken, nobody reads an answer
+	}
+	reply := o.replace(internalapi.ReplaceArgs{Base: base, Body: body}, operatorPatience)
+	if reply.Status == http.StatusOK {
+		writer.WriteHeader(http.StatusOK)
+		return
+	}
+	http.Error(writer, reply.Text, reply.Status)
+}
+
+// parseBase reads the version on which a configuration builds; absent means the first.
+func parseBase(text string) (uint64, error) {
+	if text == "" {
+		return 0, nil
+	}
+	return strconv.ParseUint(text, 10, 64)
+}
+
+func (o *operatorAPI) serveRead(writer http.ResponseWriter, _ *http.Request) {
+	reply := o.read(operatorPatience)
+	if reply.Verdict != internalapi.Done {
+		writer.Header().Set("Retry-After", "1")
+		http.Error(writer, reply.Text, http.StatusServiceUnavailable)
+		return
+	}
+	if reply.Version == 0 {
+		http.Error(writer, "no configuration yet", http.StatusNotFound)
+		return
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set("Content-Length", strconv.Itoa(len(reply.Body)))
+	_, _ = writer.Write(reply.Body)
+}
--- /dev/null
+++ b/internal/system/control/orders.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"gaugeslip/internal/system/workerapi"
+)
+
+// mostCalls bounds the calls on workers that are out at once.
+const mostCalls = 4096
+
+// orders carries out the scheduler's calls on workers, each on a goroutine of its own.
+type orders struct {
+	client *workerapi.Client
+	slots  chan struct{}
+	cancel context.CancelFunc
+	ctx    context.Context
+}
+
+func newOrders(connections int) *orders {
+	ctx, cancel := context.WithCancel(context.Background())
+	client := workerapi.NewClient(workerapi.Options{Connections: connections})
+	return &orders{client: client, slots: make(chan struct{}, mostCalls), ctx: ctx, cancel: cancel}
+}
+
+// start runs one call; with no slot free it answers false, and nothing was sent.
+func (o *orders) start(timeout time.Duration, call func(ctx context.Context, client *workerapi.Client)) bool {
+	select {
+	case o.slots <- struct{}{}:
+	default:
+		return false
+	}
+	go func() {
+		defer func() { <-o.slots }()
+		ctx, cancel := context.WithTimeout(o.ctx, timeout)
+		defer cancel()
+		call(ctx, o.client)
+	}()
+	return true
+}
+
+// close breaks off all calls.
+func (o *orders) close() {
+	o.cancel()
+	o.client.Close()
+}
--- /dev/null
+++ b/internal/system/control/roles.go
@@ -0,0 +1,216 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"gaugeslip/coord/replica"
+	"gaugeslip/internal/system/internalapi"
+	"gaugeslip/internal/system/scheduler"
+	"gaugeslip/internal/system/state"
+	"gaugeslip/internal/system/workerapi"
+)
+
+const (
+	clockEvery        = time.Second
+	clockCallTimeout  = 400 * time.Millisecond
+	housekeepingEvery = time.Second
+	listEvery         = 900 * time.Millisecond
+	listTimeout       = 2 * time.Second
+	listRetryFirst    = 300 * time.Millisecond
+	listRetryMost     = 2 * time.Second
+	forgetAtMost      = 512
+)
+
+// flush collects what the cores want done after a batch of inputs, until nothing more comes up, and gives the time to the next wake.
+func (n *Node) flush() time.Duration {
+	now := n.now()
+	if !n.engine.closed && now >= n.engine.wake {
+		n.engine.step(replica.Tick{})
+	}
+	n.periodic(now)
+	for range 8 {
+		ordered := n.runScheduler()
+		if !n.engine.flush() && !ordered {
+			break
+		}
+	}
+	return n.nextWake()
+}
+
+func (n *Node) nextWake() time.Duration {
+	now := n.now()
+	wake := min(n.clockAt, n.housekeepingAt)
+	if !n.engine.closed {
+		wake = min(wake, n.engine.wake)
+	}
+	if n.schedulerActive {
+		if n.schedulerWake > 0 {
+			wake = min(wake, n.schedulerWake)
+		}
+		if !n.listing {
+			wake = min(wake, n.listAt)
+		}
+	}
+	return max(wake-now, time.Millisecond)
+}
+
+// periodic does what falls due by itself.
+func (n *Node) periodic(now time.Duration) {
+	if now >= n.clockAt {
+		n.clockAt = now + clockEvery
+		n.readClocks()
+		n.tellWallClock(now)
+	}
+	if now >= n.housekeepingAt {
+		n.housekeepingAt = now + housekeepingEvery
+		n.keepHouse()
+	}
+	if n.schedulerActive && !n.listing && now >= n.listAt {
+		n.readList()
+	}
+}
+
+// runScheduler lets the scheduler work and tells whether it wanted anything.
+func (n *Node) runScheduler() bool {
+	if n.scheduler == nil || !n.schedulerActive || !n.engine.isHead() {
+		return false
+	}
+	now := n.now()
+	if n.schedulerWake > 0 && now >= n.schedulerWake {
+		n.scheduler.Tick(now)
+	}
+	output := n.scheduler.Drain()
+	n.schedulerWake = output.Wake
+	if output.Superseded {
+		n.logger.Warn("a worker has seen a higher token", "epoch", n.schedulerEpoch)
+		n.schedulerActive = false
+		return false
+	}
+	for _, command := range output.Commands {
+		n.engine.propose(command, func(state.Result, fate) {})
+	}
+	for _, call := range output.Calls {
+		n.call(call)
+	}
+	return len(output.Commands)+len(output.Calls) > 0
+}
+
+// call makes one of the scheduler's calls; its answer counts only for the scheduler that made it.
+func (n *Node) call(call scheduler.Call) {
+	from := n.scheduler
+	end := func(reply workerapi.HoldReply) {
+		n.loop.post(func() {
+			if n.scheduler == from {
+				from.CallEnded(n.now(), scheduler.CallResult{ID: call.ID, Reply: reply})
+			}
+		})
+	}
+	started := n.orders.start(call.Timeout, func(ctx context.Context, client *workerapi.Client) {
+		end(carryOut(ctx, client, &call))
+	})
+	if !started {
+		end(workerapi.HoldReply{Outcome: workerapi.NotSent})
+	}
+}
+
+// carryOut makes a call and gives what is certain about it.
+func carryOut(ctx context.Context, client *workerapi.Client, call *scheduler.Call) workerapi.HoldReply {
+	switch call.Kind {
+	case scheduler.CallStart:
+		reply, _ := client.Start(ctx, call.Worker, call.Start)
+		return workerapi.HoldReply{Outcome: reply.Outcome, ClockMs: reply.ClockMs}
+	case scheduler.CallStop:
+		reply, _ := client.Stop(ctx, call.Worker, call.Stop)
+		return workerapi.HoldReply{Outcome: reply.Outcome, ClockMs: reply.ClockMs}
+	default:
+		reply, _ := client.Hold(ctx, call.Worker, call.Hold)
+		return reply
+	}
+}
+
+// readList reads the platform's list; only the head does.
+func (n *Node) readList() {
+	n.listing = true
+	from := n.scheduler
+	address := n.settings.CloudProvider.Address
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
+		defer cancel()
+		instances, err := n.list.List(ctx, address)
+		n.loop.post(func() { n.listed(from, instances, err) })
+	}()
+}
+
+func (n *Node) listed(from *scheduler.Scheduler, instances []workerapi.Instance, err error) {
+	if n.scheduler != from || from == nil {
+		return
+	}
+	n.listing = false
+	if err != nil {
+		n.listFailures++
+		n.listAt = n.now() + min(listRetryFirst<<min(n.listFailures-1, 4), listRetryMost)
+		n.logger.Debug("list not read", "error", err)
+		return
+	}
+	n.listFailures = 0
+	n.listAt = n.now() + listEvery
+	from.Listed(n.now(), instances)
+}
+
+// readClocks asks the other replicas for their time of day.
+func (n *Node) readClocks() {
+	if n.engine.closed {
+		return
+	}
+	for _, member := range n.engine.view().Voters {
+		if member.ID != n.engine.replica.Self().ID {
+			go n.readClock(member.Address)
+		}
+	}
+}
+
+func (n *Node) readClock(address string) {
+	var reply internalapi.DigestReply
+	sent := time.Now()
+	if err := n.client.Call(address, internalapi.MethodDigest, internalapi.DigestArgs{}, &reply, clockCallTimeout); err != nil {
+		return
+	}
+	half := time.Since(sent) / 2
+	ours := time.Now().Add(-half)
+	n.loop.post(func() { n.wall.heard(address, time.UnixMilli(reply.UnixMs), ours, n.now()) })
+}
+
+func (n *Node) tellWallClock(now time.Duration) {
+	if n.scheduler != nil {
+		n.scheduler.WallClock(now, n.unixMs(now))
+	}
+}
+
+// unixMs is the trusted time of day in milliseconds since 1970.
+func (n *Node) unixMs(now time.Duration) int64 { return time.Now().Add(n.wall.offset(now)).UnixMilli() }
+
+// keepHouse tells the core of replicas that were heard of, and forgets jobs that were over for long enough.
+func (n *Node) keepHouse() {
+	if n.engine.closed {
+		return
+	}
+	n.engine.step(replica.Contacts{Addresses: n.contacts()})
+	if n.schedulerActive && n.engine.isHead() {
+		n.forgetJobs()
+	}
+}
+
+// forgetJobs drops jobs that have been over for twice the time for which their state has to be told.
+func (n *Node) forgetJobs() {
+	before := n.unixMs(n.now()) - 2*n.settings.Bounds.Status().Milliseconds()
+	var old []state.JobID
+	for id, job := range n.engine.machine.Jobs() {
+		if job.State.Over() && job.Runs == 0 && job.OverMs < before && len(old) < forgetAtMost {
+			old = append(old, id)
+		}
+	}
+	if len(old) > 0 {
+		n.engine.propose(state.Command{Kind: state.KindJobsForgotten, JobsForgotten: old}, func(state.Result, fate) {})
+	}
+}
