--- /dev/null
+++ b/coord/chain/link.go
@@ -0,0 +1,97 @@
+package chain
+
+import (
+	"time"
+
+	"gaugeslip/coord/view"
+)
+
+// Bounds of what is sent and not yet acknowledged.
+const (
+	batchBytes     = 256 << 10
+	windowBytes    = 4 << 20
+	chunkBytes     = 256 << 10
+	chunksInFlight = 2
+)
+
+// link is the sending side towards a successor or a learner.
+type link struct {
+	peer       view.Member
+	session    uint64 // 0: none
+	early      *Hello // came before this replica was in step itself
+	next       uint64
+	acked      uint64
+	flying     int // bytes not yet acknowledged
+	batches    []batch
+	commitSent uint64
+	quietSince time.Duration // last sending or acknowledgement
+	heardAt    time.Duration
+	transfer   *transfer
+	wants      bool // a snapshot
+}
+
+type batch struct {
+	last  uint64
+	bytes int
+}
+
+// transfer is a snapshot on its way.
+type transfer struct {
+	snapshot *Snapshot
+	acked    int
+	sent     int
+	at       time.Duration
+}
+
+// owes tells whether the peer has something to acknowledge.
+func (l *link) owes() bool { return l.session != 0 && l.next > l.acked+1 }
+
+// open starts a session from the match on.
+func (l *link) open(now time.Duration, hello *Hello, match uint64) {
+	l.session = hello.Session
+	l.next = match + 1
+	l.acked = max(l.acked, min(hello.Acked, match))
+	l.flying = 0
+	l.batches = l.batches[:0]
+	l.commitSent = 0
+	l.quietSince, l.heardAt = now, now
+	l.transfer, l.wants = nil, false
+}
+
+// close ends the session.
+func (l *link) close() {
+	l.session = 0
+	l.flying = 0
+	l.batches = l.batches[:0]
+	l.transfer = nil
+}
+
+// sent notes a batch.
+func (l *link) sent(now time.Duration, last uint64, bytes int) {
+	l.next = last + 1
+	l.flying += bytes
+	l.batches = append(l.batches, batch{last, bytes})
+	l.quietSince = now
+}
+
+// ack notes an acknowledgement and tells whether it is a step forward.
+func (l *link) ack(now time.Duration, index uint64) bool {
+	l.heardAt, l.quietSince = now, now
+	index = min(index, l.next-1)
+	if index <= l.acked {
+		return false
+	}
+	l.acked = index
+	done := 0
+	for done < len(l.batches) && l.batches[done].last <= index {
+		l.flying -= l.batches[done].bytes
+		done++
+	}
+	l.batches = append(l.batches[:0], l.batches[done:]...)
+	return true
+}
+
+// stale tells whether a Hello was sent before the one of the present session by the same life.
+func (l *link) stale(session uint64) bool {
+	return session>>sessionBits == l.session>>sessionBits && session < l.session
+}
--- /dev/null
+++ b/coord/chain/upstream.go
@@ -0,0 +1,141 @@
+package chain
+
+import (
+	"fmt"
+	"time"
+)
+
+// hello opens a new session with the predecessor.
+func (c *Chain) hello(now time.Duration) {
+	c.sessions++
+	c.session = c.cfg.Life<<sessionBits | c.sessions&(1<<sessionBits-1)
+	c.opened = false
+	c.partial = nil
+	c.repeatHello(now)
+}
+
+func (c *Chain) repeatHello(now time.Duration) {
+	c.helloAt = now
+	c.send(c.role.Upstream, &Body{Hello: &Hello{Session: c.session, Runs: c.log.Runs(), Acked: c.Acked()}})
+}
+
+// rehello opens a new session unless one has just been asked for.
+func (c *Chain) rehello(now time.Duration) {
+	if now-c.helloAt >= rehelloAfter {
+		c.hello(now)
+	}
+}
+
+func (c *Chain) onAppend(now time.Duration, m *Append) {
+	if m.Session != c.session {
+		return
+	}
+	if !c.opened {
+		if !m.Start {
+			return
+		}
+		c.start(now, m.Prev)
+	}
+	if m.Prev > c.log.Last() {
+		c.rehello(now)
+		return
+	}
+	if !c.take(m) {
+		return
+	}
+	c.commitTo(now, m.Commit)
+	c.pumpAll(now)
+	c.acknowledge(now)
+}
+
+// start takes the predecessor's word on where the logs part.
+func (c *Chain) start(now time.Duration, match uint64) {
+	c.truncate(now, match)
+	c.opened, c.inStep = true, true
+	c.ackSent = 0
+	if c.down != nil && c.down.early != nil {
+		hello := c.down.early
+		c.down.early = nil
+		c.welcome(now, c.down, hello)
+	}
+}
+
+// take appends what is new of a message.
+func (c *Chain) take(m *Append) bool {
+	first := c.log.Last() + 1
+	for _, e := range m.Entries {
+		if e.Index < first {
+			if epoch, ok := c.log.EpochAt(e.Index); ok && epoch != e.Epoch {
+				c.env.Fail(fmt.Errorf("entry %d of epoch %d came as of epoch %d: %w", e.Index, epoch, e.Epoch, ErrDiverged))
+				return false
+			}
+			continue
+		}
+		c.log.Append(e)
+	}
+	if entries, _ := c.log.Slice(first, int(^uint(0)>>1)); len(entries) > 0 {
+		c.env.Store(entries)
+	}
+	return true
+}
+
+// acknowledge tells the predecessor what is on disk here and at all successors, if that is more than it knows.
+func (c *Chain) acknowledge(now time.Duration) {
+	if !c.active || c.role.Head || !c.opened {
+		return
+	}
+	if acked := c.Acked(); acked > c.ackSent {
+		c.sendAck(acked)
+	}
+}
+
+func (c *Chain) sendAck(acked uint64) {
+	c.ackSent = acked
+	c.send(c.role.Upstream, &Body{Ack: &Ack{Session: c.session, Index: acked}})
+}
+
+func (c *Chain) onProbe(now time.Duration, m *Probe) {
+	if m.Session != c.session {
+		if c.opened {
+			c.rehello(now)
+		}
+		return
+	}
+	if !c.opened {
+		return
+	}
+	if m.Last > c.log.Last() {
+		c.rehello(now)
+		return
+	}
+	c.sendAck(c.Acked())
+}
+
+func (c *Chain) onChunk(now time.Duration, m *Chunk) {
+	if m.Session != c.session || c.opened || m.Total < len(c.partial) {
+		return
+	}
+	if m.Offset == len(c.partial) {
+		c.partial = append(c.partial, m.Data...)
+	}
+	c.helloAt = now
+	c.send(c.role.Upstream, &Body{ChunkAck: &ChunkAck{Session: m.Session, Index: m.Index, Offset: len(c.partial)}})
+	if len(c.partial) == m.Total {
+		c.install(now, Snapshot{Index: m.Index, Epoch: m.Epoch, Data: c.partial})
+	}
+}
+
+// install replaces log and state machine, then opens a new session to go on from there.
+func (c *Chain) install(now time.Duration, snapshot Snapshot) {
+	c.partial = nil
+	if snapshot.Index < c.committed {
+		c.env.Fail(fmt.Errorf("snapshot at %d below committed %d: %w", snapshot.Index, c.committed, ErrDiverged))
+		return
+	}
+	c.log.Reset(snapshot.Index, snapshot.Epoch)
+	c.capSynced(0)
+	c.env.StoreSnapshot(snapshot)
+	c.committed, c.delivered = snapshot.Index, snapshot.Index
+	c.env.Install(snapshot)
+	c.hello(now)
+}
--- /dev/null
+++ b/coord/replica/config.go
@@ -0,0 +1,100 @@
+// Package replica combines the agreed view and the chain to one core: what it is told goes in by Step and Propose,
+// what is to be sent, stored and applied comes out. It does no I/O, reads no clock and starts no goroutine; all
+// times are on one steady clock. A Replica is used by one goroutine.
+package replica
+
+import (
+	"errors"
+	"time"
+
+	"gaugeslip/coord/chain"
+	"gaugeslip/coord/view"
+)
+
+// Defaults of Config.
+const (
+	DefaultGrant          = 800 * time.Millisecond
+	DefaultHeartbeatEvery = 150 * time.Millisecond
+	DefaultDropAfter      = 700 * time.Millisecond
+	DefaultKeepEntries    = 2000
+	DefaultKeepBytes      = 4 << 20
+)
+
+// Timings that follow from nothing else.
+const (
+	electionStagger   = 120 * time.Millisecond // between the candidacies of neighbours in the chain
+	electionJitter    = 30 * time.Millisecond
+	electionPatience  = 60 * time.Millisecond // for members that a majority's promise overtook
+	electionUnheard   = 150 * time.Millisecond
+	ballotRepeat      = 60 * time.Millisecond
+	governEvery       = 40 * time.Millisecond
+	joinEvery         = 200 * time.Millisecond
+	leaveNoticeEvery  = 100 * time.Millisecond
+	drainAtMost       = 150 * time.Millisecond
+	holdAtMost        = 300 * time.Millisecond
+	holdAgainAfter    = 300 * time.Millisecond
+	holdWithin        = 512 // entries that a learner may lack when writes are held back for it
+	stuckNoReads      = 250 * time.Millisecond
+	voterGoneAfter    = 2 * time.Second
+	refusedRefresh    = time.Second
+	newsAtMostEvery   = 10 * time.Millisecond
+	frozenAfter       = 350 * time.Millisecond // between two steps
+	frozenPatience    = 100 * time.Millisecond
+	wakeAtLeastEvery  = 200 * time.Millisecond
+	penaltyFirst      = 2 * time.Second
+	penaltyMost       = 16 * time.Second
+	penaltyForgiven   = time.Minute
+	learnerHeardSince = 400 * time.Millisecond
+)
+
+// earlyKept bounds the messages kept for the chain while a view is on its way to disk.
+const earlyKept = 256
+
+// Config is a replica's settings. Zero times and sizes take the defaults.
+type Config struct {
+	Self           view.Member // ID: the identity for an empty disk
+	Genesis        *view.View  // first start of the whole system with an empty disk; else nil
+	Tolerance      int         // f: nothing commits while the chain is shorter than f+1
+	Grant          time.Duration
+	HeartbeatEvery time.Duration
+	DropAfter      time.Duration // silence or unacknowledged entries after which the head drops a member
+	KeepEntries    int           // delivered entries kept in memory for members that return
+	KeepBytes      int
+	Seed           uint64 // random, another one in each life
+}
+
+func (c *Config) fill() {
+	fillZero(&c.Grant, DefaultGrant)
+	fillZero(&c.HeartbeatEvery, DefaultHeartbeatEvery)
+	fillZero(&c.DropAfter, DefaultDropAfter)
+	fillZero(&c.KeepEntries, DefaultKeepEntries)
+	fillZero(&c.KeepBytes, DefaultKeepBytes)
+}
+
+func fillZero[T comparable](value *T, preset T) {
+	var zero T
+	if *value == zero {
+		*value = preset
+	}
+}
+
+// Why Propose refuses. Nothing has been appended then; it may do later.
+var (
+	ErrNotHead = errors.New("this replica isn't the head or has no lease")
+	ErrHeld    = errors.New("writes are held back for a change of the view")
+	ErrShort   = errors.New("the chain is too short to commit")
+)
+
+// Output is what a Step asks for. Records are to be appended to the log and synced in order, then Synced is to be
+// told with Token; messages that depend on it are held back until then. Nothing in an Output may be changed.
+type Output struct {
+	Send         []Envelope
+	Persist      []Record
+	Token        uint64 // with Persist
+	Install      *chain.Snapshot
+	Committed    []chain.Entry // to apply after Install, in order
+	NeedSnapshot bool          // SnapshotReady is wanted
+	Events       []Event
+	Wake         time.Duration // when to Tick at the latest
+	Fault        error         // an invariant is broken: stop this process
+}
--- /dev/null
+++ b/coord/replica/effects.go
@@ -0,0 +1,144 @@
+package replica
+
+import (
+	"time"
+
+	"gaugeslip/coord/chain"
+	"gaugeslip/coord/view"
+)
+
+// environment is the Replica as its chain sees it.
+type environment Replica
+
+func (e *environment) Send(to view.Member, body *chain.Body) {
+	(*Replica)(e).send(to, &Message{Chain: body})
+}
+
+func (e *environment) Store(entries []chain.Entry) {
+	for _, entry := range entries {
+		(*Replica)(e).store(encodeEntry(entry))
+	}
+}
+
+func (e *environment) StoreTruncate(index uint64) { (*Replica)(e).store(encodeTruncate(index)) }
+
+func (e *environment) StoreSnapshot(snapshot chain.Snapshot) {
+	(*Replica)(e).store(encodeSnapshot(snapshot))
+}
+
+func (e *environment) Deliver(entries []chain.Entry) {
+	if e.out.Committed == nil {
+		e.out.Committed = entries
+		return
+	}
+	e.out.Committed = append(e.out.Committed, entries...)
+}
+
+func (e *environment) Install(snapshot chain.Snapshot) {
+	e.out.Install = &snapshot
+	e.out.Committed = nil
+}
+
+func (e *environment) Fail(err error) { (*Replica)(e).fail(err) }
+
+func (r *Replica) fail(err error) {
+	if r.out.Fault == nil {
+		r.out.Fault = err
+	}
+}
+
+func (r *Replica) store(record Record) {
+	if !r.broken {
+		r.out.Persist = append(r.out.Persist, record)
+	}
+}
+
+// pendingToken is the token with which all that was stored so far will be on disk.
+func (r *Replica) pendingToken() uint64 {
+	if len(r.out.Persist) > 0 {
+		return r.token + 1
+	}
+	return r.token
+}
+
+// send hands out a message at once.
+func (r *Replica) send(to view.Member, m *Message) {
+	m.From = r.self
+	m.To = to.ID
+	m.Epoch = r.view.Epoch
+	m.Viewless = !r.view.Known()
+	r.post(to, m)
+}
+
+func (r *Replica) post(to view.Member, m *Message) {
+	if to.ID == r.self.ID {
+		r.local = append(r.local, m)
+		return
+	}
+	r.out.Send = append(r.out.Send, Envelope{To: to.Address, Message: m})
+}
+
+// sendStored hands out a message once all that was stored so far is on disk.
+func (r *Replica) sendStored(to view.Member, m *Message) {
+	token := r.pendingToken()
+	if r.broken {
+		return
+	}
+	if r.synced >= token {
+		r.send(to, m)
+		return
+	}
+	m.From, m.To, m.Epoch = r.self, to.ID, r.view.Epoch
+	r.held = append(r.held, heldMessage{token, to, m})
+}
+
+func (r *Replica) onSynced(now time.Duration, token uint64) {
+	if r.broken || token <= r.synced {
+		return
+	}
+	r.synced = token
+	r.releaseWrites(token)
+	r.releaseHeld(token)
+	r.chain.SyncedTo(now, token)
+	if !r.entered && r.view.Known() && r.enterAt <= token {
+		r.enter(now)
+	}
+}
+
+func (r *Replica) releaseWrites(token uint64) {
+	done := 0
+	for done < len(r.writes) && r.writes[done].token <= token {
+		done++
+	}
+	r.writes = append(r.writes[:0], r.writes[done:]...)
+}
+
+func (r *Replica) releaseHeld(token uint64) {
+	done := 0
+	for done < len(r.held) && r.held[done].token <= token {
+		r.post(r.held[done].to, r.held[done].message)
+		done++
+	}
+	r.held = append(r.held[:0], r.held[done:]...)
+}
+
+// Compact gives the records that replace all that were handed out so far, where snapshot is the state after all
+// delivered entries up to index. Once they are on disk, Synced may be told with the last token. None are given
+// where the index isn't held.
+func (r *Replica) Compact(snapshot []byte, index uint64) []Record {
+	log := r.chain.Log()
+	epoch, ok := log.EpochAt(index)
+	if !ok || index > r.chain.Committed() {
+		return nil
+	}
+	records := []Record{encodeIdentity(r.self.ID)}
+	if r.view.Known() {
+		records = append(records, encodeView(r.view), encodeAcceptor(r.acceptor))
+	}
+	records = append(records, encodeSnapshot(chain.Snapshot{Index: index, Epoch: epoch, Data: snapshot}))
+	rest, _ := log.Slice(index+1, int(^uint(0)>>1))
+	for _, entry := range rest {
+		records = append(records, encodeEntry(entry))
+	}
+	return records
+}
--- /dev/null
+++ b/coord/replica/election.go
@@ -0,0 +1,204 @@
+package replica
+
+import (
+	"time"
+
+	"gaugeslip/coord/view"
+)
+
+// expectHead sets when to stand for the head's place if nothing is heard from the head till then.
+func (r *Replica) expectHead(now time.Duration) {
+	at := r.position()
+	if at < 0 || r.leading() {
+		r.electAt = never
+		return
+	}
+	r.electAt = now + r.cfg.Grant + r.cfg.Grant/20 + time.Duration(max(at-1, 0))*electionStagger + r.jitter(electionJitter)
+}
+
+// elect stands for the head's place when it is time.
+func (r *Replica) elect(now time.Duration) {
+	if now < r.electAt || r.proposer.Active() || r.position() < 0 || r.leaving || r.ownDiskStalls(now) {
+		return
+	}
+	r.prepare(now, nil)
+}
+
+// propose begins with a wish of the head's. Nothing is appended in this epoch any more.
+func (r *Replica) propose(now time.Duration, next view.View) {
+	r.abdicate(now)
+	r.outbidAt = 0
+	r.proposer.AcceptAtOnce(now, &next)
+	r.repeat(now)
+}
+
+// prepare begins a ballot above all known ones.
+func (r *Replica) prepare(now time.Duration, wish *view.View) {
+	r.abdicate(now)
+	r.outbidAt = 0
+	r.proposer.Prepare(now, wish)
+	r.repeat(now)
+}
+
+// pursue repeats a ballot, or goes on to its second phase.
+func (r *Replica) pursue(now time.Duration) {
+	if !r.proposer.Active() {
+		return
+	}
+	if r.proposer.Phase == view.Preparing && r.proposer.Majority != 0 {
+		r.acceptWhenReady(now)
+	}
+	if now < r.repeatAt {
+		return
+	}
+	if r.outbidAt != 0 {
+		r.prepare(now, nil)
+		return
+	}
+	r.repeat(now)
+}
+
+// repeat sends the ballot to all voters whose votes are missing. A ballot that was outbid is begun anew.
+func (r *Replica) repeat(now time.Duration) {
+	if r.proposer.Phase == view.Idle {
+		return
+	}
+	r.repeatAt = now + ballotRepeat
+	for _, voter := range r.view.Voters {
+		if !r.proposer.Missing(voter.ID) {
+			continue
+		}
+		m := &Message{View: r.viewCopy()}
+		if r.proposer.Phase == view.Preparing {
+			m.Prepare = &view.Prepare{Ballot: r.proposer.Ballot}
+		} else {
+			m.Accept = &view.Accept{Ballot: r.proposer.Ballot, Value: *r.proposer.Value}
+		}
+		r.send(voter, m)
+	}
+}
+
+// outbid begins a higher ballot, after a moment in which the other may get through.
+func (r *Replica) outbid(now time.Duration) {
+	if r.outbidAt == 0 {
+		r.outbidAt = now + r.cfg.HeartbeatEvery/10 + r.jitter(r.cfg.HeartbeatEvery/2)
+		r.repeatAt = r.outbidAt
+	}
+}
+
+// acceptWhenReady chooses the value once a majority has promised.
+func (r *Replica) acceptWhenReady(now time.Duration) {
+	value := r.proposer.Found()
+	if value == nil {
+		value = r.proposer.Value
+	}
+	if value == nil {
+		value = r.successor(now)
+	}
+	if value == nil || !r.readsOver(now, *value) {
+		return
+	}
+	r.proposer.Accept(now, value)
+	r.repeat(now)
+}
+
+// successor is the view with all members that have answered, or nil while it is worth waiting for more.
+func (r *Replica) successor(now time.Duration) *view.View {
+	next := r.view.Next()
+	head := r.view.Head().ID
+	missing := false
+	next.Chain = view.Without(next.Chain, func(id view.ReplicaID) bool {
+		if id == r.self.ID {
+			return r.leaving && len(r.view.Chain) > 1
+		}
+		answered := r.proposer.Answered(id)
+		missing = missing || !answered && id != head
+		return !answered || r.proposer.Leaving(id)
+	})
+	if missing && now-r.proposer.Majority < electionPatience || len(next.Chain) == 0 {
+		return nil
+	}
+	return &next
+}
+
+func (r *Replica) onPrepare(now time.Duration, from view.Member, m *view.Prepare) {
+	reply := &view.Promise{Ballot: m.Ballot, Leaving: r.leaving || r.ownDiskStalls(now)}
+	if !r.mayVote(now, m.Ballot) {
+		r.send(from, &Message{Promise: reply})
+		return
+	}
+	before := r.acceptor.Promised
+	if !r.acceptor.Prepare(m.Ballot) {
+		reply.Promised = before
+		r.send(from, &Message{Promise: reply})
+		return
+	}
+	if m.Ballot != before {
+		r.store(encodeAcceptor(r.acceptor))
+	}
+	reply.OK, reply.Accepted, reply.Value = true, r.acceptor.Accepted, r.acceptor.Value
+	r.sendStored(from, &Message{Promise: reply})
+}
+
+// mayVote tells whether this replica votes, and has no grant out to another.
+func (r *Replica) mayVote(now time.Duration, b view.Ballot) bool {
+	if !r.view.IsVoter(r.self.ID) {
+		return false
+	}
+	return now >= r.grant || b.Owner == r.view.Head().ID
+}
+
+func (r *Replica) onAccept(now time.Duration, from view.Member, m *view.Accept) {
+	reply := &view.Accepted{Ballot: m.Ballot}
+	if !r.mayVote(now, m.Ballot) {
+		r.send(from, &Message{Accepted: reply})
+		return
+	}
+	before := r.acceptor
+	if !r.acceptor.Accept(m.Ballot, m.Value) {
+		reply.Promised = before.Promised
+		r.send(from, &Message{Accepted: reply})
+		return
+	}
+	if m.Ballot != before.Accepted {
+		r.store(encodeAcceptor(r.acceptor))
+	}
+	reply.OK = true
+	r.sendStored(from, &Message{Accepted: reply})
+}
+
+func (r *Replica) onPromise(now time.Duration, from view.Member, m *view.Promise) {
+	if r.proposer.Promised(now, from.ID, m, r.view.Majority()) {
+		r.outbid(now)
+	}
+}
+
+func (r *Replica) onAccepted(now time.Duration, from view.Member, m *view.Accepted) {
+	decided, outbid := r.proposer.Accepted(from.ID, m, r.view.Majority())
+	if outbid {
+		r.outbid(now)
+	}
+	if decided {
+		r.decided(now)
+	}
+}
+
+// decided takes the value that a majority has accepted and tells all whom it concerns.
+func (r *Replica) decided(now time.Duration) {
+	before := r.view
+	next := *r.proposer.Value
+	unheard := !r.proposer.Answered(next.Head().ID)
+	r.learn(now, next)
+	if unheard && r.position() > 0 {
+		r.electAt = now + electionUnheard + r.jitter(electionJitter)
+	}
+	told := map[view.ReplicaID]bool{r.self.ID: true}
+	for _, members := range [][]view.Member{next.Voters, before.Voters, next.Chain} {
+		for _, member := range members {
+			if !told[member.ID] {
+				told[member.ID] = true
+				r.send(member, &Message{View: r.viewCopy()})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/coord/replica/head.go
@@ -0,0 +1,258 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"gaugeslip/coord/view"
+)
+
+// readPart is the part of a grant for which the tail may answer reads at most.
+const readPart = 2
+
+// headState is what a head knows of its epoch.
+type headState struct {
+	allowed    bool // this life learnt the view, so what an earlier one sent doesn't count
+	abdicated  bool // it has proposed a view, or found itself without a majority
+	lease      view.Lease
+	leaseUntil time.Duration
+	beatAt     time.Duration
+	readsUntil time.Duration // the tail's permission, by the clock here
+	announced  bool
+	announcedE uint64 // the epoch of BecameHead
+	governAt   time.Duration
+	inherited  uint64 // last index at the start of the epoch
+
+	stuckIndex uint64 // the entry that is watched
+	stuckSince time.Duration
+
+	learners  map[view.ReplicaID]*learner
+	admitting view.ReplicaID // writes are held back for it
+	heldSince time.Duration
+	heldAgain time.Duration
+	penalties map[view.ReplicaID]penalty
+}
+
+// peer is what is known of another replica.
+type peer struct {
+	heardAt  time.Duration
+	epoch    uint64 // of the newest view that it has shown to know
+	knows    bool
+	echo     uint64 // its last acknowledged heartbeat of this epoch
+	refused  time.Duration
+	received uint64
+	synced   uint64
+	acked    uint64
+	leaving  bool
+	gone     bool // its disk is lost, or it has moved
+}
+
+type learner struct {
+	member  view.Member
+	heardAt time.Duration
+}
+
+// penalty keeps a member out that stopped to acknowledge while it was in touch.
+type penalty struct {
+	until time.Duration
+	last  time.Duration
+}
+
+func (r *Replica) resetHead(now time.Duration) {
+	h := &r.head
+	head := headState{lease: view.NewLease(r.cfg.Grant, r.numbering), allowed: true, beatAt: now, governAt: now, stuckSince: now,
+		learners: h.learners, penalties: h.penalties}
+	if r.position() == 0 {
+		head.announced, head.announcedE, head.leaseUntil = h.announced, h.announcedE, h.leaseUntil
+	} else {
+		head.learners, head.penalties = nil, nil
+	}
+	if h.announced && !head.announced {
+		r.out.Events = append(r.out.Events, LostHead{h.announcedE})
+	}
+	if head.learners == nil {
+		head.learners = make(map[view.ReplicaID]*learner)
+		head.penalties = make(map[view.ReplicaID]penalty)
+	}
+	for _, p := range r.peers {
+		p.heardAt = max(p.heardAt, now)
+		p.gone = false
+		p.echo, p.refused, p.received, p.synced, p.acked = 0, 0, 0, 0, 0
+	}
+	r.head = head
+}
+
+// leading tells whether this replica acts as the head of its view, with or without a lease.
+func (r *Replica) leading() bool {
+	return r.view.Known() && r.head.allowed && !r.head.abdicated && r.position() == 0
+}
+
+// IsHead tells whether this replica is the head and holds the lease. Whatever only a head may do, it may do now.
+func (r *Replica) IsHead(now time.Duration) bool {
+	return r.entered && r.leading() && now < r.head.leaseUntil
+}
+
+// lead does a head's work.
+func (r *Replica) lead(now time.Duration) {
+	if now >= r.head.beatAt {
+		r.beat(now)
+	}
+	if !r.leading() || !r.IsHead(now) {
+		return
+	}
+	if len(r.view.Chain) > r.cfg.Tolerance {
+		r.chain.Commit(now)
+	}
+	r.watchStuck(now)
+	if r.leaving || r.head.admitting != "" || now >= r.head.governAt {
+		r.head.governAt = now + governEvery
+		r.govern(now)
+	}
+}
+
+// beat sends heartbeats, unless a majority hasn't been heard for a grant: others must be able to take over then.
+func (r *Replica) beat(now time.Duration) {
+	since, ok := r.head.lease.MajoritySince(r.view)
+	if !ok {
+		since = r.learned
+	}
+	if now-since > r.cfg.Grant && !r.alone() {
+		r.abdicate(now)
+		r.electAt = now + r.jitter(r.cfg.Grant/2) + r.cfg.Grant/8
+		return
+	}
+	sequence := r.head.lease.Sent(now)
+	r.head.beatAt = now + r.cfg.HeartbeatEvery
+	if r.view.IsVoter(r.self.ID) && !r.acceptor.PromisedAway(r.self.ID) {
+		r.grant = max(r.grant, now+r.cfg.Grant)
+		r.head.lease.Granted(r.self.ID, sequence)
+		r.renewLease()
+	}
+	for _, voter := range r.view.Voters {
+		if voter.ID != r.self.ID {
+			r.beatTo(now, voter, sequence)
+		}
+	}
+}
+
+func (r *Replica) alone() bool { return len(r.view.Voters) == 1 }
+
+func (r *Replica) beatTo(now time.Duration, voter view.Member, sequence uint64) {
+	m := &Message{Heartbeat: &view.Heartbeat{Sequence: sequence}}
+	p := r.peer(voter.ID, now)
+	if voter.ID == r.view.Tail().ID {
+		m.Heartbeat.Echo, m.Heartbeat.ReadFor = r.permitReads(now, p)
+	}
+	if !p.knows || p.epoch != r.view.Epoch {
+		m.View = r.viewCopy()
+	}
+	r.send(voter, m)
+}
+
+// permitReads gives the tail's permission. It ends before the lease does.
+func (r *Replica) permitReads(now time.Duration, tail *peer) (echo uint64, readFor time.Duration) {
+	if tail.echo == 0 || tail.leaving || !r.IsHead(now) || now-r.head.stuckSince > stuckNoReads {
+		return 0, 0
+	}
+	readFor = min(r.head.leaseUntil-now, r.cfg.Grant/readPart)
+	r.head.readsUntil = max(r.head.readsUntil, now+readFor)
+	return tail.echo, readFor
+}
+
+func (r *Replica) renewLease() {
+	r.head.leaseUntil = max(r.head.leaseUntil, r.head.lease.Until(r.view))
+}
+
+// abdicate ends this replica's part as the head of the present epoch.
+func (r *Replica) abdicate(now time.Duration) {
+	r.head.abdicated = true
+	r.head.admitting = ""
+	r.electAt = never
+}
+
+func (r *Replica) onHeartbeatAck(now time.Duration, from view.Member, m *view.HeartbeatAck) {
+	if !r.leading() {
+		return
+	}
+	p := r.peer(from.ID, now)
+	p.heardAt = now
+	p.echo = max(p.echo, m.Sequence)
+	p.received, p.synced, p.acked = m.Received, m.Synced, m.Acked
+	if !m.Granted {
+		if p.refused == 0 {
+			p.refused = now
+		}
+		return
+	}
+	p.refused = 0
+	r.head.lease.Granted(from.ID, m.Sequence)
+	r.renewLease()
+}
+
+// watchStuck follows one entry after the other to its commitment.
+func (r *Replica) watchStuck(now time.Duration) {
+	last := r.LastIndex()
+	if r.Committed() >= r.head.stuckIndex || len(r.view.Chain) <= r.cfg.Tolerance {
+		r.head.stuckIndex, r.head.stuckSince = last, now
+	}
+}
+
+// culprit is the member because of which nothing has been committed for too long, if any.
+func (r *Replica) culprit(now time.Duration) view.ReplicaID {
+	stuck := r.head.stuckIndex
+	if now-r.head.stuckSince <= r.cfg.DropAfter || r.Committed() >= stuck {
+		return ""
+	}
+	for _, member := range r.view.Chain[1:] {
+		if p := r.peers[member.ID]; p != nil && p.synced < stuck {
+			return member.ID
+		}
+	}
+	for _, member := range r.view.Chain[1:] {
+		if p := r.peers[member.ID]; p != nil && p.acked >= stuck {
+			return member.ID
+		}
+	}
+	return ""
+}
+
+// ownDiskStalls tells whether the disk here has taken too long.
+func (r *Replica) ownDiskStalls(now time.Duration) bool {
+	return r.broken || len(r.writes) > 0 && now-r.writes[0].at > r.cfg.DropAfter
+}
+
+// announce tells of the head's place won or lost.
+func (r *Replica) announce(now time.Duration) {
+	h := &r.head
+	switch {
+	case h.announced && now >= h.leaseUntil:
+		h.announced = false
+		r.out.Events = append(r.out.Events, LostHead{h.announcedE})
+	case r.IsHead(now) && r.Committed() >= h.inherited && (!h.announced || h.announcedE != r.view.Epoch):
+		r.out.Events = append(r.out.Events, BecameHead{Epoch: r.view.Epoch, Continued: h.announced})
+		h.announced, h.announcedE = true, r.view.Epoch
+	}
+}
+
+func (r *Replica) peer(id view.ReplicaID, now time.Duration) *peer {
+	p := r.peers[id]
+	if p == nil {
+		p = &peer{heardAt: now}
+		r.peers[id] = p
+	}
+	return p
+}
+
+func (r *Replica) viewCopy() *view.View {
+	v := r.view
+	return &v
+}
+
+func (r *Replica) jitter(most time.Duration) time.Duration {
+	return time.Duration(r.random.Int64N(int64(most) + 1))
+}
+
+// voterAt finds a voter by its address.
+func voterAt(v view.View, address string) int {
+	return slices.IndexFunc(v.Voters, func(m view.Member) bool { return m.Address == address })
+}
--- /dev/null
+++ b/coord/replica/join.go
@@ -0,0 +1,93 @@
+package replica
+
+import (
+	"time"
+
+	"gaugeslip/coord/view"
+)
+
+// join asks to become a member while this replica isn't one, and to leave while it wants to.
+func (r *Replica) join(now time.Duration) {
+	if now < r.joinAt {
+		return
+	}
+	switch {
+	case r.leaving:
+		r.askToLeave(now)
+	case !r.view.Known() || r.position() < 0:
+		r.askToJoin(now)
+	}
+}
+
+func (r *Replica) askToJoin(now time.Duration) {
+	r.joinAt = now + joinEvery
+	r.numbers++
+	asked := map[string]bool{r.self.Address: true}
+	for _, voter := range r.view.Voters {
+		if !asked[voter.Address] {
+			asked[voter.Address] = true
+			r.send(view.Member{Address: voter.Address}, &Message{Join: &view.Join{Sequence: r.numbers}})
+		}
+	}
+	for _, address := range r.contacts {
+		if !asked[address] {
+			asked[address] = true
+			r.send(view.Member{Address: address}, &Message{Join: &view.Join{Sequence: r.numbers}})
+		}
+	}
+}
+
+func (r *Replica) askToLeave(now time.Duration) {
+	if at := r.position(); at <= 0 {
+		return
+	}
+	r.joinAt = now + leaveNoticeEvery
+	r.numbers++
+	r.send(r.view.Head(), &Message{Leave: &view.LeaveNotice{Sequence: r.numbers}})
+}
+
+// leave begins to get out of the chain.
+func (r *Replica) leave(now time.Duration) {
+	if r.leaving {
+		return
+	}
+	r.leaving = true
+	r.leaveAt, r.joinAt = now, now
+	r.tail.readUntil = 0
+	if r.position() < 0 {
+		r.left = true
+		r.out.Events = append(r.out.Events, Left{})
+	}
+}
+
+// onJoin notes a replica that wants to become a member, and tells it the newest view.
+func (r *Replica) onJoin(now time.Duration, m *Message) {
+	if !r.view.Known() || !m.Viewless && m.Epoch > r.view.Epoch {
+		r.current(now, m)
+		return
+	}
+	if m.Viewless || m.Epoch < r.view.Epoch {
+		r.news(now, m.From)
+	}
+	r.noteGone(now, m.From)
+	p := r.peer(m.From.ID, now)
+	p.leaving = false
+	if !r.leading() || m.Viewless || m.Epoch != r.view.Epoch {
+		return
+	}
+	r.head.learners[m.From.ID] = &learner{member: m.From, heardAt: now}
+	r.head.governAt = now
+	r.chain.Invite(now, m.From)
+}
+
+// noteGone notes a member whose address has another disk now, or whose disk has another address.
+func (r *Replica) noteGone(now time.Duration, from view.Member) {
+	for _, member := range r.view.Voters {
+		switch {
+		case member.ID == from.ID && member.Address != from.Address:
+			r.peer(member.ID, now).gone = r.view.InChain(member.ID)
+		case member.ID != from.ID && member.Address == from.Address:
+			r.peer(member.ID, now).gone = true
+		}
+	}
+}
--- /dev/null
+++ b/coord/replica/machine_test.go
@@ -0,0 +1,308 @@
+package replica
+
+import (
+	"encoding/binary"
+	"fmt"
+	"time"
+
+	"gaugeslip/coord/chain"
+	"gaugeslip/coord/view"
+)
+
+// machine is a simulated machine: one process, one disk, one clock.
+type machine struct {
+	world   *world
+	address string
+	genesis *view.View // until the first start
+	rate    float64
+	offset  time.Duration
+
+	process *Replica
+	life    uint64 // of the process; what belongs to an earlier one is dropped
+	frozen  time.Duration
+	waiting []Input // while frozen
+	applied uint64
+	sum     uint64
+	left    bool
+	removed bool
+	keep    int
+	compact int // records after which the log is rewritten
+	tick    uint64
+
+	sync     time.Duration
+	stalled  time.Duration // the disk does nothing until then
+	records  []Record      // on disk, for good
+	durable  Persisted     // what they say
+	pending  []diskWrite
+	writing  int // of pending, in the sync under way
+	diskLife uint64
+}
+
+type diskWrite struct {
+	records []Record
+	rewrite bool
+	token   uint64
+}
+
+// clock is the machine's steady clock.
+func (m *machine) clock() time.Duration {
+	return m.offset + time.Duration(float64(m.world.now)*m.rate)
+}
+
+// start starts the process with what the disk has.
+func (m *machine) start() {
+	if m.process != nil || m.removed {
+		return
+	}
+	w := m.world
+	w.lives++
+	m.life = w.lives
+	m.frozen, m.waiting, m.left = 0, nil, false
+	m.keep = 40 + w.random.IntN(200)
+	m.compact = 100 + w.random.IntN(400)
+	cfg := Config{Self: view.Member{ID: view.ReplicaID(m.address), Address: m.address}, Tolerance: w.tolerance, Seed: w.random.Uint64(), KeepEntries: m.keep}
+	if m.genesis == nil {
+		cfg.Self.ID = view.ReplicaID(fmt.Sprintf("%x", w.random.Uint64()))
+	} else {
+		cfg.Genesis = m.genesis
+	}
+	restored, err := Restore(m.records)
+	if err != nil {
+		w.fail("%s restores: %v", m.address, err)
+		return
+	}
+	m.genesis = nil
+	m.applied, m.sum = restored.Log.Base(), 0
+	if restored.Snapshot != nil {
+		m.installed(restored.Snapshot)
+	}
+	w.trace("%v %s starts with %d of epoch %d", w.now, m.address, restored.Log.Last(), restored.View.Epoch)
+	m.process = New(cfg, restored, m.clock())
+	m.input(Contacts{Addresses: w.contacts(m)})
+}
+
+func (w *world) contacts(of *machine) []string {
+	var addresses []string
+	for _, m := range w.machines {
+		if m != of && !m.removed {
+			addresses = append(addresses, m.address)
+		}
+	}
+	return addresses
+}
+
+// input is one Step, later if the process is frozen.
+func (m *machine) input(in Input) {
+	if m.process == nil {
+		return
+	}
+	if m.frozen > m.world.now {
+		m.waiting = append(m.waiting, in)
+		return
+	}
+	m.carryOut(m.process.Step(m.clock(), in))
+}
+
+func (m *machine) propose(data [][]byte) {
+	_, out, _ := m.process.Propose(m.clock(), data)
+	m.carryOut(out)
+}
+
+// freeze stops the process for a while.
+func (m *machine) freeze(length time.Duration) {
+	if m.process == nil {
+		return
+	}
+	m.frozen = max(m.frozen, m.world.now+length)
+	life := m.life
+	m.world.after(length, func() {
+		if m.process == nil || m.life != life || m.frozen > m.world.now {
+			return
+		}
+		waiting := m.waiting
+		m.waiting = nil
+		for _, in := range waiting {
+			m.input(in)
+		}
+	})
+}
+
+func (m *machine) carryOut(out Output) {
+	w := m.world
+	if out.Fault != nil {
+		w.fail("%s: %v", m.address, out.Fault)
+		return
+	}
+	if len(out.Persist) > 0 {
+		m.pending = append(m.pending, diskWrite{records: out.Persist, token: out.Token})
+		m.startSync()
+	}
+	for _, envelope := range out.Send {
+		w.deliver(m, envelope)
+	}
+	if out.Install != nil {
+		m.installed(out.Install)
+	}
+	for _, e := range out.Committed {
+		w.applied(m, e)
+	}
+	for _, e := range out.Events {
+		m.observe(e)
+	}
+	life := m.life
+	if out.NeedSnapshot {
+		w.after(time.Millisecond, func() { m.giveSnapshot(life) })
+	}
+	m.tick++
+	tick := m.tick
+	w.after(time.Duration(float64(out.Wake-m.clock())/m.rate)+time.Microsecond, func() {
+		if m.life == life && m.tick == tick {
+			m.input(Tick{})
+		}
+	})
+}
+
+func (m *machine) observe(e Event) {
+	w := m.world
+	w.trace("%v %s %T %v", w.now, m.address, e, e)
+	switch e := e.(type) {
+	case ViewChanged:
+		w.sawView(m, e.View)
+	case Left:
+		m.left = true
+	}
+}
+
+func (m *machine) giveSnapshot(life uint64) {
+	if m.life == life && m.process != nil {
+		m.input(SnapshotReady{Index: m.applied, Data: m.snapshot()})
+	}
+}
+
+// snapshot is the state of the machine's state machine, long enough for some chunks at times.
+func (m *machine) snapshot() []byte {
+	data := binary.LittleEndian.AppendUint64(nil, m.applied)
+	data = binary.LittleEndian.AppendUint64(data, m.sum)
+	return append(data, make([]byte, m.applied%4*200_000)...)
+}
+
+func (m *machine) installed(s *chain.Snapshot) {
+	index, sum := binary.LittleEndian.Uint64(s.Data), binary.LittleEndian.Uint64(s.Data[8:])
+	o := &m.world.oracle
+	if index != s.Index || index > uint64(len(o.sums)) || index > 0 && o.sums[index-1] != sum {
+		m.world.fail("%s installs a snapshot at %d that was never committed", m.address, index)
+	}
+	m.applied, m.sum = index, sum
+}
+
+// startSync writes what is pending, all that is there in one sync.
+func (m *machine) startSync() {
+	if m.writing > 0 || len(m.pending) == 0 {
+		return
+	}
+	m.writing = len(m.pending)
+	w := m.world
+	length := m.sync + w.between(0, m.sync/2)
+	if m.stalled > w.now {
+		length += m.stalled - w.now
+	}
+	life := m.diskLife
+	w.after(length, func() {
+		if m.diskLife == life {
+			m.endSync()
+		}
+	})
+}
+
+func (m *machine) endSync() {
+	if m.stalled > m.world.now {
+		life := m.diskLife
+		m.world.after(m.stalled-m.world.now+m.sync, func() {
+			if m.diskLife == life {
+				m.endSync()
+			}
+		})
+		return
+	}
+	done := m.pending[:m.writing]
+	m.pending = m.pending[m.writing:]
+	m.writing = 0
+	token := uint64(0)
+	for _, write := range done {
+		m.keepWrite(write, len(write.records))
+		token = max(token, write.token)
+	}
+	m.startSync()
+	m.input(Synced{Token: token})
+	m.rewriteIfLong()
+}
+
+// keepWrite puts the first records of a write on disk for good.
+func (m *machine) keepWrite(write diskWrite, count int) {
+	if write.rewrite {
+		if count < len(write.records) {
+			return
+		}
+		m.records = nil
+		m.durable = Persisted{}
+	}
+	for _, record := range write.records[:count] {
+		m.records = append(m.records, record)
+		if err := m.durable.apply(record); err != nil {
+			m.world.fail("%s writes: %v", m.address, err)
+		}
+	}
+}
+
+func (m *machine) rewriteIfLong() {
+	if m.process == nil || len(m.records) < m.compact || len(m.pending) > 0 {
+		return
+	}
+	if records := m.process.Compact(m.snapshot(), m.applied); records != nil {
+		m.pending = append(m.pending, diskWrite{records: records, rewrite: true})
+		m.startSync()
+	}
+}
+
+// end ends the process. What it had written without a sync outlasts it.
+func (m *machine) end() {
+	if m.process == nil {
+		return
+	}
+	m.world.trace("%v %s ends", m.world.now, m.address)
+	m.process = nil
+	m.life = 0
+	for _, write := range m.pending {
+		m.keepWrite(write, len(write.records))
+	}
+	m.forgetPending()
+}
+
+func (m *machine) forgetPending() {
+	m.pending, m.writing = nil, 0
+	m.diskLife++
+}
+
+// losePower ends the process; of what wasn't synced a part from the start is kept.
+func (m *machine) losePower() {
+	w := m.world
+	w.trace("%v %s loses power", w.now, m.address)
+	m.process = nil
+	m.life = 0
+	for _, write := range m.pending {
+		count := w.random.IntN(len(write.records) + 1)
+		m.keepWrite(write, count)
+		if count < len(write.records) {
+			break
+		}
+	}
+	m.forgetPending()
+}
+
+// loseDisk ends the process and empties the disk.
+func (m *machine) loseDisk() {
+	m.losePower()
+	m.world.trace("%v %s loses its disk", m.world.now, m.address)
+	m.records = nil
+	m.durable = Persisted{}
+}
--- /dev/null
+++ b/coord/replica/replica.go
@@ -0,0 +1,336 @@
+package replica
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"gaugeslip/coord/chain"
+	"gaugeslip/coord/view"
+)
+
+// sequenceBits is the number of low bits of a heartbeat's number that count; the rest is the life.
+const sequenceBits = 32
+
+const never = time.Duration(math.MaxInt64)
+
+// Replica is one replica's view and chain.
+type Replica struct {
+	cfg     Config
+	self    view.Member
+	random  *rand.Rand
+	fresh   bool // the disk was empty: no earlier life
+	started time.Duration
+	stepped time.Duration
+
+	view     view.View
+	learned  time.Duration // when, in this life
+	acceptor view.Acceptor
+	grant    time.Duration // till when others than the head get no promise
+	proposer view.Proposer
+	repeatAt time.Duration // of the ballot
+	outbidAt time.Duration // when to begin a higher one; 0: not
+	electAt  time.Duration
+	chain    *chain.Chain
+	entered  bool // the view is on disk and the chain goes by it
+	enterAt  uint64
+
+	head      headState
+	tail      tailState
+	peers     map[view.ReplicaID]*peer
+	leaving   bool
+	left      bool
+	leaveAt   time.Duration
+	joinAt    time.Duration
+	broken    bool // the disk refuses
+	numbers   uint64
+	numbering uint64 // before this life's first heartbeat
+
+	contacts []string
+	newsSent map[string]time.Duration
+
+	token  uint64 // last given out
+	synced uint64
+	writes []write // on their way to disk
+	held   []heldMessage
+	early  []*Message // for the chain, before the view is on disk
+	local  []*Message // to this replica itself
+	out    Output
+}
+
+// write is a batch of records on its way to disk.
+type write struct {
+	token uint64
+	at    time.Duration
+}
+
+// heldMessage waits for the disk.
+type heldMessage struct {
+	token   uint64
+	to      view.Member
+	message *Message
+}
+
+// New makes a replica from what its disk holds. Where that is a snapshot, the embedder installs it by itself.
+func New(cfg Config, restored Persisted, now time.Duration) *Replica {
+	cfg.fill()
+	r := &Replica{cfg: cfg, self: cfg.Self, started: now, stepped: now, electAt: never}
+	r.random = rand.New(rand.NewPCG(cfg.Seed, cfg.Seed^0x9e3779b97f4a7c15))
+	if restored.Identity != "" {
+		r.self.ID = restored.Identity
+	}
+	r.peers = make(map[view.ReplicaID]*peer)
+	r.newsSent = make(map[string]time.Duration)
+	life := r.random.Uint64()
+	r.proposer = view.NewProposer(r.self.ID, life)
+	keep := chain.Config{Life: life, KeepEntries: cfg.KeepEntries, KeepBytes: cfg.KeepBytes}
+	r.chain = chain.New(keep, (*environment)(r), restored.Log)
+	r.numbering = life >> sequenceBits << sequenceBits
+	r.head.lease = view.NewLease(cfg.Grant, r.numbering)
+	r.fresh = restored.Identity == ""
+	if r.fresh {
+		r.begin(now)
+	} else {
+		r.resume(now, restored)
+	}
+	return r
+}
+
+// begin starts on an empty disk.
+func (r *Replica) begin(now time.Duration) {
+	r.store(encodeIdentity(r.self.ID))
+	if r.cfg.Genesis != nil {
+		r.learn(now, *r.cfg.Genesis)
+	}
+}
+
+// resume goes on from what the disk holds. What was granted before isn't known any more.
+func (r *Replica) resume(now time.Duration, restored Persisted) {
+	r.grant = now + r.cfg.Grant
+	r.head.readsUntil = now + r.cfg.Grant/readPart
+	if !restored.View.Known() {
+		return
+	}
+	r.view = restored.View
+	r.learned = now
+	r.acceptor.Reset(r.view.Epoch + 1)
+	if restored.Acceptor.Instance == r.acceptor.Instance {
+		r.acceptor = restored.Acceptor
+	}
+	r.enter(now)
+	r.expectHead(now)
+	if r.position() == 0 {
+		r.electAt = now
+	}
+}
+
+// Step takes one input.
+func (r *Replica) Step(now time.Duration, in Input) Output {
+	r.awake(now)
+	switch in := in.(type) {
+	case Receive:
+		r.receive(now, in.Message)
+	case Synced:
+		r.onSynced(now, in.Token)
+	case DiskFailed:
+		r.broken = true
+		r.leave(now)
+	case Leave:
+		r.leave(now)
+	case Contacts:
+		r.contacts = in.Addresses
+	case SnapshotReady:
+		r.chain.Offer(now, in.Index, in.Data)
+	}
+	return r.finish(now)
+}
+
+// Propose appends entries at the head and gives the first one's index. They are committed when they come out in
+// Output.Committed with the epoch that View had here; another epoch at such an index means that they are lost. The
+// data must not be changed any more.
+func (r *Replica) Propose(now time.Duration, data [][]byte) (first uint64, out Output, err error) {
+	r.awake(now)
+	if err = r.CanPropose(now); err == nil {
+		first = r.chain.Append(now, data)
+	}
+	return first, r.finish(now), err
+}
+
+// CanPropose tells why Propose would refuse, nil if it wouldn't.
+func (r *Replica) CanPropose(now time.Duration) error {
+	switch {
+	case r.head.announced && r.proposer.Active() && !r.leaving:
+		return ErrHeld
+	case !r.IsHead(now) || r.leaving:
+		return ErrNotHead
+	case r.head.admitting != "":
+		return ErrHeld
+	case len(r.view.Chain) <= r.cfg.Tolerance:
+		return ErrShort
+	}
+	return nil
+}
+
+// awake notices where this process stood still: what others did meanwhile hasn't been looked at yet.
+func (r *Replica) awake(now time.Duration) {
+	if gap := now - r.stepped; gap > frozenAfter {
+		for _, p := range r.peers {
+			p.heardAt += gap
+		}
+		for i := range r.writes {
+			r.writes[i].at += gap
+		}
+		r.head.stuckSince += gap
+		if r.electAt != never {
+			r.electAt = max(r.electAt, now+frozenPatience)
+		}
+	}
+	r.stepped = now
+}
+
+// finish does what is due and hands out what has come up.
+func (r *Replica) finish(now time.Duration) Output {
+	r.work(now)
+	for len(r.local) > 0 {
+		m := r.local[0]
+		r.local = r.local[1:]
+		r.receive(now, m)
+		r.work(now)
+	}
+	r.announce(now)
+	r.out.NeedSnapshot = r.chain.WantsSnapshot()
+	if len(r.out.Persist) > 0 {
+		r.token++
+		r.out.Token = r.token
+		r.chain.Mark(r.token)
+		r.writes = append(r.writes, write{r.token, now})
+	}
+	r.out.Wake = r.wake(now)
+	out := r.out
+	r.out = Output{}
+	return out
+}
+
+// work does what is due.
+func (r *Replica) work(now time.Duration) {
+	r.chain.Tick(now)
+	if r.leading() {
+		r.lead(now)
+	} else {
+		r.elect(now)
+	}
+	r.pursue(now)
+	r.join(now)
+}
+
+// wake is when something is due next.
+func (r *Replica) wake(now time.Duration) time.Duration {
+	at := min(now+wakeAtLeastEvery, r.chain.Wake())
+	if r.leading() {
+		at = min(at, r.head.beatAt)
+	} else {
+		at = min(at, r.electAt)
+	}
+	if r.position() < 0 || r.leaving {
+		at = min(at, r.joinAt)
+	}
+	if r.proposer.Active() {
+		at = min(at, r.repeatAt)
+	}
+	return max(at, now+time.Millisecond)
+}
+
+// learn goes to a newer view.
+func (r *Replica) learn(now time.Duration, v view.View) {
+	if r.view.Known() && v.Epoch <= r.view.Epoch {
+		if v.Epoch == r.view.Epoch && !v.Equal(r.view) {
+			r.fail(fmt.Errorf("two views of epoch %d: %w", v.Epoch, chain.ErrDiverged))
+		}
+		return
+	}
+	r.view = v
+	r.learned = now
+	r.store(encodeView(v))
+	r.acceptor.Reset(v.Epoch + 1)
+	r.grant = 0
+	if r.awaitsOldGrants(now) {
+		r.grant = r.started + r.cfg.Grant
+	}
+	r.proposer.Reset()
+	r.outbidAt = 0
+	r.early = nil
+	r.tail = tailState{}
+	r.resetHead(now)
+	r.chain.Leave()
+	r.entered = false
+	r.enterAt = r.pendingToken()
+	r.joinAt = now
+	r.expectHead(now)
+	r.out.Events = append(r.out.Events, ViewChanged{v})
+	if r.leaving && !r.left && r.position() < 0 {
+		r.left = true
+		r.out.Events = append(r.out.Events, Left{})
+	}
+}
+
+// awaitsOldGrants tells whether an earlier life's grants may still count. An epoch learnt in this life may have been
+// known in the one before, without a trace on disk.
+func (r *Replica) awaitsOldGrants(now time.Duration) bool {
+	return !r.fresh && now < r.started+r.cfg.Grant
+}
+
+// enter lets the chain go by the view, which is on disk.
+func (r *Replica) enter(now time.Duration) {
+	r.entered = true
+	at := r.position()
+	switch {
+	case at < 0:
+		r.chain.Enter(now, chain.Role{Epoch: r.view.Epoch, Upstream: r.view.Head()})
+	case at == 0 && !r.head.allowed:
+		r.entered = false // an earlier life's epoch: a new one has to come
+	default:
+		r.chain.Enter(now, r.role(at))
+		r.head.inherited = r.chain.Log().Last()
+	}
+	if !r.entered {
+		return
+	}
+	early := r.early
+	r.early = nil
+	for _, m := range early {
+		r.chain.Receive(now, m.From, m.Chain)
+	}
+}
+
+func (r *Replica) role(at int) chain.Role {
+	role := chain.Role{Epoch: r.view.Epoch, Head: at == 0}
+	if at > 0 {
+		role.Upstream = r.view.Chain[at-1]
+	}
+	if at < len(r.view.Chain)-1 {
+		role.Downstream = &r.view.Chain[at+1]
+	}
+	return role
+}
+
+// position is this replica's place in the chain, -1 without one. A place at another address doesn't count.
+func (r *Replica) position() int {
+	at := r.view.Position(r.self.ID)
+	if at >= 0 && r.view.Chain[at].Address != r.self.Address {
+		return -1
+	}
+	return at
+}
+
+// Self is this replica, with the identity that its disk has.
+func (r *Replica) Self() view.Member { return r.self }
+
+// View is the newest view known.
+func (r *Replica) View() view.View { return r.view }
+
+// Committed is the last index known to be committed.
+func (r *Replica) Committed() uint64 { return r.chain.Committed() }
+
+// LastIndex is the last index held.
+func (r *Replica) LastIndex() uint64 { return r.chain.Log().Last() }
