--- /dev/null
+++ b/coord/transport/codec.go
@@ -0,0 +1,150 @@
+package transport
+
+import (
+	"bufio"
+	"encoding/gob"
+	"fmt"
+	"net/rpc"
+	"sync/atomic"
+)
+
+const readBufferBytes = 8 << 10
+
+// clientCodec is net/rpc's gob protocol over a link, at the calling end.
+type clientCodec struct {
+	link    *link
+	encoder *gob.Encoder
+	decoder *gob.Decoder
+	answers atomic.Uint64
+	onEnd   func()
+}
+
+func newClientCodec(l *link, onEnd func()) *clientCodec {
+	return &clientCodec{
+		link:    l,
+		encoder: gob.NewEncoder(l),
+		decoder: gob.NewDecoder(bufio.NewReaderSize(l, readBufferBytes)),
+		onEnd:   onEnd,
+	}
+}
+
+// WriteRequest implements rpc.ClientCodec. A request that it refuses has not been written whole.
+func (c *clientCodec) WriteRequest(request *rpc.Request, body any) error {
+	err := c.encoder.Encode(request)
+	if err == nil {
+		err = c.encoder.Encode(body)
+	}
+	if err != nil {
+		c.end(err)
+		return fmt.Errorf("%w: %w", ErrNotSent, err)
+	}
+	c.link.flush()
+	return nil
+}
+
+// ReadResponseHeader implements rpc.ClientCodec.
+func (c *clientCodec) ReadResponseHeader(response *rpc.Response) error {
+	if err := c.decoder.Decode(response); err != nil {
+		c.end(err)
+		return err
+	}
+	c.answers.Add(1)
+	return nil
+}
+
+// ReadResponseBody implements rpc.ClientCodec.
+func (c *clientCodec) ReadResponseBody(body any) error {
+	if slot, ok := body.(*replySlot); ok {
+		body = slot.begin()
+	}
+	err := c.decoder.Decode(body)
+	if err != nil {
+		c.end(err)
+	}
+	return err
+}
+
+// Close implements rpc.ClientCodec.
+func (c *clientCodec) Close() error {
+	c.end(ErrClosed)
+	return nil
+}
+
+// end closes the connection. It is forgotten first, so that no new call finds a closed one.
+func (c *clientCodec) end(cause error) {
+	c.onEnd()
+	c.link.close(cause)
+}
+
+// replyState tells who may touch a caller's reply.
+type replyState = int32
+
+const (
+	replyAwaited replyState = iota
+	replyDecoding
+	replyAbandoned
+)
+
+// replySlot keeps a late answer out of the reply of a caller that has gone on.
+type replySlot struct {
+	target any
+	state  atomic.Int32
+}
+
+// begin is the change from awaited to decoding; it returns what to decode into: nil if the caller has gone on.
+func (s *replySlot) begin() any {
+	if s.state.CompareAndSwap(replyAwaited, replyDecoding) {
+		return s.target
+	}
+	return nil
+}
+
+// abandon is the change from awaited to abandoned; false means that the answer is being decoded already.
+func (s *replySlot) abandon() bool {
+	return s.state.CompareAndSwap(replyAwaited, replyAbandoned)
+}
+
+// serverCodec is net/rpc's gob protocol over a link, at the answering end.
+type serverCodec struct {
+	link    *link
+	encoder *gob.Encoder
+	decoder *gob.Decoder
+}
+
+func newServerCodec(l *link) *serverCodec {
+	return &serverCodec{
+		link:    l,
+		encoder: gob.NewEncoder(l),
+		decoder: gob.NewDecoder(bufio.NewReaderSize(l, readBufferBytes)),
+	}
+}
+
+// ReadRequestHeader implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestHeader(request *rpc.Request) error {
+	return c.decoder.Decode(request)
+}
+
+// ReadRequestBody implements rpc.ServerCodec.
+func (c *serverCodec) ReadRequestBody(body any) error {
+	return c.decoder.Decode(body)
+}
+
+// WriteResponse implements rpc.ServerCodec.
+func (c *serverCodec) WriteResponse(response *rpc.Response, body any) error {
+	err := c.encoder.Encode(response)
+	if err == nil {
+		err = c.encoder.Encode(body)
+	}
+	if err != nil {
+		c.link.close(err)
+		return err
+	}
+	c.link.flush()
+	return nil
+}
+
+// Close implements rpc.ServerCodec. Answers that are pending are still written.
+func (c *serverCodec) Close() error {
+	c.link.finish()
+	return nil
+}
--- /dev/null
+++ b/coord/transport/server.go
@@ -0,0 +1,161 @@
+package transport
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	// closeGrace is how long Close lets answers be written.
+	closeGrace = time.Second
+	// acceptPause is the wait after an accept that failed for want of descriptors.
+	acceptPause = 20 * time.Millisecond
+)
+
+// Server answers calls at one address.
+type Server struct {
+	rpc      *rpc.Server
+	listener net.Listener
+	closing  chan struct{}
+
+	mu     sync.Mutex
+	closed bool
+	links  map[*link]struct{}
+	group  sync.WaitGroup
+}
+
+// Listen takes the address, with port 0 for any free one. Calls are answered once Serve runs.
+func Listen(addr string) (*Server, error) {
+	config := net.ListenConfig{KeepAliveConfig: keepAlive()}
+	listener, err := config.Listen(context.Background(), "tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", addr, err)
+	}
+	return &Server{
+		rpc:      rpc.NewServer(),
+		listener: listener,
+		closing:  make(chan struct{}),
+		links:    map[*link]struct{}{},
+	}, nil
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() string {
+	return s.listener.Addr().String()
+}
+
+// Register has the methods of the service answered under the name, as net/rpc has them. Each call runs in a goroutine of
+// its own.
+func (s *Server) Register(name string, service any) error {
+	return s.rpc.RegisterName(name, service)
+}
+
+// Serve accepts connections until Close; it then returns nil.
+func (s *Server) Serve() error {
+	for {
+		conn, err := s.listener.Accept()
+		if err == nil {
+			s.start(conn)
+			continue
+		}
+		if s.isClosed() {
+			return nil
+		}
+		if !passing(err) {
+			return fmt.Errorf("accept on %s: %w", s.Addr(), err)
+		}
+		s.pause()
+	}
+}
+
+// Close stops accepting and reading, waits for the calls under way, writes their answers and closes all connections. It
+// returns when every goroutine of the server has ended.
+func (s *Server) Close() error {
+	links := s.shut()
+	if links == nil {
+		return nil
+	}
+	err := s.listener.Close()
+	for _, l := range links {
+		_ = l.conn.SetReadDeadline(time.Unix(1, 0))
+	}
+	grace := time.AfterFunc(closeGrace, func() {
+		for _, l := range links {
+			l.close(ErrClosed)
+		}
+	})
+	s.group.Wait()
+	grace.Stop()
+	return err
+}
+
+// shut is the change to closed; it returns the open links, or nil if the server was closed before.
+func (s *Server) shut() []*link {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return nil
+	}
+	s.closed = true
+	close(s.closing)
+	links := make([]*link, 0, len(s.links))
+	for l := range s.links {
+		links = append(links, l)
+	}
+	return links
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+// start answers one connection.
+func (s *Server) start(conn net.Conn) {
+	if err := setAccepted(conn); err != nil {
+		_ = conn.Close()
+		return
+	}
+	l := newLink(conn)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return
+	}
+	s.links[l] = struct{}{}
+	s.group.Go(l.run)
+	s.group.Go(func() { s.answer(l) })
+}
+
+func (s *Server) answer(l *link) {
+	s.rpc.ServeCodec(newServerCodec(l))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.links, l)
+}
+
+func (s *Server) pause() {
+	timer := time.NewTimer(acceptPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-s.closing:
+	}
+}
+
+// passing tells whether a failed accept is worth repeating.
+func passing(err error) bool {
+	return errors.Is(err, syscall.EMFILE) ||
+		errors.Is(err, syscall.ENFILE) ||
+		errors.Is(err, syscall.ENOBUFS) ||
+		errors.Is(err, syscall.ENOMEM) ||
+		errors.Is(err, syscall.ECONNABORTED)
+}
