--- a/cmd/dataplane/main.go
+++ b/cmd/dataplane/main.go
@@ -30,7 +30,7 @@
 }
 
 type checkSettingsCommand struct {
-	File string `arg:"" optional:"" env:"GAUGESLIP_NODE_FILE" type:"path" help:"Settings file (TOML)."`
+	File string `arg:"" optional:"" env:"GAUGESLIP_NODE_FILE" help:"Settings file (TOML)."`
 }
 
 func (c *checkSettingsCommand) Run() error {
--- a/cmd/dataplane/run.go
+++ b/cmd/dataplane/run.go
@@ -26,7 +26,7 @@
 var errNoSettings = errors.New("no settings file: set " + nodesettings.FileVariable)
 
 type runCommand struct {
-	Settings string `env:"GAUGESLIP_NODE_FILE" type:"path" help:"Settings file (TOML)."`
+	Settings string `env:"GAUGESLIP_NODE_FILE" help:"Settings file (TOML)."`
 	Debug    bool   `help:"Log at debug level."`
 }
 
--- a/internal/system/dataplane/directory.go
+++ b/internal/system/dataplane/directory.go
@@ -29,7 +29,7 @@
 
 	view   atomic.Pointer[view.View]
 	config atomic.Pointer[Configuration]
-	// seen is the last sign of a serving core, in nanoseconds after started; 0 means none.
+	// seen is the last sign of a serving core, in nanoseconds after started and one more; 0 means none.
 	started time.Time
 	seen    atomic.Int64
 }
@@ -119,5 +119,5 @@
 // Reachable tells whether a replica that serves was heard of within that time.
 func (d *Directory) Reachable(within time.Duration) bool {
 	seen := d.seen.Load()
-	return seen != 0 && time.Since(d.started)-time.Duration(seen) < within
+	return seen != 0 && time.Since(d.started)-time.Duration(seen-1) < within
 }
