Let a dispatcher that is cut off from the head alone declare itself unready

Looks at the core go to the head every other time; when it hasn't answered for 3.5 s, clients are better served elsewhere. An answer's path in the handler is shorter, with one place that reads a job's ID.

Tested: go test -race -count=3 ./internal/system/dataplane ./cmd/dataplane

--- a/internal/system/dataplane/directory.go
+++ b/internal/system/dataplane/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,9 +30,11 @@
 
 	view   atomic.Pointer[view.View]
 	config atomic.Pointer[Configuration]
-	// seen is the last sign of a serving core, in nanoseconds after started and one more; 0 means none.
-	started time.Time
-	seen    atomic.Int64
+	// seen is the last sign of a serving core, in nanoseconds after started and one more; 0 means none. headSeen is that of the
+	// head itself, or the moment at which it was learnt who is.
+	started  time.Time
+	seen     atomic.Int64
+	headSeen atomic.Int64
 }
 
 // NewDirectory is a directory that knows nothing.
@@ -79,6 +82,7 @@
 		return false
 	}
 	d.view.Store(&newest)
+	d.headSeen.Store(d.now())
 	close(d.viewChanged)
 	d.viewChanged = make(chan struct{})
 	d.tell()
@@ -114,10 +118,28 @@
 }
 
 // Contact takes note that a replica which serves has just answered.
-func (d *Directory) Contact() { d.seen.Store(int64(time.Since(d.started)) + 1) }
+func (d *Directory) Contact() { d.seen.Store(d.now()) }
 
 // Reachable tells whether a replica that serves was heard of within that time.
-func (d *Directory) Reachable(within time.Duration) bool {
-	seen := d.seen.Load()
-	return seen != 0 && time.Since(d.started)-time.Duration(seen-1) < within
+func (d *Directory) Reachable(within time.Duration) bool { return d.since(d.seen.Load()) < within }
+
+// Answered takes note that the replica at the address has just answered.
+func (d *Directory) Answered(address string) {
+	if address == d.View().Head().Address {
+		d.headSeen.Store(d.now())
+	}
+}
+
+// HeadReachable tells whether the head has answered within that time, or wasn't known before.
+func (d *Directory) HeadReachable(within time.Duration) bool {
+	return d.View().Head().Address != "" && d.since(d.headSeen.Load()) < within
+}
+
+func (d *Directory) now() int64 { return int64(time.Since(d.started)) + 1 }
+
+func (d *Directory) since(moment int64) time.Duration {
+	if moment == 0 {
+		return math.MaxInt64
+	}
+	return time.Duration(d.now() - moment)
 }
--- a/internal/system/dataplane/dispatcher.go
+++ b/internal/system/dataplane/dispatcher.go
@@ -68,22 +68,22 @@
 	}
 	wait := d.wait(request, route, arrived)
 	if rest == "" {
-		return d.answerQueue(request, route, arrived, wait)
+		return d.answerQueue(request.Method, route, arrived, wait)
+	}
+	id, ok := jobspec.ParseID(rest)
+	if !ok {
+		return badID
 	}
 	switch request.Method {
 	case http.MethodPost:
-		return d.answerPost(w, request, config.Router.Config().Limits, route, rest, arrived, wait)
-	case http.MethodGet, http.MethodHead:
-		id, ok := jobspec.ParseID(rest)
-		if !ok {
-			return badID
+		body, refusal := readJob(w, request, config.Router.Config().Limits.MaxBodyBytes)
+		if body == nil {
+			return refusal
 		}
+		return d.submit(id, route, body, newPatience(arrived, wait, sureShare))
+	case http.MethodGet, http.MethodHead:
 		return d.status(id, newPatience(arrived, wait, doubtShare))
 	case http.MethodDelete:
-		id, ok := jobspec.ParseID(rest)
-		if !ok {
-			return badID
-		}
 		return d.cancel(id, newPatience(arrived, wait, doubtShare))
 	}
 	return wrongMethod
@@ -97,8 +97,9 @@
 	return notFound
 }
 
-func (d *Dispatcher) answerQueue(request *http.Request, route *clusterconfig.Route, arrived time.Time, wait time.Duration) answer {
-	switch request.Method {
+// answerQueue answers a request that names a queue and no job.
+func (d *Dispatcher) answerQueue(method string, route *clusterconfig.Route, arrived time.Time, wait time.Duration) answer {
+	switch method {
 	case http.MethodGet, http.MethodHead:
 		wait = min(wait, d.options.CountPatience)
 		return d.count(route, newPatience(arrived, wait, doubtShare))
@@ -108,19 +109,14 @@
 	return wrongRouteMethod
 }
 
-func (d *Dispatcher) answerPost(w http.ResponseWriter, request *http.Request, limits clusterconfig.Limits,
-	route *clusterconfig.Route, rest string, arrived time.Time, wait time.Duration,
-) answer {
-	id, ok := jobspec.ParseID(rest)
-	if !ok {
-		return badID
-	}
-	body, refusal := readBody(w, request, limits.MaxBodyBytes)
+// readJob reads and checks the body of a POST. Without a body, refusal is the answer.
+func readJob(w http.ResponseWriter, request *http.Request, most int64) (body []byte, refusal answer) {
+	body, refusal = readBody(w, request, most)
 	if body == nil {
-		return refusal
+		return nil, refusal
 	}
 	if _, err := jobspec.Parse(body); err != nil {
-		return invalid(err)
+		return nil, invalid(err)
 	}
-	return d.submit(id, route, body, newPatience(arrived, wait, sureShare))
+	return body, answer{}
 }
--- a/internal/system/dataplane/errand.go
+++ b/internal/system/dataplane/errand.go
@@ -98,6 +98,7 @@
 	reply, err := d.await(e, address, timeout)
 	certain := outcomeOf(err)
 	if certain == replied {
+		d.directory.Answered(address)
 		d.learn(reply)
 	}
 	return reply, certain
--- a/internal/system/dataplane/options.go
+++ b/internal/system/dataplane/options.go
@@ -20,6 +20,8 @@
 	PokeGap time.Duration
 	// ContactLife is how long after the last sign of a serving core it counts as within reach.
 	ContactLife time.Duration
+	// HeadLife is the same for the head, which is looked at less often.
+	HeadLife time.Duration
 	// DefaultWait is how long a client waits when neither it nor its route says.
 	DefaultWait time.Duration
 	// Announce is how long a dispatcher that is to end goes on accepting: the platform has to miss two looks, a second apart.
@@ -36,6 +38,7 @@
 	defaultPollTimeout   = 400 * time.Millisecond
 	defaultPokeGap       = 50 * time.Millisecond
 	defaultContactLife   = 2500 * time.Millisecond
+	defaultHeadLife      = 3500 * time.Millisecond
 	defaultWait          = 3 * time.Second
 	defaultAnnounce      = 2200 * time.Millisecond
 )
@@ -50,6 +53,7 @@
 	orDefault(&o.PollTimeout, defaultPollTimeout)
 	orDefault(&o.PokeGap, defaultPokeGap)
 	orDefault(&o.ContactLife, defaultContactLife)
+	orDefault(&o.HeadLife, defaultHeadLife)
 	orDefault(&o.DefaultWait, defaultWait)
 	orDefault(&o.Announce, defaultAnnounce)
 	return o
--- a/internal/system/dataplane/poller.go
+++ b/internal/system/dataplane/poller.go
@@ -10,8 +10,8 @@
 	"gaugeslip/internal/system/internalapi"
 )
 
-// seedShare is how many looks go to the chain for one that goes to a seed, while the chain is known.
-const seedShare = 4
+// turns is how many looks make a round: one begins with the seeds, two with the head and one with another of the chain.
+const turns = 4
 
 // Poller looks at the core, at intervals and when poked, for newer views and configurations. That is also how a dispatcher
 // knows that the core is within reach.
@@ -80,30 +80,30 @@
 
 // Look asks replicas, one after the other, until one that serves has answered.
 func (p *Poller) Look() {
-	candidates := p.candidates()
 	p.looks++
+	candidates, first := p.candidates()
 	for offset := range candidates {
-		if p.ask(candidates[(p.looks+offset)%len(candidates)]) {
+		if p.ask(candidates[(first+offset)%len(candidates)]) {
 			return
 		}
 	}
 }
 
-// candidates are the chain's members or, now and then and while there is none, the seeds; the others come after them.
-func (p *Poller) candidates() []string {
-	seeds := *p.seeds.Load()
+// candidates are whom this look may ask, and which of them comes first.
+func (p *Poller) candidates() (addresses []string, first int) {
+	round, turn := p.looks/turns, p.looks%turns
 	chain := p.directory.View().Chain
-	if p.looks%seedShare == 0 {
-		chain = nil
+	switch {
+	case turn == 0 || len(chain) == 0:
+		return *p.seeds.Load(), round
+	case turn == 2 && len(chain) > 1:
+		first = 1 + round%(len(chain)-1)
 	}
-	addresses := make([]string, 0, len(chain)+len(seeds))
+	addresses = make([]string, len(chain))
 	for index := range chain {
-		addresses = append(addresses, chain[index].Address)
+		addresses[index] = chain[index].Address
 	}
-	if len(addresses) > 0 {
-		return addresses
-	}
-	return append(addresses, seeds...)
+	return addresses, first
 }
 
 // ask looks at one replica, and fetches from it what is newer there; it tells whether that one serves.
@@ -113,6 +113,7 @@
 	if err != nil {
 		return false
 	}
+	p.directory.Answered(address)
 	if digest.Serving {
 		p.directory.Contact()
 	}
--- a/internal/system/dataplane/poller_test.go
+++ b/internal/system/dataplane/poller_test.go
@@ -120,7 +120,7 @@
 	directory := knowing(t, "a", "b", "c")
 	poller := NewPoller(core, directory, []string{"a"}, failOn(t), Options{})
 	poller.SetSeeds([]string{"new"})
-	for range seedShare {
+	for range turns {
 		poller.Look()
 	}
 	assert.Equal(t, "new", directory.View().Head().Address)
@@ -170,3 +170,30 @@
 		assert.LessOrEqual(t, len(core.digests), int(time.Second/defaultPokeGap)+2)
 	})
 }
+
+func TestADispatcherCutOffFromTheHeadIsNotReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core := threeReplicas(true)
+		directory := knowing(t, "a", "b", "c")
+		poller := NewPoller(core, directory, []string{"a", "b", "c"}, failOn(t), Options{})
+		readiness := NewReadiness(directory, func(bool) {}, Options{})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { poller.Run(ctx) })
+		for range 20 {
+			pass(time.Second)
+			assert.True(t, readiness.Ready())
+		}
+		core.set("a", func(r *replica) { r.down = true })
+		pass(defaultHeadLife)
+		assert.False(t, readiness.Ready())
+		assert.True(t, directory.Reachable(defaultContactLife))
+		for _, address := range []string{"b", "c"} {
+			core.set(address, func(r *replica) { r.view = chainOf(2, "b", "c") })
+		}
+		pass(defaultPollInterval * 3)
+		assert.True(t, readiness.Ready())
+		cancel()
+		running.Wait()
+	})
+}
--- a/internal/system/dataplane/readiness.go
+++ b/internal/system/dataplane/readiness.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 )
 
-// Readiness tells the platform whether the dispatcher wants new connections: it has a configuration, knows the head, hears of
-// a core that serves, and isn't being shut down. It is an http.Handler.
+// Readiness tells the platform whether the dispatcher wants new connections: it has a configuration, hears of a core that
+// serves, reaches its head, and isn't being shut down. It is an http.Handler.
 type Readiness struct {
 	directory *Directory
 	options   Options
@@ -29,10 +29,7 @@
 	if r.draining.Load() || r.directory.Config() == nil {
 		return false
 	}
-	if r.directory.View().Head().Address == "" {
-		return false
-	}
-	return r.directory.Reachable(r.options.ContactLife)
+	return r.directory.Reachable(r.options.ContactLife) && r.directory.HeadReachable(r.options.HeadLife)
 }
 
 // ServeHTTP answers 200 or 503.
