--- a/cmd/controlplane/main.go
+++ b/cmd/controlplane/main.go
@@ -36,7 +36,7 @@
 }
 
 type runCommand struct {
-	Settings string `env:"GAUGESLIP_NODE_FILE" type:"path" help:"Settings file (TOML)."`
+	Settings string `env:"GAUGESLIP_NODE_FILE" help:"Settings file (TOML)."`
 	Debug    bool   `help:"Log at debug level."`
 }
 
@@ -102,7 +102,7 @@
 }
 
 type checkSettingsCommand struct {
-	File string `arg:"" optional:"" env:"GAUGESLIP_NODE_FILE" type:"path" help:"Settings file (TOML)."`
+	File string `arg:"" optional:"" env:"GAUGESLIP_NODE_FILE" help:"Settings file (TOML)."`
 }
 
 func (c *checkSettingsCommand) Run() error {
--- a/internal/system/control/disk.go
+++ b/internal/system/control/disk.go
@@ -45,6 +45,7 @@
 		case <-d.wake:
 			d.work(d.take())
 		case <-d.stopped:
+			_ = d.log.Close()
 			return
 		}
 	}
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -76,6 +76,7 @@
 	config          *clusterconfig.Config
 	configWaiting   []func()
 	configBusy      bool
+	leaving         bool
 	left            chan struct{}
 	failures        chan error
 }
@@ -224,10 +225,8 @@
 }
 
 func (n *Node) restartEngine() {
-	select {
-	case <-n.left:
+	if n.leaving {
 		return
-	default:
 	}
 	if err := n.startEngine(); err != nil {
 		n.logger.Error("replica doesn't start", "error", err)
@@ -248,11 +247,15 @@
 	case replica.ViewChanged:
 		n.viewChanged(event.View)
 	case replica.Left:
-		select {
-		case <-n.left:
-		default:
-			close(n.left)
-		}
+		n.handedOver()
+	}
+}
+
+// handedOver ends the wait of Leave; a replica that only its disk has taken out of the chain comes back.
+func (n *Node) handedOver() {
+	if n.leaving {
+		n.leaving = false
+		close(n.left)
 	}
 }
 
@@ -359,7 +362,10 @@
 // Leave hands over what this replica holds and ends it.
 func (n *Node) Leave() {
 	n.logger.Info("leaving")
-	n.loop.post(func() { n.engine.step(replica.Leave{}) })
+	n.loop.post(func() {
+		n.leaving = true
+		n.engine.step(replica.Leave{})
+	})
 	select {
 	case <-n.left:
 	case <-time.After(leavePatience):
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -91,7 +91,7 @@
 	}
 	accepted := n.accepted(args)
 	if accepted == nil {
-		answer(internalapi.JobReply{Verdict: internalapi.NoRoute})
+		answer(internalapi.JobReply{Verdict: internalapi.NoRoute, ConfigVersion: uint64(n.config.Version)})
 		return
 	}
 	n.engine.propose(state.Command{Kind: state.KindJobAccepted, JobAccepted: accepted}, func(result state.Result, fate fate) {
