Hold each tenant's share of accelerators where a start is committed

The configuration may promise tenants accelerators, as whole numbers or as shares of a stated pool, and a route may name its tenant. The ledger is part of the replicated state: a start that doesn't fit its tenant's share doesn't hold when it is applied, so that admitters which propose at once can't both win; a gang holds whole or not at all.

go test -race ./internal/system/quota ./internal/system/state ./internal/system/clusterconfig

--- a/internal/system/clusterconfig/check.go
+++ b/internal/system/clusterconfig/check.go
@@ -9,6 +9,7 @@
 // check takes note of what the parts of a configuration have to be to each other.
 func check(config *Config, found *findings.Findings) {
 	services := checkServices(config.Services, found)
+	tenants := checkTenants(&config.Quotas, found)
 	names := make(map[string]int, len(config.Routes))
 	places := make(map[[2]string]int, len(config.Routes))
 	for index := range config.Routes {
@@ -18,6 +19,9 @@
 		if _, known := services[route.Backend]; !known {
 			found.Add(findings.Item("routes", index, "backend"), "unknown service %q", route.Backend)
 		}
+		if _, known := tenants[route.Tenant]; !known && route.Tenant != "" {
+			found.Add(findings.Item("routes", index, "tenant"), "unknown tenant %q", route.Tenant)
+		}
 	}
 }
 
--- a/internal/system/clusterconfig/config.go
+++ b/internal/system/clusterconfig/config.go
@@ -19,6 +19,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Quotas are the accelerators that tenants are promised; the zero value where the configuration names no tenant.
+	Quotas Quotas
 }
 
 // Route is a queue of jobs: which requests belong to it and how its jobs are run.
@@ -41,6 +43,8 @@
 	MaxRetries int
 	// Extension stretches a job's longest chain of work to the time that it may take; 0 when the operator names none.
 	Extension float64
+	// Tenant names whose share of accelerators its jobs count against; empty when it is nobody's.
+	Tenant string
 }
 
 // Service is a kind of worker.
@@ -61,6 +65,21 @@
 	HeaderTimeout, IdleTimeout   time.Duration
 }
 
+// Quotas are the accelerators that tenants are promised.
+type Quotas struct {
+	Tenants []Tenant
+	// Pool is how many accelerators there are to be promised; Pooled tells that the configuration states it.
+	Pool   int64
+	Pooled bool
+}
+
+// Tenant is one who was promised accelerators.
+type Tenant struct {
+	Name string
+	// Accelerators is how many its tasks may take at a time; a share of the pool is rounded down to a whole number.
+	Accelerators int64
+}
+
 // Service finds a service by its name; ok is false when there is none. It looks through all of them: on paths that are
 // walked often, ask the Router.
 func (c *Config) Service(name string) (service *Service, ok bool) {
--- a/internal/system/clusterconfig/parse.go
+++ b/internal/system/clusterconfig/parse.go
@@ -60,6 +60,7 @@
 	for index := range wire.Services {
 		config.Services[index] = r.service(index, &wire.Services[index])
 	}
+	config.Quotas = r.quotas(wire)
 	return config
 }
 
@@ -97,6 +98,7 @@
 		Backend:       wire.Backend,
 		MaxRetries:    int(r.whole(at, "maxRetries", wire.MaxRetries)),
 		Extension:     r.figure(at, "extension", wire.Extension),
+		Tenant:        wire.Tenant,
 	}
 }
 
--- /dev/null
+++ b/internal/system/clusterconfig/quotas.go
@@ -0,0 +1,118 @@
+package clusterconfig
+
+import (
+	"math"
+
+	"gaugeslip/internal/system/findings"
+	"gaugeslip/internal/system/quota"
+)
+
+// shareSlack is how far from a whole number of millionths a share may be: what the nearest float64 is off.
+const shareSlack = 1e-6
+
+// Plan is what the quotas promise, as the ledger of all tenants takes it.
+func (q *Quotas) Plan() quota.Plan {
+	plan := quota.Plan{Pool: q.Pool, Pooled: q.Pooled}
+	if len(q.Tenants) == 0 {
+		return plan
+	}
+	plan.Promised = make(map[string]int64, len(q.Tenants))
+	for index := range q.Tenants {
+		plan.Promised[q.Tenants[index].Name] = q.Tenants[index].Accelerators
+	}
+	return plan
+}
+
+// quotas reads what tenants are promised.
+func (r *reader) quotas(wire *wireConfig) Quotas {
+	quotas := Quotas{}
+	if wire.Accelerators != nil {
+		quotas.Pool = r.accelerators("accelerators", *wire.Accelerators)
+		quotas.Pooled = true
+	}
+	if len(wire.Tenants) == 0 {
+		return quotas
+	}
+	quotas.Tenants = make([]Tenant, len(wire.Tenants))
+	shares := int64(0)
+	for index := range wire.Tenants {
+		tenant := &wire.Tenants[index]
+		promised, millionths := r.promised(index, tenant, &quotas)
+		quotas.Tenants[index] = Tenant{Name: tenant.Name, Accelerators: promised}
+		shares += millionths
+	}
+	if shares > quota.Millionths {
+		r.found.Add("tenants", "the shares sum to %.12g, more than 1", float64(shares)/quota.Millionths)
+	}
+	return quotas
+}
+
+// promised reads one tenant's figure, and gives its share in millionths if that is what it has.
+func (r *reader) promised(index int, tenant *wireTenant, quotas *Quotas) (accelerators, millionths int64) {
+	switch {
+	case tenant.Share != nil && tenant.Accelerators != nil:
+		r.found.Add(findings.Item("tenants", index, ""), "has both a share and accelerators")
+	case tenant.Accelerators != nil:
+		return r.accelerators(findings.Item("tenants", index, "accelerators"), *tenant.Accelerators), 0
+	case tenant.Share == nil:
+		r.found.Add(findings.Item("tenants", index, ""), "has neither a share nor accelerators")
+	case !quotas.Pooled:
+		r.found.Add(findings.Item("tenants", index, "share"), "is a share of nothing: the configuration states no accelerators")
+	default:
+		millionths = r.share(findings.Item("tenants", index, "share"), *tenant.Share)
+		return quota.ShareOf(millionths, quotas.Pool), millionths
+	}
+	return 0, 0
+}
+
+// share reads a part of the whole, in millionths.
+func (r *reader) share(place string, figure float64) int64 {
+	if figure < 0 || figure > 1 {
+		r.found.Add(place, "%v is not from 0 to 1", figure)
+		return 0
+	}
+	millionths := math.Round(figure * quota.Millionths)
+	if math.Abs(figure*quota.Millionths-millionths) > shareSlack {
+		r.found.Add(place, "%v has more than six digits after the point", figure)
+	}
+	return int64(millionths)
+}
+
+// accelerators reads a whole number of them.
+func (r *reader) accelerators(place string, figure float64) int64 {
+	if figure < 0 {
+		r.found.Add(place, "%v is negative", figure)
+		return 0
+	}
+	if figure > mostAccelerators || figure != math.Trunc(figure) {
+		r.found.Add(place, "%v is not a whole number up to %d", figure, int64(mostAccelerators))
+		return 0
+	}
+	return int64(figure)
+}
+
+// mostAccelerators bounds a figure, so that sums of them can't overflow.
+const mostAccelerators = 1 << 40
+
+// checkTenants takes note of what tenants have to be to each other and to the pool, and gives their names.
+func checkTenants(quotas *Quotas, found *findings.Findings) map[string]int {
+	seen := make(map[string]int, len(quotas.Tenants))
+	sum := int64(0)
+	for index := range quotas.Tenants {
+		tenant := &quotas.Tenants[index]
+		sum += tenant.Accelerators
+		if tenant.Name == "" {
+			found.Add(findings.Item("tenants", index, "name"), "is empty")
+			continue
+		}
+		if first, double := seen[tenant.Name]; double {
+			found.Add(findings.Item("tenants", index, "name"), "%q is also the name of tenants[%d]", tenant.Name, first)
+			continue
+		}
+		seen[tenant.Name] = index
+	}
+	if quotas.Pooled && sum > quotas.Pool {
+		found.Add("tenants", "are promised %d accelerators of %d", sum, quotas.Pool)
+	}
+	return seen
+}
--- a/internal/system/clusterconfig/wire.go
+++ b/internal/system/clusterconfig/wire.go
@@ -12,6 +12,18 @@
 	Routes   []wireRoute         `json:"routes"`
 	Services []wireService       `json:"services"`
 	Limits   wireLimits          `json:"limits"`
+	// Accelerators is the pool of which shares are taken; absent when there is none.
+	Accelerators *float64     `json:"accelerators"`
+	Tenants      []wireTenant `json:"tenants"`
+}
+
+// wireTenant has one of the two figures.
+//
+//easyjson:json
+type wireTenant struct {
+	Name         string   `json:"name"`
+	Share        *float64 `json:"share"`
+	Accelerators *float64 `json:"accelerators"`
 }
 
 //easyjson:json
@@ -26,6 +38,7 @@
 	Backend         string  `json:"backend"`
 	MaxRetries      float64 `json:"maxRetries"`
 	Extension       float64 `json:"extension"`
+	Tenant          string  `json:"tenant"`
 }
 
 //easyjson:json
--- a/internal/system/clusterconfig/wire_easyjson.go
+++ b/internal/system/clusterconfig/wire_easyjson.go
@@ -17,7 +17,104 @@
 	_ easyjson.Marshaler
 )
 
-func easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig(in *jlexer.Lexer, out *wireService) {
+func easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig(in *jlexer.Lexer, out *wireTenant) {
+	isTopLevel := in.IsStart()
+	if in.IsNull() {
+		if isTopLevel {
+			in.Consumed()
+		}
+		in.Skip()
+		return
+	}
+	in.Delim('{')
+	for !in.IsDelim('}') {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "name":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Name = string(in.String())
+			}
+		case "share":
+			if in.IsNull() {
+				in.Skip()
+				out.Share = nil
+			} else {
+				if out.Share == nil {
+					out.Share = new(float64)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					*out.Share = float64(in.Float64())
+				}
+			}
+		case "accelerators":
+			if in.IsNull() {
+				in.Skip()
+				out.Accelerators = nil
+			} else {
+				if out.Accelerators == nil {
+					out.Accelerators = new(float64)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					*out.Accelerators = float64(in.Float64())
+				}
+			}
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	if isTopLevel {
+		in.Consumed()
+	}
+}
+func easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig(out *jwriter.Writer, in wireTenant) {
+	out.RawByte('{')
+	first := true
+	_ = first
+	{
+		const prefix string = ",\"name\":"
+		out.RawString(prefix[1:])
+		out.String(string(in.Name))
+	}
+	{
+		const prefix string = ",\"share\":"
+		out.RawString(prefix)
+		if in.Share == nil {
+			out.RawString("null")
+		} else {
+			out.Float64(float64(*in.Share))
+		}
+	}
+	{
+		const prefix string = ",\"accelerators\":"
+		out.RawString(prefix)
+		if in.Accelerators == nil {
+			out.RawString("null")
+		} else {
+			out.Float64(float64(*in.Accelerators))
+		}
+	}
+	out.RawByte('}')
+}
+
+// MarshalEasyJSON supports easyjson.Marshaler interface
+func (v wireTenant) MarshalEasyJSON(w *jwriter.Writer) {
+	easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig(w, v)
+}
+
+// UnmarshalEasyJSON supports easyjson.Unmarshaler interface
+func (v *wireTenant) UnmarshalEasyJSON(l *jlexer.Lexer) {
+	easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig(l, v)
+}
+func easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig1(in *jlexer.Lexer, out *wireService) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -77,7 +174,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig(out *jwriter.Writer, in wireService) {
+func easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig1(out *jwriter.Writer, in wireService) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -116,14 +213,14 @@
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v wireService) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig(w, v)
+	easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig1(w, v)
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *wireService) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig(l, v)
+	easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig1(l, v)
 }
-func easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig1(in *jlexer.Lexer, out *wireRoute) {
+func easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig2(in *jlexer.Lexer, out *wireRoute) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -197,6 +294,12 @@
 			} else {
 				out.Extension = float64(in.Float64())
 			}
+		case "tenant":
+			if in.IsNull() {
+				in.Skip()
+			} else {
+				out.Tenant = string(in.String())
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -207,7 +310,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig1(out *jwriter.Writer, in wireRoute) {
+func easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig2(out *jwriter.Writer, in wireRoute) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -261,19 +364,24 @@
 		out.RawString(prefix)
 		out.Float64(float64(in.Extension))
 	}
+	{
+		const prefix string = ",\"tenant\":"
+		out.RawString(prefix)
+		out.String(string(in.Tenant))
+	}
 	out.RawByte('}')
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v wireRoute) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig1(w, v)
+	easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig2(w, v)
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *wireRoute) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig1(l, v)
+	easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig2(l, v)
 }
-func easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig2(in *jlexer.Lexer, out *wireLimits) {
+func easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig3(in *jlexer.Lexer, out *wireLimits) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -321,7 +429,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig2(out *jwriter.Writer, in wireLimits) {
+func easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig3(out *jwriter.Writer, in wireLimits) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -350,14 +458,14 @@
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v wireLimits) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig2(w, v)
+	easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig3(w, v)
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *wireLimits) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig2(l, v)
+	easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig3(l, v)
 }
-func easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig3(in *jlexer.Lexer, out *wireConfig) {
+func easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig4(in *jlexer.Lexer, out *wireConfig) {
 	isTopLevel := in.IsStart()
 	if in.IsNull() {
 		if isTopLevel {
@@ -437,6 +545,47 @@
 			} else {
 				(out.Limits).UnmarshalEasyJSON(in)
 			}
+		case "accelerators":
+			if in.IsNull() {
+				in.Skip()
+				out.Accelerators = nil
+			} else {
+				if out.Accelerators == nil {
+					out.Accelerators = new(float64)
+				}
+				if in.IsNull() {
+					in.Skip()
+				} else {
+					*out.Accelerators = float64(in.Float64())
+				}
+			}
+		case "tenants":
+			if in.IsNull() {
+				in.Skip()
+				out.Tenants = nil
+			} else {
+				in.Delim('[')
+				if out.Tenants == nil {
+					if !in.IsDelim(']') {
+						out.Tenants = make([]wireTenant, 0, 2)
+					} else {
+						out.Tenants = []wireTenant{}
+					}
+				} else {
+					out.Tenants = (out.Tenants)[:0]
+				}
+				for !in.IsDelim(']') {
+					var v3 wireTenant
+					if in.IsNull() {
+						in.Skip()
+					} else {
+						(v3).UnmarshalEasyJSON(in)
+					}
+					out.Tenants = append(out.Tenants, v3)
+					in.WantComma()
+				}
+				in.Delim(']')
+			}
 		default:
 			in.SkipRecursive()
 		}
@@ -447,7 +596,7 @@
 		in.Consumed()
 	}
 }
-func easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig3(out *jwriter.Writer, in wireConfig) {
+func easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig4(out *jwriter.Writer, in wireConfig) {
 	out.RawByte('{')
 	first := true
 	_ = first
@@ -463,11 +612,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v3, v4 := range in.Routes {
-				if v3 > 0 {
+			for v4, v5 := range in.Routes {
+				if v4 > 0 {
 					out.RawByte(',')
 				}
-				(v4).MarshalEasyJSON(out)
+				(v5).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -479,11 +628,11 @@
 			out.RawString("null")
 		} else {
 			out.RawByte('[')
-			for v5, v6 := range in.Services {
-				if v5 > 0 {
+			for v6, v7 := range in.Services {
+				if v6 > 0 {
 					out.RawByte(',')
 				}
-				(v6).MarshalEasyJSON(out)
+				(v7).MarshalEasyJSON(out)
 			}
 			out.RawByte(']')
 		}
@@ -493,15 +642,40 @@
 		out.RawString(prefix)
 		(in.Limits).MarshalEasyJSON(out)
 	}
+	{
+		const prefix string = ",\"accelerators\":"
+		out.RawString(prefix)
+		if in.Accelerators == nil {
+			out.RawString("null")
+		} else {
+			out.Float64(float64(*in.Accelerators))
+		}
+	}
+	{
+		const prefix string = ",\"tenants\":"
+		out.RawString(prefix)
+		if in.Tenants == nil && (out.Flags&jwriter.NilSliceAsEmpty) == 0 {
+			out.RawString("null")
+		} else {
+			out.RawByte('[')
+			for v8, v9 := range in.Tenants {
+				if v8 > 0 {
+					out.RawByte(',')
+				}
+				(v9).MarshalEasyJSON(out)
+			}
+			out.RawByte(']')
+		}
+	}
 	out.RawByte('}')
 }
 
 // MarshalEasyJSON supports easyjson.Marshaler interface
 func (v wireConfig) MarshalEasyJSON(w *jwriter.Writer) {
-	easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig3(w, v)
+	easyjsonF4688553EncodeGaugeslipInternalSystemClusterconfig4(w, v)
 }
 
 // UnmarshalEasyJSON supports easyjson.Unmarshaler interface
 func (v *wireConfig) UnmarshalEasyJSON(l *jlexer.Lexer) {
-	easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig3(l, v)
+	easyjsonF4688553DecodeGaugeslipInternalSystemClusterconfig4(l, v)
 }
--- a/internal/system/state/command.go
+++ b/internal/system/state/command.go
@@ -15,6 +15,9 @@
 	KindTasksEnded
 	KindWorkerLost
 	KindJobsForgotten
+	// kindTenantJobAccepted is on the wire what KindJobAccepted is for a job of a tenant. Jobs of nobody keep the older form, so that
+	// replicas which know no tenants read everything as long as the configuration names none.
+	kindTenantJobAccepted
 )
 
 // Command is one change of the replicated state; exactly the field that Kind names is set.
@@ -46,6 +49,8 @@
 	TargetLatencyMs float64
 	AcceptedMs      int64 // time of day, milliseconds since 1970
 	Body            []byte
+	// Tenant names whose share of accelerators the job's runs count against; empty when it is nobody's.
+	Tenant string
 }
 
 // JobCancelled ends a job on its client's wish.
@@ -112,13 +117,16 @@
 // Encode gives the command's bytes for the chain.
 func (c Command) Encode() []byte {
 	w := &writer{data: make([]byte, 0, 128)}
-	w.byte(byte(c.Kind))
+	w.byte(byte(c.wireKind()))
 	switch c.Kind {
 	case KindConfigReplaced:
 		w.uint(c.ConfigReplaced.Base)
 		w.uint(c.ConfigReplaced.Version)
 		w.bytes(c.ConfigReplaced.Body)
 	case KindJobAccepted:
+		if c.JobAccepted.Tenant != "" {
+			w.string(c.JobAccepted.Tenant)
+		}
 		w.accepted(c.JobAccepted)
 	case KindJobCancelled:
 		w.fixed(uint64(c.JobCancelled.ID))
@@ -143,6 +151,14 @@
 	return w.data
 }
 
+// wireKind is the kind that the command's bytes begin with.
+func (c Command) wireKind() Kind {
+	if c.Kind == KindJobAccepted && c.JobAccepted.Tenant != "" {
+		return kindTenantJobAccepted
+	}
+	return c.Kind
+}
+
 func (w *writer) run(run Run) {
 	w.task(run.Task)
 	w.uint(uint64(run.Attempt))
@@ -213,6 +229,10 @@
 		c.ConfigReplaced = &ConfigReplaced{Base: r.uint(), Version: r.uint(), Body: r.bytes()}
 	case KindJobAccepted:
 		c.JobAccepted = r.accepted()
+	case kindTenantJobAccepted:
+		tenant := r.string()
+		c.Kind, c.JobAccepted = KindJobAccepted, r.accepted()
+		c.JobAccepted.Tenant = tenant
 	case KindJobCancelled:
 		c.JobCancelled = &JobCancelled{ID: JobID(r.fixed()), AtMs: r.int()}
 	case KindTasksStarting:
--- /dev/null
+++ b/internal/system/state/describe.go
@@ -0,0 +1,75 @@
+package state
+
+import "fmt"
+
+var kindNames = [...]string{
+	KindConfigReplaced: "config-replaced",
+	KindJobAccepted:    "job-accepted",
+	KindJobCancelled:   "job-cancelled",
+	KindTasksStarting:  "tasks-starting",
+	KindStartsVoided:   "starts-voided",
+	KindTasksEnded:     "tasks-ended",
+	KindWorkerLost:     "worker-lost",
+	KindJobsForgotten:  "jobs-forgotten",
+}
+
+// String gives the kind's name, as operators see it.
+func (k Kind) String() string {
+	if int(k) < len(kindNames) && kindNames[k] != "" {
+		return kindNames[k]
+	}
+	return fmt.Sprintf("kind-%d", byte(k))
+}
+
+var outcomeNames = [...]string{Applied: "applied", Repeated: "repeated", Conflict: "conflict", Stale: "stale", Unknown: "unknown",
+	Malformed: "malformed"}
+
+// String gives the outcome's name, as operators see it.
+func (o Outcome) String() string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return fmt.Sprintf("outcome-%d", byte(o))
+}
+
+// Summary tells in a few words what the command changes.
+func (c Command) Summary() string {
+	switch c.Kind {
+	case KindConfigReplaced:
+		return fmt.Sprintf("version %d on %d, %d bytes", c.ConfigReplaced.Version, c.ConfigReplaced.Base, len(c.ConfigReplaced.Body))
+	case KindJobAccepted:
+		return fmt.Sprintf("job %s on %s for %s", c.JobAccepted.ID, c.JobAccepted.Route, c.JobAccepted.Service)
+	case KindJobCancelled:
+		return fmt.Sprintf("job %s", c.JobCancelled.ID)
+	case KindTasksStarting:
+		return summary(c.TasksStarting, func(s Start) string { return fmt.Sprintf("%s#%d on %s", s.Task, s.Attempt, s.Worker) })
+	case KindStartsVoided:
+		return summary(c.StartsVoided, func(r Run) string { return fmt.Sprintf("%s#%d", r.Task, r.Attempt) })
+	case KindTasksEnded:
+		return c.TasksEnded.Worker + ": " + summary(c.TasksEnded.Ends, func(e End) string {
+			return fmt.Sprintf("%s#%d %s (%d)", e.Task, e.Attempt, e.How, e.Number)
+		})
+	case KindWorkerLost:
+		return c.WorkerLost
+	case KindJobsForgotten:
+		return summary(c.JobsForgotten, func(id JobID) string { return id.String() })
+	}
+	return ""
+}
+
+// mostSummed is how many items a summary names; the rest are counted.
+const mostSummed = 3
+
+func summary[T any](items []T, describe func(T) string) string {
+	text := ""
+	for i, item := range items {
+		if i == mostSummed {
+			return fmt.Sprintf("%s, and %d more", text, len(items)-mostSummed)
+		}
+		if i > 0 {
+			text += ", "
+		}
+		text += describe(item)
+	}
+	return text
+}
--- a/internal/system/state/machine.go
+++ b/internal/system/state/machine.go
@@ -8,6 +8,7 @@
 	"fmt"
 
 	"gaugeslip/internal/system/jobspec"
+	"gaugeslip/internal/system/quota"
 )
 
 // keptVersions bounds how many accepted configurations are remembered, so that a repeated order is known.
@@ -20,6 +21,7 @@
 	jobs    map[JobID]*Job
 	workers map[string]*Worker
 	pending map[string]int // jobs that aren't over, by route
+	quotas  *quota.Ledger
 }
 
 // Config is the configuration in force; Version 0 means none yet.
@@ -67,7 +69,8 @@
 
 // New gives an empty state.
 func New() *Machine {
-	return &Machine{jobs: map[JobID]*Job{}, workers: map[string]*Worker{}, pending: map[string]int{}}
+	return &Machine{jobs: map[JobID]*Job{}, workers: map[string]*Worker{}, pending: map[string]int{},
+		quotas: quota.NewLedger()}
 }
 
 // Config gives the configuration in force.
@@ -153,6 +156,7 @@
 	if len(m.history) > keptVersions {
 		m.history = m.history[len(m.history)-keptVersions:]
 	}
+	m.promise()
 	return Applied
 }
 
@@ -199,7 +203,7 @@
 	result.Finished = append(result.Finished, job)
 }
 
-// MayStart tells whether the intent to start a run holds in the present state.
+// MayStart tells whether the intent to start a run holds in the present state, but for its tenant's share.
 func (m *Machine) MayStart(start *Start) bool {
 	job := m.jobs[start.Task.Job]
 	if job == nil || job.State.Over() || int(start.Task.Step) >= len(job.Spec.Stages) {
@@ -217,27 +221,41 @@
 }
 
 func (m *Machine) start(starts []Start, result *Result) {
-	for i := range starts {
-		start := &starts[i]
-		if !m.MayStart(start) {
-			continue
+	for len(starts) > 0 {
+		group := starts[:m.together(starts)]
+		if m.withinShare(group) {
+			m.startGroup(group, result)
 		}
-		job := m.jobs[start.Task.Job]
-		job.openTime(start.Task.Time)
-		task := job.Task(start.Task)
-		task.Attempt = start.Attempt
-		task.Checkpoint = start.Checkpoint
-		task.Placements = append(task.Placements, Placement{Attempt: start.Attempt, Worker: start.Worker})
-		job.Runs++
-		if job.State == Pending {
-			job.State = Running
+		starts = starts[len(group):]
+	}
+}
+
+func (m *Machine) startGroup(starts []Start, result *Result) {
+	for i := range starts {
+		if start := &starts[i]; m.MayStart(start) {
+			m.place(start, result)
 		}
-		m.openWorker(start.Worker).Runs[start.Run] = struct{}{}
-		result.Started = append(result.Started, *start)
-		result.touch(job)
 	}
 }
 
+// place takes note of a run that may exist from now on.
+func (m *Machine) place(start *Start, result *Result) {
+	job := m.jobs[start.Task.Job]
+	job.openTime(start.Task.Time)
+	task := job.Task(start.Task)
+	task.Attempt = start.Attempt
+	task.Checkpoint = start.Checkpoint
+	task.Placements = append(task.Placements, Placement{Attempt: start.Attempt, Worker: start.Worker})
+	job.Runs++
+	if job.State == Pending {
+		job.State = Running
+	}
+	m.openWorker(start.Worker).Runs[start.Run] = struct{}{}
+	m.quotas.Charge(job.Tenant, job.accelerators(start.Task.Step))
+	result.Started = append(result.Started, *start)
+	result.touch(job)
+}
+
 func (r *Result) touch(job *Job) {
 	if n := len(r.Jobs); n > 0 && r.Jobs[n-1] == job {
 		return
@@ -275,6 +293,7 @@
 		}
 		task.Placements = append(task.Placements[:i], task.Placements[i+1:]...)
 		job.Runs--
+		m.quotas.Release(job.Tenant, job.accelerators(run.Task.Step))
 		if worker := m.workers[placement.Worker]; worker != nil {
 			delete(worker.Runs, run)
 		}
@@ -421,7 +440,7 @@
 	if held != runs {
 		return fmt.Errorf("workers hold %d runs, jobs have %d", held, runs)
 	}
-	return nil
+	return m.quotas.Check(m.countAccelerators())
 }
 
 func (j *Job) check() error {
--- /dev/null
+++ b/internal/system/state/quotas.go
@@ -0,0 +1,108 @@
+package state
+
+import (
+	"gaugeslip/internal/system/clusterconfig"
+	"gaugeslip/internal/system/jobspec"
+	"gaugeslip/internal/system/quota"
+)
+
+// Quotas is the account of all tenants' accelerators; it must not be changed. A Restore puts another in its place.
+func (m *Machine) Quotas() *quota.Ledger { return m.quotas }
+
+// CheckShare tells whether a job could run within a tenant's share, were all of that free: if not, the error is a
+// *quota.OversizeError. A job that was accepted before its tenant's share became too small for it waits until the share has grown.
+func (m *Machine) CheckShare(tenant string, spec *jobspec.Spec) error {
+	limit := m.quotas.Limit(tenant)
+	for index := range spec.Stages {
+		if need := atOnce(&spec.Stages[index]); need > limit {
+			return &quota.OversizeError{Tenant: tenant, Stage: index, Need: need, Limit: limit}
+		}
+	}
+	return nil
+}
+
+// atOnce is how many accelerators of a step are taken together or not at all.
+func atOnce(stage *jobspec.Stage) int64 {
+	switch {
+	case stage.Count == 0:
+		return 0
+	case stage.Gang:
+		return int64(stage.Count) * stage.GPUs
+	}
+	return stage.GPUs
+}
+
+// promise puts in force what the present configuration promises. It depends on that configuration's body alone, as the state does that
+// is restored from a snapshot; a body that can't be read promises nothing.
+func (m *Machine) promise() {
+	plan := quota.Plan{}
+	if config, err := clusterconfig.Parse(m.config.Body); err == nil {
+		plan = config.Quotas.Plan()
+	}
+	m.quotas.Configure(plan)
+}
+
+// accelerators is what one run of a step takes.
+func (j *Job) accelerators(step uint32) int64 { return j.Spec.Stages[step].GPUs }
+
+// together is how many of the first starts hold only together, as far as shares go: the members of a gang, or one.
+func (m *Machine) together(starts []Start) int {
+	first := &starts[0]
+	job := m.jobs[first.Task.Job]
+	if job == nil || job.Spec == nil || int(first.Task.Step) >= len(job.Spec.Stages) || !job.Spec.Stages[first.Task.Step].Gang {
+		return 1
+	}
+	count := 1
+	for count < len(starts) && sameGang(first, &starts[count]) {
+		count++
+	}
+	return count
+}
+
+func sameGang(a, b *Start) bool {
+	return a.Task.Job == b.Task.Job && a.Task.Time == b.Task.Time && a.Task.Step == b.Task.Step && a.Attempt == b.Attempt
+}
+
+// withinShare tells whether all of the starts that hold otherwise fit into their tenant's share. They are of one job.
+func (m *Machine) withinShare(starts []Start) bool {
+	if !m.quotas.InForce() {
+		return true
+	}
+	need := int64(0)
+	for i := range starts {
+		if m.MayStart(&starts[i]) {
+			need += m.jobs[starts[i].Task.Job].accelerators(starts[i].Task.Step)
+		}
+	}
+	return need == 0 || m.quotas.Fits(m.jobs[starts[0].Task.Job].Tenant, need)
+}
+
+// chargeAll takes all runs of a job that may exist into its tenant's account.
+func (m *Machine) chargeAll(job *Job) {
+	for _, time := range job.Times {
+		for step := range time.Steps {
+			m.quotas.Charge(job.Tenant, time.Steps[step].placements()*job.accelerators(uint32(step)))
+		}
+	}
+}
+
+func (s *Step) placements() int64 {
+	count := 0
+	for i := range s.Tasks {
+		count += len(s.Tasks[i].Placements)
+	}
+	return int64(count)
+}
+
+// countAccelerators counts anew what each tenant uses.
+func (m *Machine) countAccelerators() map[string]int64 {
+	used := make(map[string]int64)
+	for _, job := range m.jobs {
+		for _, time := range job.Times {
+			for step := range time.Steps {
+				used[job.Tenant] += time.Steps[step].placements() * job.accelerators(uint32(step))
+			}
+		}
+	}
+	return used
+}
--- a/internal/system/state/snapshot.go
+++ b/internal/system/state/snapshot.go
@@ -10,7 +10,11 @@
 	"gaugeslip/internal/system/jobspec"
 )
 
-const snapshotFormat = 1
+// The formats of a snapshot. The first is still written where no job has a tenant, so that replicas which know no tenants read it.
+const (
+	snapshotFormat       = 1
+	tenantSnapshotFormat = 2 // each job is followed by its tenant
+)
 
 var sumTable = crc64.MakeTable(crc64.ECMA)
 
@@ -19,7 +23,8 @@
 // Snapshot gives the whole state, the same bytes for the same state.
 func (m *Machine) Snapshot() []byte {
 	w := &writer{data: make([]byte, 0, 1<<16)}
-	w.byte(snapshotFormat)
+	format := m.snapshotFormat()
+	w.byte(format)
 	w.uint(m.config.Version)
 	w.bytes(m.config.Body)
 	w.uint(uint64(len(m.history)))
@@ -30,6 +35,9 @@
 	w.uint(uint64(len(m.jobs)))
 	for _, id := range slices.SortedFunc(maps.Keys(m.jobs), cmp.Compare[JobID]) {
 		w.job(m.jobs[id])
+		if format == tenantSnapshotFormat {
+			w.string(m.jobs[id].Tenant)
+		}
 	}
 	w.uint(uint64(len(m.workers)))
 	for _, instance := range slices.Sorted(maps.Keys(m.workers)) {
@@ -39,6 +47,15 @@
 	return w.data
 }
 
+func (m *Machine) snapshotFormat() byte {
+	for _, job := range m.jobs {
+		if job.Tenant != "" {
+			return tenantSnapshotFormat
+		}
+	}
+	return snapshotFormat
+}
+
 func (w *writer) job(job *Job) {
 	w.accepted(&job.JobAccepted)
 	w.byte(byte(job.State))
@@ -72,7 +89,8 @@
 // Restore puts a snapshot in the place of the whole state; on an error the state is unchanged.
 func (m *Machine) Restore(snapshot []byte) error {
 	r := &reader{data: snapshot}
-	if r.byte() != snapshotFormat {
+	format := r.byte()
+	if format != snapshotFormat && format != tenantSnapshotFormat {
 		return fmt.Errorf("snapshot's format: %w", ErrCorrupt)
 	}
 	next := New()
@@ -82,7 +100,7 @@
 		next.history[i] = taken{version: r.uint(), sum: r.fixed()}
 	}
 	for range r.count() {
-		if err := next.readJob(r); err != nil {
+		if err := next.readJob(r, format); err != nil {
 			return err
 		}
 	}
@@ -92,11 +110,12 @@
 	if err := r.done(); err != nil {
 		return fmt.Errorf("snapshot: %w", err)
 	}
+	next.promise()
 	*m = *next
 	return nil
 }
 
-func (m *Machine) readJob(r *reader) error {
+func (m *Machine) readJob(r *reader, format byte) error {
 	job := &Job{JobAccepted: *r.accepted(), State: JobState(r.byte()), OverMs: r.int()}
 	times := r.count()
 	if len(job.Body) > 0 {
@@ -112,6 +131,10 @@
 		}
 		m.readTime(r, job, uint32(r.uint()))
 	}
+	if format == tenantSnapshotFormat {
+		job.Tenant = r.string()
+	}
+	m.chargeAll(job)
 	m.jobs[job.ID] = job
 	if !job.State.Over() {
 		m.pending[job.Route]++
