Move the talk between dispatchers to the project's own membership

Members gossip one word each over coord/membership, by names that each maps to its own addresses; one that doesn't answer is looked at again through others before it is called silent, and refutes that when it hears of it. Asks and grants go over coord/transport, one way.

Tested: go test -race ./internal/net/peers ./internal/rig

--- /dev/null
+++ b/internal/net/peers/contact.go
@@ -0,0 +1,149 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"gaugeslip/coord/gossip"
+	"gaugeslip/coord/membership"
+	"gaugeslip/coord/transport"
+)
+
+const (
+	callTimeout = 300 * time.Millisecond
+	suspectFor  = 2 * time.Second // between a call without answer and the look that decides
+	helpers     = 3               // members that are asked whether they reach a suspect
+	// presenceService is what the service of members' looks at one another is registered as.
+	presenceService = "Presence"
+)
+
+var errNoMember = errors.New("peers: no member has this name")
+
+// contact calls members by name, at the address that the own settings have for each, and looks after those that don't answer.
+type contact struct {
+	peers  *Peers
+	client *transport.Client
+	ctx    context.Context // ends the looks
+}
+
+// Call calls a method of a member; it is membership.Caller's.
+func (c *contact) Call(address, method string, args, reply any, timeout time.Duration) error {
+	member := number(address, len(c.peers.cfg.Members))
+	if member < 0 {
+		return errNoMember
+	}
+	err := c.call(member, method, args, reply, timeout)
+	if err != nil {
+		c.suspect(member)
+	}
+	return err
+}
+
+func (c *contact) call(member int, method string, args, reply any, timeout time.Duration) error {
+	return c.client.Call(c.peers.cfg.Members[member], c.peers.service(member)+method, args, reply, timeout)
+}
+
+// ping tells whether a member answers.
+func (c *contact) ping(member int) bool {
+	return c.call(member, presenceService+".Ping", PingArgs{}, &PingReply{}, callTimeout) == nil
+}
+
+// reachedBy tells whether another member reaches a suspect.
+func (c *contact) reachedBy(helper, suspect int) bool {
+	var reply ReachReply
+	err := c.call(helper, presenceService+".Reach", ReachArgs{Member: suspect}, &reply, 2*callTimeout)
+	return err == nil && reply.Reached
+}
+
+// suspect has a member that did not answer looked at again after a while, unless that is under way.
+func (c *contact) suspect(member int) {
+	p := c.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.ctx.Err() != nil || p.suspects[member] || !p.roster.alive(member) {
+		return
+	}
+	p.suspects[member] = true
+	word := p.roster.words[member]
+	p.looks.Go(func() { c.look(member, word) })
+}
+
+// look decides about a suspect: it is silent if it has said nothing newer, and neither this process nor any helper reaches it.
+func (c *contact) look(member int, word gossip.Version) {
+	waited := wait(c.ctx, suspectFor)
+	silent := waited && c.stands(member, word) && !c.reached(member)
+	p := c.peers
+	p.mu.Lock()
+	delete(p.suspects, member)
+	p.mu.Unlock()
+	if silent && c.ctx.Err() == nil {
+		p.say(member, withStatus(word, statusSilent))
+	}
+}
+
+// stands tells whether a word is still the last about a member.
+func (c *contact) stands(member int, word gossip.Version) bool {
+	c.peers.mu.Lock()
+	defer c.peers.mu.Unlock()
+	return c.peers.roster.words[member] == word
+}
+
+// reached looks at a member itself, then through others.
+func (c *contact) reached(member int) bool {
+	if c.ping(member) {
+		return true
+	}
+	for _, helper := range c.helpers(member) {
+		if c.reachedBy(helper, member) {
+			return true
+		}
+	}
+	return false
+}
+
+// helpers draws some members that may be asked about a suspect.
+func (c *contact) helpers(suspect int) (drawn []int) {
+	p := c.peers
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, member := range rand.Perm(len(p.cfg.Members)) {
+		if len(drawn) == helpers {
+			break
+		}
+		if member != p.cfg.Self && member != suspect && p.roster.alive(member) {
+			drawn = append(drawn, member)
+		}
+	}
+	return drawn
+}
+
+// PingArgs and PingReply are empty.
+type (
+	PingArgs  struct{}
+	PingReply struct{}
+)
+
+// ReachArgs ask whether a member is reached.
+type ReachArgs struct{ Member int }
+
+// ReachReply answers that.
+type ReachReply struct{ Reached bool }
+
+// Presence is the net/rpc service by which members look at one another.
+type Presence struct{ contact *contact }
+
+// Ping answers.
+func (*Presence) Ping(PingArgs, *PingReply) error { return nil }
+
+// Reach looks at another member for the caller.
+func (p *Presence) Reach(args ReachArgs, reply *ReachReply) error {
+	if args.Member < 0 || args.Member >= len(p.contact.peers.cfg.Members) {
+		return errNoMember
+	}
+	reply.Reached = p.contact.ping(args.Member)
+	return nil
+}
+
+var _ membership.Caller = (*contact)(nil)
--- /dev/null
+++ b/internal/net/peers/presence_test.go
@@ -0,0 +1,223 @@
+package peers
+
+import (
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/goleak"
+
+	"gaugeslip/coord/gossip"
+)
+
+// relay is a way to an address that can be cut.
+type relay struct {
+	to    string
+	ln    net.Listener
+	work  sync.WaitGroup
+	mu    sync.Mutex
+	cut   bool
+	conns []net.Conn
+}
+
+func newRelay(t *testing.T, to string) *relay {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	r := &relay{to: to, ln: ln}
+	r.work.Go(r.accept)
+	t.Cleanup(func() {
+		ln.Close()
+		r.set(true)
+		r.work.Wait()
+	})
+	return r
+}
+
+func (r *relay) accept() {
+	for {
+		near, err := r.ln.Accept()
+		if err != nil {
+			return
+		}
+		r.work.Go(func() { r.carry(near) })
+	}
+}
+
+func (r *relay) carry(near net.Conn) {
+	defer near.Close()
+	far, err := net.Dial("tcp", r.to)
+	if err != nil || !r.keep(near, far) {
+		return
+	}
+	defer far.Close()
+	r.work.Go(func() {
+		io.Copy(far, near)
+		far.Close()
+	})
+	io.Copy(near, far)
+}
+
+// keep has the connections closed by a cut; false: there is one.
+func (r *relay) keep(conns ...net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.conns = append(r.conns, conns...)
+	if r.cut {
+		for _, c := range conns {
+			c.Close()
+		}
+	}
+	return !r.cut
+}
+
+func (r *relay) set(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+	if cut {
+		for _, c := range r.conns {
+			c.Close()
+		}
+		r.conns = nil
+	}
+}
+
+const patience = 30 * time.Second
+
+// A member that one other can't reach stays alive as long as a third does; one that nobody reaches is silent, and alive again when it
+// is reached; one that leaves has left, and its successor is alive.
+func TestStates(t *testing.T) {
+	t.Cleanup(func() { goleak.VerifyNone(t) })
+	var addrs []string
+	for range 3 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		addrs = append(addrs, ln.Addr().String())
+		ln.Close()
+	}
+	var ways [3][3]*relay // by from and to
+	var seen [3][]string
+	for from := range 3 {
+		for to := range 3 {
+			if from == to {
+				seen[from] = append(seen[from], addrs[to])
+				continue
+			}
+			ways[from][to] = newRelay(t, addrs[to])
+			seen[from] = append(seen[from], ways[from][to].ln.Addr().String())
+		}
+	}
+	member := func(i int, life uint64) *Peers {
+		p := talker(seen[i], i, life)
+		p.cfg.Listen = addrs[i]
+		return p
+	}
+	all := []*Peers{member(0, 1), member(1, 2), member(2, 3)}
+	var stops []func()
+	for _, p := range all {
+		stops = append(stops, run(t, p))
+	}
+	sees := func(who, of int, state string) {
+		t.Helper()
+		require.Eventually(t, func() bool { return all[who].View().Members[of].State == state }, patience, 5*time.Millisecond,
+			"member %d sees %d as %s", who, of, state)
+	}
+	for who := range 3 {
+		for of := range 3 {
+			sees(who, of, stateAlive)
+		}
+	}
+
+	ways[0][2].set(true)
+	require.Never(t, func() bool { return all[0].Count(stateAlive) < 3 }, suspectFor+2*time.Second, 20*time.Millisecond, "member 1 reaches it")
+
+	for _, pair := range [][2]int{{1, 2}, {2, 0}, {2, 1}} {
+		ways[pair[0]][pair[1]].set(true)
+	}
+	sees(0, 2, stateSilent)
+	sees(1, 2, stateSilent)
+	sees(2, 1, stateSilent)
+	assert.Equal(t, 2.0, all[0].Count(stateAlive))
+
+	for _, pair := range [][2]int{{0, 2}, {1, 2}, {2, 0}, {2, 1}} {
+		ways[pair[0]][pair[1]].set(false)
+	}
+	sees(0, 2, stateAlive)
+	sees(1, 2, stateAlive)
+	sees(2, 1, stateAlive)
+
+	stops[2]()
+	sees(0, 2, stateLeft)
+	sees(1, 2, stateLeft)
+	all[2] = member(2, 4)
+	run(t, all[2])
+	sees(0, 2, stateAlive)
+	sees(1, 2, stateAlive)
+	sees(2, 0, stateAlive)
+}
+
+// Rosters that hear all words in any order, with repeats, agree in the end, and nobody is held to be gone who says that it is not.
+func TestRostersAgree(t *testing.T) {
+	const members = 4
+	for seed := range uint64(200) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		var said []gossip.Value
+		rosters := make([]roster, members)
+		for i := range rosters {
+			rosters[i] = newRoster(i, members)
+			said = append(said, word(i, rosters[i].begin(rng.Uint64N(3))))
+		}
+		hear := func(i int, v gossip.Value) {
+			of := number(string(v.Key), members)
+			if of != i {
+				rosters[i].learn(of, v.Version)
+			} else if answer, wanted := rosters[i].refute(v.Version); wanted {
+				said = append(said, word(i, answer))
+			}
+		}
+		for range 100 {
+			i := rng.IntN(members)
+			hear(i, said[rng.IntN(len(said))])
+			if of := rng.IntN(members); of != i && rosters[i].alive(of) && rng.IntN(4) == 0 {
+				slander := word(of, withStatus(rosters[i].words[of], statusSilent))
+				said = append(said, slander)
+				hear(i, slander)
+			}
+		}
+		said = append(said, word(0, rosters[0].leave()))
+		for k := 0; k < len(said); k++ { // answers grow the list
+			for i := range rosters {
+				hear(i, said[k])
+			}
+		}
+		for i := range rosters {
+			for of := range rosters {
+				want := stateAlive
+				if of == 0 {
+					want = stateLeft
+				}
+				require.Equal(t, want, rosters[i].state(of), "seed %d: %d of %d", seed, i, of)
+				require.Equal(t, rosters[of].words[of], rosters[i].words[of])
+			}
+		}
+	}
+}
+
+func word(member int, version gossip.Version) gossip.Value {
+	return gossip.Value{Key: gossip.Key(name(member)), Version: version}
+}
+
+func TestNames(t *testing.T) {
+	assert.Equal(t, 2, number(name(2), 3))
+	for _, none := range []string{"", "m", "m3", "m-1", "2", "x2"} {
+		assert.Equal(t, -1, number(none, 3), none)
+	}
+	unseen := newRoster(0, 2)
+	assert.Equal(t, stateUnseen, unseen.state(1))
+	assert.False(t, unseen.alive(1))
+}
--- /dev/null
+++ b/internal/net/peers/session.go
@@ -0,0 +1,155 @@
+package peers
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"gaugeslip/coord/gossip"
+	"gaugeslip/coord/membership"
+	"gaugeslip/coord/peersampling"
+	"gaugeslip/coord/transport"
+)
+
+const (
+	bindEvery    = 200 * time.Millisecond // while another process holds the address
+	roundEvery   = 500 * time.Millisecond // exchanges with any member
+	contactEvery = time.Second            // each member calls another one, in turn
+)
+
+// session is what there is while this process holds its member's address.
+type session struct {
+	peers   *Peers
+	server  *transport.Server
+	client  *transport.Client
+	contact *contact
+	node    *membership.Node
+	sender  *sender
+	halt    context.CancelFunc // of the looks at suspects
+	served  sync.WaitGroup
+}
+
+// label sets fleets of different settings apart: the services of one are not found by another's members.
+func (p *Peers) label() string {
+	return fmt.Sprintf("gaugeslip/%d/%d/", len(p.cfg.Members), p.cfg.Voters)
+}
+
+// service is the prefix of the services of a member; whoever else is at its address does not answer to it.
+func (p *Peers) service(member int) string { return p.label() + name(member) + "/" }
+
+// bind opens the address as soon as nobody else holds it. Both nil: ctx has ended.
+func (p *Peers) bind(ctx context.Context) (*session, error) {
+	for said := false; ; said = true {
+		server, err := transport.Listen(p.cfg.Listen)
+		if err == nil {
+			return p.newSession(server)
+		}
+		if !said {
+			slog.Warn("this dispatcher's address for talk is taken: it owns no share until it is free", "listen", p.cfg.Listen, "error", err)
+		}
+		if !wait(ctx, bindEvery) {
+			return nil, nil
+		}
+	}
+}
+
+// newSession makes a session that isn't served yet.
+func (p *Peers) newSession(server *transport.Server) (*session, error) {
+	s := &session{peers: p, server: server, client: transport.NewClient(transport.Options{MaxConnections: len(p.cfg.Members)})}
+	s.contact = &contact{peers: p, client: s.client}
+	s.contact.ctx, s.halt = context.WithCancel(context.Background())
+	s.node = membership.New(s.contact, p.membership())
+	talk := p.label() + talkService
+	s.sender = transport.NewSender[[]byte](s.client, talk+".Receive", transport.SenderOptions{AnswerTimeout: answerTimeout})
+	for service, answers := range map[string]any{
+		p.service(p.cfg.Self) + membership.ServiceName: s.node.Service(),
+		p.service(p.cfg.Self) + presenceService:        &Presence{contact: s.contact},
+		talk:                                           transport.NewReceiver(p.deliver),
+	} {
+		if err := server.Register(service, answers); err != nil {
+			s.close()
+			return nil, fmt.Errorf("peers: %w", err)
+		}
+	}
+	return s, nil
+}
+
+// membership says how this process takes part in the gossip. Members go by their names.
+func (p *Peers) membership() membership.Options {
+	var others []string
+	for i := range p.cfg.Members {
+		if i != p.cfg.Self {
+			others = append(others, name(i))
+		}
+	}
+	return membership.Options{
+		Self:              peersampling.Peer{Address: name(p.cfg.Self), Incarnation: life()},
+		Seeds:             others,
+		RandomSeed:        rand.Uint64(),
+		Interval:          roundEvery,
+		CallTimeout:       callTimeout,
+		Preferred:         func() []string { return others },
+		PreferredInterval: contactEvery,
+	}
+}
+
+// life numbers this process among all that have had its address: by the time of its start. Where that has gone back, a
+// process answers to what is said of the earlier one.
+func life() uint64 { return uint64(time.Now().UnixMilli()) }
+
+// begin serves, and takes part in the gossip.
+func (s *session) begin() {
+	s.served.Go(func() {
+		if err := s.server.Serve(); err != nil {
+			slog.Error("talk with the other dispatchers isn't heard any more", "error", err)
+		}
+	})
+	p := s.peers
+	var own gossip.Version
+	p.set(func() {
+		p.gossip = s.tell
+		own = p.roster.begin(life())
+	})
+	s.node.Subscribe(p.learn)
+	p.say(p.cfg.Self, own)
+	s.node.Start()
+}
+
+// tell hands a word to the gossip. It has no data, so it can't be too long.
+func (s *session) tell(value gossip.Value) { _ = s.node.Set(value) }
+
+// end tells the others that this process leaves, for a call's time at most, and frees the address.
+func (s *session) end() {
+	p := s.peers
+	var last gossip.Version
+	p.set(func() { last = p.roster.leave() })
+	p.say(p.cfg.Self, last)
+	s.node.Stop()
+	p.set(func() { p.gossip = nil })
+	s.close()
+}
+
+// close ends all connections and frees the address.
+func (s *session) close() {
+	s.peers.set(s.halt) // no look begins after this
+	_ = s.sender.Close()
+	_ = s.client.Close()
+	s.peers.looks.Wait()
+	_ = s.server.Close()
+	s.served.Wait()
+}
+
+// wait lets a time pass; false: ctx has ended.
+func wait(ctx context.Context, length time.Duration) bool {
+	timer := time.NewTimer(length)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/rig/link.go
+++ b/internal/rig/link.go
@@ -30,6 +30,7 @@
 	Rate   int           // bytes a second in each direction; 0: any number
 	CutAt  int64         // a connection is reset once so many bytes have passed in the direction Cut
 	Cut    Way
+	Lost   float64 // share of what is read at once at which the connection is reset; half of it arrives
 }
 
 // merge is what several faults at once come to.
@@ -38,6 +39,7 @@
 		f.Silent |= x.Silent
 		f.Refuse = f.Refuse || x.Refuse
 		f.Delay, f.Jitter = f.Delay+x.Delay, f.Jitter+x.Jitter
+		f.Lost = max(f.Lost, x.Lost)
 		if x.Rate > 0 && (f.Rate == 0 || x.Rate < f.Rate) {
 			f.Rate = x.Rate
 		}
@@ -289,6 +291,11 @@
 			p.end(true)
 			return
 		}
+		if f.Lost > 0 && l.chance() < f.Lost {
+			to.Write(c.data[:len(c.data)/2])
+			p.end(true)
+			return
+		}
 		if f.Rate > 0 && !p.sleep(time.Duration(float64(len(c.data))/float64(f.Rate)*1e9)) {
 			return
 		}
@@ -316,6 +323,12 @@
 	}
 }
 
+func (l *Link) chance() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.rng.Float64()
+}
+
 func (l *Link) delay() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/scenarios/processes/budgets.hcl
+++ b/scenarios/processes/budgets.hcl
@@ -229,7 +229,7 @@
 }
 
 processes "lossy" {
-  about       = "Of all that is said three in ten are lost, come again, some are torn, and all of it is up to a second late."
+  about       = "Of all that is said three in ten break their connections, and all of it is up to a second late."
   length      = "16s"
   load        = 0.25
   dispatchers = 5
