--- a/internal/system/quota/desk.go
+++ b/internal/system/quota/desk.go
@@ -38,6 +38,7 @@
 }
 
 // Settle takes note that a start of this desk came back from the chain, after it was applied. One that holds is in the ledger by now.
+// The need is that with which it was proposed: the caller keeps it, since the job may be over and gone by then.
 func (d *Desk) Settle(tenant string, need int64, holds bool) {
 	if need <= 0 {
 		return
