Split the longest files of lab, waiting room, emulator, loop and rig by concern

Tested: go test ./internal/lab/... ./internal/waiting ./internal/emulator ./internal/net/loop ./internal/rig

--- /dev/null
+++ b/internal/emulator/await.go
@@ -0,0 +1,29 @@
+package emulator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+)
+
+// Await waits until the dispatcher at addr is up, or ctx ends.
+func Await(ctx context.Context, addr string) error {
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/up", nil)
+		if err != nil {
+			return err
+		}
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return errors.New("emulator: the dispatcher at " + addr + " is not up")
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
--- /dev/null
+++ b/internal/net/loop/carry.go
@@ -0,0 +1,169 @@
+package loop
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"runtime/debug"
+
+	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/net/upstream"
+	"gaugeslip/internal/settings"
+	"gaugeslip/policy"
+)
+
+// carry does one command.
+func (l *Loop) carry(ctx context.Context, c dispatch.Command) {
+	switch c := c.(type) {
+	case dispatch.Send:
+		l.send(ctx, c)
+	case dispatch.CancelSend:
+		if out, ok := l.out[c.Key]; ok {
+			out.cancel()
+		}
+	case dispatch.Unsend:
+		if out, ok := l.out[c.Key]; ok {
+			out.unsend()
+		}
+	case dispatch.LocalReply:
+		if t := l.tickets[c.Job]; t != nil {
+			delete(l.tickets, c.Job)
+			a := Answer{Refused: c.Refused, Status: c.Status, Why: c.Why}
+			if l.set.RetryAfter {
+				a.RetryAfter = c.RetryAfter
+			}
+			t.settle(a)
+		}
+		delete(l.parked, c.Job)
+	case dispatch.Accepted:
+		if t := l.tickets[c.Job]; t != nil {
+			delete(l.tickets, c.Job)
+			l.parked[c.Job] = park(t)
+			t.settle(Answer{Accepted: true})
+		}
+	case dispatch.Handed:
+		if handed := l.hands[c.Ask]; handed != nil {
+			delete(l.hands, c.Ask)
+			handed <- c.Known // its buffer holds one
+		}
+	case dispatch.Told:
+		if told := l.asks[c.Ask]; told != nil {
+			delete(l.asks, c.Ask)
+			told <- c // its buffer holds one
+		}
+	case dispatch.Probe:
+		l.spawn(func() {
+			o := l.upstream.Probe(ctx, c.Addr)
+			l.Post(dispatch.Probed{Worker: c.Worker, Result: o.Result, Took: o.Took, Load: l.load(o.Load)})
+		}, dispatch.Probed{Worker: c.Worker, Result: policy.AppError})
+	case dispatch.Watch:
+		if l.watch == nil { // else a move has begun one while the module waited to ask
+			l.startWatch(ctx, c)
+		}
+	case dispatch.Log:
+		level := slog.LevelDebug
+		if c.Warn {
+			level = slog.LevelWarn
+		}
+		slog.Log(ctx, level, c.Text)
+	default:
+		panic(fmt.Sprintf("loop: unknown command %T", c))
+	}
+}
+
+// send starts an upstream request, with a goroutine of its own for as long as it is out.
+func (l *Loop) send(ctx context.Context, c dispatch.Send) {
+	t := l.tickets[c.Job]
+	if p := l.parked[c.Job]; t == nil && p != nil {
+		delete(l.parked, c.Job)
+		t = p.ticket()
+		l.tickets[c.Job] = t
+	}
+	if t == nil { // the core sends for open jobs only
+		panic(fmt.Sprintf("loop: a request for job %d, which is over", c.Job))
+	}
+	q := t.Forward
+	ctx, cancel := context.WithDeadline(ctx, l.clock.Time(c.Until))
+	client := q.Client
+	if client == nil {
+		client = context.Background()
+	}
+	wanted, unsend := context.WithCancel(client) // ends with its client, or when its host is to get nothing new
+	l.out[c.Key] = calls{cancel, unsend}
+	q.Addr, q.Client = c.Addr, wanted
+	l.spawn(func() {
+		defer cancel()
+		defer unsend()
+		l.upstream.Do(ctx, &q, &follower{l, t, c.Key})
+	}, dispatch.Ended{Key: c.Key, Result: policy.ConnectionLost}) // it may have run
+}
+
+// spawn starts work that the loop waits for at its end. A panic there must neither end the process nor leave
+// the module waiting: broken is what it hears instead.
+func (l *Loop) spawn(work func(), broken dispatch.Message) {
+	l.work.Go(func() {
+		defer func() {
+			if p := recover(); p != nil {
+				slog.Error("panic in socket code", "panic", p, "stack", string(debug.Stack()))
+				l.Post(broken)
+			}
+		}()
+		work()
+	})
+}
+
+// follower passes on what comes of one upstream request.
+type follower struct {
+	loop   *Loop
+	ticket *Ticket
+	key    dispatch.Key
+}
+
+func (f *follower) Started() { f.loop.Post(dispatch.Started{Key: f.key}) }
+
+func (f *follower) Progress(s float64) { f.loop.Post(dispatch.Progress{Key: f.key, Share: s}) }
+
+// Ended passes the first result on to the client at once; a late one only the loop hears of.
+func (f *follower) Ended(o upstream.Outcome) {
+	if o.Result == policy.OK {
+		f.ticket.settle(Answer{Served: true, Body: o.Body})
+	}
+	f.loop.Post(dispatch.Ended{Key: f.key, Result: o.Result, Load: f.loop.load(o.Load), Body: o.Body})
+}
+
+// load turns a report by names into the module's.
+func (l *Loop) load(r upstream.Report) *policy.Load {
+	if r == nil {
+		return nil
+	}
+	out := settings.NoLoad()
+	for name, v := range r {
+		l.set.SetLoad(&out, name, v)
+	}
+	return &out
+}
+
+// startWatch follows the cluster from a version on, in place of any watch before. Each watch that breaks
+// makes one ListLost.
+func (l *Loop) startWatch(ctx context.Context, c dispatch.Watch) {
+	if l.watch != nil {
+		l.watch()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	l.watches++
+	n, source := l.watches, l.source
+	l.watch, l.moved = cancel, false
+	l.work.Go(func() {
+		defer cancel()
+		defer func() {
+			if p := recover(); p != nil {
+				slog.Error("panic in the watch", "panic", p, "stack", string(debug.Stack()))
+			}
+			l.post(envelope{msg: dispatch.ListLost{}, watch: n})
+		}()
+		err := source.Watch(ctx, c.Version, func(m dispatch.Listed) { l.post(envelope{msg: m, watch: n}) })
+		if ctx.Err() == nil {
+			slog.Info("watch lost", "error", err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/net/loop/run.go
@@ -0,0 +1,203 @@
+package loop
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"maps"
+	"runtime/debug"
+	"time"
+
+	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/settings"
+	"gaugeslip/internal/waiting"
+	"gaugeslip/policy"
+)
+
+// Run drains the queue until ctx ends. It returns when all that it started has ended.
+func (l *Loop) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer l.work.Wait()
+	defer close(l.stopped)
+	defer cancel()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	batch := make([]dispatch.Message, 0, batchLen)
+	l.moved = !l.set.Policy.Ask // where lists are pushed the module does not ask for them
+	for {
+		batch = append(batch[:0], l.renewed...)
+		l.renewed = nil
+		select {
+		case <-ctx.Done():
+			return nil
+		case e := <-l.urgent:
+			batch = l.drain(l.open(batch, e))
+		case e := <-l.queue:
+			batch = l.drain(l.open(batch, e))
+		case <-timer.C:
+			batch = l.drain(batch)
+		}
+		if err := l.step(ctx, batch); err != nil {
+			return err
+		}
+		l.tellIdle()
+		if l.moved && l.renewed == nil { // not before the step: what the old source told last counts
+			l.startWatch(ctx, dispatch.Watch{Version: l.core.Heard()})
+		}
+		if l.renewed != nil {
+			timer.Reset(0)
+		} else if at, ok := l.core.Wake(); ok {
+			timer.Reset(max(0, at-l.clock.Now()))
+		}
+	}
+}
+
+// open adds the message of an envelope to a batch. What a watch tells that is over, its end too, is old news: a
+// newer watch may have told more already.
+func (l *Loop) open(batch []dispatch.Message, e envelope) []dispatch.Message {
+	if e.source != nil {
+		l.source, l.moved = e.source, true
+		return batch
+	}
+	if e.idle != nil {
+		l.idle = append(l.idle, e.idle)
+		return batch
+	}
+	if e.count != nil {
+		known, excluded := l.core.Workers()
+		l.known.Store(int64(known))
+		l.excluded.Store(int64(excluded))
+		close(e.count)
+		return batch
+	}
+	if e.watch != 0 && (e.watch != l.watches || l.watch == nil) {
+		return batch
+	}
+	switch m := e.msg.(type) {
+	case dispatch.Arrived:
+		l.tickets[m.Job] = e.ticket
+	case dispatch.Asked:
+		l.asks[m.Number] = e.told
+	case dispatch.Hand:
+		l.hands[m.Ask] = e.handed
+	case dispatch.Unasked:
+		delete(l.asks, m.Ask)
+	case dispatch.ListLost:
+		l.watch = nil
+	}
+	return append(batch, e.msg)
+}
+
+func (l *Loop) drain(batch []dispatch.Message) []dispatch.Message {
+	for len(batch) < batchLen {
+		select {
+		case e := <-l.urgent:
+			batch = l.open(batch, e)
+			continue
+		default:
+		}
+		select {
+		case e := <-l.queue:
+			batch = l.open(batch, e)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// step lets the core decide and carries out what it says. A panic in the decisions must not end the process,
+// which would drop all that it has taken.
+func (l *Loop) step(ctx context.Context, batch []dispatch.Message) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			slog.Error("panic in the decisions, starting them anew", "panic", p, "stack", string(debug.Stack()))
+			err = l.renew()
+		}
+	}()
+	commands := l.core.Step(l.clock.Now(), batch)
+	l.trace(ctx, batch, commands)
+	for _, c := range commands {
+		l.carry(ctx, c)
+	}
+	for _, m := range batch { // a ticket is of no more use once its job is over
+		switch m := m.(type) {
+		case dispatch.Left:
+			delete(l.tickets, m.Job)
+		case dispatch.Ended:
+			delete(l.out, m.Key)
+			if m.Result == policy.OK {
+				delete(l.tickets, m.Job)
+			}
+		}
+	}
+	return nil
+}
+
+// trace logs what came in and what is done about it, for the one who looks into a day; --verbose shows it.
+func (l *Loop) trace(ctx context.Context, in []dispatch.Message, out []dispatch.Command) {
+	if !slog.Default().Enabled(ctx, slog.LevelDebug) {
+		return
+	}
+	for _, m := range in {
+		load := settings.NoLoad()
+		switch e := m.(type) {
+		case dispatch.Ended:
+			e.Load, e.Body = nil, nil
+			m = e
+		case dispatch.Probed:
+			if e.Load != nil {
+				load = *e.Load
+			}
+			e.Load = nil
+			m = e
+		}
+		slog.Debug("in", "message", fmt.Sprintf("%T%+v", m, m), "free", load.FreeSlots, "queue", load.Queue, "inflight", load.InFlight)
+	}
+	for _, c := range out {
+		slog.Debug("out", "command", fmt.Sprintf("%T%+v", c, c))
+	}
+}
+
+// tellIdle ends the waits for Idle, when it is so.
+func (l *Loop) tellIdle() {
+	if len(l.idle) == 0 || l.core.Detached() > 0 {
+		return
+	}
+	for _, c := range l.idle {
+		close(c)
+	}
+	l.idle = nil
+}
+
+// renew answers all that was before the module and puts a new core in the old one's place. What was may have run, so
+// it has failed and is not refused. What only waits goes on waiting.
+func (l *Loop) renew() error {
+	core, known, keeps, err := l.core.Renew(l.clock.Now())
+	if err != nil {
+		return fmt.Errorf("loop: %w", err)
+	}
+	for job, t := range l.tickets {
+		if !keeps(job) {
+			t.settle(Answer{})
+			delete(l.tickets, job)
+		}
+	}
+	for _, out := range l.out {
+		out.cancel()
+	}
+	maps.DeleteFunc(l.parked, func(job uint64, _ *parked) bool { return !keeps(job) })
+	if l.watch != nil {
+		l.watch()
+		l.watch = nil
+	}
+	clear(l.out)
+	for _, told := range l.asks { // the askers may ask again
+		told <- dispatch.Told{Status: waiting.StatusFull}
+	}
+	clear(l.asks)
+	clear(l.hands) // their callers give up by their own deadlines
+	l.core, l.renewed = core, []dispatch.Message{known}
+	l.moved = l.moved || !l.set.Policy.Ask
+	return nil
+}
--- /dev/null
+++ b/internal/rig/dispatchers.go
@@ -0,0 +1,102 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"time"
+)
+
+// node is one dispatcher: its process and its links.
+type node struct {
+	number int
+	listen string
+	proc   *Process
+	client *Link
+	disc   [2]*Link // discovery, and another way to it that a reload moves to
+	hosts  []*Link
+	moved  bool // to the other discovery
+}
+
+// add makes dispatcher i with its links, and starts it.
+func (r *rig) add(i int) (err error) {
+	n := &node{number: i}
+	if n.listen, err = freePort(ip(i, 1)); err != nil {
+		return err
+	}
+	own := r.seed<<16 + uint64(i)<<8
+	link := func(part int, to, source string) *Link {
+		if err != nil {
+			return nil
+		}
+		var l *Link
+		l, err = NewLink(ip(i, part)+":0", to, source, own+uint64(part))
+		return l
+	}
+	for h, host := range r.fleet.Hosts {
+		n.hosts = append(n.hosts, link(10+h, host.Addr, ip(i, 1)))
+	}
+	n.client = link(2, n.listen, "")
+	if err == nil {
+		var view string
+		if view, err = r.fleet.View(func(h int) string { return n.hosts[h].Addr }); err == nil {
+			n.disc = [2]*Link{link(3, view, ""), link(4, view, "")}
+		}
+	}
+	n.proc = &Process{keeper: r.keeper, make: func(life int) (*exec.Cmd, error) { return r.command(n, life) }}
+	r.nodes = append(r.nodes, n) // so that what there is of it is closed
+	if err != nil {
+		return err
+	}
+	r.source[ip(i, 1)] = i
+	weight := 1.0
+	if i == 0 && r.sc.Uneven > 0 {
+		weight = r.sc.Uneven
+	}
+	r.front.members = append(r.front.members, &member{proc: n.proc, link: n.client, room: i % r.sc.Rooms, weight: weight})
+	return n.proc.Start()
+}
+
+// command is that of one life of a dispatcher, with its configuration written.
+func (r *rig) command(n *node, life int) (*exec.Cmd, error) {
+	dir := filepath.Join(r.dir, fmt.Sprint("n", n.number))
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	if err := r.configure(n, life); err != nil {
+		return nil, err
+	}
+	args := []string{"serve", "--config", filepath.Join(dir, "config.json")}
+	site := r.opt.Site
+	if site == "" {
+		var err error
+		if site, err = r.site(n); err != nil {
+			return nil, err
+		}
+	}
+	if site != "" {
+		args = append(args, "--site", site)
+	}
+	c := exec.Command(r.program, args...)
+	c.Env = append(os.Environ(), "TMPDIR="+dir, "NODE_CONFIG=", "NODE_OPS=", "NODE_INHERITED_FD=")
+	return c, nil
+}
+
+// awaitUp waits until the front has taken every dispatcher in.
+func (r *rig) awaitUp(ctx context.Context) error {
+	until := time.Now().Add(upWithin)
+	for _, m := range r.front.members {
+		for !m.taken() {
+			if time.Now().After(until) || !sleep(ctx, 20*time.Millisecond) {
+				var said []string
+				for _, n := range r.nodes {
+					said = append(said, n.proc.log.lines("level=ERROR", "panic", "gaugeslip: ")...)
+				}
+				return fmt.Errorf("rig: not every dispatcher is up: %q", said)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/waiting/finish.go
@@ -0,0 +1,119 @@
+package waiting
+
+import (
+	"time"
+)
+
+// finish gives a job its one final state. With answer the program is told; else it has heard from elsewhere.
+func (r *Room) finish(now time.Duration, i uint32, s State, status int, why string, answer bool) {
+	e := r.all.at(i)
+	if e.state.Final() {
+		return
+	}
+	r.pace.out -= int(e.out) // what is still out of it is not heard of any more
+	r.leave(now, i, s)
+	r.note(now, e, Record{Kind: Over, State: s, Status: status, Result: e.result})
+	for _, q := range []*queue{&r.timers, &r.ready, &r.again, &r.ends} {
+		q.remove(i)
+	}
+	if !e.is(fresh) {
+		r.held--
+		r.bodies -= int64(e.bytes)
+		if e.client.jobs--; e.client.jobs == 0 {
+			delete(r.shares, e.client.name)
+		}
+		if r.freedAt > 0 {
+			r.freeGap += (min(now-r.freedAt, time.Minute) - r.freeGap) / 8
+		}
+		r.freedAt, r.advised = now, max(0, r.advised-1)
+		switch s {
+		case Served:
+			r.stats.Served++
+		case Refused:
+			r.stats.Refused++
+		case Failed:
+			r.stats.Failed++
+		case Cancelled:
+			r.stats.Cancelled++
+		}
+	}
+	delete(r.open, e.number)
+	e.state, e.status, e.client, e.bytes = s, uint16(status), nil, 0
+	e.sent = max(e.sent, e.ready)
+	if answer {
+		r.do(Action{Kind: Answer, Job: Job{Number: e.number}, Status: status, Why: why})
+	}
+	for _, a := range r.askers[i] {
+		delete(r.asks, a)
+		r.do(Action{Kind: Tell, Ask: a, Status: StatusServed, Info: r.info(now, i)})
+	}
+	delete(r.askers, i)
+	if e.edges != 0 {
+		r.ended = append(r.ended, i)
+	}
+	if !e.is(indexed) {
+		r.drop(i)
+		return
+	}
+	e.entered = now // from here on: when it ended
+	if r.newest != 0 {
+		r.all.at(r.newest).next = i
+	} else {
+		r.oldest = i
+	}
+	r.newest, e.next = i, 0
+	r.stats.Kept++
+	if r.shedAt == 0 {
+		r.shedAt = i
+	}
+	r.shed()
+}
+
+// keep stores a result, for which others may have to go.
+func (r *Room) keep(e *entry, result []byte) {
+	if e.is(fresh) {
+		return // its client had it on its connection
+	}
+	e.result = string(result)
+	r.results += int64(len(result))
+}
+
+// shed lets the oldest results go where bodies and results are more than they may be. Their jobs stay known.
+func (r *Room) shed() {
+	for r.bodies+r.results > r.lim.MaxBytes && r.shedAt != 0 {
+		e := r.all.at(r.shedAt)
+		if len(e.result) > 0 {
+			r.results -= int64(len(e.result))
+			e.result = ""
+			e.flags |= shed
+			r.stats.ResultsShed++
+		}
+		r.shedAt = e.next
+	}
+}
+
+// forget lets final jobs go: when their time is over, or the oldest where there are too many.
+func (r *Room) forget(now time.Duration, work *int) {
+	for ; *work > 0 && r.oldest != 0; *work-- {
+		i := r.oldest
+		e := r.all.at(i)
+		old := now-e.entered >= r.lim.Retention
+		if !old && r.stats.Kept <= r.lim.MaxKept || e.edges != 0 { // dependants hear of it first
+			return
+		}
+		if !old {
+			r.stats.ForgottenEarly++
+		}
+		r.oldest = e.next
+		if r.newest == i {
+			r.newest = 0
+		}
+		if r.shedAt == i {
+			r.shedAt = e.next
+		}
+		r.results -= int64(len(e.result))
+		r.stats.Kept--
+		delete(r.names, e.name)
+		r.drop(i)
+	}
+}
--- /dev/null
+++ b/internal/waiting/tick.go
@@ -0,0 +1,128 @@
+package waiting
+
+import (
+	"time"
+)
+
+// makeReady: all that the job waited for has come.
+func (r *Room) makeReady(now time.Duration, i uint32) {
+	e := r.all.at(i)
+	e.state, e.ready = Ready, now
+	r.note(now, e, Record{Kind: IsReady})
+	r.ready.push(i, now+e.due())
+	r.arm(i)
+	r.pace.stale = true
+}
+
+// arm sets when a job that is ready, or in its turn and not sent, must be answered.
+func (r *Room) arm(i uint32) {
+	e := r.all.at(i)
+	at := e.ready + longWait*e.due()
+	if e.deadline > 0 && e.is(attached) {
+		at = min(at, e.deadline-lastCall)
+	}
+	r.ends.remove(i)
+	r.ends.push(i, at)
+}
+
+// Tick lets time pass: what has come due happens, and jobs whose turn it is are released. It touches a bounded number
+// of entries; Wake tells when to call it again.
+func (r *Room) Tick(now time.Duration) {
+	work := tickWork
+	r.forget(now, &work)
+	for ; work > 0; work-- {
+		i, ok := r.ends.due(now)
+		if !ok {
+			break
+		}
+		r.tooLate(now, i)
+	}
+	for ; work > 0; work-- {
+		i, ok := r.timers.due(now)
+		if !ok {
+			break
+		}
+		r.timers.remove(i)
+		if r.all.at(i).preds == 0 {
+			r.makeReady(now, i)
+		}
+	}
+	for ; work > 0; work-- {
+		i, ok := r.again.due(now)
+		if !ok {
+			break
+		}
+		r.again.remove(i)
+		r.ready.push(i, r.all.at(i).ready+r.all.at(i).due())
+	}
+	r.tell(now, &work)
+	r.overdueAsks(now)
+	r.more = work <= 0
+	r.release(now)
+}
+
+// tooLate answers a job that has waited for as long as it may.
+func (r *Room) tooLate(now time.Duration, i uint32) {
+	e := r.all.at(i)
+	if e.state == Released {
+		r.do(Action{Kind: Withdraw, Job: Job{Number: e.number}})
+	}
+	if e.is(maybe) && !r.repeatable(e) {
+		r.finish(now, i, Failed, StatusFailed, "failed", true)
+		return
+	}
+	r.finish(now, i, Refused, StatusRefused, "no room came in the time that it could wait", true)
+}
+
+func (r *Room) repeatable(e *entry) bool {
+	return int(e.class) < len(r.fleet.Classes) && r.fleet.Classes[e.class].Repeatable
+}
+
+// tell lets the dependants of ended jobs know. It is a list of work and no recursion: a chain of any length takes no
+// stack, and a job on which many wait no long Tick.
+func (r *Room) tell(now time.Duration, work *int) {
+	for *work > 0 && len(r.ended) > 0 {
+		p := r.ended[len(r.ended)-1]
+		x := r.all.at(p).edges
+		*work--
+		g := *r.edges.at(x)
+		if r.all.at(p).edges = g.next; g.next == 0 { // off the list at once: its entry may soon hold another job
+			r.ended = r.ended[:len(r.ended)-1]
+		}
+		*r.edges.at(x) = edge{next: r.spare}
+		r.spare = x
+		e := r.all.at(g.of)
+		if e.number != g.number || e.state != Waiting {
+			continue // it has ended meanwhile
+		}
+		if r.all.at(p).state != Served && !r.lim.RunOnFailure {
+			r.finish(now, g.of, Failed, StatusDependency, "a job that it waited for was not served", true)
+			continue
+		}
+		if e.preds--; e.preds == 0 && !r.timers.holds(g.of) {
+			r.makeReady(now, g.of)
+		}
+	}
+}
+
+// Wake tells when the next Tick is due though nothing happens.
+func (r *Room) Wake(now time.Duration) (at time.Duration, ok bool) {
+	if r.more || len(r.ended) > 0 {
+		return now, true
+	}
+	sooner := func(t time.Duration, there bool) {
+		if there && (!ok || t < at) {
+			at, ok = t, true
+		}
+	}
+	sooner(r.timers.next())
+	sooner(r.again.next())
+	sooner(r.ends.next())
+	if r.oldest != 0 {
+		sooner(r.all.at(r.oldest).entered+r.lim.Retention, true)
+		sooner(now, r.stats.Kept > r.lim.MaxKept)
+	}
+	sooner(r.asksAt, len(r.asks) > 0)
+	sooner(r.nextTurn(now))
+	return at, ok
+}
