Run the whole system on loopback: gaugelab system run and scale

A local cluster with one command: real replicas and dispatchers on addresses of their own, hollow workers and the platform's list, an operator and clients, troubles by flag or scenario file, a line a second and a report that says what was lost or ran twice and what each role costs. The scale run plays growing numbers of workers, with one dispatcher for each ten, most of them in one process, and measures each role under a steady load.

Tests: go test -race ./internal/system/localcluster ./cmd/gaugelab -run . (settings files are read back by the programs' reader, /proc's parser, ledger and report, drafts against what is handed in, scenario files, and a cluster of real processes that survives its head).

--- a/cmd/gaugelab/main.go
+++ b/cmd/gaugelab/main.go
@@ -35,7 +35,7 @@
 	root := &cobra.Command{Use: "gaugelab", Short: "Try gaugeslip on models", SilenceErrors: true, SilenceUsage: true}
 	root.SetFlagErrorFunc(func(_ *cobra.Command, err error) error { return usageError{err} })
 	root.AddCommand(runCommand(), compareCommand(), replayCommand(), plotCommand(), demoCommand(), emulateCommand(), loadCommand(),
-		watchCommand(), scaleCommand(), harmCommand(), processesCommand(), budgetsCommand(), planCommand())
+		watchCommand(), scaleCommand(), harmCommand(), processesCommand(), budgetsCommand(), planCommand(), systemCommand())
 	root.SetArgs(args)
 	root.SetOut(stdout)
 	root.SetErr(stderr)
--- /dev/null
+++ b/cmd/gaugelab/system.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gaugeslip/internal/system/localcluster"
+)
+
+// systemCommand runs the whole cluster scheduler on this machine's loopback.
+func systemCommand() *cobra.Command {
+	c := &cobra.Command{Use: "system", Short: "Run the whole cluster scheduler on loopback: real processes, hollow workers, clients, troubles",
+		RunE: func(*cobra.Command, []string) error {
+			return usageError{errors.New("system: run or scale is wanted")}
+		}}
+	c.AddCommand(systemRun(), systemScale(), systemProcess())
+	return c
+}
+
+var errUnsound = errors.New("system: jobs were lost, rules broken or processes ended by themselves; the report tells")
+
+// systemFlags are what run and scale have in common.
+type systemFlags struct {
+	options localcluster.Options
+	asJSON  bool
+}
+
+func (f *systemFlags) common(c *cobra.Command) {
+	flags := c.Flags()
+	flags.IntVar(&f.options.Replicas, "replicas", 3, "control plane processes")
+	flags.IntVar(&f.options.Dispatchers, "dispatchers", 3, "data plane processes")
+	flags.Uint64Var(&f.options.Seed, "seed", 0, "seed of jobs and their times; 0: drawn, and printed")
+	flags.DurationVar(&f.options.Patience, "patience", 20*time.Second, "how long the end waits for jobs that aren't over")
+	flags.StringVar(&f.options.ConfigurationFile, "configuration", "", "the operator's configuration (JSON); a built-in one where it is empty")
+	flags.StringVar(&f.options.Programs, "programs", "", "folder of the programs controlplane and dataplane; built from this module where it is empty")
+	flags.StringVar(&f.options.Folder, "folder", "", "folder for settings, disks and logs; a temporary one, removed at the end, where it is empty")
+	flags.StringVar(&f.options.Profiles, "profiles", "", "folder for processor and heap profiles of the replicas; none where it is empty")
+	flags.Float64Var(&f.options.ReplicaMemoryMb, "replica-memory", 0, "megabytes that replicas are told they have; 0: those of a core machine")
+	flags.BoolVar(&f.asJSON, "json", false, "print the report as JSON")
+}
+
+// prepare draws a seed, finds this program and builds the others; the caller has to clean up.
+func (f *systemFlags) prepare(cmd *cobra.Command) (cleanUp func(), err error) {
+	cleanUp = func() {}
+	if f.options.Seed == 0 {
+		f.options.Seed = uint64(time.Now().UnixNano())
+	}
+	fmt.Fprintf(cmd.ErrOrStderr(), "seed %d\n", f.options.Seed)
+	if f.options.Self, err = os.Executable(); err != nil {
+		return cleanUp, err
+	}
+	if f.options.Profiles != "" {
+		if err := os.MkdirAll(f.options.Profiles, 0o755); err != nil {
+			return cleanUp, err
+		}
+	}
+	if f.options.Programs != "" {
+		return cleanUp, nil
+	}
+	folder, err := os.MkdirTemp("", "gaugeslip-programs-")
+	if err != nil {
+		return cleanUp, err
+	}
+	cleanUp = func() { _ = os.RemoveAll(folder) }
+	f.options.Programs = folder
+	return cleanUp, localcluster.Build(cmd.Context(), folder)
+}
+
+func systemRun() *cobra.Command {
+	var f systemFlags
+	var troubles []string
+	var scenario string
+	c := &cobra.Command{Use: "run", Short: "Run a local cluster with clients and troubles, and check that nothing is lost and nothing runs twice",
+		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+			if err := readTroubles(&f, troubles, scenario); err != nil {
+				return usageError{err}
+			}
+			cleanUp, err := f.prepare(cmd)
+			defer cleanUp()
+			if err != nil {
+				return err
+			}
+			f.options.Table = cmd.ErrOrStderr()
+			report, err := localcluster.Run(cmd.Context(), f.options)
+			if err != nil {
+				return fmt.Errorf("system run: %w", err)
+			}
+			return printReport(cmd, report, f.asJSON)
+		}}
+	f.common(c)
+	c.Flags().IntVar(&f.options.Workers, "workers", 12, "hollow workers")
+	c.Flags().Float64Var(&f.options.Rate, "rate", 5, "jobs a second")
+	c.Flags().DurationVar(&f.options.For, "for", 15*time.Second, "how long clients hand jobs in")
+	c.Flags().StringArrayVar(&troubles, "trouble", nil, `a trouble, "KIND TARGET AT [FOR]", such as "kill head 5s 3s", "freeze replica:1 4s", `+
+		`"restart dispatchers 6s 1s", "wipe tail 5s", "kill worker:3 5s" or "reconfigure 4s"; may be given again`)
+	c.Flags().StringVar(&scenario, "scenario", "", "a scenario file (HCL), such as scenarios/localcluster/kill-head.hcl")
+	return c
+}
+
+func readTroubles(f *systemFlags, troubles []string, scenario string) error {
+	if scenario != "" {
+		read, err := localcluster.LoadScenario(scenario)
+		if err != nil {
+			return err
+		}
+		read.Apply(&f.options)
+	}
+	for _, text := range troubles {
+		trouble, err := localcluster.ParseTrouble(text)
+		if err != nil {
+			return err
+		}
+		f.options.Troubles = append(f.options.Troubles, trouble)
+	}
+	return nil
+}
+
+func printReport(cmd *cobra.Command, report *localcluster.Report, asJSON bool) error {
+	show := report.Print
+	if asJSON {
+		show = report.JSON
+	}
+	if err := show(cmd.OutOrStdout()); err != nil {
+		return err
+	}
+	if !report.Sound() {
+		return errUnsound
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/gaugelab/system_process.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"runtime/pprof"
+
+	"github.com/charmbracelet/log"
+	"github.com/spf13/cobra"
+
+	"gaugeslip/internal/system/control"
+	"gaugeslip/internal/system/dataplane"
+	"gaugeslip/internal/system/nodesettings"
+)
+
+const (
+	// collectorPercent and memoryShare are as in the programs themselves.
+	collectorPercent = 200
+	memoryShare      = 0.6
+	megabyte         = 1 << 20
+)
+
+// systemProcess runs the parts of the two programs in this one: a replica with its profiles, or many dispatchers.
+func systemProcess() *cobra.Command {
+	var profile string
+	c := &cobra.Command{Use: "process controlplane|dataplane SETTINGS...", Short: "Run a replica, or many dispatchers in one process, for scale runs",
+		Hidden: true, Args: cobra.MinimumNArgs(2), RunE: func(cmd *cobra.Command, args []string) error {
+			logger := log.NewWithOptions(cmd.ErrOrStderr(), log.Options{ReportTimestamp: true})
+			debug.SetGCPercent(collectorPercent)
+			switch args[0] {
+			case string(nodesettings.RoleControlPlane):
+				return profiledReplica(cmd, args[1], profile, logger)
+			case string(nodesettings.RoleDataPlane):
+				return manyDispatchers(cmd, args[1:], logger)
+			}
+			return usageError{fmt.Errorf("system process: %q is neither controlplane nor dataplane", args[0])}
+		}}
+	c.Flags().StringVar(&profile, "profile", "", "prefix of the files for the processor and heap profiles")
+	return c
+}
+
+// manyDispatchers runs a dispatcher by each settings file until it is told to end.
+func manyDispatchers(cmd *cobra.Command, files []string, logger *log.Logger) error {
+	logger.SetLevel(log.WarnLevel)
+	for _, file := range files {
+		if _, err := dataplane.Start(file, logger, dataplane.Options{}); err != nil {
+			return fmt.Errorf("system process: %s: %w", file, err)
+		}
+	}
+	<-cmd.Context().Done()
+	return nil // all of them end with the process
+}
+
+// profiledReplica runs one replica until it is told to end, and then writes what it spent its time and memory on.
+func profiledReplica(cmd *cobra.Command, file, prefix string, logger *log.Logger) error {
+	settings, err := nodesettings.Load(file)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(settings.Limits.MemoryMb * memoryShare * megabyte))
+	processor, err := os.Create(prefix + ".cpu")
+	if err != nil {
+		return err
+	}
+	defer processor.Close()
+	node, err := control.Start(control.Options{Settings: settings, Logger: logger})
+	if err != nil {
+		return err
+	}
+	if err := pprof.StartCPUProfile(processor); err != nil {
+		return err
+	}
+	select {
+	case <-cmd.Context().Done():
+	case err = <-node.Failed():
+	}
+	pprof.StopCPUProfile()
+	if err != nil {
+		return err
+	}
+	return writeHeap(prefix + ".heap")
+}
+
+func writeHeap(path string) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	defer file.Close()
+	runtime.GC()
+	return pprof.WriteHeapProfile(file)
+}
--- /dev/null
+++ b/cmd/gaugelab/system_scale.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"gaugeslip/internal/system/localcluster"
+)
+
+func systemScale() *cobra.Command {
+	var f systemFlags
+	var sizes, out string
+	var window time.Duration
+	c := &cobra.Command{Use: "scale", Short: "Run clusters of growing size, and tell what each role costs",
+		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
+			counts, err := workerCounts(sizes)
+			if err != nil {
+				return err
+			}
+			cleanUp, err := f.prepare(cmd)
+			defer cleanUp()
+			if err != nil {
+				return err
+			}
+			f.options.Table = cmd.ErrOrStderr()
+			return playSizes(cmd, localcluster.ScaleOptions{Options: f.options, Window: window}, counts, out, f.asJSON)
+		}}
+	f.common(c)
+	c.Flags().StringVar(&sizes, "workers", "30,100,300,1000,2300", "numbers of hollow workers; one dispatcher for each ten, most of them in one process")
+	c.Flags().DurationVar(&window, "window", 15*time.Second, "how long the steady load of each size is measured")
+	c.Flags().StringVar(&out, "out", "", "file for the reports as JSON, written anew after each size")
+	return c
+}
+
+func workerCounts(text string) ([]int, error) {
+	var counts []int
+	for _, part := range strings.Split(text, ",") {
+		count, err := strconv.Atoi(strings.TrimSpace(part))
+		if err != nil || count < 1 {
+			return nil, usageError{fmt.Errorf("system scale: --workers: %q is no number of workers", part)}
+		}
+		counts = append(counts, count)
+	}
+	return counts, nil
+}
+
+// playSizes plays one size after the other; what is measured is kept also when a later size fails.
+func playSizes(cmd *cobra.Command, options localcluster.ScaleOptions, counts []int, out string, asJSON bool) error {
+	var reports []*localcluster.SizeReport
+	for _, count := range counts {
+		fmt.Fprintf(cmd.ErrOrStderr(), "%d workers\n", count)
+		options.Workers = count
+		report, err := localcluster.RunSize(cmd.Context(), options)
+		if err != nil {
+			_ = localcluster.PrintSizes(cmd.OutOrStdout(), reports)
+			return fmt.Errorf("system scale: %d workers: %w", count, err)
+		}
+		reports = append(reports, report)
+		if err := saveSizes(out, reports); err != nil {
+			return err
+		}
+	}
+	if asJSON {
+		return json.NewEncoder(cmd.OutOrStdout()).Encode(reports)
+	}
+	return localcluster.PrintSizes(cmd.OutOrStdout(), reports)
+}
+
+func saveSizes(path string, reports []*localcluster.SizeReport) error {
+	if path == "" {
+		return nil
+	}
+	content, err := json.MarshalIndent(reports, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, content, 0o644)
+}
--- /dev/null
+++ b/internal/system/localcluster/clients.go
@@ -0,0 +1,182 @@
+package localcluster
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"gaugeslip/internal/system/hollow"
+)
+
+const (
+	mostTries       = 8
+	clientTimeout   = 3500 * time.Millisecond
+	firstRetryPause = 100 * time.Millisecond
+	readyPause      = 100 * time.Millisecond
+	statusPause     = 150 * time.Millisecond
+	longestStatus   = time.Second
+	idlePerHost     = 64
+)
+
+// clients hand jobs in at dispatchers and ask for their state until they are over.
+type clients struct {
+	addresses []string // frontends
+	client    *http.Client
+	ledger    *ledger
+	world     *hollow.World
+	group     sync.WaitGroup
+}
+
+func newClients(addresses []string, ledger *ledger, world *hollow.World) *clients {
+	return &clients{addresses: addresses, ledger: ledger, world: world,
+		client: &http.Client{Timeout: clientTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: idlePerHost}}}
+}
+
+// submit hands a job in on a goroutine of its own, which then follows it until it is over or the context ends.
+func (c *clients) submit(ctx context.Context, drawn *draft, kind jobKind) {
+	c.ledger.open(drawn.id, kind)
+	c.world.AddJob(drawn.job)
+	c.group.Go(func() {
+		if c.handIn(ctx, drawn) && kind != kindResident {
+			c.follow(ctx, drawn)
+		}
+	})
+}
+
+// handIn tries until there is a clear answer, and tells whether the job was taken.
+func (c *clients) handIn(ctx context.Context, drawn *draft) bool {
+	inDoubt := false
+	pause := firstRetryPause
+	for range mostTries {
+		c.ledger.tried(drawn.id)
+		status, _, err := c.call(ctx, http.MethodPost, drawn)
+		switch {
+		case err == nil && status == http.StatusOK:
+			c.ledger.settle(drawn.id, verdictAccepted)
+			return true
+		case err != nil || status == http.StatusBadGateway || status == http.StatusGatewayTimeout:
+			inDoubt = true
+		}
+		if !pauseFor(ctx, pause) {
+			break
+		}
+		pause *= 2
+	}
+	if !inDoubt {
+		c.ledger.settle(drawn.id, verdictRefused)
+		c.world.CancelJob(drawn.id) // from now on a start of it is a finding
+	}
+	return false
+}
+
+// follow asks for the job's state until it is over.
+func (c *clients) follow(ctx context.Context, drawn *draft) {
+	pause := max(statusPause, drawn.work)
+	for pauseFor(ctx, pause) {
+		pause = min(max(pause/4, statusPause)*2, longestStatus)
+		status, body, err := c.call(ctx, http.MethodGet, drawn)
+		if err != nil {
+			continue
+		}
+		if status == http.StatusGone {
+			c.ledger.settle(drawn.id, verdictGone)
+			return
+		}
+		if told := stateOf(body); told != verdictOpen {
+			c.ledger.settle(drawn.id, told)
+			return
+		}
+	}
+}
+
+// stateOf reads the answer to a question for a job's state.
+func stateOf(body []byte) verdict {
+	var answer struct {
+		State string `json:"state"`
+	}
+	if json.Unmarshal(body, &answer) != nil {
+		return verdictOpen
+	}
+	switch answer.State {
+	case "completed":
+		return verdictDone
+	case "failed", "cancelled":
+		return verdictFailed
+	}
+	return verdictOpen
+}
+
+// call asks a dispatcher that is drawn by lot.
+func (c *clients) call(ctx context.Context, method string, drawn *draft) (int, []byte, error) {
+	address := c.addresses[rand.IntN(len(c.addresses))]
+	var content io.Reader
+	if method == http.MethodPost {
+		content = bytes.NewReader(drawn.body)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+drawn.route.PathPrefix+drawn.id, content)
+	if err != nil {
+		return 0, nil, err
+	}
+	request.Host = drawn.route.Host
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.client.Do(request)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, body, err
+}
+
+// readyAll waits until every dispatcher answers for a queue, so that its configuration is in force there.
+func (c *clients) readyAll(ctx context.Context, host, prefix string) error {
+	failures := make([]error, len(c.addresses))
+	var group sync.WaitGroup
+	for i, address := range c.addresses {
+		group.Go(func() { failures[i] = c.ready(ctx, address, host, prefix) })
+	}
+	group.Wait()
+	return firstOf(failures...)
+}
+
+func (c *clients) ready(ctx context.Context, address, host, prefix string) error {
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+prefix, nil)
+		if err != nil {
+			return err
+		}
+		request.Host = host
+		if response, err := c.client.Do(request); err == nil {
+			_ = response.Body.Close()
+			if response.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		if !pauseFor(ctx, readyPause) {
+			return ctx.Err()
+		}
+	}
+}
+
+// wait returns once no client is at work any more; nothing may be submitted after that.
+func (c *clients) wait() {
+	c.group.Wait()
+	c.client.CloseIdleConnections()
+}
+
+// pauseFor waits; false when the context has ended.
+func pauseFor(ctx context.Context, span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/system/localcluster/disk.go
@@ -0,0 +1,95 @@
+package localcluster
+
+import (
+	"fmt"
+	"io/fs"
+	"path/filepath"
+
+	"gaugeslip/coord/replica"
+	"gaugeslip/coord/wal"
+	"gaugeslip/internal/system/state"
+)
+
+// DiskState is what the disk of a replica holds, once the replica has ended.
+type DiskState struct {
+	LogBytes      int64 `json:"log_bytes"`
+	Entries       int   `json:"log_entries"`    // behind the snapshot
+	SnapshotBytes int   `json:"snapshot_bytes"` // of the whole state, made anew
+	Jobs          int   `json:"jobs"`
+	Workers       int   `json:"workers"`
+	Runs          int   `json:"runs"` // that may exist
+}
+
+// logName is the name under which a replica keeps its log.
+const logName = "replica"
+
+// readDisk applies everything that a replica's log holds. The replica must not run.
+func readDisk(folder string) (DiskState, error) {
+	size, err := folderBytes(folder)
+	if err != nil {
+		return DiskState{}, fmt.Errorf("disk: %w", err)
+	}
+	disk, err := wal.OSDisk(folder)
+	if err != nil {
+		return DiskState{}, fmt.Errorf("disk: %w", err)
+	}
+	log, records, err := wal.Open(disk, logName)
+	if err != nil {
+		return DiskState{}, fmt.Errorf("disk: %w", err)
+	}
+	defer log.Close()
+	machine, entries, err := replay(records)
+	if err != nil {
+		return DiskState{}, fmt.Errorf("disk: %w", err)
+	}
+	held := DiskState{LogBytes: size, Entries: entries, SnapshotBytes: len(machine.Snapshot()), Jobs: len(machine.Jobs()),
+		Workers: len(machine.Workers())}
+	for _, worker := range machine.Workers() {
+		held.Runs += len(worker.Runs)
+	}
+	return held, nil
+}
+
+func folderBytes(folder string) (total int64, err error) {
+	err = filepath.WalkDir(folder, func(_ string, item fs.DirEntry, err error) error {
+		if err != nil || item.IsDir() {
+			return err
+		}
+		info, err := item.Info()
+		if err == nil {
+			total += info.Size()
+		}
+		return err
+	})
+	return total, err
+}
+
+// replay makes the state from a log's records.
+func replay(records []wal.Record) (*state.Machine, int, error) {
+	converted := make([]replica.Record, len(records))
+	for i, record := range records {
+		converted[i] = replica.Record{Kind: record.Kind, Data: record.Data}
+	}
+	persisted, err := replica.Restore(converted)
+	if err != nil {
+		return nil, 0, err
+	}
+	machine := state.New()
+	if persisted.Snapshot != nil {
+		if err := machine.Restore(persisted.Snapshot.Data); err != nil {
+			return nil, 0, err
+		}
+	}
+	entries := 0
+	for next := persisted.Log.Base(); next < persisted.Log.Last(); {
+		slice, _ := persisted.Log.Slice(next+1, megabyte)
+		for _, entry := range slice {
+			next = entry.Index
+			entries++
+			if len(entry.Data) > 0 {
+				machine.ApplyBytes(entry.Data)
+			}
+		}
+	}
+	return machine, entries, nil
+}
--- /dev/null
+++ b/internal/system/localcluster/fleet.go
@@ -0,0 +1,185 @@
+package localcluster
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync/atomic"
+
+	"gaugeslip/internal/system/hollow"
+)
+
+// The workers' sizes: each has as many GPUs as the design's larger machines, so that every kind of job finds room.
+const (
+	workerCPU      = 16_000
+	workerMemoryMB = 65_536
+	workerGPUs     = 8
+	workersARack   = 6
+	workerSlots    = 8
+)
+
+// Traffic counts what goes over the connections of a number of listeners.
+type Traffic struct {
+	Connections    atomic.Int64
+	Received, Sent atomic.Int64 // bytes
+	Calls          atomic.Int64
+}
+
+// TrafficCount is a look at a Traffic.
+type TrafficCount struct {
+	Connections, Received, Sent, Calls int64
+}
+
+func (t *Traffic) count() TrafficCount {
+	return TrafficCount{t.Connections.Load(), t.Received.Load(), t.Sent.Load(), t.Calls.Load()}
+}
+
+func (t TrafficCount) since(earlier TrafficCount) TrafficCount {
+	return TrafficCount{t.Connections - earlier.Connections, t.Received - earlier.Received, t.Sent - earlier.Sent, t.Calls - earlier.Calls}
+}
+
+// countingListener counts the connections that it accepts and their bytes.
+type countingListener struct {
+	net.Listener
+	traffic *Traffic
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.traffic.Connections.Add(1)
+	return countingConn{accepted, l.traffic}, nil
+}
+
+type countingConn struct {
+	net.Conn
+	traffic *Traffic
+}
+
+func (c countingConn) Read(buffer []byte) (int, error) {
+	count, err := c.Conn.Read(buffer)
+	c.traffic.Received.Add(int64(count))
+	return count, err
+}
+
+func (c countingConn) Write(data []byte) (int, error) {
+	count, err := c.Conn.Write(data)
+	c.traffic.Sent.Add(int64(count))
+	return count, err
+}
+
+// fleet is the workers and the platform's list of them.
+type fleet struct {
+	world    *hollow.World
+	workers  []*hollow.Worker
+	servers  []*http.Server
+	platform string // its address
+	traffic  Traffic
+	listing  Traffic
+}
+
+// newFleet opens workers for the services in turn, and the platform's list.
+func newFleet(rules hollow.Settings, count int, services []string, guarded func(service string) bool, started func(job string)) (*fleet, error) {
+	f := &fleet{world: hollow.NewWorld(rules, hollow.NewSteadyClock())}
+	for i := range count {
+		service := services[i%len(services)]
+		worker := f.world.NewWorker(hollow.WorkerSettings{
+			Backend:     service,
+			Zone:        zoneOf(i),
+			Version:     "v1",
+			Capacity:    workerSlots,
+			Allocatable: hollow.Resources{CPU: workerCPU, MemoryMB: workerMemoryMB, GPUs: workerGPUs},
+			Guarded:     guarded(service),
+			Kind:        "a",
+			Rack:        fmt.Sprintf("r%d", i/workersARack),
+		})
+		address, err := f.serve(&observer{worker: worker, started: started}, &f.traffic)
+		if err != nil {
+			f.close()
+			return nil, fmt.Errorf("worker %d: %w", i, err)
+		}
+		worker.SetAddress(address)
+		f.workers = append(f.workers, worker)
+	}
+	list := f.world.NewPlatform(hollow.PlatformSettings{Lag: platformLag, RatePerS: platformRatePerS, PageSize: platformPageSize})
+	address, err := f.serve(list, &f.listing)
+	if err != nil {
+		f.close()
+		return nil, fmt.Errorf("platform: %w", err)
+	}
+	f.platform = address
+	return f, nil
+}
+
+func (f *fleet) serve(handler http.Handler, traffic *Traffic) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{ErrorLog: log.New(io.Discard, "", 0), Handler: http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		traffic.Calls.Add(1)
+		handler.ServeHTTP(writer, request)
+	})}
+	f.servers = append(f.servers, server)
+	go func() { _ = server.Serve(countingListener{listener, traffic}) }() // it ends at Close
+	return listener.Addr().String(), nil
+}
+
+// close ends all listeners and connections.
+func (f *fleet) close() {
+	f.world.Close()
+	for _, server := range f.servers {
+		_ = server.Close()
+	}
+}
+
+// observer tells of the starts that a worker took.
+type observer struct {
+	worker  *hollow.Worker
+	started func(job string)
+}
+
+const startPath = "/run-start"
+
+func (o *observer) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.URL.Path != startPath {
+		o.worker.ServeHTTP(writer, request)
+		return
+	}
+	body, err := io.ReadAll(request.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	request.Body = io.NopCloser(bytes.NewReader(body))
+	status := &statusWriter{ResponseWriter: writer}
+	o.worker.ServeHTTP(status, request)
+	if status.status == http.StatusOK {
+		o.started(jobOfStart(body))
+	}
+}
+
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// jobOfStart finds the job in the body of a start; empty where there is none.
+func jobOfStart(body []byte) string {
+	const key = `"task":"`
+	_, rest, found := bytes.Cut(body, []byte(key))
+	if !found {
+		return ""
+	}
+	job, _, _ := bytes.Cut(rest, []byte("."))
+	return string(job)
+}
--- /dev/null
+++ b/internal/system/localcluster/nodefile.go
@@ -0,0 +1,190 @@
+package localcluster
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"gaugeslip/internal/system/hollow"
+)
+
+// nodeFile is the settings file of one process. Its keys are those of nodesettings.Settings.
+type nodeFile struct {
+	NodeName            string            `toml:"nodeName"`
+	Role                string            `toml:"role"`
+	MachineClass        string            `toml:"machineClass"`
+	Serves              []string          `toml:"serves"`
+	IP                  string            `toml:"ip"`
+	Zone                string            `toml:"zone"`
+	Region              string            `toml:"region"`
+	EphemeralPorts      []int             `toml:"ephemeralPorts"`
+	SeedNodes           []string          `toml:"seedNodes"`
+	Bootstrap           bool              `toml:"bootstrap"`
+	CountsForQuorum     bool              `toml:"countsForQuorum"`
+	DataDir             string            `toml:"dataDir,omitempty"`
+	HeartbeatIntervalMs float64           `toml:"heartbeatIntervalMs"`
+	Commands            string            `toml:"commands"`
+	Zones               map[string]string `toml:"zones"`
+	BindAddresses       map[string]string `toml:"bindAddresses"`
+	Limits              nodeLimits        `toml:"limits"`
+	FaultTolerance      map[string]int    `toml:"faultTolerance"`
+	Bounds              map[string]any    `toml:"bounds"`
+	CloudProvider       nodePlatform      `toml:"cloudProvider"`
+}
+
+type nodeLimits struct {
+	CPUQuota      float64 `toml:"cpuQuota"`
+	Cores         int     `toml:"cores"`
+	MemoryMb      float64 `toml:"memoryMb"`
+	MaxOpenFiles  int     `toml:"maxOpenFiles"`
+	BandwidthMbps float64 `toml:"bandwidthMbps"`
+}
+
+type nodePlatform struct {
+	Address  string  `toml:"address"`
+	RatePerS float64 `toml:"ratePerS"`
+	MaxLagMs float64 `toml:"maxLagMs"`
+}
+
+// The one region, and the limits of the machines.
+const (
+	regionName        = "loopback"
+	heartbeatMs       = 1000
+	replicaCPUQuota   = 0.8
+	dispatcherQuota   = 0.4
+	replicaMemoryMb   = 280
+	dispatcherMemory  = 284
+	descriptors       = 4096
+	bandwidthMbps     = 1000
+	platformRatePerS  = 30
+	platformLag       = 800 * time.Millisecond
+	platformPageSize  = 50
+	statusSeconds     = 20
+	graceSeconds      = 6
+	settingsFileMode  = 0o644
+	folderMode        = 0o755
+	settingsExtension = ".toml"
+)
+
+// zoneNames are the zones over which machines and workers are spread in turn.
+var zoneNames = []string{"zone-a", "zone-b", "zone-c"}
+
+func zoneOf(index int) string { return zoneNames[index%len(zoneNames)] }
+
+// plan is what all settings files of a cluster have in common.
+type plan struct {
+	layout     layout
+	folder     string
+	replicas   int
+	tolerance  int
+	platform   string
+	worldRules hollow.Settings
+	// memoryMb of a replica; 0 stands for that of the core machines.
+	memoryMb float64
+}
+
+// seeds are the control addresses of the first replicas, three at the most.
+func (p *plan) seeds() []string {
+	seeds := make([]string, min(p.replicas, len(zoneNames)))
+	for i := range seeds {
+		seeds[i] = at(p.layout.replica(i), controlPort)
+	}
+	return seeds
+}
+
+func (p *plan) common(name, role, class string, address netip.Addr, index int) nodeFile {
+	zones := make(map[string]string, len(zoneNames))
+	for _, zone := range zoneNames {
+		zones[zone] = regionName
+	}
+	return nodeFile{
+		NodeName:            name,
+		Role:                role,
+		MachineClass:        class,
+		IP:                  address.String(),
+		Zone:                zoneOf(index),
+		Region:              regionName,
+		EphemeralPorts:      []int{internalPort, lastInternalPort},
+		SeedNodes:           p.seeds(),
+		HeartbeatIntervalMs: heartbeatMs,
+		Commands:            "invocation",
+		Zones:               zones,
+		FaultTolerance:      map[string]int{"machines": p.tolerance},
+		Bounds:              p.bounds(),
+		CloudProvider:       nodePlatform{Address: p.platform, RatePerS: platformRatePerS, MaxLagMs: milliseconds(platformLag)},
+	}
+}
+
+func (p *plan) bounds() map[string]any {
+	rules := p.worldRules
+	return map[string]any{
+		"maxHoldMs":    milliseconds(rules.MaxHold),
+		"stop_ms":      milliseconds(rules.Stop),
+		"gang_ms":      milliseconds(rules.Gang),
+		"cancel_ms":    milliseconds(rules.Cancel),
+		"early_ms":     milliseconds(rules.Early),
+		"restore_ms":   milliseconds(rules.Restore),
+		"save_s":       rules.Save.Seconds(),
+		"far_x":        rules.Far,
+		"status_s":     statusSeconds,
+		"gracePeriodS": graceSeconds,
+	}
+}
+
+func milliseconds(span time.Duration) float64 { return float64(span) / float64(time.Millisecond) }
+
+// replica is the settings of one replica; bootstrap is true only at the very first start.
+func (p *plan) replica(index int, bootstrap bool) nodeFile {
+	address := p.layout.replica(index)
+	name := replicaName(index)
+	file := p.common(name, "replica", "core", address, index)
+	file.Serves = []string{"control"}
+	file.Bootstrap = bootstrap
+	file.CountsForQuorum = true
+	file.DataDir = p.dataFolder(index)
+	file.BindAddresses = map[string]string{"controlPlane": at(address, controlPort)}
+	file.Limits = limits(replicaCPUQuota, replicaMemoryMb)
+	if p.memoryMb > 0 {
+		file.Limits.MemoryMb = p.memoryMb
+	}
+	return file
+}
+
+// dispatcher is the settings of one dispatcher.
+func (p *plan) dispatcher(index int) nodeFile {
+	address := p.layout.dispatcher(index)
+	file := p.common(dispatcherName(index), "dispatcher", "edge", address, index)
+	file.Serves = []string{"edge"}
+	file.BindAddresses = map[string]string{
+		"frontend":  at(address, frontendPort),
+		"readiness": at(address, readinessPort),
+	}
+	file.Limits = limits(dispatcherQuota, dispatcherMemory)
+	return file
+}
+
+func limits(quota, memoryMb float64) nodeLimits {
+	return nodeLimits{CPUQuota: quota, Cores: 1, MemoryMb: memoryMb, MaxOpenFiles: descriptors, BandwidthMbps: bandwidthMbps}
+}
+
+func replicaName(index int) string    { return fmt.Sprintf("replica-%d", index) }
+func dispatcherName(index int) string { return fmt.Sprintf("dispatcher-%d", index) }
+
+func (p *plan) dataFolder(index int) string { return filepath.Join(p.folder, replicaName(index)) }
+
+// write puts a settings file into the cluster's folder and gives its path.
+func (p *plan) write(file nodeFile) (string, error) {
+	content, err := toml.Marshal(file)
+	if err != nil {
+		return "", fmt.Errorf("settings of %s: %w", file.NodeName, err)
+	}
+	path := filepath.Join(p.folder, file.NodeName+settingsExtension)
+	if err := os.WriteFile(path, content, settingsFileMode); err != nil {
+		return "", fmt.Errorf("settings of %s: %w", file.NodeName, err)
+	}
+	return path, nil
+}
--- /dev/null
+++ b/internal/system/localcluster/roles.go
@@ -0,0 +1,97 @@
+package localcluster
+
+import (
+	"time"
+)
+
+// The roles by which costs are told.
+const (
+	roleHead       = "head"
+	roleOther      = "other replica"
+	roleDispatcher = "dispatcher"
+	roleHollow     = "hollow dispatcher"
+)
+
+// RoleCost is what one process of a role has cost over a span of time: the mean over the role's processes.
+type RoleCost struct {
+	Role      string  `json:"role"`
+	Processes int     `json:"processes"` // or dispatchers, where many are in a process
+	Cores     float64 `json:"cores"`     // processor time a second
+	// ResidentMb is at the end of the span, PeakMb the most of any of its processes.
+	ResidentMb     float64 `json:"resident_mb"`
+	PeakMb         float64 `json:"peak_mb"`
+	ReceivedKBs    float64 `json:"received_kb_s"` // sockets and files
+	SentKBs        float64 `json:"sent_kb_s"`     // likewise
+	ReadsPerS      float64 `json:"reads_s"`       // system calls
+	WritesPerS     float64 `json:"writes_s"`      // likewise
+	Threads, Files float64
+}
+
+const megabyte = 1 << 20
+
+func newRoleCost(role string, processes int, used Usage, span time.Duration) RoleCost {
+	count := float64(processes)
+	seconds := span.Seconds() * count
+	return RoleCost{
+		Role:        role,
+		Processes:   processes,
+		Cores:       used.Processor.Seconds() / seconds,
+		ResidentMb:  float64(used.Resident) / megabyte / count,
+		PeakMb:      float64(used.Peak) / megabyte,
+		ReceivedKBs: float64(used.Received) / kilobyte / seconds,
+		SentKBs:     float64(used.Sent) / kilobyte / seconds,
+		ReadsPerS:   float64(used.Reads) / seconds,
+		WritesPerS:  float64(used.Writes) / seconds,
+		Threads:     float64(used.Threads) / count,
+		Files:       float64(used.Files) / count,
+	}
+}
+
+// usages is a look at all processes.
+type usages struct {
+	at          time.Duration
+	replicas    []Usage
+	dispatchers []Usage
+	hollow      Usage
+}
+
+func (c *Cluster) look() usages {
+	seen := usages{at: c.ledger.now()}
+	for _, child := range c.replicas {
+		seen.replicas = append(seen.replicas, child.usage())
+	}
+	for _, child := range c.dispatchers {
+		seen.dispatchers = append(seen.dispatchers, child.usage())
+	}
+	if c.hollow != nil {
+		seen.hollow = c.hollow.usage()
+	}
+	return seen
+}
+
+// costs is what each role has cost between two looks; head is the number of the replica that was it, -1 if none was known.
+func (c *Cluster) costs(before, after usages, head int) []RoleCost {
+	span := after.at - before.at
+	var costs []RoleCost
+	var others Usage
+	for i := range after.replicas {
+		used := after.replicas[i].since(before.replicas[i])
+		if i == head {
+			costs = append(costs, newRoleCost(roleHead, 1, used, span))
+			continue
+		}
+		others = others.plus(used)
+	}
+	if count := len(after.replicas) - len(costs); count > 0 {
+		costs = append(costs, newRoleCost(roleOther, count, others, span))
+	}
+	var dispatchers Usage
+	for i := range after.dispatchers {
+		dispatchers = dispatchers.plus(after.dispatchers[i].since(before.dispatchers[i]))
+	}
+	costs = append(costs, newRoleCost(roleDispatcher, len(after.dispatchers), dispatchers, span))
+	if c.hollow != nil {
+		costs = append(costs, newRoleCost(roleHollow, c.options.HollowDispatchers, after.hollow.since(before.hollow), span))
+	}
+	return costs
+}
