--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -15,6 +15,7 @@
 type proposal struct {
 	data  []byte
 	epoch uint64
+	at    time.Duration // when it was appended
 	done  func(result state.Result, fate fate)
 }
 
@@ -29,16 +30,18 @@
 
 // engineOptions are what an engine is made of; its callbacks run on the node's loop.
 type engineOptions struct {
-	config   replica.Config
-	log      *wal.Log
-	records  []wal.Record
-	now      func() time.Duration
-	post     func(func())
-	send     func(to string, message *replica.Message)
-	applied  func(state.Result)
-	installd func() // a snapshot took the place of the state
-	event    func(replica.Event)
-	failed   func(error)
+	config  replica.Config
+	log     *wal.Log
+	records []wal.Record
+	now     func() time.Duration
+	post    func(func())
+	send    func(to string, message *replica.Message)
+	applied func(state.Result)
+	// committed is told how long an own command took from its append to its commit.
+	committed func(took time.Duration)
+	installd  func() // a snapshot took the place of the state
+	event     func(replica.Event)
+	failed    func(error)
 }
 
 // engine drives one replica core: its records to disk, its messages to peers, its committed entries to the machine. All its methods
@@ -226,6 +229,7 @@
 		waiting.done(state.Result{}, fateRefused)
 		return
 	}
+	e.options.committed(e.options.now() - waiting.at)
 	waiting.done(result, fateCommitted)
 }
 
@@ -244,11 +248,11 @@
 	for i, waiting := range batch {
 		data[i] = waiting.data
 	}
-	epoch := e.replica.View().Epoch
-	first, output, err := e.replica.Propose(e.options.now(), data)
+	epoch, now := e.replica.View().Epoch, e.options.now()
+	first, output, err := e.replica.Propose(now, data)
 	if err == nil {
 		for i, waiting := range batch {
-			waiting.epoch, waiting.data = epoch, nil
+			waiting.epoch, waiting.at, waiting.data = epoch, now, nil
 			e.flying[first+uint64(i)] = waiting
 		}
 		e.queue = append([]*proposal(nil), e.queue[len(batch):]...)
--- /dev/null
+++ b/internal/system/control/handover.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"gaugeslip/coord/replica"
+	"gaugeslip/internal/system/internalapi"
+)
+
+// handoverPatience is how long an operator's call waits: for the transfer, and for the loop besides.
+const handoverPatience = leavePatience + lookPatience
+
+// handover is a transfer that an operator has asked for; the replica comes back as a learner.
+type handover struct {
+	engine *engine
+	answer func(internalapi.HandoverReply)
+}
+
+// Handover has the head hand over to its successor.
+func (s *Service) Handover(_ internalapi.HandoverArgs, reply *internalapi.HandoverReply) error {
+	doubt := internalapi.HandoverReply{Verdict: internalapi.InDoubt, Text: "no answer in time: look at the view"}
+	*reply = ask(s.node, handoverPatience, doubt, s.node.handOver)
+	return nil
+}
+
+// handOver runs on the loop.
+func (n *Node) handOver(answer func(internalapi.HandoverReply)) {
+	if refusal := n.handoverRefusal(); refusal != nil {
+		answer(*refusal)
+		return
+	}
+	n.logger.Info("handover asked for", "epoch", n.engine.view().Epoch)
+	asked := &handover{engine: n.engine, answer: answer}
+	n.handover = asked
+	time.AfterFunc(leavePatience, func() { n.loop.post(func() { n.handoverExpired(asked) }) })
+	n.engine.step(replica.Leave{})
+}
+
+// handoverRefusal tells why a handover would do harm or can't be; nil: nothing speaks against it.
+func (n *Node) handoverRefusal() *internalapi.HandoverReply {
+	newest := n.engine.view()
+	least := n.settings.FaultTolerance.Machines + 2
+	switch {
+	case !n.acting():
+		return &internalapi.HandoverReply{Verdict: internalapi.NotHead, View: newest}
+	case n.leaving || n.handover != nil:
+		return &internalapi.HandoverReply{Verdict: internalapi.Invalid, Text: "it is handing over already"}
+	case len(newest.Chain) < least:
+		text := fmt.Sprintf("the chain has %d members, and without the head too few are left to commit: wait until it has %d",
+			len(newest.Chain), least)
+		return &internalapi.HandoverReply{Verdict: internalapi.Invalid, Text: text}
+	}
+	return nil
+}
+
+// handoverDone answers for a transfer that is decided, and has the replica come back as a learner.
+func (n *Node) handoverDone() {
+	asked := n.handover
+	if asked == nil {
+		return
+	}
+	n.handover = nil
+	n.logger.Info("handed over", "epoch", n.engine.view().Epoch)
+	asked.answer(internalapi.HandoverReply{Verdict: internalapi.Done, View: n.engine.view()})
+	n.rejoin()
+}
+
+// handoverExpired ends a transfer that came to nothing: a replica that has said it leaves can only come back by a restart of its core.
+func (n *Node) handoverExpired(asked *handover) {
+	if n.handover != asked {
+		return
+	}
+	n.handover = nil
+	n.logger.Warn("handover came to nothing", "epoch", n.engine.view().Epoch)
+	asked.answer(internalapi.HandoverReply{Verdict: internalapi.InDoubt, Text: "not decided in time: look at the view"})
+	if n.engine == asked.engine {
+		n.rejoin()
+	}
+}
+
+// rejoin starts the replica's core again from its disk.
+func (n *Node) rejoin() {
+	if n.engine.closed || n.leaving {
+		return
+	}
+	n.dropScheduler()
+	n.engine.close()
+	time.AfterFunc(restartPause, func() { n.loop.post(n.restartEngine) })
+}
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -77,6 +77,8 @@
 	configWaiting   []func()
 	configBusy      bool
 	leaving         bool
+	handover        *handover // a transfer that an operator has asked for
+	counts          counts
 	left            chan struct{}
 	failures        chan error
 }
@@ -137,7 +139,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for the operator: %w", err)
 	}
-	api := &operatorAPI{replace: n.replaceAnywhere, read: n.readAnywhere}
+	api := &operatorAPI{replace: n.replaceAnywhere, read: n.readAnywhere, figures: n.serveFigures}
 	n.operator = &http.Server{Handler: api.handler(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
 	go func() { _ = n.operator.Serve(listener) }()
 	return nil
@@ -165,7 +167,7 @@
 		return fmt.Errorf("open log: %w", err)
 	}
 	engine, err := newEngine(engineOptions{config: n.replicaConfig(), log: file, records: records, now: n.now, post: n.loop.post,
-		send: n.sender.Send, applied: n.applied, installd: n.installed, event: n.event, failed: n.engineFailed})
+		send: n.sender.Send, applied: n.applied, committed: n.counts.latency.Observe, installd: n.installed, event: n.event, failed: n.engineFailed})
 	if err != nil {
 		return fmt.Errorf("read log: %w", err)
 	}
@@ -256,7 +258,9 @@
 	if n.leaving {
 		n.leaving = false
 		close(n.left)
+		return
 	}
+	n.handoverDone()
 }
 
 func (n *Node) becameHead(event replica.BecameHead) {
@@ -280,6 +284,7 @@
 }
 
 func (n *Node) viewChanged(newest view.View) {
+	n.counts.views++
 	n.logger.Info("view", "epoch", newest.Epoch, "chain", addresses(newest.Chain), "voters", len(newest.Voters))
 	if newest.Head().ID != n.engine.replica.Self().ID {
 		n.dropScheduler()
@@ -313,6 +318,7 @@
 
 // applied takes in a committed command.
 func (n *Node) applied(result state.Result) {
+	n.counts.applied(&result)
 	if result.Command.Kind == state.KindConfigReplaced && result.Outcome == state.Applied {
 		n.configTaken()
 	}
--- a/internal/system/control/operator.go
+++ b/internal/system/control/operator.go
@@ -21,12 +21,14 @@
 type operatorAPI struct {
 	replace func(internalapi.ReplaceArgs, time.Duration) internalapi.ReplaceReply
 	read    func(time.Duration) internalapi.ReadReply
+	figures http.HandlerFunc
 }
 
 func (o *operatorAPI) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /Config.Replace", o.serveReplace)
 	mux.HandleFunc("GET /Config.Read", o.serveRead)
+	mux.HandleFunc("GET /metrics", o.figures)
 	return mux
 }
 
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -72,6 +72,7 @@
 func (s *Service) Submit(args internalapi.SubmitArgs, reply *internalapi.JobReply) error {
 	doubt := internalapi.JobReply{Verdict: internalapi.InDoubt}
 	*reply = ask(s.node, commitPatience, doubt, func(answer func(internalapi.JobReply)) { s.node.submit(&args, answer) })
+	s.node.counts.answered(reply.Verdict)
 	return nil
 }
 
@@ -207,6 +208,7 @@
 	}
 	command, refusal := n.checkReplace(args)
 	if refusal != nil {
+		n.configRefused(args, refusal)
 		answer(*refusal)
 		return
 	}
@@ -217,6 +219,13 @@
 	})
 }
 
+// configRefused logs an order that wasn't taken; a repeated one is none.
+func (n *Node) configRefused(args *internalapi.ReplaceArgs, refusal *internalapi.ReplaceReply) {
+	if refusal.Status != http.StatusOK {
+		n.logger.Warn("configuration refused", "base", args.Base, "status", refusal.Status, "reason", refusal.Text)
+	}
+}
+
 func (n *Node) nextConfig() {
 	n.configBusy = false
 	waiting := n.configWaiting
--- /dev/null
+++ b/internal/system/figures/writer.go
@@ -0,0 +1,110 @@
+// Package figures counts what operators watch and writes it in the Prometheus text format. Counting is one addition; nothing else
+// is computed until somebody asks.
+package figures
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// ContentType is the Prometheus text format, version 0.0.4.
+const ContentType = "text/plain; version=0.0.4; charset=utf-8"
+
+// Prefix begins the name of every figure.
+const Prefix = "gaugeslip_"
+
+// Writer collects figures as text. The zero value is ready for use; it belongs to one goroutine.
+type Writer struct{ text []byte }
+
+// Bytes is all that was written.
+func (w *Writer) Bytes() []byte { return w.text }
+
+// Gauge writes one figure that goes up and down.
+func (w *Writer) Gauge(name, help string, value float64) {
+	w.head(name, help, "gauge")
+	w.sample(name, "", "", value)
+}
+
+// Counter writes one figure that only grows within a life of the process.
+func (w *Writer) Counter(name, help string, value float64) {
+	w.head(name, help, "counter")
+	w.sample(name, "", "", value)
+}
+
+// Flag writes 1 for true and 0 for false.
+func (w *Writer) Flag(name, help string, value bool) {
+	figure := 0.0
+	if value {
+		figure = 1
+	}
+	w.Gauge(name, help, figure)
+}
+
+// Labelled is one value of a figure that has a label.
+type Labelled struct {
+	Label string
+	Value float64
+}
+
+// Gauges writes a gauge once for each value of one label.
+func (w *Writer) Gauges(name, help, label string, values []Labelled) {
+	w.head(name, help, "gauge")
+	w.samples(name, label, values)
+}
+
+// Counters writes a counter once for each value of one label.
+func (w *Writer) Counters(name, help, label string, values []Labelled) {
+	w.head(name, help, "counter")
+	w.samples(name, label, values)
+}
+
+func (w *Writer) samples(name, label string, values []Labelled) {
+	for _, value := range values {
+		w.sample(name, label, value.Label, value.Value)
+	}
+}
+
+func (w *Writer) head(name, help, kind string) {
+	w.text = append(w.text, "# HELP "+Prefix+name+" "+help+"\n# TYPE "+Prefix+name+" "+kind+"\n"...)
+}
+
+func (w *Writer) sample(name, label, labelValue string, value float64) {
+	w.text = append(w.text, Prefix...)
+	w.text = append(w.text, name...)
+	if label != "" {
+		w.text = append(w.text, '{')
+		w.text = append(w.text, label...)
+		w.text = append(w.text, '=')
+		w.text = strconv.AppendQuote(w.text, labelValue)
+		w.text = append(w.text, '}')
+	}
+	w.text = append(w.text, ' ')
+	w.text = strconv.AppendFloat(w.text, value, 'g', -1, 64)
+	w.text = append(w.text, '\n')
+}
+
+// Histogram writes a histogram of durations, in seconds.
+func (w *Writer) Histogram(name, help string, histogram *Histogram) {
+	w.head(name, help, "histogram")
+	total := uint64(0)
+	for i, bound := range bounds {
+		total += histogram.counts[i]
+		w.sample(name+"_bucket", "le", strconv.FormatFloat(bound.Seconds(), 'g', -1, 64), float64(total))
+	}
+	total += histogram.counts[len(bounds)]
+	w.sample(name+"_bucket", "le", "+Inf", float64(total))
+	w.sample(name+"_sum", "", "", histogram.sum.Seconds())
+	w.sample(name+"_count", "", "", float64(total))
+}
+
+// Seconds is a duration as figures give it.
+func Seconds(duration time.Duration) float64 { return duration.Seconds() }
+
+// Serve answers a request for figures with what collect writes.
+func Serve(w http.ResponseWriter, collect func(*Writer)) {
+	var writer Writer
+	collect(&writer)
+	w.Header().Set("Content-Type", ContentType)
+	_, _ = w.Write(writer.Bytes()) // a reader that has gone needs no answer
+}
