--- /dev/null
+++ b/internal/system/logfile/check.go
@@ -0,0 +1,118 @@
+package logfile
+
+import (
+	"fmt"
+	"math"
+
+	"gaugeslip/coord/chain"
+	"gaugeslip/coord/replica"
+	"gaugeslip/coord/view"
+	"gaugeslip/coord/wal"
+	"gaugeslip/internal/system/state"
+)
+
+// checkEvery is after how many entries the invariants of the whole state are looked at, and once more at the end.
+const checkEvery = 64
+
+// Report is what a sound log holds.
+type Report struct {
+	Identity      view.ReplicaID
+	Epoch         uint64
+	Records       int
+	SnapshotIndex uint64 // 0 without a snapshot
+	LastIndex     uint64
+	Entries       int
+	ConfigVersion uint64
+	Jobs, Runs    int
+	// Torn tells that the file ends in something that is no record: an append was under way, or was cut off. It does no harm.
+	Torn bool
+}
+
+// Check replays the log as a replica would at its start and looks at the invariants. Entries are taken for committed up to the last
+// one, though the last few may not be. The error wraps ErrBroken and names the place.
+func Check(reading wal.Reading) (Report, error) {
+	records := make([]replica.Record, len(reading.Records))
+	for i, record := range reading.Records {
+		records[i] = replica.Record{Kind: record.Kind, Data: record.Data}
+	}
+	persisted, err := replica.Restore(records)
+	if err != nil {
+		return Report{}, fmt.Errorf("%w: %w", ErrBroken, err)
+	}
+	report := Report{Identity: persisted.Identity, Epoch: persisted.View.Epoch, Records: len(records), Torn: reading.Torn,
+		LastIndex: persisted.Log.Last()}
+	if err := checkView(&persisted); err != nil {
+		return report, err
+	}
+	machine, err := replay(&persisted, &report)
+	if err != nil {
+		return report, err
+	}
+	report.ConfigVersion, report.Jobs = machine.Config().Version, len(machine.Jobs())
+	for _, job := range machine.Jobs() {
+		report.Runs += job.Runs
+	}
+	return report, nil
+}
+
+// checkView looks at what is kept for the agreed view.
+func checkView(persisted *replica.Persisted) error {
+	switch {
+	case persisted.Identity == "":
+		return fmt.Errorf("%w: the disk has no identity", ErrBroken)
+	case persisted.View.Known() && len(persisted.View.Chain) == 0:
+		return fmt.Errorf("%w: the view of epoch %d has no chain", ErrBroken, persisted.View.Epoch)
+	}
+	for _, member := range persisted.View.Chain {
+		if !persisted.View.IsVoter(member.ID) {
+			return fmt.Errorf("%w: %s is in the chain of epoch %d and no voter", ErrBroken, member.ID, persisted.View.Epoch)
+		}
+	}
+	return nil
+}
+
+// replay applies snapshot and entries to an empty state.
+func replay(persisted *replica.Persisted, report *Report) (*state.Machine, error) {
+	machine := state.New()
+	if persisted.Snapshot != nil {
+		report.SnapshotIndex = persisted.Snapshot.Index
+		if err := machine.Restore(persisted.Snapshot.Data); err != nil {
+			return nil, fmt.Errorf("%w: snapshot at %d: %w", ErrBroken, persisted.Snapshot.Index, err)
+		}
+	}
+	if err := machine.Check(); err != nil {
+		return nil, fmt.Errorf("%w: snapshot at %d: %w", ErrBroken, report.SnapshotIndex, err)
+	}
+	entries, _ := persisted.Log.Slice(persisted.Log.Base()+1, math.MaxInt)
+	report.Entries = len(entries)
+	epoch := uint64(0)
+	for i, entry := range entries {
+		if entry.Epoch < epoch {
+			return nil, fmt.Errorf("%w: entry %d has epoch %d after %d", ErrBroken, entry.Index, entry.Epoch, epoch)
+		}
+		epoch = entry.Epoch
+		if err := apply(machine, entry); err != nil {
+			return nil, err
+		}
+		if i%checkEvery != checkEvery-1 && i != len(entries)-1 {
+			continue
+		}
+		if err := machine.Check(); err != nil {
+			return nil, fmt.Errorf("%w: at entry %d: %w", ErrBroken, entry.Index, err)
+		}
+	}
+	return machine, nil
+}
+
+// apply carries out one entry. A command that comes to nothing is sound; bytes that are no command aren't.
+func apply(machine *state.Machine, entry chain.Entry) error {
+	if len(entry.Data) == 0 {
+		return nil
+	}
+	command, err := state.Decode(entry.Data)
+	if err != nil {
+		return fmt.Errorf("%w: entry %d: %w", ErrBroken, entry.Index, err)
+	}
+	machine.Apply(command)
+	return nil
+}
