Show operators a dispatcher: status over the internal protocol, figures at the readiness address

GET /metrics at the readiness address counts answers by status and tells readiness, the age of the contact to core and head, the configuration's version and the view's epoch; every other path still tells readiness. dataplane status asks a running dispatcher and says why it isn't ready, and so does the log line. Tested by go test -race ./cmd/dataplane ./internal/system/dataplane.

--- a/cmd/dataplane/main.go
+++ b/cmd/dataplane/main.go
@@ -2,35 +2,31 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 
 	"github.com/alecthomas/kong"
 
 	"gaugeslip/internal/system/clusterconfig"
+	"gaugeslip/internal/system/console"
 	"gaugeslip/internal/system/dataplane"
-	"gaugeslip/internal/system/findings"
 )
 
-// Exit codes: a fault at run time, and settings or a configuration with findings.
-const (
-	exitFault    = 1
-	exitFindings = 2
-)
+const programName = "dataplane"
 
 // version is what `version` prints; a release sets it at link time.
 var version = "development"
 
 type commandLine struct {
 	Run           runCommand           `cmd:"" default:"1" help:"Run the dispatcher until SIGTERM."`
+	Status        statusCommand        `cmd:"" help:"Show a running dispatcher: readiness, configuration, chain, answers by status."`
 	CheckSettings checkSettingsCommand `cmd:"" help:"Check a settings file and print all findings (exit code 2)."`
 	CheckConfig   checkConfigCommand   `cmd:"" help:"Check an operator's configuration and print all findings (exit code 2)."`
 	Version       versionCommand       `cmd:"" help:"Print the version."`
 }
 
 type checkSettingsCommand struct {
-	File string `arg:"" optional:"" env:"GAUGESLIP_NODE_FILE" help:"Settings file (TOML)."`
+	File string `arg:"" optional:"" env:"GAUGESLIP_NODE_FILE" help:"Settings file (TOML). Default: the one that GAUGESLIP_NODE_FILE names."`
 }
 
 func (c *checkSettingsCommand) Run() error {
@@ -42,7 +38,7 @@
 }
 
 type checkConfigCommand struct {
-	File string `arg:"" type:"existingfile" help:"Configuration (JSON)."`
+	File string `arg:"" help:"Configuration (JSON)."`
 }
 
 func (c *checkConfigCommand) Run() error {
@@ -58,28 +54,15 @@
 
 type versionCommand struct{}
 
-func (versionCommand) Run() error {
-	fmt.Println("gaugeslip dataplane", version)
-	return nil
+func (versionCommand) Run(printer *console.Printer) error {
+	_, err := fmt.Fprintln(printer.Out, "gaugeslip", programName, version)
+	return err
 }
 
 func main() {
 	var line commandLine
-	context := kong.Parse(&line, kong.Name("dataplane"), kong.Description("The dispatcher of gaugeslip's data plane."))
-	if err := context.Run(); err != nil {
-		os.Exit(report(err))
-	}
-}
-
-// report prints what went wrong, each finding on a line of its own, and gives the exit code.
-func report(err error) int {
-	var found findings.Findings
-	if !errors.As(err, &found) {
-		fmt.Fprintln(os.Stderr, "dataplane:", err)
-		return exitFault
-	}
-	for _, finding := range found {
-		fmt.Fprintln(os.Stderr, finding)
+	context := kong.Parse(&line, kong.Name(programName), kong.Description("The dispatcher of gaugeslip's data plane, and its operators' commands."))
+	if err := context.Run(&console.Printer{Out: os.Stdout}); err != nil {
+		os.Exit(console.Report(os.Stderr, programName, err))
 	}
-	return exitFindings
 }
--- a/cmd/dataplane/main_test.go
+++ b/cmd/dataplane/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -9,8 +10,13 @@
 	"github.com/alecthomas/kong"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/system/console"
 )
 
+// quiet prints nowhere.
+var quiet = &console.Printer{Out: io.Discard}
+
 func parse(t *testing.T, arguments ...string) *kong.Context {
 	parser, err := kong.New(&commandLine{})
 	require.NoError(t, err)
@@ -35,18 +41,18 @@
 `
 
 func TestCheckSettings(t *testing.T) {
-	assert.NoError(t, parse(t, "check-settings", written(t, goodSettings)).Run())
-	err := parse(t, "check-settings", written(t, `ip = "nowhere"`)).Run()
-	assert.Equal(t, exitFindings, report(err))
+	assert.NoError(t, parse(t, "check-settings", written(t, goodSettings)).Run(quiet))
+	err := parse(t, "check-settings", written(t, `ip = "nowhere"`)).Run(quiet)
+	assert.Equal(t, console.ExitFindings, console.Report(io.Discard, programName, err))
 	assert.ErrorContains(t, err, "bindAddresses.frontend")
-	err = parse(t, "check-settings", filepath.Join(t.TempDir(), "none")).Run()
-	assert.Equal(t, exitFault, report(err))
+	err = parse(t, "check-settings", filepath.Join(t.TempDir(), "none")).Run(quiet)
+	assert.Equal(t, console.ExitFault, console.Report(io.Discard, programName, err))
 }
 
 func TestCheckConfig(t *testing.T) {
-	assert.NoError(t, parse(t, "check-config", written(t, `{"version":1}`)).Run())
-	err := parse(t, "check-config", written(t, `{"version":0,"routes":[{"backend":"none"}]}`)).Run()
-	assert.Equal(t, exitFindings, report(err))
+	assert.NoError(t, parse(t, "check-config", written(t, `{"version":1}`)).Run(quiet))
+	err := parse(t, "check-config", written(t, `{"version":0,"routes":[{"backend":"none"}]}`)).Run(quiet)
+	assert.Equal(t, console.ExitFindings, console.Report(io.Discard, programName, err))
 	assert.ErrorContains(t, err, "routes[0].backend")
 }
 
@@ -54,5 +60,5 @@
 	t.Setenv("GAUGESLIP_NODE_FILE", "")
 	assert.Equal(t, "run", parse(t).Command())
 	assert.ErrorIs(t, parse(t).Run(), errNoSettings)
-	assert.Equal(t, exitFault, report(errors.New("any")))
+	assert.Equal(t, console.ExitFault, console.Report(io.Discard, programName, errors.New("any")))
 }
--- a/cmd/dataplane/run.go
+++ b/cmd/dataplane/run.go
@@ -26,8 +26,8 @@
 var errNoSettings = errors.New("no settings file: set " + nodesettings.FileVariable)
 
 type runCommand struct {
-	Settings string `env:"GAUGESLIP_NODE_FILE" help:"Settings file (TOML)."`
-	Debug    bool   `help:"Log at debug level."`
+	Settings string `env:"GAUGESLIP_NODE_FILE" placeholder:"FILE" help:"Settings file (TOML). No default."`
+	Debug    bool   `help:"Log at debug level. Default: info."`
 }
 
 func (c *runCommand) Run() error {
--- /dev/null
+++ b/cmd/dataplane/status_test.go
@@ -0,0 +1,80 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/system/console"
+	"gaugeslip/internal/system/dataplane"
+	"gaugeslip/internal/system/internalapi"
+)
+
+func freePort(t *testing.T) int {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).Port
+}
+
+// startDispatcher runs a dispatcher in this process that reaches no replica, and gives its settings file.
+func startDispatcher(t *testing.T) (file, address string) {
+	port := freePort(t)
+	file = written(t, fmt.Sprintf(`
+nodeName = "edge-1"
+zone = "bole"
+ip = "127.0.0.1"
+ephemeralPorts = [%d,%d]
+seedNodes = ["127.0.0.2:%d"]
+[bindAddresses]
+frontend = "127.0.0.1:0"
+readiness = "127.0.0.1:0"
+[bounds]
+gracePeriodS = 1
+`, port, port, freePort(t)))
+	process, err := dataplane.Start(file, log.New(io.Discard), dataplane.Options{Announce: time.Millisecond})
+	require.NoError(t, err)
+	t.Cleanup(func() { assert.NoError(t, process.Stop()) })
+	return file, fmt.Sprintf("127.0.0.1:%d", port)
+}
+
+func TestStatus(t *testing.T) {
+	t.Setenv("GAUGESLIP_NODE_FILE", "")
+	file, address := startDispatcher(t)
+	for _, arguments := range [][]string{{"status", "--address", address}, {"status", "--settings", file}} {
+		var out bytes.Buffer
+		require.NoError(t, parse(t, arguments...).Run(&console.Printer{Out: &out}))
+		for _, part := range []string{"edge-1", "bole", address, "no: it has no configuration yet", "never", "STATUS"} {
+			assert.Contains(t, out.String(), part)
+		}
+	}
+	var out bytes.Buffer
+	require.NoError(t, parse(t, "status", "--address", address, "--json").Run(&console.Printer{Out: &out}))
+	var overview internalapi.DispatcherOverviewReply
+	require.NoError(t, json.Unmarshal(out.Bytes(), &overview))
+	assert.False(t, overview.Ready)
+	assert.EqualValues(t, -1, overview.CoreMs)
+}
+
+func TestStatusWithoutADispatcher(t *testing.T) {
+	t.Setenv("GAUGESLIP_NODE_FILE", "")
+	assert.ErrorIs(t, parse(t, "status").Run(quiet), console.ErrNoAddress)
+	err := parse(t, "status", "--address", fmt.Sprintf("127.0.0.1:%d", freePort(t))).Run(quiet)
+	assert.ErrorContains(t, err, "check that the process runs")
+	assert.Equal(t, console.ExitFault, console.Report(io.Discard, programName, err))
+}
+
+func TestVersion(t *testing.T) {
+	var out strings.Builder
+	require.NoError(t, parse(t, "version").Run(&console.Printer{Out: &out}))
+	assert.Contains(t, out.String(), version)
+}
--- a/internal/system/dataplane/directory_test.go
+++ b/internal/system/dataplane/directory_test.go
@@ -75,7 +75,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		var changes []bool
 		directory := NewDirectory()
-		readiness := NewReadiness(directory, func(ready bool) { changes = append(changes, ready) }, Options{})
+		readiness := NewReadiness(directory, func(ready bool, _ string) { changes = append(changes, ready) }, Options{})
 		look := func() int { return ask(readiness, "GET", "/readyz", "").Code }
 		assert.Equal(t, 503, look())
 		_, err := directory.LearnConfig(1, configBody(1))
--- a/internal/system/dataplane/dispatcher.go
+++ b/internal/system/dataplane/dispatcher.go
@@ -23,6 +23,7 @@
 	poke      func()
 	counts    *xsync.Map[queue, int]
 	draining  atomic.Bool
+	answers   answerCounts
 	// calls are the calls under way, those among them that nobody waits for any more.
 	calls sync.WaitGroup
 }
@@ -54,6 +55,7 @@
 	if d.draining.Load() {
 		w.Header()["Connection"] = closeValue
 	}
+	d.answers.count(reply.status)
 	reply.write(w)
 }
 
--- /dev/null
+++ b/internal/system/dataplane/figures.go
@@ -0,0 +1,78 @@
+package dataplane
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"gaugeslip/internal/system/figures"
+)
+
+// countedStatuses are the statuses that clients are answered, in the order in which figures show them.
+var countedStatuses = [...]int{
+	http.StatusOK, http.StatusBadRequest, http.StatusNotFound, http.StatusMethodNotAllowed, http.StatusRequestTimeout,
+	http.StatusGone, http.StatusRequestEntityTooLarge, http.StatusTooManyRequests, http.StatusServiceUnavailable,
+	http.StatusGatewayTimeout,
+}
+
+// otherStatus is how a status is shown that isn't among them.
+const otherStatus = "other"
+
+// answerCounts counts answers by status. It is safe for concurrent use.
+type answerCounts [len(countedStatuses) + 1]atomic.Uint64
+
+func (c *answerCounts) count(status int) {
+	for at, counted := range countedStatuses {
+		if counted == status {
+			c[at].Add(1)
+			return
+		}
+	}
+	c[len(countedStatuses)].Add(1)
+}
+
+// labelled gives all counts with their names.
+func (c *answerCounts) labelled() []figures.Labelled {
+	counts := make([]figures.Labelled, 0, len(c))
+	for at := range c {
+		name := otherStatus
+		if at < len(countedStatuses) {
+			name = strconv.Itoa(countedStatuses[at])
+		}
+		counts = append(counts, figures.Labelled{Label: name, Value: float64(c[at].Load())})
+	}
+	return counts
+}
+
+// metricsPath is where figures are asked for, at the readiness address; every other path tells readiness.
+const metricsPath = "/metrics"
+
+// serveReadiness answers figures and readiness.
+func (p *Process) serveReadiness(w http.ResponseWriter, request *http.Request) {
+	if request.URL.Path == metricsPath {
+		figures.Serve(w, p.writeFigures)
+		return
+	}
+	p.readiness.ServeHTTP(w, request)
+}
+
+func (p *Process) writeFigures(w *figures.Writer) {
+	directory := p.directory
+	w.Flag("ready", "Whether the platform is answered that this dispatcher wants connections.", p.readiness.Ready())
+	w.Flag("draining", "Whether this dispatcher is about to end.", p.readiness.draining.Load())
+	w.Gauge("config_version", "Version of the configuration in force; 0: none yet.", float64(directory.ConfigVersion()))
+	w.Gauge("view_epoch", "Epoch of the newest view known here.", float64(directory.View().Epoch))
+	w.Gauge("core_contact_age_seconds", "Time since a serving replica was heard of; -1: never.", ageSeconds(directory.seen.Load(), directory))
+	w.Gauge("head_contact_age_seconds", "Time since the head answered, or was learnt; -1: never.", ageSeconds(directory.headSeen.Load(), directory))
+	w.Gauge("uptime_seconds", "Time since the start of the process.", time.Since(directory.started).Seconds())
+	w.Counters("answers_total", "Answers to clients since the start, by status.", "status", p.dispatcher.answers.labelled())
+}
+
+// ageSeconds is how long ago a moment of the directory was; -1 for one that never came.
+func ageSeconds(moment int64, directory *Directory) float64 {
+	if moment == 0 {
+		return -1
+	}
+	return directory.since(moment).Seconds()
+}
--- /dev/null
+++ b/internal/system/dataplane/overview.go
@@ -0,0 +1,72 @@
+package dataplane
+
+import (
+	"time"
+
+	"gaugeslip/internal/system/internalapi"
+)
+
+// Service is what operators' commands call over net/rpc.
+type Service struct{ process *Process }
+
+// Overview tells what the dispatcher knows.
+func (s *Service) Overview(_ internalapi.DispatcherOverviewArgs, reply *internalapi.DispatcherOverviewReply) error {
+	*reply = s.process.overview()
+	return nil
+}
+
+func (p *Process) overview() internalapi.DispatcherOverviewReply {
+	directory, newest := p.directory, p.directory.View()
+	reason := p.readiness.notReadyFor()
+	reply := internalapi.DispatcherOverviewReply{
+		Node:          p.name,
+		Zone:          p.zone,
+		Address:       p.server.Addr(),
+		Frontend:      p.frontend.Address(),
+		UptimeMs:      time.Since(directory.started).Milliseconds(),
+		Ready:         reason == "",
+		NotReadyFor:   reason,
+		Draining:      p.readiness.draining.Load(),
+		Epoch:         newest.Epoch,
+		ConfigVersion: directory.ConfigVersion(),
+		CoreMs:        ageMs(directory.seen.Load(), directory),
+		HeadMs:        ageMs(directory.headSeen.Load(), directory),
+		Answers:       map[string]uint64{},
+	}
+	for _, member := range newest.Chain {
+		reply.Chain = append(reply.Chain, member.Address)
+	}
+	if config := directory.Config(); config != nil {
+		reply.Routes = len(config.Router.Config().Routes)
+	}
+	for _, count := range p.dispatcher.answers.labelled() {
+		reply.Answers[count.Label] = uint64(count.Value)
+	}
+	for _, peer := range p.node.Peers() {
+		reply.Peers = append(reply.Peers, peer.Address)
+	}
+	return reply
+}
+
+// ageMs is how long ago a moment of the directory was; -1 for one that never came.
+func ageMs(moment int64, directory *Directory) int64 {
+	if moment == 0 {
+		return -1
+	}
+	return directory.since(moment).Milliseconds()
+}
+
+// notReadyFor says in words what Ready tells; empty when it is ready.
+func (r *Readiness) notReadyFor() string {
+	switch {
+	case r.draining.Load():
+		return "it is ending"
+	case r.directory.Config() == nil:
+		return "it has no configuration yet"
+	case !r.directory.Reachable(r.options.ContactLife):
+		return "it hears of no replica that serves"
+	case !r.directory.HeadReachable(r.options.HeadLife):
+		return "it can't reach the head"
+	}
+	return ""
+}
--- a/internal/system/dataplane/poller_test.go
+++ b/internal/system/dataplane/poller_test.go
@@ -176,7 +176,7 @@
 		core := threeReplicas(true)
 		directory := knowing(t, "a", "b", "c")
 		poller := NewPoller(core, directory, []string{"a", "b", "c"}, failOn(t), Options{})
-		readiness := NewReadiness(directory, func(bool) {}, Options{})
+		readiness := NewReadiness(directory, func(bool, string) {}, Options{})
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
 		running.Go(func() { poller.Run(ctx) })
--- a/internal/system/dataplane/process.go
+++ b/internal/system/dataplane/process.go
@@ -38,6 +38,7 @@
 	logger     Logger
 	file       *settingsFile
 	settings   *nodesettings.Settings
+	name, zone string // as at the start
 	directory  *Directory
 	client     *transport.Client
 	server     *transport.Server
@@ -67,6 +68,8 @@
 		logger:    logger,
 		file:      file,
 		settings:  settings,
+		name:      settings.NodeName,
+		zone:      settings.Zone,
 		directory: NewDirectory(),
 		client:    transport.NewClient(transport.Options{}),
 		options:   options.withDefaults(),
@@ -110,6 +113,9 @@
 	if err := p.server.Register(membership.ServiceName, p.node.Service()); err != nil {
 		return fmt.Errorf("internal address: %w", err)
 	}
+	if err := p.server.Register(internalapi.DispatcherService, &Service{process: p}); err != nil {
+		return fmt.Errorf("internal address: %w", err)
+	}
 	quiet := stdlog.New(io.Discard, "", 0)
 	connections := MaxConnections(p.settings.Limits.MaxOpenFiles)
 	if p.frontend, err = ListenFrontend(p.settings.Bind.Frontend, p.dispatcher, connections, quiet); err != nil {
@@ -124,7 +130,7 @@
 		return fmt.Errorf("readiness: %w", err)
 	}
 	p.ready = &http.Server{
-		Handler:           p.readiness,
+		Handler:           http.HandlerFunc(p.serveReadiness),
 		ReadHeaderTimeout: readinessTimeout,
 		IdleTimeout:       readinessIdle,
 		ErrorLog:          quiet,
@@ -162,12 +168,12 @@
 
 func (p *Process) unusable(err error) { p.logger.Warn("news not used", "error", err) }
 
-func (p *Process) readinessChanged(ready bool) {
+func (p *Process) readinessChanged(ready bool, reason string) {
 	if ready {
 		p.logger.Info("ready")
 		return
 	}
-	p.logger.Info("not ready")
+	p.logger.Warn("not ready", "reason", reason)
 }
 
 // Reload reads the settings file again if it has changed. Faulty settings change nothing. Calls must not overlap.
--- a/internal/system/dataplane/readiness.go
+++ b/internal/system/dataplane/readiness.go
@@ -12,12 +12,12 @@
 	options   Options
 	draining  atomic.Bool
 	last      atomic.Bool
-	// onChange is told when the answer differs from the one before.
-	onChange func(ready bool)
+	// onChange is told when the answer differs from the one before, and why it is no.
+	onChange func(ready bool, reason string)
 }
 
 // NewReadiness makes a readiness that answers from what the directory knows. onChange must not block.
-func NewReadiness(directory *Directory, onChange func(ready bool), options Options) *Readiness {
+func NewReadiness(directory *Directory, onChange func(ready bool, reason string), options Options) *Readiness {
 	return &Readiness{directory: directory, options: options.withDefaults(), onChange: onChange}
 }
 
@@ -26,17 +26,15 @@
 
 // Ready is what the platform is answered.
 func (r *Readiness) Ready() bool {
-	if r.draining.Load() || r.directory.Config() == nil {
-		return false
-	}
-	return r.directory.Reachable(r.options.ContactLife) && r.directory.HeadReachable(r.options.HeadLife)
+	return r.notReadyFor() == ""
 }
 
 // ServeHTTP answers 200 or 503.
 func (r *Readiness) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	ready := r.Ready()
+	reason := r.notReadyFor()
+	ready := reason == ""
 	if r.last.Swap(ready) != ready {
-		r.onChange(ready)
+		r.onChange(ready, reason)
 	}
 	if !ready {
 		w.WriteHeader(http.StatusServiceUnavailable)
