Name operatorsettings, siteloss and net/operators for what they are, and split long files

internal/site read our own settings and internal/sites judges the loss of a site: one letter apart. internal/ops is a server on a socket and goes to internal/net/operators. Test fields that nothing read are gone.

Tested: go test ./internal/node ./internal/operatorsettings ./internal/siteloss ./internal/net/... ./internal/dispatch ./internal/budget ./internal/waiting ./internal/lab ./cmd/gaugeslip ./internal/wire. TestHandsAreKeptAndFollowed missed its second once on a machine at three times its load, and passed alone three times.

--- a/cmd/gaugeslip/plan.go
+++ b/cmd/gaugeslip/plan.go
@@ -15,7 +15,7 @@
 	"gaugeslip/internal/net/cluster"
 	"gaugeslip/internal/node"
 	"gaugeslip/internal/overload"
-	"gaugeslip/internal/sites"
+	"gaugeslip/internal/siteloss"
 )
 
 // planOptions are what `plan` is asked.
@@ -39,7 +39,7 @@
 				return err
 			}
 			if o.lost != "" {
-				var only []sites.Loss
+				var only []siteloss.Loss
 				for _, l := range p.Losses {
 					if l.Site == o.lost {
 						only = append(only, l)
@@ -90,7 +90,7 @@
 }
 
 // fleet is that of the configuration, with the loads given.
-func (o *planOptions) fleet() (*sites.Fleet, error) {
+func (o *planOptions) fleet() (*siteloss.Fleet, error) {
 	c, own, err := o.files.Load()
 	if err != nil {
 		return nil, err
@@ -99,7 +99,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("known: %w", err)
 	}
-	lim, shed := sites.Defaults(), overload.Defaults()
+	lim, shed := siteloss.Defaults(), overload.Defaults()
 	if own.Sites != nil {
 		lim = *own.Sites
 	}
@@ -111,12 +111,12 @@
 	if err != nil {
 		return nil, fmt.Errorf("site: overload.%w", err)
 	}
-	f := &sites.Fleet{Usable: lim.Usable, Notice: lim.Notice, ColdFrom: cfg.ColdFrom, WarmUp: cfg.WarmUp}
+	f := &siteloss.Fleet{Usable: lim.Usable, Notice: lim.Notice, ColdFrom: cfg.ColdFrom, WarmUp: cfg.WarmUp}
 	if f.ColdFrom == 0 {
 		f.ColdFrom = 1
 	}
 	for _, name := range node.Rooms(c) {
-		f.Sites = append(f.Sites, sites.Site{Name: name})
+		f.Sites = append(f.Sites, siteloss.Site{Name: name})
 	}
 	for _, h := range known.Hosts {
 		if h.Zone >= 0 {
@@ -142,7 +142,7 @@
 	}
 	// How much of the work each class asks for is not in the settings: a running dispatcher sees it; here all are alike.
 	for _, i := range order {
-		f.Classes = append(f.Classes, sites.Class{Name: cfg.Classes[i].Name, Share: 1 / float64(len(order)), Floor: shed.Floor})
+		f.Classes = append(f.Classes, siteloss.Class{Name: cfg.Classes[i].Name, Share: 1 / float64(len(order)), Floor: shed.Floor})
 	}
 	if err := f.Check(); err != nil {
 		return nil, fmt.Errorf("plan: %w", err)
--- a/internal/budget/model_test.go
+++ b/internal/budget/model_test.go
@@ -41,12 +41,11 @@
 
 // mutant changes the protocol, or what is held to be usable.
 type mutant struct {
-	drift    float64                    // reckoned with; negative: as it is
-	restart  func(n *Node)              // after a start
-	before   func(s *state, m *Message) // a message is taken in
-	after    func(s *state, m *Message) // it was
-	usable   func(s *state, i, budget int) Units
-	noFaults bool
+	drift   float64                    // reckoned with; negative: as it is
+	restart func(n *Node)              // after a start
+	before  func(s *state, m *Message) // a message is taken in
+	after   func(s *state, m *Message) // it was
+	usable  func(s *state, i, budget int) Units
 }
 
 func (s *state) at(i int) time.Duration { return s.clock[i] }
--- a/internal/dispatch/sites.go
+++ b/internal/dispatch/sites.go
@@ -6,7 +6,7 @@
 	"sync/atomic"
 	"time"
 
-	"gaugeslip/internal/sites"
+	"gaugeslip/internal/siteloss"
 	"gaugeslip/policy"
 )
 
@@ -14,8 +14,8 @@
 // learns of a silent host by its own question, and to tell it all hosts of a lost site at once, or to keep questions to them to a
 // trickle, was measured and cost more on the site's return than it saved (docs/design/sites.md).
 type SitesGate struct {
-	judge   *sites.Judge
-	set     sites.Settings
+	judge   *siteloss.Judge
+	set     siteloss.Settings
 	hosts   map[uint32]int    // site by worker
 	byAddr  map[string]uint32 // worker by address
 	at      map[Key]uint32    // worker by send that is out
@@ -24,12 +24,12 @@
 	states  []atomic.Uint32
 	names   []string
 	cfg     policy.Config
-	lim     sites.Limits
+	lim     siteloss.Limits
 	order   []int // classes, the last refused first
 	floor   float64
 	work    []float64 // hinted, in seconds a second, by class
 	workAt  time.Duration
-	fleet   atomic.Pointer[sites.Fleet]
+	fleet   atomic.Pointer[siteloss.Fleet]
 	planned time.Duration
 }
 
@@ -44,15 +44,15 @@
 
 // NewSitesGate makes a gate for a dispatcher with these settings. names are the sites', by number, order the classes in the order in
 // which they are kept, floor the share of each that is kept first.
-func NewSitesGate(l sites.Limits, cfg policy.Config, names []string, order []int, floor float64) *SitesGate {
+func NewSitesGate(l siteloss.Limits, cfg policy.Config, names []string, order []int, floor float64) *SitesGate {
 	g := &SitesGate{lim: l, cfg: cfg, names: names, order: order, floor: floor,
-		set: sites.Settings{Sites: max(cfg.Zones, 1), Own: cfg.Zone, WarmUp: cfg.WarmUp}}
+		set: siteloss.Settings{Sites: max(cfg.Zones, 1), Own: cfg.Zone, WarmUp: cfg.WarmUp}}
 	return g.Anew().(*SitesGate)
 }
 
 // Anew makes a gate that knows nothing.
 func (g *SitesGate) Anew() Gate {
-	return &SitesGate{lim: g.lim, cfg: g.cfg, names: g.names, order: g.order, floor: g.floor, set: g.set, judge: sites.New(g.set),
+	return &SitesGate{lim: g.lim, cfg: g.cfg, names: g.names, order: g.order, floor: g.floor, set: g.set, judge: siteloss.New(g.set),
 		hosts: map[uint32]int{}, byAddr: map[string]uint32{}, at: map[Key]uint32{}, scale: map[uint32]float64{},
 		states: make([]atomic.Uint32, g.set.Sites), work: make([]float64, len(g.cfg.Classes))}
 }
@@ -60,7 +60,7 @@
 // Fleet is what a plan can be made from now: hosts as listed, and the load that this dispatcher sees, taken for that of every other,
 // as the front deals clients of a site out evenly; where sites have unlike traffic, it is not. Nil: nothing was listed yet. It may
 // be called from any goroutine.
-func (g *SitesGate) Fleet() *sites.Fleet { return g.fleet.Load() }
+func (g *SitesGate) Fleet() *siteloss.Fleet { return g.fleet.Load() }
 
 // arrived counts a job's work.
 func (g *SitesGate) arrived(now time.Duration, m *Arrived) {
@@ -81,21 +81,21 @@
 // plan looks at the fleet anew.
 func (g *SitesGate) plan(now time.Duration) {
 	g.fade(now)
-	f := &sites.Fleet{Usable: g.lim.Usable, ColdFrom: g.cfg.ColdFrom, WarmUp: g.cfg.WarmUp, Notice: g.lim.Notice}
+	f := &siteloss.Fleet{Usable: g.lim.Usable, ColdFrom: g.cfg.ColdFrom, WarmUp: g.cfg.WarmUp, Notice: g.lim.Notice}
 	total := 0.0
 	for _, w := range g.work {
 		total += w
 	}
 	each := total * float64(max(g.cfg.Replicas, 1)) / float64(g.set.Sites)
 	for n := range g.set.Sites {
-		f.Sites = append(f.Sites, sites.Site{Name: g.name(n), Load: each})
+		f.Sites = append(f.Sites, siteloss.Site{Name: g.name(n), Load: each})
 	}
 	for id, n := range g.hosts {
 		f.Sites[n].Hosts++
 		f.Sites[n].Capacity += g.scale[id]
 	}
 	for _, i := range g.order {
-		c := sites.Class{Name: g.cfg.Classes[i].Name, Share: 1 / float64(len(g.order)), Floor: g.floor}
+		c := siteloss.Class{Name: g.cfg.Classes[i].Name, Share: 1 / float64(len(g.order)), Floor: g.floor}
 		if total > 0 {
 			c.Share = g.work[i] / total
 		}
@@ -112,7 +112,7 @@
 }
 
 // State is a site's at the last Step. It may be read from any goroutine.
-func (g *SitesGate) State(site int) sites.State { return sites.State(g.states[site].Load()) }
+func (g *SitesGate) State(site int) siteloss.State { return siteloss.State(g.states[site].Load()) }
 
 // In takes in what tells of hosts.
 func (g *SitesGate) In(now time.Duration, in []Message, p *Pass) {
@@ -154,7 +154,7 @@
 	}
 	for _, c := range g.judge.Step(now) {
 		g.states[c.Site].Store(uint32(c.To))
-		p.Do(Log{Text: fmt.Sprintf("site %s: %v, was %v: %s", g.name(c.Site), c.To, c.From, c.Ground), Warn: c.To != sites.Serving})
+		p.Do(Log{Text: fmt.Sprintf("site %s: %v, was %v: %s", g.name(c.Site), c.To, c.From, c.Ground), Warn: c.To != siteloss.Serving})
 	}
 }
 
--- a/internal/dispatch/sites_test.go
+++ b/internal/dispatch/sites_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"gaugeslip/internal/sites"
+	"gaugeslip/internal/siteloss"
 	"gaugeslip/policy"
 )
 
@@ -21,7 +21,7 @@
 	plain, err := New(cfg, 1)
 	require.NoError(t, err)
 	order := []int{1, 0}
-	g := NewSitesGate(sites.Defaults(), cfg, []string{"a", "b", "c"}, order, 0.25)
+	g := NewSitesGate(siteloss.Defaults(), cfg, []string{"a", "b", "c"}, order, 0.25)
 	c := NewChain(core, Gates{Sites: g})
 	now := 1000 * time.Second
 	var lines []string
@@ -57,8 +57,8 @@
 			}
 		}
 	}
-	assert.Equal(t, sites.Lost, g.State(2))
-	assert.Equal(t, sites.Serving, g.State(1))
+	assert.Equal(t, siteloss.Lost, g.State(2))
+	assert.Equal(t, siteloss.Serving, g.State(1))
 	require.Len(t, lines, 2, "%q", lines)
 	assert.Contains(t, lines[1], "site c: lost, was suspect: ")
 	f := g.Fleet()
@@ -67,5 +67,5 @@
 	assert.Equal(t, 8.0, f.Sites[1].Capacity)
 	assert.Equal(t, cfg.Classes[1].Name, f.Classes[0].Name)
 	assert.InDelta(t, 2*0.787, f.Sites[0].Load, 0.3, "2 s of work a second by each dispatcher, 1 - 1/e^0.5 of it seen; two of six are there")
-	assert.Equal(t, sites.Serving, g.Anew().(*SitesGate).State(2))
+	assert.Equal(t, siteloss.Serving, g.Anew().(*SitesGate).State(2))
 }
--- a/internal/dispatch/waiting_test.go
+++ b/internal/dispatch/waiting_test.go
@@ -73,15 +73,15 @@
 
 // tracked is what a test knows of one job.
 type tracked struct {
-	name              string
-	unsafe, waits     bool
-	detached, left    bool
-	answers, accepted int
-	served            bool
-	status            int // of a local reply; 0: none yet
-	maybe             bool
-	out               map[int]bool
-	keys              map[int]bool
+	name           string
+	unsafe, waits  bool
+	detached, left bool
+	accepted       int
+	served         bool
+	status         int // of a local reply; 0: none yet
+	maybe          bool
+	out            map[int]bool
+	keys           map[int]bool
 }
 
 // machine plays random histories on a chain with a waiting room and checks the rules as they come.
@@ -93,7 +93,6 @@
 	jobs  map[uint64]*tracked
 	names []string
 	next  uint64
-	in    []Message
 	told  map[uint64]Told
 }
 
--- a/internal/lab/setup.go
+++ b/internal/lab/setup.go
@@ -12,7 +12,7 @@
 	"gaugeslip/internal/check"
 	"gaugeslip/internal/dispatch"
 	"gaugeslip/internal/fleet"
-	"gaugeslip/internal/sites"
+	"gaugeslip/internal/siteloss"
 )
 
 // New prepares a run; check false leaves the rules unchecked, for speed.
@@ -107,7 +107,7 @@
 	for k := range l.sc.Classes {
 		order = append(order, k)
 	}
-	return dispatch.NewSitesGate(sites.Defaults(), l.sc.config(i), nil, order, 0)
+	return dispatch.NewSitesGate(siteloss.Defaults(), l.sc.config(i), nil, order, 0)
 }
 
 // tell puts a message into a dispatcher's inbox.
--- /dev/null
+++ b/internal/net/downstream/answer.go
@@ -0,0 +1,159 @@
+package downstream
+
+import (
+	"cmp"
+	"errors"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"time"
+
+	"gaugeslip/internal/net/loop"
+)
+
+// reject answers what can't be taken, at once and without waiting for the rest of it, and closes: what follows
+// on the connection may be part of it. It returns the status.
+func (s *Server) reject(w http.ResponseWriter, r *http.Request, err error) int {
+	var f *fault
+	if !errors.As(err, &f) {
+		f = &fault{http.StatusBadRequest, err.Error()}
+	}
+	switch f.status {
+	case http.StatusMethodNotAllowed:
+		w.Header().Set("Allow", http.MethodPost)
+	case http.StatusServiceUnavailable:
+		s.advise(w, s.set.Policy.MaxRetryAfter)
+	}
+	slog.Debug("refused at the door", "status", f.status, "why", f.why, "id", r.Header.Get("X-Trace-Id"))
+	// Else net/http reads the rest of the body before it answers.
+	http.NewResponseController(w).EnableFullDuplex()
+	w.Header().Set("Connection", "close")
+	s.reply(w, f.status, f.why)
+	if c := clientOf(r); c != nil {
+		c.gate.move(c, parting)
+	}
+	return f.status
+}
+
+// tally counts a final answer.
+func (s *Server) tally(class, status int) {
+	if s.cfg.Tally != nil {
+		s.cfg.Tally.Answered(class, status)
+	}
+}
+
+// up tells the front whether requests can be served here.
+func (s *Server) up(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodGet && r.Method != http.MethodHead {
+		w.Header().Set("Allow", "GET, HEAD")
+		s.reply(w, http.StatusMethodNotAllowed, "GET only")
+		return
+	}
+	if s.Serving() {
+		s.reply(w, http.StatusOK, "up")
+		return
+	}
+	s.reply(w, http.StatusServiceUnavailable, "stopping")
+}
+
+// await hands a ticket in and sends its answer.
+func (s *Server) await(w http.ResponseWriter, r *http.Request, t *loop.Ticket, p prefer) {
+	class := t.Job.Class
+	t.Forward.Client = r.Context()
+	if err := s.loop.Submit(t); err != nil {
+		if errors.Is(err, loop.ErrOpen) {
+			s.tally(class, s.reject(w, r, &fault{http.StatusConflict, err.Error()}))
+			return
+		}
+		// A hard limit. Nothing was sent: a repeat is harmless.
+		s.tally(class, s.answer(w, loop.Answer{Refused: true, RetryAfter: s.set.Policy.MaxRetryAfter}))
+		return
+	}
+	left := false
+	defer func() { s.loop.Release(t, left) }()
+	s.hold("waiting", r)
+	select {
+	case a := <-t.Answer():
+		s.final(w, r, t, p, a)
+	case <-r.Context().Done():
+		// One that has only ended its sending still reads: net/http's own answer would be that its job was served.
+		w.Header().Set("Connection", "close")
+		select {
+		case a := <-t.Answer(): // decided before the leave was seen
+			s.final(w, r, t, p, a)
+		default:
+			left = true
+			slog.Debug("client left", "id", t.Forward.TraceID)
+			s.reply(w, http.StatusInternalServerError, "the client left")
+		}
+	case <-s.loop.Stopped():
+		select {
+		case a := <-t.Answer(): // decided before the end
+			s.final(w, r, t, p, a)
+		default:
+			s.reply(w, http.StatusInternalServerError, "stopped")
+			s.tally(class, http.StatusInternalServerError)
+		}
+	}
+}
+
+// hold lets a test hold a request at a point.
+func (s *Server) hold(point string, r *http.Request) {
+	if s.held != nil {
+		s.held(point, r)
+	}
+}
+
+// final sends the loop's answer to a ticket.
+func (s *Server) final(w http.ResponseWriter, r *http.Request, t *loop.Ticket, p prefer, a loop.Answer) {
+	if a.Accepted {
+		s.accepted(w, r, t.Forward.TraceID, p)
+		return
+	}
+	s.tally(t.Job.Class, s.answer(w, a))
+}
+
+// answer sends a final answer and returns its status.
+func (s *Server) answer(w http.ResponseWriter, a loop.Answer) int {
+	switch {
+	case a.Served:
+		w.Header().Set("Content-Type", "application/octet-stream")
+		s.write(w, http.StatusOK, a.Body)
+		return http.StatusOK
+	case a.Refused:
+		s.advise(w, a.RetryAfter)
+		status := cmp.Or(a.Status, http.StatusTooManyRequests)
+		s.reply(w, status, cmp.Or(a.Why, "refused"))
+		return status
+	case a.Status != 0:
+		s.reply(w, a.Status, a.Why)
+		return a.Status
+	default:
+		s.reply(w, http.StatusInternalServerError, "failed")
+		return http.StatusInternalServerError
+	}
+}
+
+// advise tells a refused client when to come back; 0: no advice.
+func (s *Server) advise(w http.ResponseWriter, after time.Duration) {
+	if after > 0 && s.set.RetryAfter {
+		w.Header().Set("Retry-After", strconv.FormatFloat(after.Seconds(), 'f', -1, 64))
+	}
+}
+
+// reply sends a local reply.
+func (s *Server) reply(w http.ResponseWriter, status int, text string) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	s.write(w, status, []byte(text+"\n"))
+}
+
+func (s *Server) write(w http.ResponseWriter, status int, body []byte) {
+	if s.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	// A client that does not read must not hold its descriptor, or a shutdown, for ever.
+	http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	w.WriteHeader(status)
+	w.Write(body)
+}
--- /dev/null
+++ b/internal/net/downstream/request.go
@@ -0,0 +1,115 @@
+package downstream
+
+import (
+	"io"
+	"log/slog"
+	"net/http"
+	"runtime/debug"
+	"strings"
+	"time"
+)
+
+// ServeHTTP serves one request. Whatever goes wrong in it, the client gets an answer: what panics may have
+// run, so the answer is a failure and not a refusal.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	from := clientOf(r)
+	if from != nil && from.gone() { // closed for others: its client sends the request once more, elsewhere
+		panic(http.ErrAbortHandler)
+	}
+	defer func() {
+		if p := recover(); p == http.ErrAbortHandler {
+			panic(p)
+		} else if p != nil {
+			slog.Error("panic in a handler", "panic", p, "stack", string(debug.Stack()))
+			s.reply(w, http.StatusInternalServerError, "internal error")
+		}
+	}()
+	control := http.NewResponseController(w)
+	if r.Body != http.NoBody { // else a read waits already for the client to leave, and its time-out would look like that
+		control.SetReadDeadline(bodyBy(from, arrived))
+	}
+	s.hold("reading", r)
+	if err := framed(r); err != nil {
+		s.reject(w, r, err)
+		return
+	}
+	if _, _, job := classOf(r, s.set); r.URL.Path == "/up" && !(job && r.Method == http.MethodPost) {
+		s.up(w, r)
+		return
+	}
+	if s.cfg.Waiting && (r.URL.Path == Jobs || strings.HasPrefix(r.URL.Path, Jobs+"/")) {
+		control.SetReadDeadline(time.Time{})
+		s.jobs(w, r)
+		return
+	}
+	t, err := decode(r, s.set, arrived)
+	var p prefer
+	if err == nil && s.cfg.Waiting {
+		p, err = decodeWait(r, t)
+	}
+	if err == nil {
+		long := charge(r)
+		held := s.bodies.Add(long)
+		defer s.bodies.Add(-long)
+		t.Forward.Body, err = readBody(r, held <= s.cfg.MaxBodies)
+	}
+	if err != nil {
+		status := s.reject(w, r, err)
+		if _, class, ok := classOf(r, s.set); ok { // a job of a class, though it could not be taken
+			s.tally(class, status)
+		}
+		return
+	}
+	// Only the body has a limit: one on the connection would end the wait for the answer too.
+	control.SetReadDeadline(time.Time{})
+	if killed := s.killedAt(); !killed.IsZero() {
+		t.Job.Budget = min(t.Job.Budget, max(0, s.answerBy(killed).Sub(arrived)))
+	}
+	s.await(w, r, t, p)
+}
+
+// bodyBy is when the last byte of a request has to be there.
+func bodyBy(c *client, arrived time.Time) time.Time {
+	by := arrived.Add(bodyTimeout)
+	if c != nil && by.Before(c.accepted.Add(requestTimeout)) {
+		by = c.accepted.Add(requestTimeout)
+	}
+	return by
+}
+
+// freeBody is how long a body may be without being counted: short ones are bounded by the connections.
+const freeBody = 4 << 10
+
+// charge is what a request's body counts for in Config.MaxBodies. One in chunks may be as long as any.
+func charge(r *http.Request) int64 {
+	switch {
+	case r.ContentLength < 0:
+		return maxBody
+	case r.ContentLength <= freeBody:
+		return 0
+	}
+	return r.ContentLength
+}
+
+// readBody reads a body of known length, or in chunks, where there is room for it.
+func readBody(r *http.Request, room bool) ([]byte, error) {
+	if !room && charge(r) > 0 {
+		return nil, &fault{http.StatusServiceUnavailable, "too many long bodies at once"}
+	}
+	if r.ContentLength < 0 {
+		b, err := io.ReadAll(io.LimitReader(r.Body, maxBody+1))
+		switch {
+		case err != nil:
+			return nil, bad("body: %v", err)
+		case len(b) > maxBody:
+			return nil, &fault{http.StatusRequestEntityTooLarge, "a body holds 64 KiB at most"}
+		}
+		return b, nil
+	}
+	b := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, b); err != nil {
+		return nil, bad("body: %v", err)
+	}
+	return b, nil
+}
--- a/internal/ops/figures.go
+++ b/internal/net/operators/figures.go
@@ -1,8 +1,8 @@
-// Package ops is the operators' door of a dispatcher: a small HTTP/1.1 server of its own beside the clients' one,
+// Package operators is the operators' door of a dispatcher: a small HTTP/1.1 server of its own beside the clients' one,
 // which tells whether the process can serve, shows its figures in the Prometheus text format, and takes game workers
 // out by hand and puts them back. It also keeps what was done by hand in a file, so that a successor of the process
 // holds to it. What any of it means for the choice of hosts is the module's: see dispatch.Hand.
-package ops
+package operators
 
 import (
 	"net/http"
--- a/internal/ops/store.go
+++ b/internal/net/operators/store.go
@@ -1,4 +1,4 @@
-package ops
+package operators
 
 import (
 	"bytes"
--- a/internal/net/upstream/request.go
+++ b/internal/net/upstream/request.go
@@ -1,17 +1,13 @@
 package upstream
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"os"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
 
@@ -55,15 +51,6 @@
 	Ended(Outcome)
 }
 
-// line is one object of an answer.
-type line struct {
-	ID     string          `json:"id"`
-	State  string          `json:"state"`
-	Share  float64         `json:"share"`
-	Result json.RawMessage `json:"result"`
-	Load   json.RawMessage `json:"load"`
-}
-
 // Do sends a request and tells w what comes of it. It returns after w.Ended.
 func (p *Pool) Do(ctx context.Context, q *Request, w Watcher) {
 	start := time.Now()
@@ -233,194 +220,3 @@
 	b.Write(q.Body)
 	return b.Bytes()
 }
-
-// read follows an answer to the line that ends it. The response is nil where the connection is of no more use.
-func (q *Request) read(c *conn, w Watcher) (Outcome, *http.Response) {
-	resp, err := c.head(q.Method)
-	if err != nil {
-		return Outcome{Result: policy.ConnectionLost}, nil
-	}
-	load := headerLoad(resp.Header)
-	if resp.StatusCode != http.StatusOK {
-		return Outcome{Result: statusResult(resp), Load: load}, resp
-	}
-	lines := bufio.NewReader(io.LimitReader(resp.Body, 4*maxLine))
-	for {
-		text, err := readLine(lines)
-		if err != nil {
-			return Outcome{Result: policy.ConnectionLost}, nil
-		}
-		if len(bytes.TrimSpace(text)) == 0 {
-			continue
-		}
-		var l line
-		if json.Unmarshal(text, &l) != nil || l.ID != q.TraceID {
-			// Not a line for this request: what became of the job is not known.
-			return Outcome{Result: policy.ConnectionLost}, nil
-		}
-		if l.Load != nil {
-			load = ParseLoad(string(l.Load))
-		}
-		switch l.State {
-		case "started":
-			w.Started()
-		case "running":
-			w.Progress(l.Share)
-		case "done":
-			return Outcome{Result: policy.OK, Body: l.body(), Load: load}, resp
-		case "failed":
-			return Outcome{Result: policy.AppError, Load: load}, resp
-		case "returned":
-			return Outcome{Result: policy.Full, Load: load}, resp
-		case "lost":
-			return Outcome{Result: policy.ConnectionLost, Load: load}, resp
-		}
-	}
-}
-
-// head reads the head of an answer, of bounded length, and passes over those that only say that one will come: what
-// follows them is still the answer to this request.
-func (c *conn) head(method string) (*http.Response, error) {
-	for range maxEarly {
-		c.in.left = maxHead
-		resp, err := http.ReadResponse(c.r, &http.Request{Method: method})
-		if c.in.left = math.MaxInt; err != nil {
-			return nil, err
-		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
-			break
-		}
-		if resp.StatusCode/100 != 1 {
-			return resp, nil
-		}
-	}
-	return nil, errors.New("upstream: no answer but 1xx")
-}
-
-// body is the result as bytes: a string's text, any other value as it stands.
-func (l *line) body() []byte {
-	var s string
-	if json.Unmarshal(l.Result, &s) == nil {
-		return []byte(s)
-	}
-	return l.Result
-}
-
-// readLine reads one line of bounded length.
-func readLine(r *bufio.Reader) ([]byte, error) {
-	var long []byte
-	for {
-		part, err := r.ReadSlice('\n')
-		if err == nil && long == nil {
-			return part, nil
-		}
-		if long = append(long, part...); err == nil {
-			return long, nil
-		}
-		if err != bufio.ErrBufferFull {
-			return nil, err
-		}
-		if len(long) > maxLine {
-			return nil, errors.New("upstream: a line is too long")
-		}
-	}
-}
-
-// statusResult is what an answer without lines means: only a 503 or 504 that says so proves that the job
-// never ran.
-func statusResult(resp *http.Response) policy.Result {
-	switch resp.StatusCode {
-	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if resp.Header.Get("X-Never-Ran") == "1" {
-			return policy.Full
-		}
-	}
-	if resp.StatusCode/100 == 4 { // the request's fault: no word against the host
-		return policy.Rejected
-	}
-	return policy.AppError
-}
-
-// Probe asks a host for its load.
-func (p *Pool) Probe(ctx context.Context, addr string) Outcome {
-	ctx, cancel := context.WithTimeout(ctx, p.cfg.ProbeTimeout)
-	defer cancel()
-	start := time.Now()
-	c, err := p.get(ctx, addr)
-	if err != nil {
-		return Outcome{Result: policy.ConnectFailed, Took: time.Since(start)}
-	}
-	stop := p.interrupt(ctx, c)
-	defer stop()
-	resp, body, err := c.probe(addr)
-	o := Outcome{Result: policy.OK, Took: time.Since(start)}
-	switch {
-	case err != nil && ctx.Err() != nil:
-		o.Result = policy.TimedOut
-	case err != nil:
-		o.Result = policy.ConnectionLost
-	case resp.StatusCode == http.StatusServiceUnavailable:
-		o.Result = policy.Full
-	case resp.StatusCode != http.StatusOK:
-		o.Result = policy.AppError
-	default:
-		if o.Load = ParseLoad(string(body)); o.Load == nil {
-			o.Load = headerLoad(resp.Header)
-		}
-	}
-	if err != nil {
-		p.drop(c)
-		return o
-	}
-	p.recycle(ctx, c, resp, stop, false)
-	return o
-}
-
-func (c *conn) probe(addr string) (*http.Response, []byte, error) {
-	if _, err := io.WriteString(c, "GET /metrics/load HTTP/1.1\r\nHost: "+addr+"\r\n\r\n"); err != nil {
-		return nil, nil, err
-	}
-	resp, err := c.head(http.MethodGet)
-	if err != nil {
-		return nil, nil, err
-	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxProbe))
-	return resp, body, err
-}
-
-func headerLoad(h http.Header) Report {
-	if v := h.Get("Endpoint-Load-Metrics"); v != "" {
-		return ParseLoad(v)
-	}
-	return nil
-}
-
-// ParseLoad reads a load report, "TEXT name=value, name=value" or "JSON {...}"; the first word may be
-// missing. A value that is no number is skipped; where none is left the report is nil.
-func ParseLoad(s string) Report {
-	s = strings.TrimSpace(s)
-	s = strings.TrimSpace(strings.TrimPrefix(strings.TrimPrefix(s, "TEXT "), "JSON "))
-	r := Report{}
-	if strings.HasPrefix(s, "{") {
-		var all map[string]any
-		if json.Unmarshal([]byte(s), &all) != nil {
-			return nil
-		}
-		for k, v := range all {
-			if f, ok := v.(float64); ok {
-				r[k] = f
-			}
-		}
-	} else {
-		for _, part := range strings.Split(s, ",") {
-			k, v, _ := strings.Cut(strings.TrimSpace(part), "=")
-			if f, err := strconv.ParseFloat(v, 64); err == nil && f-f == 0 {
-				r[k] = f
-			}
-		}
-	}
-	if len(r) == 0 {
-		return nil
-	}
-	return r
-}
--- a/internal/node/budgets.go
+++ b/internal/node/budgets.go
@@ -14,9 +14,9 @@
 	"gaugeslip/internal/config"
 	"gaugeslip/internal/dispatch"
 	"gaugeslip/internal/net/cluster"
+	"gaugeslip/internal/net/operators"
 	"gaugeslip/internal/net/peers"
-	"gaugeslip/internal/ops"
-	"gaugeslip/internal/site"
+	"gaugeslip/internal/operatorsettings"
 )
 
 // budgets are this process's shares of what belongs to the fleet.
@@ -33,7 +33,7 @@
 }
 
 // newBudgets makes them as the settings want; nil: there are none. Nothing is owned yet.
-func newBudgets(cfg *config.Config, own *site.Site, now func() time.Duration, figures *ops.Figures) *budgets {
+func newBudgets(cfg *config.Config, own *operatorsettings.Settings, now func() time.Duration, figures *operators.Figures) *budgets {
 	if own.Budgets == nil {
 		return nil
 	}
@@ -44,7 +44,7 @@
 	}
 	accounts, gate, lists := dispatch.BudgetAccounts(own.Budgets, policy)
 	b := &budgets{ledger: budget.NewLedger(accounts, drift), lists: lists, now: now, done: make(chan struct{}),
-		path: ops.FileOf(os.TempDir(), cfg.Name, "share"), equal: budget.Static(members)}
+		path: operators.FileOf(os.TempDir(), cfg.Name, "share"), equal: budget.Static(members)}
 	b.gate = gate(b.ledger)
 	if own.Budgets.Way == budget.ByTalk {
 		b.peers = peers.New(peers.Config{Limits: *own.Peers, Self: policy.Ordinal, Floor: own.Budgets.FloorOf(members), Ledger: b.ledger,
--- /dev/null
+++ b/internal/node/run.go
@@ -0,0 +1,188 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"time"
+
+	"gaugeslip/internal/config"
+	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/net/cluster"
+	"gaugeslip/internal/net/downstream"
+	"gaugeslip/internal/net/loop"
+	"gaugeslip/internal/net/operators"
+	"gaugeslip/internal/net/upstream"
+	"gaugeslip/internal/operatorsettings"
+)
+
+// The budget of descriptors: what is not downstream's or upstream's is for discovery, standard streams, the
+// listener, the poller and a margin.
+const (
+	reserveShare    = 10 // one part in ten
+	downstreamParts = 5  // of nine: a request holds a connection on each side, downstream some more
+	upstreamParts   = 4
+	probeTimeout    = 500 * time.Millisecond
+	settle          = 5 * time.Millisecond  // some round trips between server rooms
+	rest            = 25 * time.Millisecond // a second answer to a job comes some milliseconds late
+)
+
+// Budget shares the descriptors out.
+func Budget(sockets int) (down, up int) {
+	part := (sockets - sockets/reserveShare) / (downstreamParts + upstreamParts)
+	return part * downstreamParts, part * upstreamParts
+}
+
+// OpsConns is how many connections the operators' door holds at once, out of the clients' share of descriptors.
+func OpsConns(sockets int) int { return min(max(sockets/32, 4), 32) }
+
+// classes are the names of the settings' classes, by number.
+func classes(cfg *config.Config) []string {
+	names := make([]string, len(cfg.Settings.Policy.Classes))
+	for i, c := range cfg.Settings.Policy.Classes {
+		names[i] = c.Name
+	}
+	return names
+}
+
+// Run wires the parts together and runs them until ctx ends and all that was taken is answered. Each signal on hup makes it read its configuration again.
+func Run(ctx context.Context, cfg *config.Config, own *operatorsettings.Settings, f *Files, hup <-chan os.Signal) error {
+	started := time.Now()
+	decisions := cfg.Settings.Policy // a copy: what a reload is compared with stays as it was read
+	if own.Overload != nil {
+		own.Overload.Apply(&decisions)
+	}
+	known, err := cluster.Known(cfg.Known, cfg.Settings)
+	if err != nil {
+		return fmt.Errorf("known: %w", err)
+	}
+	core, err := dispatch.New(decisions, cfg.Seed)
+	if err != nil {
+		return err
+	}
+	down, up := Budget(cfg.Limits.Sockets)
+	door := 0
+	if cfg.Ops != "" {
+		door = OpsConns(cfg.Limits.Sockets)
+		down -= door
+	}
+	var l *loop.Loop
+	figures := operators.NewFigures(classes(cfg), operators.Gauges{
+		InFlight: func() float64 { return float64(l.Held()) },
+		Workers: func() (float64, float64) {
+			known, excluded := l.Workers()
+			return float64(known), float64(excluded)
+		}})
+	var tally downstream.Tally = figures
+	if own.Overload != nil {
+		level := newLevel(*own.Overload, figures, started)
+		figures.Gauge("overloaded", "1 while refusals are more than the settings' share of the answers.", level.on)
+		figures.Gauge("refused_share", "Share of refusals among the answers of the last seconds.", level.share)
+		tally = level
+	}
+	shed, err := shedding(own.Overload, &decisions, figures)
+	if err != nil {
+		return err
+	}
+	pool := upstream.NewPool(upstream.Config{ConnectTimeout: cfg.Settings.Policy.ConnectTimeout,
+		ConnIdle: cfg.Settings.ConnIdle, ProbeTimeout: probeTimeout, Settle: settle, Rest: rest, MaxConns: up,
+		Written: figures.Attempt})
+	gates := dispatch.Gates{Shed: shed}
+	if own.Waiting != nil {
+		gates.Waiting = dispatch.NewWaitingGate(*own.Waiting, cfg.Settings.Policy)
+	}
+	rooms, err := judging(own, cfg, &decisions, figures)
+	if err != nil {
+		return err
+	}
+	gates.Sites = rooms
+	clock := loop.NewClock()
+	shares := newBudgets(cfg, own, clock.Now, figures)
+	if shares != nil {
+		gates.Budget = shares.gate
+	}
+	l = loop.New(dispatch.NewChain(core, gates), cfg.Settings, pool, watched(cfg, shares, true), clock)
+	l.Post(known)
+	server := downstream.New(downstream.Config{Listen: cfg.Listen, Inherited: cfg.Inherited, MaxConns: down,
+		MaxBodies: cfg.Limits.BodyBytes(), AcceptFor: downstream.AcceptFor,
+		KilledAfter: downstream.KilledAfter(cfg.Settings), Waiting: gates.Waiting != nil, Tally: tally}, cfg.Settings, l)
+	ln, err := server.Listen()
+	if err != nil {
+		return err
+	}
+	var opsDoor *operators.Door
+	var opsLn net.Listener
+	if cfg.Ops != "" {
+		opsDoor = operators.NewDoor(operators.Config{Addr: cfg.Ops, MaxConns: door, Ready: server.Serving, Figures: figures,
+			Core: l, Store: operators.NewStore(os.TempDir(), cfg.Name), Views: views(shares, rooms)})
+		if opsLn, err = opsDoor.Listen(); err != nil {
+			ln.Close()
+			return err
+		}
+		opsDoor.Restore() // before the loop's first Step: what is out stays out from the first send on
+	}
+	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "ops", cfg.Ops, "hosts", len(known.Hosts))
+
+	// The loop and the pool outlive the downstream side, which needs them for what it still owes.
+	inner, halt := context.WithCancel(context.Background())
+	outer, stop := context.WithCancel(ctx)
+	defer stop()
+	swept, looped := make(chan struct{}), make(chan error, 1)
+	reloaded, opened := make(chan struct{}), make(chan struct{})
+	go func() { defer close(swept); pool.Sweep(inner) }()
+	if shares != nil {
+		shares.hold(inner)
+	}
+	handed := make(chan struct{})
+	if cfg.Inherited != 0 {
+		path, me := servingFile(os.TempDir(), cfg.Name), serving{PID: os.Getpid(), Since: started.UnixNano()}
+		if err := announce(path, me); err != nil {
+			slog.Error("a successor will not know that this process serves", "error", err)
+		}
+		go func() {
+			defer close(handed)
+			awaitSuccessor(outer, path, me, func() {
+				slog.Info("a successor serves: handing over")
+				server.Handover()
+				if shares != nil { // what comes now is the successor's
+					shares.release()
+				}
+			})
+		}()
+	} else {
+		close(handed)
+	}
+	go func() {
+		defer close(opened)
+		if opsDoor != nil {
+			if err := opsDoor.Serve(inner, opsLn); err != nil {
+				slog.Error("the operators' door is shut", "error", err)
+			}
+		}
+	}()
+	go func() { defer close(reloaded); reload(inner, cfg, own, f, hup, l, shares) }()
+	go func() { looped <- l.Run(inner); stop() }()
+	err = server.Serve(outer, ln)
+	halt()
+	<-handed
+	<-swept
+	<-reloaded
+	<-opened
+	if shares != nil {
+		shares.release()
+	}
+	if lerr := <-looped; lerr != nil {
+		return lerr
+	}
+	if gates.Waiting != nil { // the loop has ended: nobody else looks at it
+		if n := gates.Waiting.Room().Held(); n > 0 {
+			slog.Warn("waiting jobs are lost with the process, which keeps them in memory alone", "jobs", n)
+		}
+	}
+	if err == nil {
+		slog.Info("stopped")
+	}
+	return err
+}
--- a/internal/node/successor.go
+++ b/internal/node/successor.go
@@ -7,7 +7,7 @@
 	"os"
 	"time"
 
-	"gaugeslip/internal/ops"
+	"gaugeslip/internal/net/operators"
 )
 
 // On a socket that the platform keeps, a new process of the same dispatcher accepts beside the old one. The one that
@@ -25,12 +25,12 @@
 }
 
 // servingFile is where the processes of a dispatcher tell which of them serves.
-func servingFile(dir, name string) string { return ops.FileOf(dir, name, "serving") }
+func servingFile(dir, name string) string { return operators.FileOf(dir, name, "serving") }
 
 // announce writes that this process serves now.
 func announce(path string, me serving) error {
 	text, _ := json.Marshal(me)
-	if err := ops.WriteWhole(path, text, false); err != nil {
+	if err := operators.WriteWhole(path, text, false); err != nil {
 		return fmt.Errorf("serving: %w", err)
 	}
 	return nil
--- /dev/null
+++ b/internal/operatorsettings/reader.go
@@ -0,0 +1,134 @@
+package operatorsettings
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/hashicorp/hcl/v2"
+	"github.com/zclconf/go-cty/cty"
+)
+
+// reader reads attributes and collects what is wrong with them. One that is absent leaves its target as it is.
+type reader struct {
+	block string
+	errs  []error
+}
+
+func (r *reader) fault(a *hcl.Attribute, why string, args ...any) {
+	r.errs = append(r.errs, at(a.Range, r.block+"."+a.Name, fmt.Sprintf(why, args...)))
+}
+
+// value evaluates an attribute as a type.
+func (r *reader) value(a *hcl.Attribute, want cty.Type) (cty.Value, bool) {
+	if a == nil {
+		return cty.NilVal, false
+	}
+	v, diags := a.Expr.Value(nil)
+	if diags.HasErrors() {
+		r.fault(a, "%s", diags[0].Detail)
+		return v, false
+	}
+	if v.IsNull() || !v.IsKnown() || v.Type() != want {
+		r.fault(a, "a %s is wanted", want.FriendlyName())
+		return v, false
+	}
+	return v, true
+}
+
+func (r *reader) number(a *hcl.Attribute, to *float64) bool {
+	v, ok := r.value(a, cty.Number)
+	if ok {
+		*to, _ = v.AsBigFloat().Float64()
+	}
+	return ok
+}
+
+func (r *reader) integer(a *hcl.Attribute, to *int) {
+	var f float64
+	if !r.number(a, &f) {
+		return
+	}
+	if f != math.Trunc(f) || math.Abs(f) > 1<<40 {
+		r.fault(a, "a whole number is wanted")
+		return
+	}
+	*to = int(f)
+}
+
+func (r *reader) boolean(a *hcl.Attribute, to *bool) {
+	if v, ok := r.value(a, cty.Bool); ok {
+		*to = v.True()
+	}
+}
+
+func (r *reader) text(a *hcl.Attribute, to *string) bool {
+	v, ok := r.value(a, cty.String)
+	if ok {
+		*to = v.AsString()
+	}
+	return ok
+}
+
+// texts reads ["a", "b"].
+func (r *reader) texts(a *hcl.Attribute, to *[]string) {
+	if a == nil {
+		return
+	}
+	v, diags := a.Expr.Value(nil)
+	if diags.HasErrors() {
+		r.fault(a, "%s", diags[0].Detail)
+		return
+	}
+	if !v.IsWhollyKnown() || v.IsNull() || !v.CanIterateElements() {
+		r.fault(a, "a list of texts is wanted")
+		return
+	}
+	*to = nil
+	for _, x := range v.AsValueSlice() {
+		if x.IsNull() || x.Type() != cty.String {
+			r.fault(a, "a list of texts is wanted")
+			return
+		}
+		*to = append(*to, x.AsString())
+	}
+}
+
+// duration reads "90s", "10m", "24h".
+func (r *reader) duration(a *hcl.Attribute, to *time.Duration) {
+	var s string
+	if !r.text(a, &s) {
+		return
+	}
+	d, err := time.ParseDuration(s)
+	if err != nil || d < 0 {
+		r.fault(a, `%q is no duration such as "90s" or "10m"`, s)
+		return
+	}
+	*to = d
+}
+
+var units = []struct {
+	name string
+	size int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"B", 1}}
+
+// bytes reads "512KiB", "8MiB", "1GiB".
+func (r *reader) bytes(a *hcl.Attribute, to *int64) {
+	var s string
+	if !r.text(a, &s) {
+		return
+	}
+	for _, u := range units {
+		if n, ok := strings.CutSuffix(s, u.name); ok {
+			if v, err := strconv.ParseUint(strings.TrimSpace(n), 10, 31); err == nil {
+				*to = int64(v) * u.size
+				return
+			}
+			break
+		}
+	}
+	r.fault(a, `%q is no size such as "512KiB" or "8MiB"`, s)
+}
--- /dev/null
+++ b/internal/operatorsettings/settings.go
@@ -0,0 +1,93 @@
+// Package operatorsettings reads our own settings file: HCL, one block a subject. Without a file, and without its block, a subject
+// is off. A file is checked whole before any of it counts, and every error names file, line, column and key.
+package operatorsettings
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/hashicorp/hcl/v2/gohcl"
+	"github.com/hashicorp/hcl/v2/hclparse"
+
+	"gaugeslip/internal/budget"
+	"gaugeslip/internal/net/peers"
+	"gaugeslip/internal/overload"
+	"gaugeslip/internal/siteloss"
+	"gaugeslip/internal/waiting"
+)
+
+// Settings are what the file holds.
+type Settings struct {
+	Waiting  *waiting.Limits  // nil: jobs do not wait here
+	Overload *overload.Limits // nil: nothing is done about overload beyond what the decision module always does
+	Budgets  *budget.Limits   // nil: nothing is divided beyond what the decision module always divides
+	Peers    *peers.Limits    // nil: dispatchers do not talk
+	Sites    *siteloss.Limits // nil: sites are not judged, and nothing is planned for the loss of one
+}
+
+// Load reads the file that path names, or else the one that NODE_SITE does. With neither, everything is off.
+func Load(getenv func(string) string, path string) (*Settings, error) {
+	if path == "" {
+		path = getenv("NODE_SITE")
+	}
+	if path == "" {
+		return &Settings{}, nil
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("site: %w", err)
+	}
+	return Parse(text, path)
+}
+
+// Parse reads the text of a file; name is for its errors.
+func Parse(text []byte, name string) (*Settings, error) {
+	parsed, diags := hclparse.NewParser().ParseHCL(text, name)
+	if diags.HasErrors() {
+		return nil, faults(diags)
+	}
+	var f file
+	if diags = gohcl.DecodeBody(parsed.Body, nil, &f); diags.HasErrors() {
+		return nil, faults(diags)
+	}
+	s := &Settings{}
+	if f.Waiting != nil {
+		lim, err := f.Waiting.limits()
+		if err != nil {
+			return nil, err
+		}
+		s.Waiting = lim
+	}
+	if f.Overload != nil {
+		lim, err := f.Overload.limits()
+		if err != nil {
+			return nil, err
+		}
+		s.Overload = lim
+	}
+	if f.Budgets != nil {
+		lim, err := f.Budgets.limits()
+		if err != nil {
+			return nil, err
+		}
+		s.Budgets = lim
+	}
+	if f.Peers != nil {
+		lim, err := f.Peers.limits()
+		if err != nil {
+			return nil, err
+		}
+		s.Peers = lim
+	}
+	if f.Sites != nil {
+		lim, err := f.Sites.limits()
+		if err != nil {
+			return nil, err
+		}
+		s.Sites = lim
+	}
+	if s.Budgets != nil && s.Budgets.Way == budget.ByTalk && s.Peers == nil {
+		return nil, at(f.Budgets.Range, "budgets.way", "talk needs a block peers")
+	}
+	return s, nil
+}
--- a/internal/site/site_test.go
+++ b/internal/operatorsettings/settings_test.go
@@ -1,4 +1,4 @@
-package site
+package operatorsettings
 
 import (
 	"os"
@@ -12,7 +12,7 @@
 
 	"gaugeslip/internal/budget"
 	"gaugeslip/internal/overload"
-	"gaugeslip/internal/sites"
+	"gaugeslip/internal/siteloss"
 	"gaugeslip/internal/waiting"
 )
 
@@ -100,7 +100,7 @@
 	path := filepath.Join("..", "..", "deploy", "site.hcl")
 	s, err := Load(func(k string) string { return map[string]string{"NODE_SITE": path}[k] }, "")
 	require.NoError(t, err)
-	assert.Equal(t, &Site{}, s)
+	assert.Equal(t, &Settings{}, s)
 	text, err := os.ReadFile(path)
 	require.NoError(t, err)
 	on := uncomment(string(text))
@@ -113,7 +113,7 @@
 	budgets := budget.Defaults()
 	assert.Equal(t, &budgets, s.Budgets, "the example names the defaults")
 	assert.Len(t, s.Peers.Members, 3)
-	plan := sites.Defaults()
+	plan := siteloss.Defaults()
 	assert.Equal(t, &plan, s.Sites, "the example names the defaults")
 }
 
--- a/internal/sites/sites.go
+++ b/internal/siteloss/judge.go
@@ -1,10 +1,10 @@
-// Package sites tells what one dispatcher knows of each site (a server room with its game workers) from its own evidence, and what
+// Package siteloss tells what one dispatcher knows of each site (a server room with its game workers) from its own evidence, and what
 // is planned for the loss of one. It is free of I/O, clocks and goroutines.
 //
 // A dispatcher sees of a site only whether its hosts answer. That none of a site answers has three explanations: the site is lost,
 // the way there is cut, or the dispatcher itself is cut off. The first two are the same to whoever is on this side of them; the
 // last is not, and is told apart by looking at all sites: see Judge.
-package sites
+package siteloss
 
 import (
 	"fmt"
--- a/internal/sites/plan.go
+++ b/internal/siteloss/plan.go
@@ -1,4 +1,4 @@
-package sites
+package siteloss
 
 import (
 	"errors"
--- a/internal/waiting/weigh_test.go
+++ b/internal/waiting/weigh_test.go
@@ -41,7 +41,7 @@
 	next   uint64
 	total  int // lanes
 
-	freshInTime, freshAll int
+	freshInTime int
 }
 
 type host struct {
