--- a/coord/membership/node.go
+++ b/coord/membership/node.go
@@ -1,5 +1,3 @@
-// Package membership runs peer sampling and gossip between processes: in each round a node exchanges state with a peer, now and
-// then shuffles views with one, and pushes on what it learns.
 package membership
 
 import (
--- a/coord/replica/config.go
+++ b/coord/replica/config.go
@@ -1,6 +1,3 @@
-// Package replica combines the agreed view and the chain to one core: what it is told goes in by Step and Propose,
-// what is to be sent, stored and applied comes out. It does no I/O, reads no clock and starts no goroutine; all
-// times are on one steady clock. A Replica is used by one goroutine.
 package replica
 
 import (
--- a/coord/view/view.go
+++ b/coord/view/view.go
@@ -1,6 +1,3 @@
-// Package view holds the agreed view of the cluster: who votes, who is in the chain and in which order, and
-// the parts by which the next view is agreed: an acceptor and a proposer of one single-decree Paxos instance an
-// epoch, and the head's lease. It does no I/O, reads no clock and starts no goroutine.
 package view
 
 import "slices"
--- /dev/null
+++ b/coord/wal/example_test.go
@@ -0,0 +1,43 @@
+package wal_test
+
+import (
+	"fmt"
+	"os"
+
+	"gaugeslip/coord/wal"
+)
+
+// A log is opened, written to, synced, and read back after a restart.
+func Example() {
+	folder, err := os.MkdirTemp("", "wal")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(folder)
+	disk, err := wal.OSDisk(folder)
+	if err != nil {
+		panic(err)
+	}
+	log, _, err := wal.Open(disk, "orders")
+	if err != nil {
+		panic(err)
+	}
+	_ = log.Append(wal.Record{Kind: 1, Data: []byte("take")}, wal.Record{Kind: 2, Data: []byte("ship")})
+	if err := log.Sync(); err == nil {
+		fmt.Println("both last now")
+	}
+	_ = log.Close()
+
+	log, records, err := wal.Open(disk, "orders")
+	if err != nil {
+		panic(err)
+	}
+	defer log.Close()
+	for _, record := range records {
+		fmt.Println(record.Kind, string(record.Data))
+	}
+	// Output:
+	// both last now
+	// 1 take
+	// 2 ship
+}
