Play the scheduler in simulated worlds full of trouble, and mend what they found

Workers that crash, are cut off, answer late, refuse, stand still, fail, drain; lost answers, late orders, slow commits, successive heads. Mended: a worker out of reach is asked for no longer holds, or its runs never ran out; held steps without waiting tasks leave the queue; a lost worker's ends that come again are passed over; timers run after a command's effect was taken in. Test: go test -race ./internal/system/scheduler/.

--- a/internal/system/scheduler/holds.go
+++ b/internal/system/scheduler/holds.go
@@ -63,18 +63,28 @@
 		WaitMs:     w.hold.wait.Milliseconds(),
 	}
 	if w.clock.known {
-		order.DueAtMs = w.clock.lower(s.now) + s.bounds.MaxHold().Milliseconds()
+		order.DueAtMs = s.renewal(w)
 		w.highestDue = max(w.highestDue, order.DueAtMs)
 	}
 	w.hold.out = s.send(Call{Kind: CallHold, Hold: order, Timeout: w.hold.wait + holdTimeout}, w, nil)
 }
 
-// lastSeen is the number up to which ends are committed.
+// renewal is the due time of the next hold, on the worker's clock. A worker out of reach is asked for nothing beyond what it was asked
+// for before: any hold may be carried out though no answer comes, and what runs there has to run out some time.
+func (s *Scheduler) renewal(w *worker) int64 {
+	if w.reach == silent {
+		return w.highestDue
+	}
+	return w.clock.lower(s.now) + s.bounds.MaxHold().Milliseconds()
+}
+
+// lastSeen is the number up to which ends are committed. The loss of a worker takes it out of the replicated state, though the same
+// life may come back and list those ends again.
 func (s *Scheduler) lastSeen(w *worker) uint64 {
 	if record := s.machine.Worker(w.life.Instance); record != nil {
-		return record.LastSeen
+		w.committed = max(w.committed, record.LastSeen)
 	}
-	return 0
+	return w.committed
 }
 
 // holdWait is how long the next hold is to wait for an end.
@@ -238,6 +248,7 @@
 		if w == nil {
 			break
 		}
+		w.committed = max(w.committed, ended.Ends[i].Number)
 		if r := w.runs[ended.Ends[i].Run]; r != nil {
 			s.drop(r)
 		}
--- a/internal/system/scheduler/jobs.go
+++ b/internal/system/scheduler/jobs.go
@@ -111,7 +111,7 @@
 
 // openTime opens the steps of a due time whose turn has come.
 func (s *Scheduler) openTime(j *job, number uint32) {
-	if timeDone(j.record, number) {
+	if timeDone(j.record, number) && j.times[number] == nil {
 		return
 	}
 	t := s.ensureTime(j, number)
--- a/internal/system/scheduler/lost.go
+++ b/internal/system/scheduler/lost.go
@@ -68,7 +68,6 @@
 		return
 	}
 	w.losing = false
-	w.seen = 0
 	if w.reach != over {
 		w.reach = unheard
 	}
--- a/internal/system/scheduler/scheduler.go
+++ b/internal/system/scheduler/scheduler.go
@@ -112,9 +112,7 @@
 
 // advance brings the scheduler up to a time.
 func (s *Scheduler) advance(now time.Duration) {
-	if now > s.now {
-		s.now = now
-	}
+	s.now = max(s.now, now)
 	s.fireTimers()
 	s.openDueTimes()
 }
@@ -140,13 +138,18 @@
 	}
 }
 
-// Applied takes in what a committed command has changed, in the order of the chain.
+// Applied takes in what a committed command has changed, in the order of the chain and before the next one is applied.
 func (s *Scheduler) Applied(now time.Duration, result state.Result) {
-	s.advance(now)
+	s.now = max(s.now, now)
+	s.take(&result)
+	s.advance(now) // only now, as timers look at the replicated state too
+}
+
+func (s *Scheduler) take(result *state.Result) {
 	command := &result.Command
 	switch command.Kind {
 	case state.KindJobAccepted:
-		s.jobAccepted(&result)
+		s.jobAccepted(result)
 	case state.KindJobCancelled:
 		s.jobsOver(result.Finished)
 	case state.KindTasksStarting:
@@ -189,10 +192,10 @@
 	if s.superseded {
 		return Output{Superseded: true}
 	}
-	s.dispatch()
-	s.proposeStarts()
 	s.orderStarts()
 	s.proposeVoids()
+	s.dispatch()
+	s.proposeStarts()
 	output := Output{Commands: s.commands, Calls: s.out, Wake: s.nextWake()}
 	s.commands, s.out = nil, nil
 	return output
--- /dev/null
+++ b/internal/system/scheduler/scheduler_test.go
@@ -0,0 +1,247 @@
+package scheduler
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/system/jobspec"
+	"gaugeslip/internal/system/state"
+)
+
+// checkIdle finds held tasks for which room stands idle.
+func (s *Scheduler) checkIdle(w *world) {
+	for _, svc := range s.services {
+		for _, st := range svc.queue.All() {
+			if st.stage.Gang || st.stage.Colocation != "" {
+				continue
+			}
+			for _, index := range st.waiting {
+				if found := s.best(svc.workers, st, &st.tasks[index]); found != nil {
+					w.violated("IDLE", "%v waits, %s has room: %+v", st.name(index), found.life.Instance, found.view())
+				}
+			}
+		}
+	}
+}
+
+// mixture draws a job of any kind.
+func (w *world) mixture() *jobspec.Spec {
+	spec := &jobspec.Spec{Text: fmt.Sprintf("spec %d", w.random.Uint64())}
+	for i := range 1 + w.random.IntN(3) {
+		stage := jobspec.Stage{
+			Count:     1 + w.random.IntN(5),
+			CPU:       int64(500 + 500*w.random.IntN(8)),
+			MemoryMb:  int64(100 * (1 + w.random.IntN(20))),
+			Estimated: w.between(100*time.Millisecond, 3*time.Second).Truncate(time.Millisecond),
+		}
+		if i > 0 && w.chance(0.7) {
+			stage.DependsOn = []int{w.random.IntN(i)}
+		}
+		stage.Checkpoints = w.chance(0.4)
+		stage.Gang = w.chance(0.2)
+		stage.SameRack = stage.Gang && w.chance(0.5)
+		stage.Speculative = !stage.Gang && w.chance(0.2)
+		if w.chance(0.2) {
+			stage.Requirements = []string{"a"}
+		}
+		if w.chance(0.2) {
+			stage.Colocation = fmt.Sprintf("rack-%d", w.random.IntN(3))
+		}
+		if stage.Gang {
+			stage.CPU = min(stage.CPU, 1500)
+		} else if w.chance(0.2) {
+			stage.AntiAffinity = 1 + w.random.IntN(2)
+		}
+		spec.Stages = append(spec.Stages, stage)
+	}
+	if w.chance(0.15) {
+		spec.Repetitions = 1 + w.random.IntN(4)
+		spec.FirstRun = time.Duration(w.unixMs()+int64(w.random.IntN(3000))) * time.Millisecond
+		spec.Interval = w.between(200*time.Millisecond, 2*time.Second).Truncate(time.Millisecond)
+	}
+	return spec
+}
+
+func (w *world) fleet(workers int) {
+	for i := range workers {
+		room := Resources{CPU: int64(4000 * (1 + w.random.IntN(3))), MemoryMb: 16000}
+		kind := "a"
+		if i%3 == 2 {
+			kind = "b"
+		}
+		w.addWorker("farm", room, w.chance(0.5), kind, fmt.Sprintf("rack-%d", i%3))
+	}
+}
+
+// load submits jobs at random times within a span.
+func (w *world) load(jobs int, span time.Duration) {
+	for range jobs {
+		w.after(w.between(0, span), func() {
+			own := 0
+			if w.chance(0.15) {
+				own = 1 + w.random.IntN(3)
+			}
+			j := w.submit("farm", 2+w.random.IntN(2), w.mixture(), own)
+			if w.chance(0.1) {
+				w.after(w.between(0, 4*time.Second), func() { w.cancel(j) })
+			}
+		})
+	}
+}
+
+// finish plays on until all jobs are over, and tells which aren't.
+func (w *world) finish(until time.Duration) error {
+	for w.fault == nil && w.now < until {
+		w.run(w.now + time.Second)
+		if w.open() == 0 {
+			return w.fault
+		}
+		if len(w.events) == 0 {
+			break
+		}
+		w.now = max(w.now, min(w.now+time.Second, until))
+	}
+	if w.fault != nil {
+		return w.fault
+	}
+	for id, j := range w.jobs {
+		if !j.state.Over() {
+			return fmt.Errorf("seed %d: LOST: job %v isn't over at %v: %+v", w.seed, id, w.now, w.sched.Why(id))
+		}
+	}
+	return nil
+}
+
+func (w *world) open() int {
+	open := 0
+	for _, j := range w.jobs {
+		if !j.state.Over() {
+			open++
+		}
+	}
+	return open
+}
+
+func TestCalmWorldCompletesAllJobs(t *testing.T) {
+	for seed := range uint64(60) {
+		w := newWorld(seed)
+		w.calm = true
+		w.fleet(6)
+		w.elect()
+		w.load(20, 10*time.Second)
+		w.run(12 * time.Second)
+		require.NoError(t, w.fault)
+		require.NoError(t, w.finish(200*time.Second))
+		for _, j := range w.jobs {
+			if j.state == state.JobFailed {
+				require.True(t, j.hopeless, "seed %d", seed)
+			}
+		}
+	}
+}
+
+// trouble draws what goes wrong until a time.
+func (w *world) trouble(until time.Duration) {
+	if w.now >= until {
+		return
+	}
+	worker := w.workers[w.random.IntN(len(w.workers))]
+	span := w.between(500*time.Millisecond, 10*time.Second)
+	switch w.random.IntN(12) {
+	case 0:
+		worker.crash(w.between(0, 4*time.Second), false)
+	case 1:
+		worker.cut = true
+		w.after(span, func() { worker.cut = false })
+	case 2:
+		worker.late = true
+		w.after(span, func() { worker.late = false })
+	case 3:
+		worker.busy = true
+		w.after(span, func() { worker.busy = false })
+	case 4:
+		w.turn(worker, func() { worker.hang = true })
+		w.after(span, func() { w.turn(worker, func() { worker.hang = false }) })
+	case 5:
+		w.turn(worker, func() { worker.slow = 4 })
+		w.after(span, func() { w.turn(worker, func() { worker.slow = 1 }) })
+	case 6:
+		worker.failing = true
+		w.after(span, func() { worker.failing = false })
+	case 7:
+		if w.random.IntN(3) == 0 {
+			w.replace(worker)
+		}
+	case 8:
+		w.faults.lostAnswers = 0.1
+		w.after(span, func() { w.faults.lostAnswers = 0 })
+	case 9:
+		w.faults.lateOrders = 0.2
+		w.after(span, func() { w.faults.lateOrders = 0 })
+	case 10:
+		w.faults.slowCommits = 0.1
+		w.after(span, func() { w.faults.slowCommits = 0 })
+	case 11:
+		w.depose()
+		w.after(w.between(0, 3*time.Second), w.elect)
+	}
+	w.after(w.between(100*time.Millisecond, 3*time.Second), func() { w.trouble(until) })
+}
+
+// turn changes the pace of a worker.
+func (w *world) turn(worker *simWorker, change func()) {
+	for _, r := range worker.sorted() {
+		r.gang.settle()
+	}
+	change()
+	for _, r := range worker.sorted() {
+		if r.gang.begun {
+			r.gang.schedule()
+		}
+	}
+}
+
+// replace drains a worker, and adds another like it.
+func (w *world) replace(worker *simWorker) {
+	if !worker.up() || worker.drainSince > 0 {
+		return
+	}
+	worker.drain(w.between(w.bounds.DrainTimeout(), 3*w.bounds.DrainTimeout()))
+	w.after(time.Second, func() { w.addWorker(worker.backend, worker.room, worker.guarded, worker.labels...) })
+}
+
+func TestTroubledWorldKeepsTheRulesAndLosesNoJob(t *testing.T) {
+	for part := range uint64(seedParts) {
+		t.Run(fmt.Sprint(part), func(t *testing.T) {
+			t.Parallel()
+			for seed := part; seed < troubledSeeds; seed += seedParts {
+				require.NoError(t, playTroubled(seed))
+			}
+		})
+	}
+}
+
+// playTroubled plays one world full of trouble to its end.
+func playTroubled(seed uint64) error {
+	w := newWorld(seed)
+	w.fleet(6)
+	w.elect()
+	w.load(25, 15*time.Second)
+	w.after(time.Second, func() { w.trouble(20 * time.Second) })
+	w.run(35 * time.Second)
+	if w.fault != nil {
+		return w.fault
+	}
+	if w.sched == nil {
+		w.elect()
+	}
+	return w.finish(300 * time.Second)
+}
+
+// troubledSeeds is how many worlds full of trouble are played.
+const troubledSeeds = 120
+
+const seedParts = 4
--- /dev/null
+++ b/internal/system/scheduler/simjobs_test.go
@@ -0,0 +1,302 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"gaugeslip/internal/system/jobspec"
+	"gaugeslip/internal/system/state"
+	"gaugeslip/internal/system/workerapi"
+)
+
+// simJob is what the world knows of a job.
+type simJob struct {
+	id          state.JobID
+	spec        *jobspec.Spec
+	accepted    state.JobAccepted
+	stages      []*simStage
+	tasks       map[state.TaskName]*simTask
+	steps       map[[2]uint32]*simStep
+	cancelledAt time.Duration
+	overAt      time.Duration
+	state       state.JobState
+	hopeless    bool
+}
+
+type simStage struct {
+	spec *jobspec.Stage
+	need Resources
+	work time.Duration
+}
+
+type simStep struct {
+	ownFailures, failed int
+}
+
+// simTask is what the world knows of a task.
+type simTask struct {
+	job         *simJob
+	stage       *simStage
+	step        *simStep
+	name        state.TaskName
+	present     []*simRun
+	ends        []*simEnd
+	starts      []time.Duration
+	done        bool // some run has ended so
+	ownFailures int
+	failed      int
+	saved       map[string]time.Duration
+}
+
+// submit hands a job in. ownFailures is how often each task fails by its own fault.
+func (w *world) submit(service string, retries int, spec *jobspec.Spec, ownFailures int) *simJob {
+	id := state.JobID(w.random.Uint64())
+	body, err := spec.Encode()
+	if err != nil {
+		panic(err)
+	}
+	j := &simJob{
+		id: id, spec: spec, tasks: make(map[state.TaskName]*simTask), steps: make(map[[2]uint32]*simStep),
+		hopeless: ownFailures >= retries,
+		accepted: state.JobAccepted{
+			ID: id, Route: "route-" + service, Service: service, Priority: w.random.IntN(3), MaxRetries: retries,
+			Extension: 2, TargetLatencyMs: 1000, AcceptedMs: w.unixMs(), Body: body,
+		},
+	}
+	for i := range spec.Stages {
+		stage := &spec.Stages[i]
+		work := time.Duration(float64(stage.Estimated) * (0.6 + 0.8*w.random.Float64()))
+		j.stages = append(j.stages, &simStage{spec: stage, need: stageNeed(stage), work: work})
+	}
+	w.jobs[id] = j
+	w.prepareTasks(j, ownFailures)
+	w.demand(state.Command{Kind: state.KindJobAccepted, JobAccepted: &j.accepted})
+	return j
+}
+
+func (w *world) prepareTasks(j *simJob, ownFailures int) {
+	for k := range uint32(j.spec.Times()) {
+		for s := range j.spec.Stages {
+			step := &simStep{ownFailures: ownFailures}
+			j.steps[[2]uint32{k, uint32(s)}] = step
+			for i := range j.spec.Stages[s].Count {
+				name := state.TaskName{Job: j.id, Time: k, Step: uint32(s), Index: uint32(i)}
+				j.tasks[name] = &simTask{
+					job: j, stage: j.stages[s], step: step, name: name, ownFailures: ownFailures,
+					saved: make(map[string]time.Duration),
+				}
+			}
+		}
+	}
+}
+
+// cancel has a job cancelled.
+func (w *world) cancel(j *simJob) {
+	w.demand(state.Command{Kind: state.KindJobCancelled, JobCancelled: &state.JobCancelled{ID: j.id, AtMs: w.unixMs()}})
+}
+
+func (w *world) findTask(name state.TaskName) *simTask {
+	if j := w.jobs[name.Job]; j != nil {
+		return j.tasks[name]
+	}
+	return nil
+}
+
+// note takes in what a commit has shown to clients.
+func (w *world) note(result state.Result) {
+	for _, record := range result.Finished {
+		j := w.jobs[record.ID]
+		j.state, j.overAt = record.State, w.now
+		switch record.State {
+		case state.Cancelled:
+			j.cancelledAt = w.now
+			w.after(w.bounds.Cancel()+w.bounds.Stop(), func() { w.checkStopped(j) })
+		case state.Completed:
+			w.checkCompleted(j)
+		case state.JobFailed:
+			w.checkFailed(j)
+		}
+	}
+}
+
+func (w *world) checkCompleted(j *simJob) {
+	for name, task := range j.tasks {
+		if !task.done {
+			w.violated("MIXED", "%v isn't done", name)
+		}
+	}
+}
+
+// checkFailed tells whether a job was shown as failed without cause.
+func (w *world) checkFailed(j *simJob) {
+	for _, task := range j.tasks {
+		failed := 0
+		for _, end := range task.ends {
+			if end.how == workerapi.HowFailed {
+				failed++
+			}
+		}
+		if failed >= j.accepted.MaxRetries || task.stage.spec.Gang && task.step.failed >= j.accepted.MaxRetries {
+			return
+		}
+	}
+	w.violated("LOST", "job %v failed without cause", j.id)
+}
+
+// checkStopped tells whether anything of a cancelled job still runs where nothing goes wrong.
+func (w *world) checkStopped(j *simJob) {
+	if !w.calm {
+		return
+	}
+	for name, task := range j.tasks {
+		if len(task.present) > 0 {
+			w.violated("UNASKED", "%v still runs", name)
+		}
+	}
+}
+
+// endListed takes note of an end where it happens.
+func (w *world) endListed(end *simEnd, r *simRun) {
+	task := end.task
+	task.ends = append(task.ends, end)
+	switch end.how {
+	case workerapi.HowDone:
+		task.done = true
+		if task.stage.spec.Gang {
+			for name, other := range task.job.tasks {
+				if name.Time == task.name.Time && name.Step == task.name.Step {
+					other.done = true
+				}
+			}
+		}
+	case workerapi.HowFailed:
+		task.failed++
+		task.step.failed++
+	}
+}
+
+// endNoted checks what was started since an end that is now taken note of.
+func (w *world) endNoted(end *simEnd) {
+	task := end.task
+	if end.lapsed || task.stage.spec.Speculative || task.stage.spec.LongRunning {
+		return
+	}
+	if end.how == workerapi.HowDone {
+		for _, at := range task.starts {
+			if at > end.at {
+				w.violated("TWICE", "%v was started after its end", task.name)
+			}
+		}
+	}
+	if end.how == workerapi.HowFailed && !task.stage.spec.Gang {
+		w.checkBudget(task)
+	}
+}
+
+// checkBudget looks for a start after as many failures as are allowed.
+func (w *world) checkBudget(task *simTask) {
+	var noted []time.Duration
+	for _, end := range task.ends {
+		if end.how == workerapi.HowFailed && end.noted && !end.lapsed {
+			noted = append(noted, end.at)
+		}
+	}
+	slices.Sort(noted)
+	limit := task.job.accepted.MaxRetries
+	if len(noted) < limit {
+		return
+	}
+	for _, at := range task.starts {
+		if at > noted[limit-1] {
+			w.violated("BUDGET", "%v was started after %d failures", task.name, limit)
+		}
+	}
+}
+
+// checkStart checks what a start must hold by itself.
+func (w *world) checkStart(r *simRun, order *workerapi.StartOrder) {
+	task, j := r.task, r.task.job
+	stage := task.stage.spec
+	if order.Spec != j.spec.Text {
+		w.violated("UNASKED", "%v carries another spec", r.name)
+	}
+	if _, known := task.saved[order.Checkpoint]; order.Checkpoint != "" && !known {
+		w.violated("UNASKED", "%v carries a checkpoint that isn't its own: %q", r.name, order.Checkpoint)
+	}
+	if j.cancelledAt > 0 && w.now > j.cancelledAt+w.bounds.Cancel() {
+		w.violated("UNASKED", "%v was cancelled at %v", r.name, j.cancelledAt)
+	}
+	w.checkOrder(r)
+	if len(task.present) > 0 && !stage.Speculative {
+		w.violated("TWICE", "%v runs on %s, %v on %s", r.name, r.worker.instance, task.present[0].name, task.present[0].worker.instance)
+	}
+	task.starts = append(task.starts, w.now)
+	for _, end := range task.ends {
+		if end.how == workerapi.HowDone && end.noted && !end.lapsed && !stage.LongRunning && !stage.Speculative {
+			w.violated("TWICE", "%v has ended done before", r.name)
+		}
+	}
+	if !stage.LongRunning && !stage.Gang {
+		w.checkBudget(task)
+	}
+	if r.worker.drainSince > 0 && w.now > r.worker.drainSince+w.bounds.DrainTimeout() {
+		w.violated("DRAIN", "%v", r.name)
+	}
+}
+
+func (w *world) checkOrder(r *simRun) {
+	j := r.task.job
+	for _, earlier := range r.task.stage.spec.DependsOn {
+		for i := range j.spec.Stages[earlier].Count {
+			name := state.TaskName{Job: j.id, Time: r.name.Task.Time, Step: uint32(earlier), Index: uint32(i)}
+			if !j.tasks[name].done {
+				w.violated("ORDER", "%v before %v", r.name, name)
+			}
+		}
+	}
+	if j.spec.Timed() && w.unixMs()+int64(w.bounds.EarlyMs) < j.spec.DueAt(r.name.Task.Time).Milliseconds() {
+		w.violated("ORDER", "%v is too early", r.name)
+	}
+}
+
+// checkPlace checks a start against its worker.
+func (w *world) checkPlace(r *simRun) {
+	worker, stage := r.worker, r.task.stage.spec
+	if worker.backend != r.task.job.accepted.Service {
+		w.violated("ROUTE", "%v on a worker of %s", r.name, worker.backend)
+	}
+	for _, label := range stage.Requirements {
+		if !slices.Contains(worker.labels, label) {
+			w.violated("ROUTE", "%v without %s", r.name, label)
+		}
+	}
+	if !worker.used().fitsInto(worker.room) {
+		w.violated("LIMIT", "%v on %s: %v of %v", r.name, worker.instance, worker.used(), worker.room)
+	}
+	held := 0
+	for name := range worker.runs {
+		if name.Task.Job == r.name.Task.Job && name.Task.Time == r.name.Task.Time && name.Task.Step == r.name.Task.Step {
+			held++
+		}
+	}
+	if stage.AntiAffinity > 0 && held > stage.AntiAffinity {
+		w.violated("ROUTE", "%v: %d on %s", r.name, held, worker.instance)
+	}
+}
+
+func (w *world) savedProgress(task *simTask, text string) time.Duration { return task.saved[text] }
+
+// noteSaved takes note of progress that was saved.
+func (w *world) noteSaved(g *simGang) {
+	for _, r := range g.members {
+		r.task.saved[g.savedText] = g.saved
+		if !g.stage.spec.Gang {
+			continue
+		}
+		for name, other := range r.task.job.tasks {
+			if name.Time == r.name.Task.Time && name.Step == r.name.Task.Step {
+				other.saved[g.savedText] = g.saved
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/system/scheduler/simworker_test.go
@@ -0,0 +1,316 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"gaugeslip/internal/system/jobspec"
+	"gaugeslip/internal/system/state"
+	"gaugeslip/internal/system/workerapi"
+)
+
+// simWorker is a simulated worker at one address; its lives follow one another.
+type simWorker struct {
+	world   *world
+	address string
+	backend string
+	labels  []string
+	room    Resources
+	guarded bool
+	rate    float64 // of its clock
+
+	instance   string
+	born       time.Duration
+	down       bool
+	gone       bool
+	listedDown time.Duration // a crashed life stays on the list until then
+	leavesAt   time.Duration
+	drainSince time.Duration
+	fence      uint64
+	heldUntil  int64
+	runs       map[state.Run]*simRun
+	over       map[state.TaskName]uint32
+	finished   []*simEnd
+	lastNumber uint64
+	waiting    []*simWait
+
+	cut, late, busy, hang, failing bool
+	slow                           float64
+}
+
+// simWait is a hold that waits for an end.
+type simWait struct {
+	done   bool
+	answer func()
+}
+
+// simEnd is one end that is listed until it is acknowledged.
+type simEnd struct {
+	number     uint64
+	run        state.Run
+	how        workerapi.How
+	checkpoint string
+	task       *simTask
+	at         time.Duration
+	noted      bool
+	lapsed     bool
+}
+
+func (w *world) addWorker(backend string, room Resources, guarded bool, labels ...string) *simWorker {
+	worker := &simWorker{
+		world:   w,
+		address: fmt.Sprintf("10.0.0.%d:80", len(w.workers)+1),
+		backend: backend,
+		labels:  labels,
+		room:    room,
+		guarded: guarded,
+		rate:    0.98 + 0.02*w.random.Float64(),
+		slow:    1,
+	}
+	worker.begin()
+	w.workers = append(w.workers, worker)
+	return worker
+}
+
+func (worker *simWorker) begin() {
+	worker.world.instances++
+	worker.instance = fmt.Sprintf("i-%06d", worker.world.instances*7919%100003)
+	worker.born = worker.world.now - worker.world.between(0, time.Hour)
+	worker.down = false
+	worker.fence, worker.heldUntil, worker.lastNumber = 0, 0, 0
+	worker.runs = make(map[state.Run]*simRun)
+	worker.over = make(map[state.TaskName]uint32)
+	worker.finished, worker.waiting = nil, nil
+	worker.leavesAt, worker.drainSince = 0, 0
+}
+
+func (worker *simWorker) up() bool { return !worker.down && !worker.gone }
+
+func (worker *simWorker) listed() bool {
+	return worker.up() || worker.world.now < worker.listedDown
+}
+
+func (worker *simWorker) instanceEntry() workerapi.Instance {
+	entry := workerapi.Instance{
+		ID:      worker.instance,
+		Backend: worker.backend,
+		Address: worker.address,
+		State:   workerapi.StateReady,
+		Labels:  worker.labels,
+		Allocatable: workerapi.Allocatable{
+			CPU: int(worker.room.CPU), MemoryMB: int(worker.room.MemoryMb), GPUs: int(worker.room.GPUs),
+		},
+	}
+	if worker.drainSince > 0 {
+		entry.State = workerapi.StateDraining
+	}
+	return entry
+}
+
+func (worker *simWorker) clockMs() int64 {
+	return int64(float64(worker.world.now-worker.born) * worker.rate / float64(time.Millisecond))
+}
+
+func (worker *simWorker) answer(outcome workerapi.Outcome) workerapi.HoldReply {
+	return workerapi.HoldReply{Outcome: outcome, ClockMs: worker.clockMs()}
+}
+
+// take carries out a call.
+func (worker *simWorker) take(made Call, reply func(workerapi.HoldReply)) {
+	switch {
+	case !worker.up():
+		return
+	case made.Worker.Instance != worker.instance:
+		reply(workerapi.HoldReply{Outcome: workerapi.OtherLife})
+		return
+	case worker.busy && made.Kind == CallStart:
+		reply(workerapi.HoldReply{Outcome: workerapi.Busy})
+		return
+	}
+	token := max(made.Start.FenceToken, made.Stop.FenceToken, made.Hold.FenceToken)
+	if token < worker.fence {
+		reply(worker.answer(workerapi.RefusedFence))
+		return
+	}
+	worker.fence = token
+	switch made.Kind {
+	case CallStart:
+		reply(worker.answer(worker.start(&made.Start)))
+	case CallStop:
+		worker.stop(&made.Stop)
+		reply(worker.answer(workerapi.Done))
+	case CallHold:
+		worker.hold(&made.Hold, reply)
+	}
+}
+
+func (worker *simWorker) renew(due int64) {
+	due = min(due, worker.clockMs()+worker.world.bounds.MaxHold().Milliseconds())
+	if due <= worker.heldUntil {
+		return
+	}
+	worker.heldUntil = due
+	ahead := time.Duration(float64(due-worker.clockMs()+1) / worker.rate * float64(time.Millisecond))
+	instance := worker.instance
+	worker.world.after(ahead, func() {
+		if worker.instance == instance && worker.up() && worker.clockMs() >= worker.heldUntil {
+			worker.lapse()
+		}
+	})
+}
+
+func (worker *simWorker) lapse() {
+	for _, r := range worker.sorted() {
+		r.end(workerapi.HowLapsed)
+	}
+	for _, end := range worker.finished {
+		end.lapsed = true
+	}
+}
+
+func (worker *simWorker) start(order *workerapi.StartOrder) workerapi.Outcome {
+	name, _ := jobspec.ParseTask(order.Task)
+	key := state.Run{Task: name, Attempt: uint32(order.Attempt)}
+	if worker.runs[key] != nil {
+		return workerapi.Done
+	}
+	if order.DueAtMs <= worker.clockMs() {
+		return workerapi.RefusedLate
+	}
+	worker.renew(order.DueAtMs)
+	if key.Attempt <= worker.over[name] {
+		return workerapi.RefusedOld
+	}
+	task := worker.world.findTask(name)
+	if task == nil {
+		worker.world.violated("UNASKED", "%s isn't known", order.Task)
+		return workerapi.BadRequest
+	}
+	if worker.guarded && !task.stage.need.fitsInto(worker.room.minus(worker.used())) {
+		return workerapi.RefusedRoom
+	}
+	worker.world.begin(worker, task, key, order)
+	return workerapi.Done
+}
+
+func (worker *simWorker) used() Resources {
+	used := Resources{}
+	for _, r := range worker.runs {
+		used = used.plus(r.task.stage.need)
+	}
+	return used
+}
+
+func (worker *simWorker) stop(order *workerapi.StopOrder) {
+	name, _ := jobspec.ParseTask(order.Task)
+	key := state.Run{Task: name, Attempt: uint32(order.Attempt)}
+	worker.over[name] = max(worker.over[name], key.Attempt)
+	r := worker.runs[key]
+	if r == nil || r.stopping {
+		return
+	}
+	r.stopping = true
+	r.gang.settle()
+	r.gang.halt()
+	r.gang.save()
+	worker.world.after(worker.world.between(0, worker.world.bounds.Stop()), func() { r.end(workerapi.HowStopped) })
+}
+
+func (worker *simWorker) hold(order *workerapi.HoldOrder, reply func(workerapi.HoldReply)) {
+	worker.world.stats.holds++
+	worker.renew(order.DueAtMs)
+	worker.acknowledge(order.LastSeen)
+	if len(worker.finished) > 0 || order.WaitMs == 0 {
+		reply(worker.lists())
+		return
+	}
+	wait := &simWait{}
+	instance := worker.instance
+	wait.answer = func() {
+		if !wait.done && worker.instance == instance && worker.up() {
+			wait.done = true
+			reply(worker.lists())
+		}
+	}
+	worker.waiting = append(worker.waiting, wait)
+	worker.world.after(time.Duration(order.WaitMs)*time.Millisecond, wait.answer)
+}
+
+func (worker *simWorker) acknowledge(lastSeen uint64) {
+	for len(worker.finished) > 0 && worker.finished[0].number <= lastSeen {
+		end := worker.finished[0]
+		worker.finished = worker.finished[1:]
+		end.noted = true
+		worker.world.endNoted(end)
+	}
+}
+
+func (worker *simWorker) lists() workerapi.HoldReply {
+	answer := worker.answer(workerapi.Done)
+	for _, r := range worker.sorted() {
+		answer.Running = append(answer.Running, workerapi.RunningTask{
+			Task: r.name.Task.String(), Attempt: int(r.name.Attempt), Checkpoint: r.gang.savedText, Percent: r.gang.percent(),
+		})
+	}
+	for _, end := range worker.finished[:min(len(worker.finished), workerapi.MaxFinished)] {
+		answer.Finished = append(answer.Finished, workerapi.FinishedTask{
+			N: end.number, Task: end.run.Task.String(), Attempt: int(end.run.Attempt), How: end.how, Checkpoint: end.checkpoint,
+		})
+	}
+	if worker.drainSince > 0 {
+		answer.RemainingMs = max(1, (worker.leavesAt - worker.world.now).Milliseconds())
+	}
+	return answer
+}
+
+func (worker *simWorker) sorted() []*simRun {
+	runs := make([]*simRun, 0, len(worker.runs))
+	for _, r := range worker.runs {
+		runs = append(runs, r)
+	}
+	slices.SortFunc(runs, func(a, b *simRun) int {
+		if order := a.name.Task.Compare(b.name.Task); order != 0 {
+			return order
+		}
+		return int(a.name.Attempt) - int(b.name.Attempt)
+	})
+	return runs
+}
+
+// crash ends this life; another is there after a while, or never.
+func (worker *simWorker) crash(away time.Duration, forGood bool) {
+	if !worker.up() {
+		return
+	}
+	for _, r := range worker.sorted() {
+		delete(worker.runs, r.name)
+		r.gang.leave(r)
+	}
+	worker.down, worker.gone = true, forGood
+	worker.listedDown = worker.world.now + 2*time.Second
+	for _, end := range worker.finished {
+		end.lapsed = true
+	}
+	worker.world.after(away, func() {
+		if !worker.gone {
+			worker.begin()
+		}
+	})
+}
+
+// drain has the worker leave after a while.
+func (worker *simWorker) drain(stays time.Duration) {
+	if !worker.up() || worker.drainSince > 0 {
+		return
+	}
+	worker.drainSince = worker.world.now
+	worker.leavesAt = worker.world.now + stays
+	instance := worker.instance
+	worker.world.after(stays, func() {
+		if worker.instance == instance {
+			worker.crash(0, true)
+			worker.listedDown = 0
+		}
+	})
+}
--- a/internal/system/scheduler/starts.go
+++ b/internal/system/scheduler/starts.go
@@ -190,7 +190,7 @@
 		r.step = s.ensureStep(j, s.ensureTime(j, name.Task.Time), name.Task.Step)
 	}
 	if r.step != nil {
-		r.step.unwait(name.Task.Index)
+		s.unwait(r.step, name.Task.Index)
 	}
 	s.add(r)
 	if j == nil {
--- a/internal/system/scheduler/steps.go
+++ b/internal/system/scheduler/steps.go
@@ -174,7 +174,7 @@
 func (s *Scheduler) taskIsDone(st *step, index uint32) {
 	t := &st.tasks[index]
 	if t.state == taskWaiting {
-		st.unwait(index)
+		s.unwait(st, index)
 	}
 	t.state = taskDone
 	for _, r := range t.runs {
@@ -186,10 +186,13 @@
 }
 
 // unwait takes a task out of those that wait for room.
-func (st *step) unwait(index uint32) {
+func (s *Scheduler) unwait(st *step, index uint32) {
 	if at := slices.Index(st.waiting, index); at >= 0 {
 		st.waiting = slices.Delete(st.waiting, at, at+1)
 	}
+	if !st.hasWaiting() {
+		s.dequeue(st)
+	}
 }
 
 // closeStep ends a step all of whose tasks are done, and opens those whose turn has come by that.
--- a/internal/system/scheduler/workers.go
+++ b/internal/system/scheduler/workers.go
@@ -38,6 +38,7 @@
 	highestDue int64 // the latest due time that was sent, on its clock
 	hold       holdState
 	seen       uint64 // the highest number of an end that was proposed
+	committed  uint64 // the highest number of an end that was committed
 	runs       map[state.Run]*run
 	used       Resources // of all runs that count
 	withheld   []Resources
@@ -124,6 +125,7 @@
 	w.service = svc
 	at, _ := slices.BinarySearchFunc(svc.workers, w, byInstance)
 	svc.workers = slices.Insert(svc.workers, at, w)
+	s.roomFreed(w)
 }
 
 func byInstance(a, b *worker) int { return cmp.Compare(a.life.Instance, b.life.Instance) }
