--- a/internal/system/state/quotas.go
+++ b/internal/system/state/quotas.go
@@ -1,6 +1,8 @@
 package state
 
 import (
+	"fmt"
+
 	"gaugeslip/internal/system/clusterconfig"
 	"gaugeslip/internal/system/jobspec"
 	"gaugeslip/internal/system/quota"
@@ -9,13 +11,21 @@
 // Quotas is the account of all tenants' accelerators; it must not be changed. A Restore puts another in its place.
 func (m *Machine) Quotas() *quota.Ledger { return m.quotas }
 
-// CheckShare tells whether a job could run within a tenant's share, were all of that free: if not, the error is a
+// CheckShare tells whether a job could run within its tenant's share, were all of that free: if not, the error is a
 // *quota.OversizeError. A job that was accepted before its tenant's share became too small for it waits until the share has grown.
-func (m *Machine) CheckShare(tenant string, spec *jobspec.Spec) error {
-	limit := m.quotas.Limit(tenant)
+// While no tenant is named it looks at nothing.
+func (m *Machine) CheckShare(job *JobAccepted) error {
+	if !m.quotas.InForce() {
+		return nil
+	}
+	spec, err := jobspec.Parse(job.Body)
+	if err != nil {
+		return fmt.Errorf("job %s: %w", job.ID, err)
+	}
+	limit := m.quotas.Limit(job.Tenant)
 	for index := range spec.Stages {
 		if need := atOnce(&spec.Stages[index]); need > limit {
-			return &quota.OversizeError{Tenant: tenant, Stage: index, Need: need, Limit: limit}
+			return &quota.OversizeError{Tenant: job.Tenant, Stage: index, Need: need, Limit: limit}
 		}
 	}
 	return nil
--- a/internal/system/state/quotas_test.go
+++ b/internal/system/state/quotas_test.go
@@ -8,7 +8,6 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"gaugeslip/internal/system/jobspec"
 	"gaugeslip/internal/system/quota"
 	"gaugeslip/internal/system/state"
 )
@@ -153,9 +152,7 @@
 	m := state.New()
 	configure(m, 1, `"accelerators":8,"tenants":[{"name":"teff","accelerators":6}]`)
 	check := func(tenant, stages string) error {
-		spec, err := jobspec.Parse([]byte(`{"stages":[` + stages + `]}`))
-		require.NoError(t, err)
-		return m.CheckShare(tenant, spec)
+		return m.CheckShare(&state.JobAccepted{Tenant: tenant, Body: []byte(`{"stages":[` + stages + `]}`)})
 	}
 	assert.NoError(t, check("teff", `{"count":50,"gpus":6}`))
 	assert.NoError(t, check("teff", `{"count":3,"gpus":2,"gang":true}`))
@@ -165,5 +162,7 @@
 	require.ErrorAs(t, check("teff", `{"count":1},{"count":4,"gpus":2,"gang":true}`), &oversize)
 	assert.Equal(t, quota.OversizeError{Tenant: "teff", Stage: 1, Need: 8, Limit: 6}, *oversize)
 	assert.Error(t, check("", `{"count":1,"gpus":3}`))
-	assert.NoError(t, state.New().CheckShare("", &jobspec.Spec{Stages: []jobspec.Stage{{Count: 1, GPUs: 1 << 40}}}))
+	assert.ErrorContains(t, check("teff", `7`), "byte")
+	configure(m, 2, `"accelerators":8`)
+	assert.NoError(t, check("teff", `{"count":1,"gpus":1000000}`), "without tenants nothing is bounded")
 }
