Share the wait that a context ends, and the reading of settings blocks

The same wait stood in talk, paced watches, the rig, the emulator and twice in budgets; a block of the settings file was read by five copies of the same lines.

Tested: go test ./internal/pause ./internal/operatorsettings ./internal/net/cluster ./internal/net/peers ./internal/node ./internal/emulator ./internal/rig ./cmd/gaugeslip.

--- a/internal/emulator/await.go
+++ b/internal/emulator/await.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"gaugeslip/internal/pause"
 )
 
 // Await waits until the dispatcher at addr is up, or ctx ends.
@@ -20,10 +22,8 @@
 				return nil
 			}
 		}
-		select {
-		case <-ctx.Done():
+		if pause.For(ctx, 20*time.Millisecond) != nil {
 			return errors.New("emulator: the dispatcher at " + addr + " is not up")
-		case <-time.After(20 * time.Millisecond):
 		}
 	}
 }
--- a/internal/net/cluster/pace.go
+++ b/internal/net/cluster/pace.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/pause"
 )
 
 const (
@@ -86,7 +87,7 @@
 
 // Watch waits its turn, then watches.
 func (s *Paced) Watch(ctx context.Context, after uint64, each func(dispatch.Listed)) error {
-	if err := pause(ctx, s.Pace.Next()); err != nil {
+	if err := pause.For(ctx, s.Pace.Next()); err != nil {
 		return err
 	}
 	told := false
@@ -97,18 +98,3 @@
 	s.Pace.Ended(told, errors.Is(err, os.ErrDeadlineExceeded))
 	return err
 }
-
-// pause waits, unless ctx ends first.
-func pause(ctx context.Context, wait time.Duration) error {
-	if wait <= 0 {
-		return nil
-	}
-	t := time.NewTimer(wait)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/net/cluster/pushed.go
+++ b/internal/net/cluster/pushed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"gaugeslip/internal/dispatch"
+	"gaugeslip/internal/pause"
 )
 
 const (
@@ -48,7 +49,7 @@
 		}
 		slog.Debug("pushed lists can't be had", "error", err)
 		wait = min(max(retryFirst, 2*wait), most)
-		if err := pause(ctx, wait/2+rand.N(wait/2)); err != nil {
+		if err := pause.For(ctx, wait/2+rand.N(wait/2)); err != nil {
 			return err
 		}
 	}
--- a/internal/net/peers/contact.go
+++ b/internal/net/peers/contact.go
@@ -9,6 +9,7 @@
 	"gaugeslip/coord/gossip"
 	"gaugeslip/coord/membership"
 	"gaugeslip/coord/transport"
+	"gaugeslip/internal/pause"
 )
 
 const (
@@ -72,7 +73,7 @@
 
 // look decides about a suspect: it is silent if it has said nothing newer, and neither this process nor any helper reaches it.
 func (c *contact) look(member int, word gossip.Version) {
-	waited := wait(c.ctx, suspectFor)
+	waited := pause.For(c.ctx, suspectFor) == nil
 	silent := waited && c.stands(member, word) && !c.reached(member)
 	p := c.peers
 	p.mu.Lock()
--- a/internal/net/peers/session.go
+++ b/internal/net/peers/session.go
@@ -12,6 +12,7 @@
 	"gaugeslip/coord/membership"
 	"gaugeslip/coord/peersampling"
 	"gaugeslip/coord/transport"
+	"gaugeslip/internal/pause"
 )
 
 const (
@@ -50,7 +51,7 @@
 		if !said {
 			slog.Warn("this dispatcher's address for talk is taken: it owns no share until it is free", "listen", p.cfg.Listen, "error", err)
 		}
-		if !wait(ctx, bindEvery) {
+		if pause.For(ctx, bindEvery) != nil {
 			return nil, nil
 		}
 	}
@@ -141,15 +142,3 @@
 	_ = s.server.Close()
 	s.served.Wait()
 }
-
-// wait lets a time pass; false: ctx has ended.
-func wait(ctx context.Context, length time.Duration) bool {
-	timer := time.NewTimer(length)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/node/budgets.go
+++ b/internal/node/budgets.go
@@ -17,6 +17,7 @@
 	"gaugeslip/internal/net/operators"
 	"gaugeslip/internal/net/peers"
 	"gaugeslip/internal/operatorsettings"
+	"gaugeslip/internal/pause"
 )
 
 // budgets are this process's shares of what belongs to the fleet.
@@ -129,11 +130,9 @@
 			said = true
 			slog.Info("another process of this dispatcher owns its shares: waiting for it")
 		}
-		select {
-		case <-ctx.Done():
+		if pause.For(ctx, lockEvery) != nil {
 			f.Close()
 			return nil, nil
-		case <-time.After(lockEvery):
 		}
 	}
 }
@@ -148,10 +147,8 @@
 		if after < 0 || after > time.Second { // the share may change
 			after = time.Second
 		}
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-time.After(max(after, 10*time.Millisecond)):
+		if err := pause.For(ctx, max(after, 10*time.Millisecond)); err != nil {
+			return err
 		}
 	}
 }
--- a/internal/operatorsettings/settings.go
+++ b/internal/operatorsettings/settings.go
@@ -51,43 +51,35 @@
 		return nil, faults(diags)
 	}
 	s := &Settings{}
-	if f.Waiting != nil {
-		lim, err := f.Waiting.limits()
+	for _, err := range []error{
+		read(f.Waiting, &s.Waiting),
+		read(f.Overload, &s.Overload),
+		read(f.Budgets, &s.Budgets),
+		read(f.Peers, &s.Peers),
+		read(f.Sites, &s.Sites),
+	} {
 		if err != nil {
 			return nil, err
 		}
-		s.Waiting = lim
-	}
-	if f.Overload != nil {
-		lim, err := f.Overload.limits()
-		if err != nil {
-			return nil, err
-		}
-		s.Overload = lim
-	}
-	if f.Budgets != nil {
-		lim, err := f.Budgets.limits()
-		if err != nil {
-			return nil, err
-		}
-		s.Budgets = lim
-	}
-	if f.Peers != nil {
-		lim, err := f.Peers.limits()
-		if err != nil {
-			return nil, err
-		}
-		s.Peers = lim
-	}
-	if f.Sites != nil {
-		lim, err := f.Sites.limits()
-		if err != nil {
-			return nil, err
-		}
-		s.Sites = lim
 	}
 	if s.Budgets != nil && s.Budgets.Way == budget.ByTalk && s.Peers == nil {
 		return nil, at(f.Budgets.Range, "budgets.way", "talk needs a block peers")
 	}
 	return s, nil
 }
+
+// read reads a block; one that is missing leaves its subject off.
+func read[L any, B any, P interface {
+	*B
+	limits() (*L, error)
+}](block P, to **L) error {
+	if block == nil {
+		return nil
+	}
+	limits, err := block.limits()
+	if err != nil {
+		return err
+	}
+	*to = limits
+	return nil
+}
--- a/internal/rig/dispatchers.go
+++ b/internal/rig/dispatchers.go
@@ -7,6 +7,8 @@
 	"os/exec"
 	"path/filepath"
 	"time"
+
+	"gaugeslip/internal/pause"
 )
 
 // node is one dispatcher: its process and its links.
@@ -89,7 +91,7 @@
 	until := time.Now().Add(upWithin)
 	for _, m := range r.front.members {
 		for !m.taken() {
-			if time.Now().After(until) || !sleep(ctx, 20*time.Millisecond) {
+			if time.Now().After(until) || pause.For(ctx, 20*time.Millisecond) != nil {
 				var said []string
 				for _, n := range r.nodes {
 					said = append(said, n.proc.log.lines("level=ERROR", "panic", "gaugeslip: ")...)
--- a/internal/rig/front.go
+++ b/internal/rig/front.go
@@ -14,6 +14,7 @@
 
 	"gonum.org/v1/gonum/stat/distuv"
 
+	"gaugeslip/internal/pause"
 	"gaugeslip/internal/scenario"
 )
 
@@ -188,7 +189,7 @@
 			f.rec.mu.Lock()
 			f.rec.rep.Unreached++
 			f.rec.mu.Unlock()
-			if !sleep(ctx, nobodyThere) || f.now() >= end {
+			if pause.For(ctx, nobodyThere) != nil || f.now() >= end {
 				return
 			}
 			continue
@@ -208,7 +209,7 @@
 				wait = noAdvice
 			}
 		}
-		if f.now()+wait >= end || !sleep(ctx, wait) {
+		if f.now()+wait >= end || pause.For(ctx, wait) != nil {
 			return
 		}
 	}
@@ -270,14 +271,3 @@
 
 // touchedFor is how long after something was done to a process or a link its effects excuse what goes wrong.
 const touchedFor = time.Second
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/rig/troubles.go
+++ b/internal/rig/troubles.go
@@ -10,6 +10,7 @@
 	"syscall"
 
 	"gaugeslip/internal/emulator"
+	"gaugeslip/internal/pause"
 )
 
 // some draws a share of n, at least one of them; share 0 is all.
@@ -30,7 +31,7 @@
 		t := &r.sc.Trouble[i]
 		nodes, hosts := some(rng, len(r.nodes), t.Dispatchers), some(rng, len(r.fleet.Hosts), t.Hosts)
 		all.Go(func() {
-			if !sleep(ctx, t.at-r.now()) {
+			if pause.For(ctx, t.at-r.now()) != nil {
 				return
 			}
 			r.tell("%s begins, %d dispatchers, %d hosts", t.Kind, len(nodes), len(hosts))
@@ -38,7 +39,7 @@
 			if end == nil {
 				return
 			}
-			sleep(ctx, t.length)
+			_ = pause.For(ctx, t.length) // the trouble ends either way
 			if err := end(); err != nil {
 				r.tell("%s: %v", t.Kind, err)
 			}
