Restore a system from one disk: log restore, and tell of lost workers and an unread list

A worker whose runs are given up is one log line, and so are an outage of the platform's list and its end. A replica logs its start before its loop runs: the two raced.

--- a/cmd/controlplane/logs.go
+++ b/cmd/controlplane/logs.go
@@ -13,6 +13,7 @@
 type logCommands struct {
 	Inspect logInspectCommand `cmd:"" help:"Show the records of a log: index, epoch, kind, summary."`
 	Check   logCheckCommand   `cmd:"" help:"Replay a log and check its invariants (exit code 2 if one is broken)."`
+	Restore logRestoreCommand `cmd:"" help:"Write a log for a restored system, after the loss of more disks than are borne."`
 }
 
 // logFolder is the flags of the commands that read a log.
@@ -101,3 +102,29 @@
 		t.Row("invariants", "hold")
 	})
 }
+
+type logRestoreCommand struct {
+	logFolder
+	Target string `arg:"" name:"new-dir" help:"Folder for the new log; it must be empty or missing."`
+}
+
+func (c *logRestoreCommand) Run(printer *console.Printer) error {
+	restored, err := logfile.Restore(c.Folder, control.LogName, c.Target)
+	if errors.Is(err, logfile.ErrBroken) {
+		return findings.Findings{{Place: c.Folder, Text: err.Error()}}
+	}
+	if err != nil {
+		return err
+	}
+	return c.printer(printer).Print(restored, func(t *console.Table) {
+		t.Row("new log", c.Target)
+		t.Row("only member", restored.Member.Address)
+		t.Row("identity", restored.Member.ID)
+		t.Row("epoch", restored.Epoch)
+		t.Row("last index", restored.LastIndex)
+		t.Row("configuration", restored.ConfigVersion)
+		t.Row("jobs", restored.Jobs)
+		t.Gap()
+		t.Row("start that member alone with this folder as its dataDir, then the others with empty ones and bootstrap false")
+	})
+}
--- a/cmd/controlplane/logs_test.go
+++ b/cmd/controlplane/logs_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gaugeslip/coord/replica"
+	"gaugeslip/coord/view"
 	"gaugeslip/coord/wal"
 	"gaugeslip/internal/system/console"
 	"gaugeslip/internal/system/control"
@@ -63,3 +64,19 @@
 		assert.Equal(t, console.ExitFault, exitCode(err))
 	}
 }
+
+func TestARestoredLog(t *testing.T) {
+	member := []view.Member{{ID: "10.0.0.1:7660", Address: "10.0.0.1:7660"}}
+	whole := view.View{Epoch: 3, Voters: member, Chain: member}
+	agreed := wal.Record{Kind: replica.KindView, Data: view.AppendView(nil, whole)}
+	target := filepath.Join(t.TempDir(), "new")
+	assert.Contains(t, shows(t, "log", "restore", prepared(t, identity, agreed, entry), target), "start that member alone")
+	assert.Contains(t, shows(t, "log", "check", target), "10.0.0.1:7660")
+
+	_, err := execute(t, "log", "restore", prepared(t, identity, agreed, entry), target)
+	assert.ErrorContains(t, err, "isn't empty")
+	_, err = execute(t, "log", "restore", prepared(t, identity, entry), filepath.Join(t.TempDir(), "new"))
+	assert.ErrorIs(t, err, logfile.ErrNotWhole)
+	_, err = execute(t, "log", "restore", prepared(t, identity, agreed, entry, gap), filepath.Join(t.TempDir(), "new"))
+	assert.Equal(t, console.ExitFindings, exitCode(err))
+}
--- a/cmd/controlplane/main.go
+++ b/cmd/controlplane/main.go
@@ -27,7 +27,7 @@
 	Job           jobCommand           `cmd:"" help:"Show one job: its tasks, attempts, where they run, why they wait."`
 	Why           whyCommand           `cmd:"" help:"Tell what keeps the tasks of a job from starting."`
 	Handover      handoverCommand      `cmd:"" help:"Have the head hand over to its successor; it comes back as a learner."`
-	Log           logCommands          `cmd:"" help:"Look at a replica's log on disk; nothing is changed."`
+	Log           logCommands          `cmd:"" help:"Look at a replica's log on disk, which is not changed, or restore from it."`
 	CheckSettings checkSettingsCommand `cmd:"" help:"Check a settings file and print all findings (exit code 2)."`
 	CheckConfig   checkConfigCommand   `cmd:"" help:"Check an operator's configuration and print all findings (exit code 2)."`
 	Version       versionCommand       `cmd:"" help:"Print the version."`
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -99,8 +99,8 @@
 	}
 	n.members.Start()
 	go func() { _ = n.server.Serve() }()
-	go n.loop.run(n.flush)
 	n.logger.Info("replica started", "address", n.self().Address, "id", n.engine.replica.Self().ID, "epoch", n.engine.view().Epoch)
+	go n.loop.run(n.flush)
 	return n, nil
 }
 
@@ -322,6 +322,7 @@
 	if result.Command.Kind == state.KindConfigReplaced && result.Outcome == state.Applied {
 		n.configTaken()
 	}
+	n.tellOfLoss(&result)
 	if n.scheduler != nil {
 		n.scheduler.Applied(n.now(), result)
 	}
--- a/internal/system/control/roles.go
+++ b/internal/system/control/roles.go
@@ -150,10 +150,10 @@
 	if err != nil {
 		n.listFailures++
 		n.listAt = n.now() + min(listRetryFirst<<min(n.listFailures-1, 4), listRetryMost)
-		n.logger.Debug("list not read", "error", err)
+		n.listNotRead(err)
 		return
 	}
-	n.listFailures = 0
+	n.listRead()
 	n.listAt = n.now() + listEvery
 	from.Listed(n.now(), instances)
 }
--- /dev/null
+++ b/internal/system/logfile/restore_test.go
@@ -0,0 +1,53 @@
+package logfile
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/coord/replica"
+	"gaugeslip/coord/view"
+	"gaugeslip/coord/wal"
+)
+
+func TestARestoredLogHoldsEverythingUnderAViewOfItsOwn(t *testing.T) {
+	sound := startLone(t)
+	sound.propose(accepted(7), started(7, 0))
+	before := contents(t, sound.folder)
+	target := filepath.Join(t.TempDir(), "new")
+	restored, err := Restore(sound.folder, logName, target)
+	require.NoError(t, err)
+	assert.Equal(t, before, contents(t, sound.folder))
+
+	reading, err := Read(target, logName)
+	require.NoError(t, err)
+	report, err := Check(reading)
+	require.NoError(t, err)
+	assert.Equal(t, restored.Report.Jobs, report.Jobs)
+	assert.Equal(t, 1, report.Runs)
+	assert.GreaterOrEqual(t, report.Epoch, uint64(restoreLeap))
+	assert.EqualValues(t, "127.0.0.1:7660", restored.Member.ID)
+}
+
+func TestWhatIsNotRestored(t *testing.T) {
+	sound := startLone(t)
+	sound.propose(accepted(7))
+	full := t.TempDir()
+	require.NoError(t, os.WriteFile(filepath.Join(full, "x"), nil, 0o600))
+	_, err := Restore(sound.folder, logName, full)
+	assert.ErrorContains(t, err, "isn't empty")
+	_, err = Restore(t.TempDir(), logName, filepath.Join(t.TempDir(), "new"))
+	assert.ErrorIs(t, err, wal.ErrNoLog)
+
+	others := []view.Member{{ID: "other", Address: "127.0.0.2:7660"}}
+	without := view.View{Epoch: 5, Voters: others, Chain: others}
+	require.NoError(t, sound.log.Append(wal.Record{Kind: replica.KindView, Data: view.AppendView(nil, without)}))
+	target := filepath.Join(t.TempDir(), "new")
+	_, err = Restore(sound.folder, logName, target)
+	assert.ErrorIs(t, err, ErrNotWhole)
+	_, err = os.Stat(target)
+	assert.ErrorIs(t, err, os.ErrNotExist)
+}
