Call workers and read the platform's list; hollow workers for tests and scale runs

Each call's outcome tells what is certain. Hollow workers follow the workers' contract on an injected clock, with a checker. go test ./internal/system/workerapi ./internal/system/hollow: green.

--- /dev/null
+++ b/internal/system/hollow/audit.go
@@ -0,0 +1,91 @@
+package hollow
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// checkCancelled looks whether something of a cancelled job still runs.
+func (world *World) checkCancelled(job *job) {
+	for _, task := range job.tasks {
+		if task.running > 0 {
+			world.checker.report(world, RuleUnasked, task.name, "", "still runs after the cancelling")
+		}
+	}
+}
+
+// Violations returns all findings so far, in the order of their time.
+func (world *World) Violations() []Violation {
+	world.enter()
+	defer world.leave()
+	return slices.Clone(world.checker.violations)
+}
+
+// JobDone tells whether every task of the job has ended done.
+func (world *World) JobDone(id string) bool {
+	world.enter()
+	defer world.leave()
+	job := world.jobs[id]
+	if job == nil {
+		return false
+	}
+	done := true
+	job.eachPlace(func(place taskPlace) { done = done && job.task(place).done })
+	return done
+}
+
+// Unfinished returns the names of all tasks that aren't done, of jobs that could be: neither cancelled nor hopeless nor
+// running until they are cancelled.
+func (world *World) Unfinished() []string {
+	world.enter()
+	defer world.leave()
+	var names []string
+	world.eachOpenTask(func(open *task) {
+		if !open.stage.LongRunning {
+			names = append(names, open.name)
+		}
+	})
+	slices.SortFunc(names, strings.Compare)
+	return names
+}
+
+// Lost returns a finding for each job that has had a task whose turn has come and that nothing has run of for longer than
+// span, while nothing else of the job runs.
+func (world *World) Lost(span time.Duration) []Violation {
+	world.enter()
+	defer world.leave()
+	idle := make(map[*job]*task)
+	busy := make(map[*job]bool)
+	world.eachOpenTask(func(open *task) {
+		if open.running > 0 {
+			busy[open.job] = true
+			return
+		}
+		if open.job.ready(open.place.repetition, open.place.stage, world.now) && world.now-open.idleSince() > span {
+			idle[open.job] = open
+		}
+	})
+	var lost []Violation
+	for job, task := range idle {
+		if !busy[job] {
+			lost = append(lost, Violation{world.now, RuleLost, task.name, "", "nothing of the job runs"})
+		}
+	}
+	slices.SortFunc(lost, func(a, b Violation) int { return strings.Compare(a.Task, b.Task) })
+	return lost
+}
+
+// eachOpenTask visits each task that is still to be done.
+func (world *World) eachOpenTask(visit func(open *task)) {
+	for _, job := range world.jobs {
+		if job.cancelled || job.hopeless() {
+			continue
+		}
+		job.eachPlace(func(place taskPlace) {
+			if open := job.task(place); !open.done {
+				visit(open)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/system/hollow/checkpoint.go
@@ -0,0 +1,40 @@
+package hollow
+
+import (
+	"fmt"
+	"hash/fnv"
+	"strconv"
+	"time"
+)
+
+const (
+	checkpointDigits = 16
+	progressDigits   = 8
+)
+
+// checkpointText encodes progress in milliseconds and whose it is.
+func checkpointText(group string, progress time.Duration) string {
+	return fmt.Sprintf("%08x%08x", progress.Milliseconds(), groupHash(group))
+}
+
+// checkpointProgress reads a text that checkpointText wrote for the group.
+func checkpointProgress(group, text string) (time.Duration, bool) {
+	if len(text) != checkpointDigits {
+		return 0, false
+	}
+	milliseconds, err := strconv.ParseUint(text[:progressDigits], 16, 32)
+	if err != nil {
+		return 0, false
+	}
+	hash, err := strconv.ParseUint(text[progressDigits:], 16, 32)
+	if err != nil || uint32(hash) != groupHash(group) {
+		return 0, false
+	}
+	return time.Duration(milliseconds) * time.Millisecond, true
+}
+
+func groupHash(group string) uint32 {
+	hash := fnv.New32a()
+	hash.Write([]byte(group))
+	return hash.Sum32()
+}
--- /dev/null
+++ b/internal/system/hollow/events.go
@@ -0,0 +1,78 @@
+package hollow
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that the world does at a time of its clock.
+type event struct {
+	at        time.Duration
+	sequence  uint64
+	act       func()
+	cancelled bool
+}
+
+// cancel keeps the event from happening; it may be nil.
+func (event *event) cancel() {
+	if event != nil {
+		event.cancelled = true
+	}
+}
+
+// eventQueue orders events by time, those of one time by when they were made.
+type eventQueue struct {
+	heap     eventHeap
+	sequence uint64
+}
+
+func (queue *eventQueue) add(at time.Duration, act func()) *event {
+	queue.sequence++
+	added := &event{at: at, sequence: queue.sequence, act: act}
+	heap.Push(&queue.heap, added)
+	return added
+}
+
+// first returns the earliest event that isn't cancelled, or nil.
+func (queue *eventQueue) first() *event {
+	for len(queue.heap) > 0 && queue.heap[0].cancelled {
+		heap.Pop(&queue.heap)
+	}
+	if len(queue.heap) == 0 {
+		return nil
+	}
+	return queue.heap[0]
+}
+
+// take removes and returns the earliest event if it is due at now.
+func (queue *eventQueue) take(now time.Duration) *event {
+	first := queue.first()
+	if first == nil || first.at > now {
+		return nil
+	}
+	heap.Pop(&queue.heap)
+	return first
+}
+
+type eventHeap []*event
+
+func (events eventHeap) Len() int { return len(events) }
+
+func (events eventHeap) Less(i, j int) bool {
+	if events[i].at != events[j].at {
+		return events[i].at < events[j].at
+	}
+	return events[i].sequence < events[j].sequence
+}
+
+func (events eventHeap) Swap(i, j int) { events[i], events[j] = events[j], events[i] }
+
+func (events *eventHeap) Push(added any) { *events = append(*events, added.(*event)) }
+
+func (events *eventHeap) Pop() any {
+	last := len(*events) - 1
+	popped := (*events)[last]
+	(*events)[last] = nil
+	*events = (*events)[:last]
+	return popped
+}
--- /dev/null
+++ b/internal/system/hollow/execution.go
@@ -0,0 +1,297 @@
+package hollow
+
+import (
+	"math"
+	"time"
+)
+
+// gangKey names one common run of a gang.
+type gangKey struct {
+	job        string
+	repetition int
+	stage      int
+	attempt    int
+}
+
+// executionState is the state of an execution.
+type executionState uint8
+
+const (
+	gathering executionState = iota // members are missing
+	restoring                       // the checkpoint is being read
+	working                         // the work goes on
+	halted                          // a member is being stopped or has ended
+)
+
+// execution is the common work of one run: of a single task, or of all members of a gang.
+type execution struct {
+	world   *World
+	key     gangKey // of a gang
+	group   string  // whose checkpoints serve: the task, or the gang of all attempts
+	stage   *Stage
+	members []*run
+	want    int
+	state   executionState
+
+	progress time.Duration // of work, as of since
+	since    time.Duration
+	factor   float64 // time that one unit of work takes; +Inf for none
+	resumed  time.Duration
+	saved    time.Duration
+	savedTo  string
+	failAt   time.Duration // progress at which it fails; negative for never
+	failing  *run
+	next     *event
+}
+
+const neverFails = time.Duration(-1)
+
+// executionFor returns the common run that a run of the task belongs to: a new one unless a gang is still gathering.
+func (world *World) executionFor(task *task, attempt int) *execution {
+	if !task.stage.Gang {
+		return world.newExecution(task, gangKey{})
+	}
+	key := gangKey{task.place.job, task.place.repetition, task.place.stage, attempt}
+	if known := world.gangs[key]; known != nil && known.state == gathering {
+		return known
+	}
+	created := world.newExecution(task, key)
+	world.gangs[key] = created
+	return created
+}
+
+func (world *World) newExecution(task *task, key gangKey) *execution {
+	created := &execution{
+		world:  world,
+		key:    key,
+		group:  task.group(),
+		stage:  task.stage,
+		want:   1,
+		failAt: neverFails,
+	}
+	if task.stage.Gang {
+		created.want = task.stage.Count
+	}
+	return created
+}
+
+// join adds a member and begins the work if it is the last.
+func (execution *execution) join(member *run) {
+	execution.members = append(execution.members, member)
+	member.execution = execution
+	if execution.state == gathering && len(execution.members) == execution.want {
+		execution.begin()
+		return
+	}
+	if execution.state == gathering {
+		execution.world.after(execution.world.settings.Gang, member.giveUpWaiting)
+	}
+}
+
+// begin ends the gathering.
+func (execution *execution) begin() {
+	world := execution.world
+	for _, member := range execution.members {
+		world.stats.GangWaitCPU += coreTime(member.task.stage.Need, world.now-member.present)
+	}
+	execution.drawFailure()
+	if execution.saved == 0 {
+		execution.work()
+		return
+	}
+	execution.state = restoring
+	execution.next = world.after(world.settings.Restore, execution.work)
+}
+
+// work begins the work itself.
+func (execution *execution) work() {
+	execution.state = working
+	execution.progress = execution.saved
+	execution.resumed = execution.saved
+	execution.since = execution.world.now
+	execution.factor = execution.speedFactor()
+	execution.schedule()
+}
+
+// drawFailure decides whether and where this execution fails.
+func (execution *execution) drawFailure() {
+	if execution.stage.FailAfter > 0 {
+		execution.failAt = execution.saved + execution.stage.FailAfter
+		execution.failing = execution.members[0]
+	}
+	for _, member := range execution.members {
+		own := member.task.failures < execution.stage.OwnFailures
+		if own || execution.world.random.Float64() < member.worker.faults.FailShare {
+			execution.failAt = execution.saved + (execution.stage.Work-execution.saved)/2
+			execution.failing = member
+		}
+	}
+}
+
+// speedFactor is that of the slowest member.
+func (execution *execution) speedFactor() float64 {
+	factor := 1.0
+	for _, member := range execution.members {
+		factor = max(factor, member.speedFactor())
+	}
+	if execution.stage.SameRack && execution.racks() > 1 {
+		factor *= execution.world.settings.Far
+	}
+	return factor
+}
+
+func (execution *execution) racks() int {
+	racks := make(map[string]struct{})
+	for _, member := range execution.members {
+		racks[member.worker.rack] = struct{}{}
+	}
+	return len(racks)
+}
+
+// settle brings the progress up to now.
+func (execution *execution) settle() {
+	now := execution.world.now
+	if execution.state == working {
+		execution.progress += time.Duration(float64(now-execution.since) / execution.factor)
+	}
+	execution.since = now
+}
+
+// respeed follows a change of a member's speed.
+func (execution *execution) respeed() {
+	if execution.state != working {
+		return
+	}
+	execution.settle()
+	execution.factor = execution.speedFactor()
+	execution.schedule()
+}
+
+// schedule sets the event for the next point of the work at which something happens.
+func (execution *execution) schedule() {
+	execution.next.cancel()
+	execution.next = nil
+	target, any := execution.nextPoint()
+	if !any || math.IsInf(execution.factor, 1) {
+		return
+	}
+	span := time.Duration(math.Ceil(float64(target-execution.progress) * execution.factor))
+	execution.next = execution.world.after(max(span, 0), func() { execution.reach(target) })
+}
+
+func (execution *execution) nextPoint() (target time.Duration, any bool) {
+	target = math.MaxInt64
+	if !execution.stage.LongRunning {
+		target = execution.stage.Work
+	}
+	if execution.failAt >= 0 {
+		target = min(target, execution.failAt)
+	}
+	if execution.stage.Checkpoints {
+		target = min(target, execution.saved+execution.world.settings.Save)
+	}
+	return target, target != math.MaxInt64
+}
+
+// reach does what is due at a point of the work.
+func (execution *execution) reach(target time.Duration) {
+	execution.settle()
+	execution.progress = target
+	switch {
+	case execution.failAt >= 0 && target >= execution.failAt:
+		execution.failing.end(howFailed)
+	case !execution.stage.LongRunning && target >= execution.stage.Work:
+		execution.complete()
+	default:
+		execution.save()
+		execution.schedule()
+	}
+}
+
+// complete ends all members done, together.
+func (execution *execution) complete() {
+	execution.halt()
+	execution.saved = execution.progress
+	for _, member := range execution.takeMembers() {
+		member.leave(howDone)
+	}
+}
+
+// save makes the progress so far the checkpoint.
+func (execution *execution) save() {
+	if !execution.stage.Checkpoints || execution.progress <= execution.saved {
+		return
+	}
+	execution.saved = execution.progress
+	execution.savedTo = checkpointText(execution.group, execution.progress)
+	execution.world.checker.noteSaved(execution.group, execution.progress)
+}
+
+// halt stops the work for good.
+func (execution *execution) halt() {
+	execution.settle()
+	execution.state = halted
+	execution.next.cancel()
+	execution.next = nil
+}
+
+// memberEnded follows the end of one member: what had begun together ends together.
+func (execution *execution) memberEnded(ended *run) {
+	if execution.state == gathering {
+		execution.drop(ended)
+		return
+	}
+	execution.halt()
+	for _, member := range execution.takeMembers() {
+		if member != ended {
+			member.leave(howBroken)
+		}
+	}
+}
+
+func (execution *execution) drop(ended *run) {
+	for i, member := range execution.members {
+		if member == ended {
+			execution.members = append(execution.members[:i], execution.members[i+1:]...)
+			break
+		}
+	}
+	if len(execution.members) == 0 {
+		execution.forget()
+	}
+}
+
+// forget takes a gang's run that is over from the world's table.
+func (execution *execution) forget() {
+	if execution.world.gangs[execution.key] == execution {
+		delete(execution.world.gangs, execution.key)
+	}
+}
+
+func (execution *execution) takeMembers() []*run {
+	members := execution.members
+	execution.members = nil
+	execution.forget()
+	return members
+}
+
+// percent is the progress as workers list it.
+func (execution *execution) percent() int {
+	if execution.state == working {
+		execution.settle()
+	}
+	if execution.stage.Work <= 0 {
+		return 0
+	}
+	return int(min(100*execution.progress/execution.stage.Work, 100))
+}
+
+// unsaved is the work that a run loses if it ends now.
+func (execution *execution) unsaved() time.Duration {
+	return max(execution.progress-max(execution.saved, execution.resumed), 0)
+}
+
+func coreTime(need Resources, span time.Duration) time.Duration {
+	const gpuCores = 8
+	return span * time.Duration(need.CPU+gpuCores*1000*need.GPUs) / 1000
+}
--- /dev/null
+++ b/internal/system/hollow/handler.go
@@ -0,0 +1,214 @@
+package hollow
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+)
+
+const (
+	expectInstanceHeader = "X-Gaugeslip-Expect-Instance"
+	maxOrderBytes        = 64 << 10
+)
+
+// ServeHTTP implements the worker's side of the wire.
+func (worker *Worker) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(request.Body, maxOrderBytes))
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	var given answer
+	answered := false
+	switch request.Method + " " + request.URL.Path {
+	case "POST /run-start":
+		given, answered = handleOrder(worker, request, body, worker.start)
+	case "POST /run-stop":
+		given, answered = handleOrder(worker, request, body, worker.stop)
+	case "POST /hold":
+		given, answered = worker.handleHold(request, body)
+	case "GET /healthz":
+		given, answered = worker.handleHealth()
+	default:
+		given, answered = answer{status: http.StatusNotFound, bodyless: true}, true
+	}
+	if !answered {
+		panic(http.ErrAbortHandler)
+	}
+	given.write(writer)
+}
+
+// screen tells what becomes of a call before its body counts: nil if it is to be carried out.
+func (worker *Worker) screen(request *http.Request) (refusal *answer, breakOff bool) {
+	if !worker.alive() {
+		return nil, true
+	}
+	expected := request.Header.Get(expectInstanceHeader)
+	if expected != "" && expected != worker.instance {
+		worker.world.stats.OtherLife++
+		return &answer{status: http.StatusMisdirectedRequest, ClockMs: worker.clockMs()}, false
+	}
+	if worker.faults.Busy {
+		worker.world.stats.Busy++
+		return &answer{status: http.StatusServiceUnavailable, bodyless: true}, false
+	}
+	return nil, false
+}
+
+// handleOrder carries out a start or a stop, late and unanswered if the worker does so.
+func handleOrder[Order any](worker *Worker, request *http.Request, body []byte, carryOut func(*Order) answer) (answer, bool) {
+	world := worker.world
+	world.enter()
+	if worker.faults.Silent {
+		world.leave()
+		worker.keepSilent(request)
+		return answer{}, false
+	}
+	refusal, breakOff := worker.screen(request)
+	if refusal != nil || breakOff {
+		defer world.leave()
+		return valueOf(refusal), !breakOff
+	}
+	order := new(Order)
+	if !decodeOrder(body, order) {
+		defer world.leave()
+		return answer{status: http.StatusBadRequest, ClockMs: worker.clockMs()}, true
+	}
+	if worker.faults.LateBy > 0 {
+		worker.carryOutLate(func() { carryOut(order) })
+		world.leave()
+		worker.keepSilent(request)
+		return answer{}, false
+	}
+	defer world.leave()
+	return carryOut(order), true
+}
+
+// carryOutLate does it after a while, if this life lasts so long.
+func (worker *Worker) carryOutLate(carryOut func()) {
+	instance := worker.instance
+	worker.world.after(worker.faults.LateBy, func() {
+		if worker.alive() && worker.instance == instance {
+			carryOut()
+		}
+	})
+}
+
+// keepSilent holds a call until its caller has given up.
+func (worker *Worker) keepSilent(request *http.Request) {
+	select {
+	case <-request.Context().Done():
+	case <-worker.world.closed:
+	}
+}
+
+func (worker *Worker) handleHold(request *http.Request, body []byte) (answer, bool) {
+	var order holdOrder
+	given, answered, waiting := worker.beginHold(request, body, &order)
+	if waiting == nil {
+		if !answered {
+			worker.keepSilentIfSo(request)
+		}
+		return given, answered
+	}
+	select {
+	case <-waiting.wake:
+	case <-request.Context().Done():
+	case <-worker.world.closed:
+	}
+	return worker.finishHold(request, waiting)
+}
+
+// beginHold carries a hold out and either has its answer or waits for an end.
+func (worker *Worker) beginHold(request *http.Request, body []byte, order *holdOrder) (given answer, answered bool, waiting *waiter) {
+	world := worker.world
+	world.enter()
+	defer world.leave()
+	if worker.faults.Silent {
+		return answer{}, false, nil
+	}
+	refusal, breakOff := worker.screen(request)
+	if refusal != nil || breakOff {
+		return valueOf(refusal), !breakOff, nil
+	}
+	if !decodeOrder(body, order) || order.WaitMs < 0 {
+		return answer{status: http.StatusBadRequest, ClockMs: worker.clockMs()}, true, nil
+	}
+	refusal, ended := worker.hold(order)
+	if refusal != nil {
+		return *refusal, true, nil
+	}
+	if ended || order.WaitMs == 0 {
+		return worker.lists(), true, nil
+	}
+	return answer{}, false, worker.wait(order.WaitMs)
+}
+
+// finishHold answers a hold that has waited; a worker that has become silent or another life doesn't.
+func (worker *Worker) finishHold(request *http.Request, waiting *waiter) (answer, bool) {
+	worker.world.enter()
+	worker.endWait(waiting)
+	refusal, breakOff := worker.screen(request)
+	silent := worker.faults.Silent
+	defer func() {
+		if silent {
+			worker.keepSilent(request)
+		}
+	}()
+	defer worker.world.leave()
+	if refusal != nil || breakOff || silent {
+		return answer{}, false
+	}
+	return worker.lists(), true
+}
+
+func (worker *Worker) keepSilentIfSo(request *http.Request) {
+	worker.world.enter()
+	silent := worker.faults.Silent
+	worker.world.leave()
+	if silent {
+		worker.keepSilent(request)
+	}
+}
+
+func (worker *Worker) handleHealth() (answer, bool) {
+	worker.world.enter()
+	defer worker.world.leave()
+	if !worker.alive() {
+		return answer{}, false
+	}
+	if worker.faults.Busy || worker.state == workerDraining {
+		return answer{status: http.StatusServiceUnavailable, bodyless: true}, true
+	}
+	return answer{status: http.StatusOK, bodyless: true}, true
+}
+
+// decodeOrder reads a body; fields that the contract doesn't know are an error, so that tests find them.
+func decodeOrder(body []byte, order any) bool {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(order) == nil
+}
+
+func valueOf(refusal *answer) answer {
+	if refusal == nil {
+		return answer{}
+	}
+	return *refusal
+}
+
+func (answer *answer) write(writer http.ResponseWriter) {
+	if answer.bodyless {
+		writer.WriteHeader(answer.status)
+		return
+	}
+	data, err := json.Marshal(answer)
+	if err != nil {
+		panic(err)
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	writer.WriteHeader(answer.status)
+	writer.Write(data)
+}
--- /dev/null
+++ b/internal/system/hollow/platform.go
@@ -0,0 +1,191 @@
+package hollow
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+const pageTokenPrefix = "p-"
+
+// PlatformSettings describe a platform. With a zero RatePerS it accepts every call; a zero PageSize is 50.
+type PlatformSettings struct {
+	Lag      time.Duration // the list trails by this much
+	RatePerS float64
+	PageSize int
+}
+
+// Platform is the list of a world's workers, an http.Handler.
+type Platform struct {
+	world    *World
+	settings PlatformSettings
+	server   *server
+
+	entries []listEntry // as of Lag ago
+	tokens  float64
+	filled  time.Duration
+}
+
+// listEntry is one worker on the list.
+type listEntry struct {
+	Backend         string        `json:"backend"`
+	Address         string        `json:"address"`
+	Zone            string        `json:"zone"`
+	Version         string        `json:"version"`
+	Capacity        int           `json:"capacity"`
+	State           string        `json:"state"`
+	ColdRemainingMs int64         `json:"coldRemainingMs"`
+	RemainingMs     int64         `json:"remainingMs,omitempty"`
+	Allocatable     listResources `json:"allocatable"`
+	Labels          []string      `json:"labels"`
+	ID              string        `json:"id"`
+	leavesAt        time.Duration
+}
+
+type listResources struct {
+	CPU      int `json:"cpu"`
+	MemoryMB int `json:"memMb"`
+	GPUs     int `json:"gpus"`
+}
+
+type listAnswer struct {
+	Instances     []listEntry `json:"instances"`
+	NextPageToken *string     `json:"nextPageToken"`
+}
+
+// NewPlatform adds a list of the world's workers.
+func (world *World) NewPlatform(settings PlatformSettings) *Platform {
+	world.enter()
+	defer world.leave()
+	if settings.PageSize <= 0 {
+		settings.PageSize = 50
+	}
+	platform := &Platform{world: world, settings: settings, tokens: settings.RatePerS, filled: world.now}
+	platform.entries = world.listEntries()
+	world.platforms = append(world.platforms, platform)
+	return platform
+}
+
+// publish has every list show, after its lag, the workers as they are now.
+func (world *World) publish() {
+	for _, platform := range world.platforms {
+		entries := world.listEntries()
+		if platform.settings.Lag <= 0 {
+			platform.entries = entries
+			continue
+		}
+		world.after(platform.settings.Lag, func() { platform.entries = entries })
+	}
+}
+
+// listEntries returns the workers that aren't gone; one that is down still shows its last life.
+func (world *World) listEntries() []listEntry {
+	var entries []listEntry
+	for _, worker := range world.workers {
+		if worker.state != workerGone && worker.address != "" {
+			entries = append(entries, worker.listEntry())
+		}
+	}
+	return entries
+}
+
+func (worker *Worker) listEntry() listEntry {
+	room := worker.settings.Allocatable
+	entry := listEntry{
+		Backend:     worker.settings.Backend,
+		Address:     worker.address,
+		Zone:        worker.settings.Zone,
+		Version:     worker.settings.Version,
+		Capacity:    worker.settings.Capacity,
+		State:       "ready",
+		Allocatable: listResources{room.CPU, room.MemoryMB, room.GPUs},
+		Labels:      worker.labels(),
+		ID:          worker.instance,
+	}
+	if worker.state == workerDraining {
+		entry.State = "draining"
+		entry.leavesAt = worker.leavesAt
+	}
+	return entry
+}
+
+// ServeHTTP implements the platform's side of the wire.
+func (platform *Platform) ServeHTTP(writer http.ResponseWriter, request *http.Request) {
+	if request.Method != http.MethodGet || request.URL.Path != "/instances" {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	query := request.URL.Query()
+	page, status := platform.page(query.Get("zone"), query.Get("pageToken"))
+	if status != http.StatusOK {
+		writer.WriteHeader(status)
+		return
+	}
+	data, err := json.Marshal(page)
+	if err != nil {
+		panic(err)
+	}
+	writer.Header().Set("Content-Type", "application/json")
+	writer.Write(data)
+}
+
+func (platform *Platform) page(zone, token string) (listAnswer, int) {
+	world := platform.world
+	world.enter()
+	defer world.leave()
+	world.stats.ListCalls++
+	if !platform.takeToken() {
+		world.stats.ListRejected++
+		return listAnswer{}, http.StatusTooManyRequests
+	}
+	entries := platform.entriesOf(zone)
+	first, err := strconv.Atoi(strings.TrimPrefix(token, pageTokenPrefix))
+	if token == "" {
+		first, err = 0, nil
+	}
+	if err != nil || first < 0 {
+		return listAnswer{}, http.StatusBadRequest
+	}
+	first = min(first, len(entries))
+	end := min(first+platform.settings.PageSize, len(entries))
+	page := listAnswer{Instances: entries[first:end]}
+	if end < len(entries) {
+		next := pageTokenPrefix + strconv.Itoa(end)
+		page.NextPageToken = &next
+	}
+	return page, http.StatusOK
+}
+
+// entriesOf returns a copy of the list, with the times that drain as of now.
+func (platform *Platform) entriesOf(zone string) []listEntry {
+	entries := slices.Clone(platform.entries)
+	entries = slices.DeleteFunc(entries, func(entry listEntry) bool { return zone != "" && entry.Zone != zone })
+	for i := range entries {
+		if entries[i].leavesAt > 0 {
+			entries[i].RemainingMs = max((entries[i].leavesAt - platform.world.now).Milliseconds(), 0)
+		}
+	}
+	if entries == nil {
+		entries = []listEntry{}
+	}
+	return entries
+}
+
+// takeToken tells whether the rate allows one more call.
+func (platform *Platform) takeToken() bool {
+	rate := platform.settings.RatePerS
+	if rate <= 0 {
+		return true
+	}
+	now := platform.world.now
+	platform.tokens = min(platform.tokens+(now-platform.filled).Seconds()*rate, rate)
+	platform.filled = now
+	if platform.tokens < 1 {
+		return false
+	}
+	platform.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/system/workerapi/client.go
@@ -0,0 +1,123 @@
+package workerapi
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+const (
+	startPath = "/run-start"
+	stopPath  = "/run-stop"
+	holdPath  = "/hold"
+)
+
+const (
+	defaultConnections          = 1024
+	defaultConnectionsPerWorker = 4
+	defaultAnswerTimeout        = 2 * time.Second
+)
+
+// Options bound a client; zero values stand for the defaults.
+type Options struct {
+	// Connections bounds the open connections to all workers together (1024).
+	Connections int
+	// ConnectionsPerWorker bounds those to one worker, busy and kept (4): calls beyond wait for a free one.
+	ConnectionsPerWorker int
+	// AnswerTimeout bounds a call whose context has no deadline (2 s); a hold may take its wait besides.
+	AnswerTimeout time.Duration
+}
+
+func (options Options) withDefaults() Options {
+	if options.Connections <= 0 {
+		options.Connections = defaultConnections
+	}
+	if options.ConnectionsPerWorker <= 0 {
+		options.ConnectionsPerWorker = defaultConnectionsPerWorker
+	}
+	if options.AnswerTimeout <= 0 {
+		options.AnswerTimeout = defaultAnswerTimeout
+	}
+	return options
+}
+
+// Client calls workers. It is safe for concurrent use.
+type Client struct {
+	transport     *http.Transport
+	bound         *connectionBound
+	answerTimeout time.Duration
+}
+
+// NewClient returns a client that has no connection yet.
+func NewClient(options Options) *Client {
+	options = options.withDefaults()
+	bound := newConnectionBound(options.Connections)
+	return &Client{
+		transport:     newTransport(bound, options.ConnectionsPerWorker),
+		bound:         bound,
+		answerTimeout: options.AnswerTimeout,
+	}
+}
+
+// Close closes the connections that no call uses; those in use are closed by the end of their calls' contexts.
+func (client *Client) Close() {
+	client.transport.CloseIdleConnections()
+}
+
+// OpenConnections returns the number of connections that are open or being opened.
+func (client *Client) OpenConnections() int {
+	return int(client.bound.open.Load())
+}
+
+// Start orders one run. The error is nil whenever the worker's answer was understood, also if it refused; otherwise it wraps
+// ErrNotSent, ErrUnanswered, ErrUnreadable or ErrUnexpectedStatus, and the reply's Outcome says what is certain.
+func (client *Client) Start(ctx context.Context, worker Worker, order StartOrder) (Reply, error) {
+	data := make([]byte, 0, order.sizeHint())
+	return client.order(ctx, worker, startPath, appendStart(data, &order))
+}
+
+// Stop orders the end of one run. Errors are as for Start.
+func (client *Client) Stop(ctx context.Context, worker Worker, order StopOrder) (Reply, error) {
+	data := make([]byte, 0, smallOrderBytes)
+	return client.order(ctx, worker, stopPath, appendStop(data, &order))
+}
+
+func (client *Client) order(ctx context.Context, worker Worker, path string, order []byte) (Reply, error) {
+	ctx, cancel := withTimeout(ctx, client.answerTimeout)
+	defer cancel()
+	var answer wireAnswer
+	outcome, err := client.call(ctx, worker, path, order, &answer)
+	if err != nil {
+		err = fmt.Errorf("%s of %s: %w", path, worker.Address, err)
+	}
+	return Reply{Outcome: outcome, ClockMs: answer.clockMs}, err
+}
+
+// Hold renews the hold of what runs on the worker, acknowledges ends and reads both lists. Errors are as for Start.
+func (client *Client) Hold(ctx context.Context, worker Worker, order HoldOrder) (HoldReply, error) {
+	wait := time.Duration(min(order.WaitMs, MaxWaitMs)) * time.Millisecond
+	ctx, cancel := withTimeout(ctx, client.answerTimeout+wait)
+	defer cancel()
+	data := make([]byte, 0, smallOrderBytes)
+	var answer wireAnswer
+	outcome, err := client.call(ctx, worker, holdPath, appendHold(data, &order), &answer)
+	if err != nil {
+		err = fmt.Errorf("%s of %s: %w", holdPath, worker.Address, err)
+	}
+	reply := HoldReply{
+		Outcome:     outcome,
+		ClockMs:     answer.clockMs,
+		RemainingMs: answer.remainingMs,
+		Running:     answer.running,
+		Finished:    answer.finished,
+	}
+	return reply, err
+}
+
+func withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	if _, bounded := ctx.Deadline(); bounded {
+		return ctx, func() {}
+	}
+	return context.WithTimeout(ctx, timeout)
+}
--- /dev/null
+++ b/internal/system/workerapi/transport.go
@@ -0,0 +1,107 @@
+package workerapi
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	dialTimeout       = 500 * time.Millisecond
+	userTimeout       = 2500 * time.Millisecond
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 3
+	idleTimeout       = time.Minute
+	bufferBytes       = 2 << 10
+	maxHeaderBytes    = 16 << 10
+)
+
+// connectionBound counts the open connections of one client and refuses to dial beyond its limit.
+type connectionBound struct {
+	dialer net.Dialer
+	limit  int64
+	open   atomic.Int64
+}
+
+func newConnectionBound(limit int) *connectionBound {
+	return &connectionBound{
+		limit: int64(limit),
+		dialer: net.Dialer{
+			Timeout: dialTimeout,
+			Control: setUserTimeout,
+			KeepAliveConfig: net.KeepAliveConfig{
+				Enable:   true,
+				Idle:     keepAliveIdle,
+				Interval: keepAliveInterval,
+				Count:    keepAliveCount,
+			},
+		},
+	}
+}
+
+// setUserTimeout bounds how long sent bytes may stay unacknowledged before the kernel gives the connection up.
+func setUserTimeout(_, _ string, connection syscall.RawConn) error {
+	var setError error
+	err := connection.Control(func(descriptor uintptr) {
+		milliseconds := int(userTimeout / time.Millisecond)
+		setError = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds)
+	})
+	if err != nil {
+		return err
+	}
+	return setError
+}
+
+func (bound *connectionBound) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if bound.open.Add(1) > bound.limit {
+		bound.open.Add(-1)
+		return nil, fmt.Errorf("%w: %w", errNotDialled, ErrTooManyConnections)
+	}
+	connection, err := bound.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		bound.open.Add(-1)
+		return nil, fmt.Errorf("%w: %w", errNotDialled, err)
+	}
+	return &boundConnection{Conn: connection, bound: bound}, nil
+}
+
+// boundConnection gives its place back when it is closed.
+type boundConnection struct {
+	net.Conn
+	bound  *connectionBound
+	closed atomic.Bool
+}
+
+// Close implements net.Conn; it may be called more than once.
+func (connection *boundConnection) Close() error {
+	if connection.closed.CompareAndSwap(false, true) {
+		connection.bound.open.Add(-1)
+	}
+	return connection.Conn.Close()
+}
+
+// newTransport returns a transport that speaks plain HTTP/1.1 to hosts given by address, keeps its connections and never
+// asks a proxy.
+func newTransport(bound *connectionBound, connectionsPerHost int) *http.Transport {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext:            bound.dial,
+		Protocols:              protocols,
+		DisableCompression:     true,
+		MaxIdleConns:           int(bound.limit),
+		MaxIdleConnsPerHost:    connectionsPerHost,
+		MaxConnsPerHost:        connectionsPerHost,
+		IdleConnTimeout:        idleTimeout,
+		ReadBufferSize:         bufferBytes,
+		WriteBufferSize:        bufferBytes,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
