Have the hollow platform's list follow its workers one by one

Each change of one worker built the whole list anew and kept it until its lag was over: with many workers, each of which listens at the start, that is the square of their number in time and memory. A change now carries only its worker's entry to the lists. Tested besides: a crashed worker's last life stays on the list until the next one is there and the lag is over.

--- a/internal/system/hollow/platform.go
+++ b/internal/system/hollow/platform.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -24,7 +23,7 @@
 	settings PlatformSettings
 	server   *server
 
-	entries []listEntry // as of Lag ago
+	entries []*listEntry // by the worker's number, as of Lag ago; nil for those not on the list
 	tokens  float64
 	filled  time.Duration
 }
@@ -64,32 +63,40 @@
 		settings.PageSize = 50
 	}
 	platform := &Platform{world: world, settings: settings, tokens: settings.RatePerS, filled: world.now}
-	platform.entries = world.listEntries()
+	for _, worker := range world.workers {
+		platform.show(worker.number, worker.listed())
+	}
 	world.platforms = append(world.platforms, platform)
 	return platform
 }
 
-// publish has every list show, after its lag, the workers as they are now.
-func (world *World) publish() {
-	for _, platform := range world.platforms {
-		entries := world.listEntries()
+// publish has every list show the worker, after its lag, as it is now.
+func (worker *Worker) publish() {
+	entry := worker.listed()
+	for _, platform := range worker.world.platforms {
 		if platform.settings.Lag <= 0 {
-			platform.entries = entries
+			platform.show(worker.number, entry)
 			continue
 		}
-		world.after(platform.settings.Lag, func() { platform.entries = entries })
+		worker.world.after(platform.settings.Lag, func() { platform.show(worker.number, entry) })
 	}
 }
 
-// listEntries returns the workers that aren't gone; one that is down still shows its last life.
-func (world *World) listEntries() []listEntry {
-	var entries []listEntry
-	for _, worker := range world.workers {
-		if worker.state != workerGone && worker.address != "" {
-			entries = append(entries, worker.listEntry())
-		}
+// show puts a worker's entry on the list; nil takes it away.
+func (platform *Platform) show(number int, entry *listEntry) {
+	if missing := number + 1 - len(platform.entries); missing > 0 {
+		platform.entries = append(platform.entries, make([]*listEntry, missing)...)
 	}
-	return entries
+	platform.entries[number] = entry
+}
+
+// listed is the worker's entry, nil if it is gone or listens nowhere; one that is down still shows its last life.
+func (worker *Worker) listed() *listEntry {
+	if worker.state == workerGone || worker.address == "" {
+		return nil
+	}
+	entry := worker.listEntry()
+	return &entry
 }
 
 func (worker *Worker) listEntry() listEntry {
@@ -161,15 +168,16 @@
 
 // entriesOf returns a copy of the list, with the times that drain as of now.
 func (platform *Platform) entriesOf(zone string) []listEntry {
-	entries := slices.Clone(platform.entries)
-	entries = slices.DeleteFunc(entries, func(entry listEntry) bool { return zone != "" && entry.Zone != zone })
-	for i := range entries {
-		if entries[i].leavesAt > 0 {
-			entries[i].RemainingMs = max((entries[i].leavesAt - platform.world.now).Milliseconds(), 0)
+	entries := make([]listEntry, 0, len(platform.entries))
+	for _, shown := range platform.entries {
+		if shown == nil || zone != "" && shown.Zone != zone {
+			continue
 		}
-	}
-	if entries == nil {
-		entries = []listEntry{}
+		entry := *shown
+		if entry.leavesAt > 0 {
+			entry.RemainingMs = max((entry.leavesAt - platform.world.now).Milliseconds(), 0)
+		}
+		entries = append(entries, entry)
 	}
 	return entries
 }
--- a/internal/system/hollow/platform_test.go
+++ b/internal/system/hollow/platform_test.go
@@ -88,3 +88,19 @@
 	world.clock.Advance(500 * time.Millisecond)
 	require.Equal(t, []int{200, 429, 429}, statuses())
 }
+
+func TestListShowsTheLastLifeUntilTheNextIsThere(t *testing.T) {
+	world := newTestWorld(t)
+	platform := world.NewPlatform(PlatformSettings{Lag: 500 * time.Millisecond})
+	worker := world.worker()
+	worker.SetAddress("127.0.0.1:1")
+	before := worker.Instance()
+	world.clock.Advance(500 * time.Millisecond)
+	worker.Crash(time.Second)
+	world.clock.Advance(1499 * time.Millisecond)
+	page, _ := list(t, platform, "")
+	require.Equal(t, before, page.Instances[0].ID)
+	world.clock.Advance(time.Millisecond)
+	page, _ = list(t, platform, "")
+	require.Equal(t, worker.Instance(), page.Instances[0].ID)
+}
--- a/internal/system/hollow/worker.go
+++ b/internal/system/hollow/worker.go
@@ -43,6 +43,7 @@
 // Worker is one hollow worker, an http.Handler.
 type Worker struct {
 	world    *World
+	number   int // its place among the world's workers
 	settings WorkerSettings
 	rack     string
 	address  string
@@ -101,10 +102,10 @@
 	if settings.ClockRate == 0 {
 		settings.ClockRate = 1
 	}
-	worker := &Worker{world: world, settings: settings, rack: settings.Rack}
+	worker := &Worker{world: world, number: len(world.workers), settings: settings, rack: settings.Rack}
 	worker.beginLife()
 	world.workers = append(world.workers, worker)
-	world.publish()
+	worker.publish()
 	return worker
 }
 
@@ -144,7 +145,7 @@
 	worker.world.enter()
 	defer worker.world.leave()
 	worker.address = address
-	worker.world.publish()
+	worker.publish()
 }
 
 // SetFaults changes what is wrong with it, at once also for what runs.
@@ -168,7 +169,7 @@
 	worker.world.after(down, func() {
 		if worker.state == workerDown {
 			worker.beginLife()
-			worker.world.publish()
+			worker.publish()
 		}
 	})
 }
@@ -183,11 +184,11 @@
 	worker.state = workerDraining
 	worker.leavesAt = worker.world.now + remaining
 	instance := worker.instance
-	worker.world.publish()
+	worker.publish()
 	worker.world.after(remaining, func() {
 		if worker.instance == instance {
 			worker.die(workerGone)
-			worker.world.publish()
+			worker.publish()
 		}
 	})
 }
@@ -197,7 +198,7 @@
 	worker.world.enter()
 	defer worker.world.leave()
 	worker.die(workerGone)
-	worker.world.publish()
+	worker.publish()
 }
 
 func (worker *Worker) die(state workerState) {
