--- a/internal/emulator/emulator.go
+++ b/internal/emulator/emulator.go
@@ -48,7 +48,7 @@
 		changed: make(chan struct{})}
 	for i, s := range specs {
 		m := fleet.NewHost(fmt.Sprintf("s-%08x", uint32(i+1)*2654435761), i, 0, s.Lanes, s.Speed, p, f.chance)
-		h := &Host{Name: m.Name, model: m, number: i, owner: f, jobs: map[uint64]*waiting{}, state: "in_service"}
+		h := &Host{Name: m.Name, model: m, number: i, owner: f, jobs: map[uint64]*heldJob{}, state: "in_service"}
 		f.sites, f.kinds = append(f.sites, s.Room), append(f.kinds, s.Kind)
 		if err := h.listen("127.0.0.1:0"); err != nil {
 			f.Close()
--- a/internal/emulator/host.go
+++ b/internal/emulator/host.go
@@ -27,7 +27,7 @@
 	number     int
 	owner      *Fleet
 	mu         sync.Mutex
-	jobs       map[uint64]*waiting
+	jobs       map[uint64]*heldJob
 	wake       *time.Timer
 	server     *http.Server
 	ln         net.Listener // of server
@@ -35,8 +35,8 @@
 	state      string // of discovery's list
 }
 
-// waiting is a request that a host holds.
-type waiting struct {
+// heldJob is a request that a host holds.
+type heldJob struct {
 	id    string
 	work  time.Duration
 	notes chan fleet.Note
--- a/internal/emulator/serve.go
+++ b/internal/emulator/serve.go
@@ -74,7 +74,7 @@
 		return
 	}
 	work := time.Duration(b.WorkUS) * time.Microsecond
-	j := &waiting{id: id, work: work, notes: make(chan fleet.Note, 4096)}
+	j := &heldJob{id: id, work: work, notes: make(chan fleet.Note, 4096)}
 	h.owner.mu.Lock()
 	h.owner.next++
 	n := h.owner.next
@@ -134,7 +134,7 @@
 }
 
 // follow passes on what becomes of a job, a line each.
-func (h *Host) follow(w http.ResponseWriter, r *http.Request, n uint64, j *waiting, x Faults) {
+func (h *Host) follow(w http.ResponseWriter, r *http.Request, n uint64, j *heldJob, x Faults) {
 	silent := x.Silent > 0 && h.owner.chance() < x.Silent
 	reset := x.Reset > 0 && h.owner.chance() < x.Reset
 	cut := x.Cut > 0 && h.owner.chance() < x.Cut
--- a/internal/net/operators/door.go
+++ b/internal/net/operators/server.go
@@ -15,7 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 )
 
-// The door's bounds. A caller waits 1 s for its answer, however busy the dispatcher is.
+// The bounds of the server. A caller waits 1 s for its answer, however busy the dispatcher is.
 const (
 	headTimeout  = 2 * time.Second // from the accept to the end of the head; silent callers go then
 	writeTimeout = 2 * time.Second
@@ -24,7 +24,7 @@
 	pollEvery    = 250 * time.Millisecond // for changes of the file by another process
 )
 
-// Core is what the door needs of the loop.
+// Core is what the server needs of the loop.
 type Core interface {
 	// Hand takes a host out by hand, or puts it back; known: the name is that of a listed host or of one out by
 	// hand. Once it returns, the module has heard of it.
@@ -33,7 +33,7 @@
 	HandSet(names []string)
 }
 
-// Config is what a Door must keep to.
+// Config is what a Server must keep to.
 type Config struct {
 	Addr     string
 	MaxConns int         // connections at once; at the limit the oldest that has not sent a whole call is closed
@@ -45,23 +45,23 @@
 	Views map[string]func() any
 }
 
-// Door is the operators' door. Each call has a connection of its own: every answer closes it.
-type Door struct {
+// Server answers the operators. Each call has a connection of its own: every answer closes it.
+type Server struct {
 	cfg  Config
 	http *http.Server
 	gate *limit
 	mu   sync.Mutex // of the store
 }
 
-// NewDoor makes a door.
-func NewDoor(cfg Config) *Door {
-	d := &Door{cfg: cfg}
+// NewServer makes a server that has no address yet.
+func NewServer(cfg Config) *Server {
+	s := &Server{cfg: cfg}
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthcheck", d.health)
+	mux.HandleFunc("GET /healthcheck", s.health)
 	mux.Handle("GET /stats", promhttp.HandlerFor(cfg.Figures.Gatherer(), promhttp.HandlerOpts{
 		ErrorHandling: promhttp.ContinueOnError, MaxRequestsInFlight: 4, Timeout: time.Second}))
-	mux.HandleFunc("POST /game-workers/{id}/maint", func(w http.ResponseWriter, r *http.Request) { d.hand(w, r, true) })
-	mux.HandleFunc("POST /game-workers/{id}/ready", func(w http.ResponseWriter, r *http.Request) { d.hand(w, r, false) })
+	mux.HandleFunc("POST /game-workers/{id}/maint", func(w http.ResponseWriter, r *http.Request) { s.hand(w, r, true) })
+	mux.HandleFunc("POST /game-workers/{id}/ready", func(w http.ResponseWriter, r *http.Request) { s.hand(w, r, false) })
 	for path, view := range cfg.Views {
 		mux.HandleFunc("GET /"+path, func(w http.ResponseWriter, _ *http.Request) {
 			text, err := json.Marshal(view())
@@ -72,46 +72,46 @@
 			answer(w, http.StatusOK, "application/json", string(text))
 		})
 	}
-	d.http = &http.Server{Handler: framed(mux), ReadHeaderTimeout: headTimeout, ReadTimeout: headTimeout,
+	s.http = &http.Server{Handler: framed(mux), ReadHeaderTimeout: headTimeout, ReadTimeout: headTimeout,
 		WriteTimeout: writeTimeout, MaxHeaderBytes: 8 << 10,
-		ConnState: func(nc net.Conn, s http.ConnState) { d.gate.state(nc, s) },
+		ConnState: func(nc net.Conn, state http.ConnState) { s.gate.state(nc, state) },
 		ErrorLog:  slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
-	d.http.SetKeepAlivesEnabled(false)
-	return d
+	s.http.SetKeepAlivesEnabled(false)
+	return s
 }
 
-// Listen opens the door's address.
-func (d *Door) Listen() (net.Listener, error) {
-	ln, err := net.Listen("tcp", d.cfg.Addr)
+// Listen opens the address.
+func (s *Server) Listen() (net.Listener, error) {
+	ln, err := net.Listen("tcp", s.cfg.Addr)
 	if err != nil {
 		return nil, fmt.Errorf("ops: %w", err)
 	}
-	d.gate = newLimit(ln, d.cfg.MaxConns)
-	return d.gate, nil
+	s.gate = newLimit(ln, s.cfg.MaxConns)
+	return s.gate, nil
 }
 
 // Restore tells the core what the store holds, at a start. A file that can't be read is named in the log and
 // counts as none.
-func (d *Door) Restore() {
-	if d.cfg.Store == nil {
+func (s *Server) Restore() {
+	if s.cfg.Store == nil {
 		return
 	}
-	d.mu.Lock()
-	names, err := d.cfg.Store.Load()
-	d.mu.Unlock()
+	s.mu.Lock()
+	names, err := s.cfg.Store.Load()
+	s.mu.Unlock()
 	if err != nil {
 		slog.Error("hosts out by hand: the file is not read, none are out", "error", err)
 	}
 	if len(names) > 0 {
 		slog.Info("hosts out by hand, as kept", "hosts", names)
 	}
-	d.cfg.Core.HandSet(names)
+	s.cfg.Core.HandSet(names)
 }
 
 // Serve answers calls until ctx ends, and follows the changes that another process makes to the store.
-func (d *Door) Serve(ctx context.Context, ln net.Listener) error {
+func (s *Server) Serve(ctx context.Context, ln net.Listener) error {
 	failed := make(chan error, 1)
-	go func() { failed <- d.http.Serve(ln) }()
+	go func() { failed <- s.http.Serve(ln) }()
 	tick := time.NewTicker(pollEvery)
 	defer tick.Stop()
 	for {
@@ -119,32 +119,32 @@
 		case err := <-failed:
 			return fmt.Errorf("ops: %w", err)
 		case <-ctx.Done():
-			d.http.Close()
+			s.http.Close()
 			<-failed
 			return nil
 		case <-tick.C:
-			d.follow()
+			s.follow()
 		}
 	}
 }
 
 // follow takes in what another process of the same dispatcher has written to the store.
-func (d *Door) follow() {
-	if d.cfg.Store == nil {
+func (s *Server) follow() {
+	if s.cfg.Store == nil {
 		return
 	}
-	d.mu.Lock()
-	if !d.cfg.Store.Changed() {
-		d.mu.Unlock()
+	s.mu.Lock()
+	if !s.cfg.Store.Changed() {
+		s.mu.Unlock()
 		return
 	}
-	names, err := d.cfg.Store.Load()
-	d.mu.Unlock()
+	names, err := s.cfg.Store.Load()
+	s.mu.Unlock()
 	if err != nil {
 		slog.Error("hosts out by hand: the file is not read, what is out stays so", "error", err)
 		return
 	}
-	d.cfg.Core.HandSet(names)
+	s.cfg.Core.HandSet(names)
 }
 
 // framed refuses bodies that are framed twice or too long, before any handler.
@@ -162,8 +162,8 @@
 	})
 }
 
-func (d *Door) health(w http.ResponseWriter, _ *http.Request) {
-	if d.cfg.Ready() {
+func (s *Server) health(w http.ResponseWriter, _ *http.Request) {
+	if s.cfg.Ready() {
 		say(w, http.StatusOK, "ok")
 		return
 	}
@@ -171,7 +171,7 @@
 }
 
 // hand takes a game worker out, or puts it back. A name that nobody has gets a 404 and changes nothing.
-func (d *Door) hand(w http.ResponseWriter, r *http.Request, out bool) {
+func (s *Server) hand(w http.ResponseWriter, r *http.Request, out bool) {
 	if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, bodyMost)); err != nil {
 		say(w, http.StatusBadRequest, "body: "+err.Error())
 		return
@@ -183,7 +183,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), handFor)
 	defer cancel()
-	known, err := d.cfg.Core.Hand(ctx, name, out)
+	known, err := s.cfg.Core.Hand(ctx, name, out)
 	switch {
 	case err != nil:
 		say(w, http.StatusServiceUnavailable, "not taken in time; ask again")
@@ -192,20 +192,20 @@
 		say(w, http.StatusNotFound, "no game worker of that name")
 		return
 	}
-	d.keep(name, out)
+	s.keep(name, out)
 	verb := map[bool]string{true: "out", false: "back"}[out]
 	slog.Info("game worker "+verb+" by hand", "host", name)
 	say(w, http.StatusOK, verb)
 }
 
 // keep writes a change to the store, on top of what is there now: another process may have written it last.
-func (d *Door) keep(name string, out bool) {
-	if d.cfg.Store == nil {
+func (s *Server) keep(name string, out bool) {
+	if s.cfg.Store == nil {
 		return
 	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	names, err := d.cfg.Store.Load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names, err := s.cfg.Store.Load()
 	if err != nil {
 		slog.Error("hosts out by hand: the file is not read, it is written anew", "error", err)
 	}
@@ -218,7 +218,7 @@
 	if out {
 		kept = append(kept, name)
 	}
-	if err := d.cfg.Store.Save(kept); err != nil {
+	if err := s.cfg.Store.Save(kept); err != nil {
 		slog.Error("hosts out by hand: not kept for a successor", "error", err)
 	}
 }
--- a/internal/net/operators/door_test.go
+++ b/internal/net/operators/server_test.go
@@ -62,7 +62,7 @@
 	if dir != "" {
 		store = NewStore(dir, "n1")
 	}
-	d := NewDoor(Config{Addr: "127.0.0.1:0", MaxConns: 4, Ready: ready.Load, Figures: f, Core: c, Store: store})
+	d := NewServer(Config{Addr: "127.0.0.1:0", MaxConns: 4, Ready: ready.Load, Figures: f, Core: c, Store: store})
 	ln, err := d.Listen()
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/node/run.go
+++ b/internal/node/run.go
@@ -112,16 +112,16 @@
 	if err != nil {
 		return err
 	}
-	var opsDoor *operators.Door
+	var operatorsServer *operators.Server
 	var opsLn net.Listener
 	if cfg.Ops != "" {
-		opsDoor = operators.NewDoor(operators.Config{Addr: cfg.Ops, MaxConns: door, Ready: server.Serving, Figures: figures,
+		operatorsServer = operators.NewServer(operators.Config{Addr: cfg.Ops, MaxConns: door, Ready: server.Serving, Figures: figures,
 			Core: l, Store: operators.NewStore(os.TempDir(), cfg.Name), Views: views(shares, rooms)})
-		if opsLn, err = opsDoor.Listen(); err != nil {
+		if opsLn, err = operatorsServer.Listen(); err != nil {
 			ln.Close()
 			return err
 		}
-		opsDoor.Restore() // before the loop's first Step: what is out stays out from the first send on
+		operatorsServer.Restore() // before the loop's first Step: what is out stays out from the first send on
 	}
 	slog.Info("serving", "name", cfg.Name, "listen", cfg.Listen, "ops", cfg.Ops, "hosts", len(known.Hosts))
 
@@ -156,8 +156,8 @@
 	}
 	go func() {
 		defer close(opened)
-		if opsDoor != nil {
-			if err := opsDoor.Serve(inner, opsLn); err != nil {
+		if operatorsServer != nil {
+			if err := operatorsServer.Serve(inner, opsLn); err != nil {
 				slog.Error("the operators' door is shut", "error", err)
 			}
 		}
