Cut the head off while its voters restart, so that a forgotten grant shows

The test of restarted voters passed without their waiting: the new view reached the old head before the new one had a lease. With the head cut off, two heads appear without the wait.

Test: go test -run Voters ./coord/replica

--- a/coord/replica/replica_test.go
+++ b/coord/replica/replica_test.go
@@ -210,12 +210,15 @@
 	})
 }
 
-// Voters that have just restarted don't know their grants: the head keeps its lease against them.
+// Voters that have just restarted don't know their grants: the head, cut off and
+// none the wiser, keeps its lease against them.
 func TestRestartedVotersWait(t *testing.T) {
 	eachSeed(t, func(t *testing.T, w *world) {
 		head := w.head()
 		for _, m := range w.machines {
 			if m != head {
+				w.cuts[[2]string{m.address, head.address}] = w.now + time.Second
+				w.cuts[[2]string{head.address, m.address}] = w.now + time.Second
 				m.end()
 				m.start()
 				m.process.electAt = 0
