--- a/internal/system/control/orders.go
+++ b/internal/system/control/orders.go
@@ -10,6 +10,9 @@
 // mostCalls bounds the calls on workers that are out at once.
 const mostCalls = 4096
 
+// connectionsPerWorker bounds the connections to one worker: two holds, and orders beside them of which some get no answer.
+const connectionsPerWorker = 8
+
 // orders carries out the scheduler's calls on workers, each on a goroutine of its own.
 type orders struct {
 	client *workerapi.Client
@@ -20,7 +23,7 @@
 
 func newOrders(connections int) *orders {
 	ctx, cancel := context.WithCancel(context.Background())
-	client := workerapi.NewClient(workerapi.Options{Connections: connections})
+	client := workerapi.NewClient(workerapi.Options{Connections: connections, ConnectionsPerWorker: connectionsPerWorker})
 	return &orders{client: client, slots: make(chan struct{}, mostCalls), ctx: ctx, cancel: cancel}
 }
 
--- a/internal/system/scheduler/runs.go
+++ b/internal/system/scheduler/runs.go
@@ -71,7 +71,7 @@
 	}
 	t.saw(r.name.Attempt, end.Checkpoint)
 	t.avoid = nil
-	if end.How == state.Failed || r.moved {
+	if end.How == state.Failed && !r.step.stage.LongRunning || r.moved {
 		t.avoid = r.worker
 	}
 	if r.step.stage.LongRunning {
