--- a/internal/system/scheduler/health.go
+++ b/internal/system/scheduler/health.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -20,6 +21,7 @@
 	busyTimes  int
 	slowLog    float64 // mean logarithm of run time against estimate
 	slowWeight float64
+	slow       float64 // the same as a factor; 0 before the first run
 }
 
 // verdict is one end, as it counts for the worker.
@@ -48,10 +50,11 @@
 	h.slowWeight = min(h.slowWeight+1, slowMemory)
 	value := math.Log(min(max(ratio, 0.1), 20))
 	h.slowLog += (value - h.slowLog) / (h.slowWeight + 1)
+	h.slow = math.Exp(h.slowLog)
 }
 
 // slowness is how many times as long as expected runs take here.
-func (h *health) slowness() float64 { return math.Exp(h.slowLog) }
+func (h *health) slowness() float64 { return cmp.Or(h.slow, 1) }
 
 // factor is by how much runs here are expected to be longer; small differences don't count.
 func (h *health) factor() float64 {
--- /dev/null
+++ b/internal/system/scheduler/load_test.go
@@ -0,0 +1,169 @@
+package scheduler
+
+import (
+	"container/heap"
+	"fmt"
+	"testing"
+	"time"
+
+	"gaugeslip/internal/system/jobspec"
+	"gaugeslip/internal/system/nodesettings"
+	"gaugeslip/internal/system/state"
+	"gaugeslip/internal/system/workerapi"
+)
+
+// rush is a large cluster without trouble: commands commit at once, and workers answer at once and in time.
+type rush struct {
+	machine *state.Machine
+	sched   *Scheduler
+	now     time.Duration
+	events  eventHeap
+	order   uint64
+	workers map[string]*rushWorker
+	body    []byte
+	jobs    uint64
+	started int
+}
+
+type rushWorker struct {
+	running  map[string]workerapi.RunningTask
+	finished []workerapi.FinishedTask
+	number   uint64
+	hold     *Call
+	asked    uint64
+}
+
+func newRush(workers, tasks int, run time.Duration) *rush {
+	r := &rush{machine: state.New(), now: time.Second, workers: make(map[string]*rushWorker)}
+	stage := jobspec.Stage{Count: tasks, CPU: 1500, MemoryMb: 1000, Estimated: run}
+	r.body, _ = (&jobspec.Spec{Text: "rush", Stages: []jobspec.Stage{stage}}).Encode()
+	r.sched = New(Options{Token: 1, Machine: r.machine, Bounds: nodesettings.DefaultBounds()}, r.now)
+	r.sched.WallClock(r.now, unixZeroMs)
+	var list []workerapi.Instance
+	for i := range workers {
+		id := fmt.Sprintf("i-%06d", i)
+		r.workers[id] = &rushWorker{running: make(map[string]workerapi.RunningTask)}
+		room := workerapi.Allocatable{CPU: 16000, MemoryMB: 65536}
+		list = append(list, workerapi.Instance{
+			ID: id, Backend: "farm", Address: id, State: workerapi.StateReady, Allocatable: room,
+			Labels: []string{"a", fmt.Sprint("rack-", i/12)},
+		})
+	}
+	r.sched.Listed(r.now, list)
+	r.drain()
+	return r
+}
+
+func (r *rush) after(span time.Duration, act func()) {
+	r.order++
+	heap.Push(&r.events, event{at: r.now + span, order: r.order, act: act})
+}
+
+func (r *rush) submit() {
+	r.jobs++
+	accepted := &state.JobAccepted{
+		ID: state.JobID(r.jobs), Route: "r", Service: "farm", MaxRetries: 3, Extension: 2, TargetLatencyMs: 1000,
+		AcceptedMs: unixZeroMs + r.now.Milliseconds(), Body: r.body,
+	}
+	r.apply(state.Command{Kind: state.KindJobAccepted, JobAccepted: accepted})
+	r.drain()
+}
+
+func (r *rush) apply(command state.Command) {
+	r.sched.Applied(r.now, r.machine.Apply(command))
+}
+
+func (r *rush) drain() {
+	for {
+		output := r.sched.Drain()
+		if len(output.Commands)+len(output.Calls) == 0 {
+			return
+		}
+		for _, command := range output.Commands {
+			r.apply(command)
+		}
+		for i := range output.Calls {
+			r.call(&output.Calls[i])
+		}
+	}
+}
+
+func (r *rush) call(made *Call) {
+	worker := r.workers[made.Worker.Instance]
+	if made.Kind == CallHold {
+		worker.asked++
+		worker.hold = made
+		asked := worker.asked
+		wait := time.Duration(made.Hold.WaitMs) * time.Millisecond
+		r.after(wait, func() {
+			if worker.asked == asked && worker.hold != nil {
+				r.answer(worker)
+			}
+		})
+		return
+	}
+	r.started++
+	order := made.Start
+	worker.running[order.Task] = workerapi.RunningTask{Task: order.Task, Attempt: order.Attempt}
+	r.sched.CallEnded(r.now, CallResult{ID: made.ID, Reply: workerapi.HoldReply{Outcome: workerapi.Done, ClockMs: r.now.Milliseconds()}})
+	r.after(4*time.Second+time.Duration(r.started%500)*time.Millisecond, func() { r.finish(worker, order.Task) })
+}
+
+func (r *rush) finish(worker *rushWorker, task string) {
+	delete(worker.running, task)
+	worker.number++
+	worker.finished = append(worker.finished, workerapi.FinishedTask{N: worker.number, Task: task, Attempt: 1, How: workerapi.HowDone})
+	if worker.hold != nil {
+		r.answer(worker)
+	}
+}
+
+func (r *rush) answer(worker *rushWorker) {
+	made := worker.hold
+	worker.hold = nil
+	for len(worker.finished) > 0 && worker.finished[0].N <= made.Hold.LastSeen {
+		worker.finished = worker.finished[1:]
+	}
+	reply := workerapi.HoldReply{Outcome: workerapi.Done, ClockMs: r.now.Milliseconds(), Finished: worker.finished}
+	for _, task := range worker.running {
+		task.Percent = int(r.now/time.Second) % 100
+		reply.Running = append(reply.Running, task)
+	}
+	r.sched.CallEnded(r.now, CallResult{ID: made.ID, Reply: reply})
+	r.drain()
+}
+
+func (r *rush) run(until time.Duration) {
+	for len(r.events) > 0 && r.events[0].at <= until {
+		next := heap.Pop(&r.events).(event)
+		r.now = next.at
+		next.act()
+	}
+	r.now = until
+	r.sched.Tick(r.now)
+	r.drain()
+}
+
+// BenchmarkRush plays a second of a large cluster: 20 jobs of 40 tasks each come and go.
+func BenchmarkRush(b *testing.B) {
+	for _, workers := range []int{530, 2300} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			r := newRush(workers, 40, 4*time.Second)
+			second := func() {
+				for range 20 {
+					r.submit()
+					r.run(r.now + 50*time.Millisecond)
+				}
+			}
+			for range 6 {
+				second()
+			}
+			b.ReportAllocs()
+			started := r.started
+			for b.Loop() {
+				second()
+			}
+			b.ReportMetric(float64(r.started-started)/float64(b.N), "starts/op")
+		})
+	}
+}
--- /dev/null
+++ b/internal/system/state/machine_test.go
@@ -0,0 +1,139 @@
+package state
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"gaugeslip/internal/system/jobspec"
+)
+
+// drawBody draws a small job.
+func drawBody(t *rapid.T) []byte {
+	spec := &jobspec.Spec{Text: rapid.StringN(0, 10, 20).Draw(t, "text")}
+	for i := range rapid.IntRange(0, 3).Draw(t, "stages") {
+		stage := jobspec.Stage{
+			Count:       rapid.IntRange(1, 3).Draw(t, "count"),
+			CPU:         1000,
+			Gang:        rapid.Bool().Draw(t, "gang"),
+			Speculative: rapid.Bool().Draw(t, "speculative"),
+			LongRunning: rapid.IntRange(0, 5).Draw(t, "lasting") == 0,
+		}
+		if i > 0 && rapid.Bool().Draw(t, "depends") {
+			stage.DependsOn = []int{rapid.IntRange(0, i-1).Draw(t, "on")}
+		}
+		spec.Stages = append(spec.Stages, stage)
+	}
+	if rapid.Bool().Draw(t, "timed") {
+		spec.Repetitions = rapid.IntRange(1, 3).Draw(t, "repetitions")
+	}
+	body, err := spec.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return body
+}
+
+func drawTask(t *rapid.T) TaskName {
+	return TaskName{
+		Job:   JobID(rapid.Uint64Range(1, 4).Draw(t, "job")),
+		Time:  rapid.Uint32Range(0, 3).Draw(t, "time"),
+		Step:  rapid.Uint32Range(0, 3).Draw(t, "step"),
+		Index: rapid.Uint32Range(0, 3).Draw(t, "index"),
+	}
+}
+
+func drawRun(t *rapid.T) Run {
+	return Run{Task: drawTask(t), Attempt: rapid.Uint32Range(1, 4).Draw(t, "attempt")}
+}
+
+func drawWorker(t *rapid.T) string {
+	return rapid.SampledFrom([]string{"i-1", "i-2", "i-3"}).Draw(t, "worker")
+}
+
+func drawText(t *rapid.T) string { return rapid.StringN(0, 4, 16).Draw(t, "checkpoint") }
+
+// drawCommand draws any command; most concern the few jobs and workers that there are.
+func drawCommand(t *rapid.T) Command {
+	switch kind := Kind(rapid.IntRange(int(KindConfigReplaced), int(KindJobsForgotten)).Draw(t, "kind")); kind {
+	case KindConfigReplaced:
+		return Command{Kind: kind, ConfigReplaced: &ConfigReplaced{
+			Base: rapid.Uint64Range(0, 4).Draw(t, "base"), Version: rapid.Uint64Range(0, 5).Draw(t, "version"),
+			Body: rapid.SliceOfN(rapid.Byte(), 1, 8).Draw(t, "body"),
+		}}
+	case KindJobAccepted:
+		return Command{Kind: kind, JobAccepted: &JobAccepted{
+			ID: JobID(rapid.Uint64Range(1, 4).Draw(t, "job")), Route: "r", Service: "s", MaxRetries: rapid.IntRange(0, 3).Draw(t, "retries"),
+			Extension: rapid.Float64Range(0, 5).Draw(t, "extension"), AcceptedMs: rapid.Int64().Draw(t, "at"), Body: drawBody(t),
+		}}
+	case KindJobCancelled:
+		return Command{Kind: kind, JobCancelled: &JobCancelled{
+			ID: JobID(rapid.Uint64Range(1, 5).Draw(t, "job")), AtMs: rapid.Int64().Draw(t, "at"),
+		}}
+	case KindTasksStarting:
+		starts := make([]Start, rapid.IntRange(1, 6).Draw(t, "starts"))
+		for i := range starts {
+			starts[i] = Start{Run: drawRun(t), Worker: drawWorker(t), Checkpoint: drawText(t)}
+		}
+		return Command{Kind: kind, TasksStarting: starts}
+	case KindStartsVoided:
+		return Command{Kind: kind, StartsVoided: []Run{drawRun(t), drawRun(t)}}
+	case KindTasksEnded:
+		ended := &TasksEnded{Worker: drawWorker(t), Ends: make([]End, rapid.IntRange(1, 4).Draw(t, "ends"))}
+		for i := range ended.Ends {
+			how := How(rapid.IntRange(int(Done), int(Alone)).Draw(t, "how"))
+			number := rapid.Uint64Range(1, 60).Draw(t, "number")
+			ended.Ends[i] = End{Run: drawRun(t), Number: number, How: how, Checkpoint: drawText(t)}
+		}
+		return Command{Kind: kind, TasksEnded: ended}
+	case KindWorkerLost:
+		return Command{Kind: kind, WorkerLost: drawWorker(t)}
+	default:
+		return Command{Kind: kind, JobsForgotten: []JobID{JobID(rapid.Uint64Range(1, 4).Draw(t, "job"))}}
+	}
+}
+
+func TestCommandsKeepTheInvariantsAndSnapshotsTheState(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		machine := New()
+		for range rapid.IntRange(1, 80).Draw(t, "commands") {
+			command := drawCommand(t)
+			machine.Apply(command)
+			require.NoError(t, machine.Check(), "after %+v", command)
+		}
+		snapshot := machine.Snapshot()
+		restored := New()
+		require.NoError(t, restored.Restore(snapshot))
+		require.NoError(t, restored.Check())
+		require.Equal(t, snapshot, restored.Snapshot())
+		for range rapid.IntRange(1, 20).Draw(t, "more") {
+			command := drawCommand(t)
+			require.Equal(t, machine.Apply(command).Outcome, restored.Apply(command).Outcome)
+			require.Equal(t, machine.Snapshot(), restored.Snapshot(), "after %+v", command)
+		}
+	})
+}
+
+func TestCommandsSurviveEncoding(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		command := drawCommand(t)
+		encoded := command.Encode()
+		decoded, err := Decode(encoded)
+		require.NoError(t, err)
+		require.Equal(t, command, decoded)
+		cut := rapid.IntRange(0, len(encoded)-1).Draw(t, "cut")
+		_, err = Decode(encoded[:cut])
+		require.ErrorIs(t, err, ErrCorrupt)
+	})
+}
+
+func TestDecodingAnyBytesNeverPanics(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		data := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, "data")
+		if _, err := Decode(data); err != nil {
+			require.ErrorIs(t, err, ErrCorrupt)
+		}
+		_ = New().Restore(data)
+	})
+}
