Tell who left and joined a view, how long writers waited, and what a disk held

A replica that read many committed configurations at once, as after a restart, also put each in force and spread it in turn (12 within 50 ms in one incident); now only the newest of a batch. Run: go test -race ./internal/system/control

--- a/internal/system/control/events.go
+++ b/internal/system/control/events.go
@@ -1,6 +1,11 @@
 package control
 
-import "gaugeslip/internal/system/state"
+import (
+	"time"
+
+	"gaugeslip/coord/view"
+	"gaugeslip/internal/system/state"
+)
 
 // listFailuresTold is how many readings of the platform's list have to fail in turn until the log says so, once.
 const listFailuresTold = 5
@@ -29,3 +34,35 @@
 	}
 	n.logger.Warn("worker lost", "worker", result.Command.WorkerLost, "jobs", len(result.Jobs))
 }
+
+// tellOfView logs a view that has come into force, and who fell out of its chain and who came in. They are named by their disks'
+// identities: a replica that lost its disk leaves under one and comes in under another, at the same address.
+func (n *Node) tellOfView(newest view.View) {
+	before := n.seenView
+	n.seenView = newest
+	n.logger.Info("view", "epoch", newest.Epoch, "chain", addresses(newest.Chain), "voters", len(newest.Voters),
+		"left", missing(before.Chain, &newest), "joined", missing(newest.Chain, &before))
+}
+
+// missing are the identities of the members that aren't in the chain of a view.
+func missing(members []view.Member, from *view.View) []view.ReplicaID {
+	var gone []view.ReplicaID
+	for _, member := range members {
+		if !from.InChain(member.ID) {
+			gone = append(gone, member.ID)
+		}
+	}
+	return gone
+}
+
+// quiet is for how long nothing that was committed has been applied here: at a new head, how long writers have waited.
+func (n *Node) quiet() time.Duration { return (n.now() - n.appliedAt).Round(time.Millisecond) }
+
+// tellOfDisk logs what the log on disk held; an empty one, other than at the very first start, is a disk that was lost or is new.
+func (n *Node) tellOfDisk(records int, bytes int64) {
+	if records == 0 && !n.settings.Bootstrap {
+		n.logger.Warn("disk is empty, joining as a new replica", "id", n.engine.replica.Self().ID)
+		return
+	}
+	n.logger.Info("log read", "records", records, "bytes", bytes, "applied", n.engine.appliedTo)
+}
--- a/internal/system/control/events_test.go
+++ b/internal/system/control/events_test.go
@@ -3,12 +3,16 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"gaugeslip/coord/view"
 	"gaugeslip/internal/system/state"
 )
 
@@ -37,3 +41,41 @@
 	node.tellOfLoss(lost)
 	assert.Contains(t, out.String(), "worker=w-1 jobs=2")
 }
+
+func TestAViewTellsWhoLeftAndWhoCameIn(t *testing.T) {
+	var out bytes.Buffer
+	node := &Node{logger: log.New(&out)}
+	a, b := view.Member{ID: "a:1", Address: "a:1"}, view.Member{ID: "b:1", Address: "b:1"}
+	anew := view.Member{ID: "a:1#5877", Address: "a:1"}
+	node.tellOfView(view.View{Epoch: 1, Voters: []view.Member{a, b}, Chain: []view.Member{a, b}})
+	out.Reset()
+	node.tellOfView(view.View{Epoch: 2, Voters: []view.Member{a, b}, Chain: []view.Member{b}})
+	assert.Contains(t, out.String(), "left=[a:1] joined=[]")
+	out.Reset()
+	node.tellOfView(view.View{Epoch: 3, Voters: []view.Member{anew, b}, Chain: []view.Member{b, anew}})
+	assert.Contains(t, out.String(), "left=[] joined=[a:1#5877]")
+}
+
+// A replica that reads many committed configurations at once, as after a restart, puts only the newest in force.
+func TestOnlyTheNewestOfManyCommittedConfigurationsIsTaken(t *testing.T) {
+	cluster := startCluster(t, 1, 0)
+	node := cluster.head(1)
+	var out bytes.Buffer
+	commit := func(version, base uint64) {
+		body := bytes.Replace([]byte(testConfig), []byte(`"version":1`), []byte(fmt.Sprintf(`"version":%d`, version)), 1)
+		command := state.Command{Kind: state.KindConfigReplaced, ConfigReplaced: &state.ConfigReplaced{Base: base, Version: version, Body: body}}
+		result := node.engine.machine.ApplyBytes(command.Encode())
+		require.Equal(t, state.Applied, result.Outcome)
+		node.applied(result)
+	}
+	taken := ask(node, 5*time.Second, "", func(answer func(string)) {
+		node.logger = log.New(&out)
+		for version := uint64(1); version <= 20; version++ {
+			commit(version, version-1)
+		}
+		node.takeConfig()
+		answer(out.String())
+	})
+	assert.Equal(t, 1, strings.Count(taken, "configuration in force"))
+	assert.Contains(t, taken, "version=20")
+}
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -81,11 +81,14 @@
 	clockAt         time.Duration
 	housekeepingAt  time.Duration
 	config          *clusterconfig.Config
+	configStale     bool // a newer one was committed since
 	configWaiting   []func()
 	configBusy      bool
 	leaving         bool
 	handover        *handover // a transfer that an operator has asked for
 	counts          counts
+	seenView        view.View     // the newest that the log was told of
+	appliedAt       time.Duration // when something committed was applied last
 	left            chan struct{}
 	failures        chan error
 }
@@ -179,6 +182,7 @@
 		return fmt.Errorf("read log: %w", err)
 	}
 	n.engine = engine
+	n.tellOfDisk(len(records), file.Size())
 	n.configTaken()
 	n.engine.begin()
 	n.engine.step(replica.Contacts{Addresses: n.contacts()})
@@ -272,7 +276,7 @@
 }
 
 func (n *Node) becameHead(event replica.BecameHead) {
-	n.logger.Info("head", "epoch", event.Epoch, "continued", event.Continued)
+	n.logger.Info("head", "epoch", event.Epoch, "continued", event.Continued, "quiet", n.quiet())
 	n.schedulerActive = true
 	if event.Continued && n.scheduler != nil {
 		return
@@ -293,7 +297,7 @@
 
 func (n *Node) viewChanged(newest view.View) {
 	n.counts.views++
-	n.logger.Info("view", "epoch", newest.Epoch, "chain", addresses(newest.Chain), "voters", len(newest.Voters))
+	n.tellOfView(newest)
 	if newest.Head().ID != n.engine.replica.Self().ID {
 		n.dropScheduler()
 		n.engine.refuseQueued()
@@ -327,8 +331,9 @@
 // applied takes in a committed command.
 func (n *Node) applied(result state.Result) {
 	n.counts.applied(&result)
+	n.appliedAt = n.now()
 	if result.Command.Kind == state.KindConfigReplaced && result.Outcome == state.Applied {
-		n.configTaken()
+		n.configStale = true
 	}
 	n.tellOfLoss(&result)
 	if n.scheduler != nil {
@@ -336,6 +341,13 @@
 	}
 }
 
+// takeConfig puts the newest of the configurations in force that a batch of commits has brought; those before it are passed over.
+func (n *Node) takeConfig() {
+	if n.configStale {
+		n.configTaken()
+	}
+}
+
 // installed takes in that a snapshot took the place of the state.
 func (n *Node) installed() {
 	n.dropScheduler()
@@ -344,6 +356,7 @@
 
 // configTaken puts the newest committed configuration in force here and gives it to the epidemic.
 func (n *Node) configTaken() {
+	n.configStale = false
 	current := n.engine.machine.Config()
 	if current.Version == 0 {
 		return
--- a/internal/system/control/roles.go
+++ b/internal/system/control/roles.go
@@ -28,6 +28,7 @@
 	if !n.engine.closed && now >= n.engine.wake {
 		n.engine.step(replica.Tick{})
 	}
+	n.takeConfig()
 	n.periodic(now)
 	for range 8 {
 		ordered := n.runScheduler()
