--- a/internal/system/control/events.go
+++ b/internal/system/control/events.go
@@ -55,8 +55,33 @@
 	return gone
 }
 
-// quiet is for how long nothing that was committed has been applied here: at a new head, how long writers have waited.
-func (n *Node) quiet() time.Duration { return (n.now() - n.appliedAt).Round(time.Millisecond) }
+// leastPause is the shortest time without a commit that counts as a pause.
+const leastPause = 50 * time.Millisecond
+
+// commitPauses keeps the last time for which nothing was committed here. A head tells of it when it takes office: by then what its
+// predecessor has left is committed already.
+type commitPauses struct {
+	last      time.Duration // when something committed was applied last
+	pause     time.Duration
+	pauseOver time.Duration
+}
+
+// note takes in that something committed was applied.
+func (c *commitPauses) note(now time.Duration) {
+	if pause := now - c.last; pause >= leastPause {
+		c.pause, c.pauseOver = pause, now
+	}
+	c.last = now
+}
+
+// quiet is how long the pause lasts, or the one that is just over.
+func (c *commitPauses) quiet(now time.Duration) time.Duration {
+	quiet := now - c.last
+	if c.pause > 0 && now-c.pauseOver < leastPause {
+		quiet = c.pause
+	}
+	return quiet.Round(time.Millisecond)
+}
 
 // tellOfDisk logs what the log on disk held; an empty one, other than at the very first start, is a disk that was lost or is new.
 func (n *Node) tellOfDisk(records int, bytes int64) {
--- a/internal/system/control/events_test.go
+++ b/internal/system/control/events_test.go
@@ -79,3 +79,17 @@
 	assert.Equal(t, 1, strings.Count(taken, "configuration in force"))
 	assert.Contains(t, taken, "version=20")
 }
+
+func TestAPauseOfCommitsIsToldThoughCommitsHaveJustGoneOn(t *testing.T) {
+	var commits commitPauses
+	for at := 10 * time.Millisecond; at <= time.Second; at += 10 * time.Millisecond {
+		commits.note(at)
+	}
+	assert.Equal(t, 30*time.Millisecond, commits.quiet(1030*time.Millisecond))
+	assert.Equal(t, 700*time.Millisecond, commits.quiet(1700*time.Millisecond))
+	commits.note(1700 * time.Millisecond)
+	commits.note(1701 * time.Millisecond)
+	assert.Equal(t, 700*time.Millisecond, commits.quiet(1705*time.Millisecond))
+	commits.note(1740 * time.Millisecond)
+	assert.Equal(t, 20*time.Millisecond, commits.quiet(1760*time.Millisecond))
+}
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -87,8 +87,8 @@
 	leaving         bool
 	handover        *handover // a transfer that an operator has asked for
 	counts          counts
-	seenView        view.View     // the newest that the log was told of
-	appliedAt       time.Duration // when something committed was applied last
+	seenView        view.View // the newest that the log was told of
+	commits         commitPauses
 	left            chan struct{}
 	failures        chan error
 }
@@ -276,7 +276,7 @@
 }
 
 func (n *Node) becameHead(event replica.BecameHead) {
-	n.logger.Info("head", "epoch", event.Epoch, "continued", event.Continued, "quiet", n.quiet())
+	n.logger.Info("head", "epoch", event.Epoch, "continued", event.Continued, "quiet", n.commits.quiet(n.now()))
 	n.schedulerActive = true
 	if event.Continued && n.scheduler != nil {
 		return
@@ -331,7 +331,7 @@
 // applied takes in a committed command.
 func (n *Node) applied(result state.Result) {
 	n.counts.applied(&result)
-	n.appliedAt = n.now()
+	n.commits.note(n.now())
 	if result.Command.Kind == state.KindConfigReplaced && result.Outcome == state.Applied {
 		n.configStale = true
 	}
