Wait shortly for workers' answers, send a start twice, look twice: lost answers cost little

Besides, the scheduler goes through workers, services and jobs in an order that depends on its inputs alone.

--- a/internal/system/scheduler/calls.go
+++ b/internal/system/scheduler/calls.go
@@ -34,15 +34,70 @@
 	Reply workerapi.HoldReply
 }
 
-// Timeouts of calls. A hold has its wait besides.
+// Answers are waited for a few times as long as they usually take, within bounds. A hold has its wait besides.
 const (
-	startTimeout = time.Second
-	stopTimeout  = time.Second
-	holdTimeout  = 700 * time.Millisecond
+	shortestTimeout = 120 * time.Millisecond
+	longestTimeout  = 700 * time.Millisecond
+	// timeoutFactor is how many times the mean answer time a call waits; answerMemory is over how many answers that mean goes.
+	timeoutFactor = 8
+	answerMemory  = 64
+	// hedgePart is after which part of its time-out a start is sent a second time.
+	hedgePart = 4
+	// firstAnswerTime is the mean before anything was measured.
+	firstAnswerTime = 30 * time.Millisecond
 )
 
+// answerTimes is what was learnt of how long workers take to answer, and whether answers are lost on their way.
+type answerTimes struct {
+	mean time.Duration
+	// lossyUntil is how long answers are taken to be lost now and then, though the workers are there.
+	lossyUntil time.Duration
+}
+
+// lossyFor is how long one lost answer counts.
+const lossyFor = 4 * time.Second
+
+// measured takes in how long an answer took.
+func (a *answerTimes) measured(took time.Duration) {
+	if a.mean == 0 {
+		a.mean = firstAnswerTime
+	}
+	a.mean += (took - a.mean) / answerMemory
+}
+
+// timeout is how long a call waits for its answer.
+func (a *answerTimes) timeout() time.Duration {
+	mean := a.mean
+	if mean == 0 {
+		mean = firstAnswerTime
+	}
+	return min(max(timeoutFactor*mean, shortestTimeout), longestTimeout)
+}
+
+// hedge is after how long without an answer a start is sent once more.
+func (a *answerTimes) hedge() time.Duration { return a.timeout() / hedgePart }
+
+// lossy tells whether answers are lost now and then.
+func (s *Scheduler) lossy() bool { return s.now < s.answers.lossyUntil }
+
+// unanswered takes note of a call without an answer; if its worker has answered another call since, the answer was lost.
+func (s *Scheduler) unanswered(ended *call) {
+	if ended.worker.answeredAt > ended.sentAt {
+		s.answers.lossyUntil = s.now + lossyFor
+	}
+}
+
+// answered takes note of a worker's answer to a call that wasn't to wait.
+func (s *Scheduler) answered(ended *call) {
+	ended.worker.answeredAt = s.now
+	if ended.kind != CallHold {
+		s.answers.measured(s.now - ended.sentAt)
+	}
+}
+
 // call is a call that is out.
 type call struct {
+	id     uint64
 	kind   CallKind
 	worker *worker
 	run    *run // of a start or a stop
@@ -54,7 +109,7 @@
 	s.lastCall++
 	made.ID = s.lastCall
 	made.Worker = w.life
-	s.calls[made.ID] = &call{kind: made.Kind, worker: w, run: r, sentAt: s.now}
+	s.calls[made.ID] = &call{id: made.ID, kind: made.Kind, worker: w, run: r, sentAt: s.now}
 	s.out = append(s.out, made)
 	return made.ID
 }
--- a/internal/system/scheduler/check.go
+++ b/internal/system/scheduler/check.go
@@ -24,6 +24,9 @@
 }
 
 func (s *Scheduler) checkWorker(w *worker) error {
+	if len(w.list) != len(w.runs) {
+		return fmt.Errorf("%d runs are listed, %d kept", len(w.list), len(w.runs))
+	}
 	used := Resources{}
 	for name, r := range w.runs {
 		if r.name != name || r.worker != w {
--- a/internal/system/scheduler/desk_test.go
+++ b/internal/system/scheduler/desk_test.go
@@ -180,5 +180,19 @@
 	d.Helper()
 	made := d.must(CallStart, worker)
 	d.answer(made, workerapi.Done)
+	d.answerAgain(made, workerapi.Done)
 	return made
 }
+
+// answerAgain answers further sendings of a start.
+func (d *desk) answerAgain(made Call, outcome workerapi.Outcome) {
+	for i := 0; i < len(d.calls); i++ {
+		again := d.calls[i]
+		if again.Kind != CallStart || again.Start != made.Start || again.Worker != made.Worker {
+			continue
+		}
+		d.calls = append(d.calls[:i:i], d.calls[i+1:]...)
+		i--
+		d.answer(again, outcome)
+	}
+}
--- a/internal/system/scheduler/drain.go
+++ b/internal/system/scheduler/drain.go
@@ -33,7 +33,7 @@
 
 // evacuate moves the runs that won't end before their worker leaves, and looks again while something runs there.
 func (s *Scheduler) evacuate(w *worker) {
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.phase == runPresent && !r.stopWanted && s.mustLeave(r) {
 			s.move(r)
 		}
--- a/internal/system/scheduler/gangs.go
+++ b/internal/system/scheduler/gangs.go
@@ -120,7 +120,16 @@
 func (s *Scheduler) retryGang(st *step) {
 	if s.now >= st.retryAt {
 		s.placeGang(st)
+		return
+	}
+	if st.retryPlanned {
+		return
 	}
+	st.retryPlanned = true
+	s.at(st.retryAt, func() {
+		st.retryPlanned = false
+		s.tryAgain(st)
+	})
 }
 
 // placeGang starts all members at once, or none.
@@ -131,7 +140,6 @@
 	st.retryAt = s.now + gangRetry
 	members := s.chooseGang(st)
 	if members == nil {
-		s.at(st.retryAt, func() {})
 		return
 	}
 	attempt, text := uint32(0), s.gangCheckpoint(st)
--- a/internal/system/scheduler/holds.go
+++ b/internal/system/scheduler/holds.go
@@ -9,8 +9,14 @@
 )
 
 const (
-	// longestWait is how long a hold waits for an end.
+	// longestWait is how long a hold waits for an end where nothing runs, runningWait where something does, and lossyWait while
+	// answers are lost now and then: what an end costs whose hold was lost.
 	longestWait = workerapi.MaxWaitMs * time.Millisecond
+	runningWait = 600 * time.Millisecond
+	lossyWait   = 200 * time.Millisecond
+	// failuresToSilence is after how many unanswered holds a worker counts as out of reach, lossyFailures while answers are lost.
+	failuresToSilence = 2
+	lossyFailures     = 4
 	// shortWait is how long a hold waits where a run is overdue.
 	shortWait = 700 * time.Millisecond
 	// commitPatience is how long the next hold waits for the commit of the ends that the last one listed.
@@ -26,6 +32,8 @@
 // holdState is the loop of holds of one worker: one is out, or the next has a time.
 type holdState struct {
 	out      uint64
+	probe    uint64 // a second one, without a wait, for runs in doubt
+	listedMs int64  // the worker's clock at the newest list of what runs
 	wait     time.Duration
 	nextAt   time.Duration // 0: none
 	failures int
@@ -57,16 +65,34 @@
 func (s *Scheduler) sendHold(w *worker) {
 	w.hold.nextAt = 0
 	w.hold.wait = s.holdWait(w)
+	w.hold.out = s.orderHold(w, w.hold.wait)
+	if s.lossy() && len(w.runs) > 0 && w.hold.probe == 0 {
+		w.hold.probe = s.orderHold(w, w.hold.wait)
+	}
+}
+
+// probe looks at a worker at once, beside the hold that is out, for the sake of a run in doubt.
+func (s *Scheduler) probe(w *worker) {
+	if w.hold.out == 0 || w.hold.wait == 0 {
+		s.holdAt(w, s.now)
+		return
+	}
+	if w.hold.probe == 0 && w.reach != over && !w.losing {
+		w.hold.probe = s.orderHold(w, 0)
+	}
+}
+
+func (s *Scheduler) orderHold(w *worker, wait time.Duration) uint64 {
 	order := workerapi.HoldOrder{
 		FenceToken: s.token,
 		LastSeen:   s.lastSeen(w),
-		WaitMs:     w.hold.wait.Milliseconds(),
+		WaitMs:     wait.Milliseconds(),
 	}
 	if w.clock.known {
 		order.DueAtMs = s.renewal(w)
 		w.highestDue = max(w.highestDue, order.DueAtMs)
 	}
-	w.hold.out = s.send(Call{Kind: CallHold, Hold: order, Timeout: w.hold.wait + holdTimeout}, w, nil)
+	return s.send(Call{Kind: CallHold, Hold: order, Timeout: wait + s.answers.timeout()}, w, nil)
 }
 
 // renewal is the due time of the next hold, on the worker's clock. A worker out of reach is asked for nothing beyond what it was asked
@@ -93,7 +119,13 @@
 		return 0
 	}
 	wait := min(longestWait, s.bounds.MaxHold()/3)
-	for _, r := range w.runs {
+	if len(w.runs) > 0 {
+		wait = min(wait, runningWait)
+		if s.lossy() {
+			wait = lossyWait
+		}
+	}
+	for _, r := range w.list {
 		wait = min(wait, s.waitFor(r))
 	}
 	return max(wait, 0).Truncate(time.Millisecond)
@@ -115,6 +147,10 @@
 // holdEnded takes in the answer to a hold, or its failure.
 func (s *Scheduler) holdEnded(ended *call, reply *workerapi.HoldReply) {
 	w := ended.worker
+	if ended.id == w.hold.probe {
+		s.probeEnded(ended, reply)
+		return
+	}
 	w.hold.out = 0
 	switch reply.Outcome {
 	case workerapi.Done:
@@ -127,16 +163,38 @@
 	}
 }
 
+// probeEnded takes in the answer to a second hold; its loss says nothing, and the runs in doubt are looked for again.
+func (s *Scheduler) probeEnded(ended *call, reply *workerapi.HoldReply) {
+	w := ended.worker
+	w.hold.probe = 0
+	switch reply.Outcome {
+	case workerapi.Done:
+		s.takeLists(w, ended, reply)
+		if w.seen > s.lastSeen(w) || w.hold.out != 0 {
+			return
+		}
+		s.holdAt(w, s.now)
+	case workerapi.OtherLife:
+		s.lifeOver(w)
+	}
+}
+
 // holdFailed takes note of a worker that can't be reached, and tries again.
 func (s *Scheduler) holdFailed(w *worker) {
-	if w.reach == answering {
+	w.hold.failures++
+	most := failuresToSilence
+	if s.lossy() {
+		most = lossyFailures
+	}
+	if w.reach == answering && w.hold.failures >= most {
 		w.reach = silent
 		s.suspected(w)
 	}
-	w.hold.failures++
 	s.checkLoss(w)
 	retry := idleRetry
-	if len(w.runs) > 0 {
+	if w.reach == answering {
+		retry = 0
+	} else if len(w.runs) > 0 {
 		retry = min(firstRetry<<min(w.hold.failures-1, 8), longestRetry)
 	}
 	s.holdAt(w, s.now+retry)
@@ -144,14 +202,11 @@
 
 // holdAnswered takes in both lists of a worker.
 func (s *Scheduler) holdAnswered(w *worker, ended *call, reply *workerapi.HoldReply) {
-	w.hold.failures = 0
-	w.clock.read(reply.ClockMs, s.now)
-	s.lastMark++
-	s.takeRunning(w, reply.Running, s.lastMark)
-	news := s.takeFinished(w, reply.Finished)
-	if len(reply.Finished) < workerapi.MaxFinished {
-		s.voidAbsent(w, ended, reply.ClockMs, s.lastMark)
+	if w.hold.failures > 0 && w.reach == answering {
+		s.answers.lossyUntil = s.now + lossyFor
 	}
+	w.hold.failures = 0
+	news := s.takeLists(w, ended, reply)
 	if w.reach != answering {
 		w.reach = answering
 		s.roomFreed(w)
@@ -163,6 +218,23 @@
 	s.holdAt(w, s.now+s.holdPause(w, ended, news))
 }
 
+// takeLists takes in both lists. Answers may overtake one another: a list of what runs that is older than another is passed over.
+func (s *Scheduler) takeLists(w *worker, ended *call, reply *workerapi.HoldReply) (news bool) {
+	w.clock.read(reply.ClockMs, s.now)
+	if reply.ClockMs < w.hold.listedMs {
+		return s.takeFinished(w, reply.Finished)
+	}
+	w.hold.listedMs = reply.ClockMs
+	s.lastMark++
+	mark := s.lastMark
+	s.takeRunning(w, reply.Running, mark)
+	news = s.takeFinished(w, reply.Finished)
+	if len(reply.Finished) < workerapi.MaxFinished {
+		s.voidAbsent(w, ended, reply.ClockMs, mark)
+	}
+	return news
+}
+
 // holdPause is how long to wait before the next hold: for the commit of ends, or since the last answer came too soon.
 func (s *Scheduler) holdPause(w *worker, ended *call, news bool) time.Duration {
 	if w.seen > s.lastSeen(w) {
--- a/internal/system/scheduler/jobs.go
+++ b/internal/system/scheduler/jobs.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"gaugeslip/internal/system/jobspec"
@@ -49,9 +51,11 @@
 
 // recallAcceptance corrects when jobs were taken that were there before the time of day was known.
 func (s *Scheduler) recallAcceptance() {
-	for _, j := range s.jobs {
+	for _, id := range slices.Sorted(maps.Keys(s.jobs)) {
+		j := s.jobs[id]
 		j.accepted = s.acceptedAt(j.record)
-		for _, t := range j.times {
+		for _, number := range slices.Sorted(maps.Keys(j.times)) {
+			t := j.times[number]
 			t.from = s.objectiveFrom(j, t.number)
 			for _, st := range t.steps {
 				if st != nil && st.queued {
@@ -82,7 +86,7 @@
 
 // openJob opens what may run of a job.
 func (s *Scheduler) openJob(j *job) {
-	for number := range j.record.Times {
+	for _, number := range slices.Sorted(maps.Keys(j.record.Times)) {
 		s.openTime(j, number)
 	}
 	if j.record.Spec.Timed() {
@@ -143,8 +147,8 @@
 			continue
 		}
 		delete(s.jobs, record.ID)
-		for _, t := range j.times {
-			for _, st := range t.steps {
+		for _, number := range slices.Sorted(maps.Keys(j.times)) {
+			for _, st := range j.times[number].steps {
 				if st != nil {
 					s.abandonStep(st, record.State)
 				}
--- a/internal/system/scheduler/lost.go
+++ b/internal/system/scheduler/lost.go
@@ -72,8 +72,9 @@
 		w.reach = unheard
 	}
 	names := s.scratch.names[:0]
-	for name, r := range w.runs {
-		names = append(names, name)
+	for i := len(w.list) - 1; i >= 0; i-- {
+		r := w.list[i]
+		names = append(names, r.name)
 		s.drop(r)
 	}
 	w.used = Resources{}
--- a/internal/system/scheduler/placement.go
+++ b/internal/system/scheduler/placement.go
@@ -105,7 +105,7 @@
 func (s *Scheduler) passes(st *step, w *worker) bool {
 	accepted := s.scratch.accepted[:0]
 	lanes := st.need.times(w.free())
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if !r.phase.takesRoom() {
 			continue
 		}
@@ -176,7 +176,7 @@
 // roomOn estimates how soon one run's end makes room for the step on a worker.
 func (s *Scheduler) roomOn(w *worker, st *step) (wait time.Duration, fits bool) {
 	free := w.free()
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if !r.phase.takesRoom() || !st.need.fitsInto(free.plus(r.need)) {
 			continue
 		}
--- a/internal/system/scheduler/queue.go
+++ b/internal/system/scheduler/queue.go
@@ -105,7 +105,7 @@
 
 // dispatch starts what can be started.
 func (s *Scheduler) dispatch() {
-	for _, svc := range s.services {
+	for _, svc := range s.kinds {
 		for svc.fresh || len(svc.freed) > 0 {
 			s.dispatchService(svc)
 		}
@@ -115,8 +115,8 @@
 // dispatchService goes once through the held steps, earliest deadline first: those that have just come are tried on all workers,
 // the others where room has been freed.
 func (s *Scheduler) dispatchService(svc *service) {
-	freed := svc.freed
-	svc.freed, svc.fresh = nil, false
+	freed := svc.takeFreed()
+	svc.fresh = false
 	held := s.scratch.held[:0]
 	if svc.queue.Len() > 0 {
 		for _, st := range svc.queue.All() {
@@ -136,11 +136,18 @@
 			s.considerReserving(st)
 		}
 	}
+	clear(held)
+	s.scratch.held = held[:0]
+}
+
+// takeFreed gives the workers on which room has been freed; room that is freed from now on is the next round's.
+func (svc *service) takeFreed() []*worker {
+	freed := svc.freed
+	svc.freed = nil
 	for _, w := range freed {
 		w.freed = false
 	}
-	clear(held)
-	s.scratch.held = held[:0]
+	return freed
 }
 
 // hasWaiting tells whether something of the step waits for room.
--- a/internal/system/scheduler/reserve.go
+++ b/internal/system/scheduler/reserve.go
@@ -94,7 +94,7 @@
 // emptyIn estimates how soon all that runs on a worker has ended.
 func (s *Scheduler) emptyIn(w *worker) time.Duration {
 	longest := time.Duration(0)
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.phase.takesRoom() {
 			longest = max(longest, s.remaining(r))
 		}
--- a/internal/system/scheduler/runs.go
+++ b/internal/system/scheduler/runs.go
@@ -92,7 +92,8 @@
 // worker's clock, or the hold was sent after a clear answer to the start or the stop, or the start can only have been a predecessor's,
 // whose orders the worker refuses since it has seen this scheduler's token.
 func (s *Scheduler) voidAbsent(w *worker, hold *call, clockMs int64, mark uint64) {
-	for _, r := range w.runs {
+	for i := len(w.list) - 1; i >= 0; i-- { // backwards, as one may be dropped
+		r := w.list[i]
 		if r.mark == mark || !r.phase.mayRun() || !absent(r, hold, clockMs) {
 			continue
 		}
@@ -136,7 +137,7 @@
 	}
 	r.stopOut = true
 	order := workerapi.StopOrder{Task: r.name.Task.String(), Attempt: int(r.name.Attempt), FenceToken: s.token}
-	s.send(Call{Kind: CallStop, Stop: order, Timeout: stopTimeout}, w, r)
+	s.send(Call{Kind: CallStop, Stop: order, Timeout: s.answers.timeout()}, w, r)
 }
 
 // stopEnded takes in the answer to a stop.
@@ -149,7 +150,7 @@
 		s.lifeOver(w)
 	case workerapi.Done:
 		r.stopAnswered, r.stopAnswerAt = true, s.now
-		s.holdAt(w, s.now)
+		s.probe(w)
 		s.stopAgain(r, s.bounds.Stop()+longestRetry)
 	default:
 		r.stopFailures++
--- a/internal/system/scheduler/scheduler.go
+++ b/internal/system/scheduler/scheduler.go
@@ -10,6 +10,9 @@
 package scheduler
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"gaugeslip/internal/system/clusterconfig"
@@ -54,11 +57,13 @@
 
 	workers    map[string]*worker
 	services   map[string]*service
+	kinds      []*service // the services in the order in which they became known
 	jobs       map[state.JobID]*job
 	estimates  map[estimateKey]*estimate
 	timers     timerQueue
 	dues       dueQueue
 	calls      map[uint64]*call
+	answers    answerTimes
 	lastCall   uint64
 	lastMark   uint64
 	superseded bool
@@ -94,23 +99,30 @@
 
 // rebuild takes over jobs and runs from the replicated state.
 func (s *Scheduler) rebuild() {
-	for _, record := range s.machine.Jobs() {
-		if !record.State.Over() {
+	ids := slices.Sorted(maps.Keys(s.machine.Jobs()))
+	for _, id := range ids {
+		if record := s.machine.Job(id); !record.State.Over() {
 			s.addJob(record)
 		}
 	}
-	for instance, record := range s.machine.Workers() {
+	for _, instance := range slices.Sorted(maps.Keys(s.machine.Workers())) {
 		w := s.openWorker(instance)
-		for name := range record.Runs {
+		for _, name := range slices.SortedFunc(maps.Keys(s.machine.Worker(instance).Runs), compareRuns) {
 			s.adopt(w, name)
 		}
 		s.at(s.lossBound(w), func() { s.checkLoss(w) })
 	}
-	for _, j := range s.jobs {
-		s.openJob(j)
+	for _, id := range ids {
+		if j := s.jobs[id]; j != nil {
+			s.openJob(j)
+		}
 	}
 }
 
+func compareRuns(a, b state.Run) int {
+	return cmp.Or(a.Task.Compare(b.Task), cmp.Compare(a.Attempt, b.Attempt))
+}
+
 // advance brings the scheduler up to a time.
 func (s *Scheduler) advance(now time.Duration) {
 	s.now = max(s.now, now)
@@ -178,6 +190,11 @@
 	if s.workers[ended.worker.life.Instance] != ended.worker {
 		return
 	}
+	if result.Reply.Outcome.Answered() {
+		s.answered(ended)
+	} else if result.Reply.Outcome == workerapi.Unknown {
+		s.unanswered(ended)
+	}
 	switch ended.kind {
 	case CallHold:
 		s.holdEnded(ended, &result.Reply)
--- a/internal/system/scheduler/starts.go
+++ b/internal/system/scheduler/starts.go
@@ -9,7 +9,7 @@
 )
 
 // startWindow is how long a worker may carry out a start, on its clock.
-const startWindow = time.Second
+const startWindow = 400 * time.Millisecond
 
 // runPhase tells how much is certain of a run.
 type runPhase uint8
@@ -41,6 +41,7 @@
 	need    Resources
 	phase   runPhase
 	foreign bool // it is no placement of the replicated state
+	slot    int  // in the list of its worker's runs
 	mark    uint64
 	dueAtMs int64 // of its start
 	resumed bool  // it was started from a checkpoint
@@ -52,6 +53,9 @@
 	firstAt    time.Duration // the first progress that was seen, and when
 	firstShown int
 
+	startsOut    int  // sendings of its start without an answer so far
+	startInDoubt bool // one of them surely got none
+
 	stopWanted    bool
 	stopOut       bool
 	stopFailures  int
@@ -74,6 +78,8 @@
 func (s *Scheduler) add(r *run) {
 	w := r.worker
 	w.runs[r.name] = r
+	r.slot = len(w.list)
+	w.list = append(w.list, r)
 	w.used = w.used.plus(r.need)
 	if r.step == nil || r.foreign {
 		return
@@ -86,14 +92,28 @@
 	}
 }
 
-// drop ends a run's record.
+// unlist takes a run out of the list of a worker's runs; the last one takes its place.
+func (w *worker) unlist(r *run) {
+	last := len(w.list) - 1
+	w.list[r.slot] = w.list[last]
+	w.list[r.slot].slot = r.slot
+	w.list[last] = nil
+	w.list = w.list[:last]
+}
+
+// drop ends a run's record, whatever was still proposed of it.
 func (s *Scheduler) drop(r *run) {
 	w := r.worker
+	if w.runs[r.name] != r {
+		return
+	}
+	delete(s.voiding, r.name)
 	if r.phase.takesRoom() {
 		w.used = w.used.minus(r.need)
 		r.phase = runEnded
 	}
 	delete(w.runs, r.name)
+	w.unlist(r)
 	s.roomFreed(w)
 	if r.step == nil || r.foreign {
 		return
@@ -230,6 +250,18 @@
 	r.orderedAt = s.now
 	r.dueAtMs = w.clock.lower(s.now) + startWindow.Milliseconds()
 	w.highestDue = max(w.highestDue, r.dueAtMs)
+	s.sendStart(r)
+	s.at(s.now+s.answers.hedge(), func() {
+		if r.phase == runOrdered && w.runs[r.name] == r {
+			s.sendStart(r)
+		}
+	})
+	s.holdAt(w, s.now)
+}
+
+// sendStart sends the start of a run. It may be sent twice: a worker takes the same run's start for the same order.
+func (s *Scheduler) sendStart(r *run) {
+	w := r.worker
 	order := workerapi.StartOrder{
 		Task:       r.name.Task.String(),
 		Attempt:    int(r.name.Attempt),
@@ -238,18 +270,20 @@
 		FenceToken: s.token,
 		Checkpoint: r.step.record(r.name.Task.Index).Checkpoint,
 	}
-	s.send(Call{Kind: CallStart, Start: order, Timeout: startTimeout}, w, r)
-	s.holdAt(w, s.now)
+	r.startsOut++
+	s.send(Call{Kind: CallStart, Start: order, Timeout: s.answers.timeout()}, w, r)
 }
 
 // startEnded takes in the answer to a start. What the worker has listed since goes before it.
 func (s *Scheduler) startEnded(ended *call, reply *workerapi.HoldReply) {
 	r, w := ended.run, ended.worker
+	r.startsOut--
 	w.clock.read(reply.ClockMs, s.now)
 	if reply.Outcome == workerapi.OtherLife {
 		s.lifeOver(w)
 		return
 	}
+	r.startInDoubt = r.startInDoubt || reply.Outcome == workerapi.Unknown
 	if r.phase != runOrdered || w.runs[r.name] != r {
 		return
 	}
@@ -257,18 +291,43 @@
 	case workerapi.Done:
 		s.present(r)
 	case workerapi.Unknown:
-		r.setPhase(runDoubtful)
-		s.holdAt(w, s.now)
-		s.spoilGang(r)
+		s.doubt(r)
 	case workerapi.RefusedFence:
 	case workerapi.RefusedRoom:
 		s.full(w, r.need)
-		s.refused(r)
+		s.startRefused(r)
 	case workerapi.Busy:
 		s.busy(w)
-		s.refused(r)
+		s.startRefused(r)
 	default:
-		s.refused(r)
+		s.startRefused(r)
+	}
+}
+
+// startRefused takes note that one sending of a start was surely not carried out; another may have been.
+func (s *Scheduler) startRefused(r *run) {
+	if r.startsOut > 0 || r.startInDoubt {
+		s.doubt(r)
+		return
+	}
+	s.refused(r)
+}
+
+// doubt takes note that a start has no clear answer, unless another sending of it still may have one.
+func (s *Scheduler) doubt(r *run) {
+	if r.startsOut > 0 {
+		return
+	}
+	r.setPhase(runDoubtful)
+	s.wantStop(r)
+	s.spoilGang(r)
+	s.at(r.worker.clock.surelyPast(r.dueAtMs), func() { s.probeFor(r) })
+}
+
+// probeFor looks for a run that is still in doubt.
+func (s *Scheduler) probeFor(r *run) {
+	if r.phase == runDoubtful && r.worker.runs[r.name] == r {
+		s.probe(r.worker)
 	}
 }
 
@@ -313,7 +372,6 @@
 func (s *Scheduler) voidsCommitted(names []state.Run) {
 	for _, name := range names {
 		if r := s.voiding[name]; r != nil {
-			delete(s.voiding, name)
 			s.drop(r)
 		}
 		s.settleName(name.Task)
--- a/internal/system/scheduler/steps.go
+++ b/internal/system/scheduler/steps.go
@@ -32,6 +32,8 @@
 	onWorker map[*worker]int // runs, where antiAffinity bounds them
 	gang     gangState
 	retryAt  time.Duration // when a held gang is tried again at the earliest
+	// retryPlanned tells that it will be, since room was freed before.
+	retryPlanned bool
 }
 
 // taskState tells what becomes of a task.
--- a/internal/system/scheduler/stragglers.go
+++ b/internal/system/scheduler/stragglers.go
@@ -31,7 +31,7 @@
 		s.evacuate(w)
 		return
 	}
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.phase != runPresent || r.stopWanted || r.task() == nil || r.step.stage.LongRunning {
 			continue
 		}
@@ -121,7 +121,7 @@
 
 // suspected takes note that a worker has stopped answering: where copies may run at the same time, they don't wait for its loss.
 func (s *Scheduler) suspected(w *worker) {
-	for _, r := range w.runs {
+	for _, r := range w.list {
 		if r.task() != nil && r.phase.mayRun() {
 			s.wantCopy(r)
 		}
--- a/internal/system/scheduler/workers.go
+++ b/internal/system/scheduler/workers.go
@@ -37,9 +37,11 @@
 	clock      workerClock
 	highestDue int64 // the latest due time that was sent, on its clock
 	hold       holdState
-	seen       uint64 // the highest number of an end that was proposed
-	committed  uint64 // the highest number of an end that was committed
+	answeredAt time.Duration // when it answered a call last
+	seen       uint64        // the highest number of an end that was proposed
+	committed  uint64        // the highest number of an end that was committed
 	runs       map[state.Run]*run
+	list       []*run    // the same, in an order that depends on nothing but the inputs
 	used       Resources // of all runs that count
 	withheld   []Resources
 	freed      bool // it is among its service's freed workers
@@ -73,6 +75,7 @@
 	if svc == nil {
 		svc = &service{name: name, queue: sizing.NewQueue[*step](), sizes: sizing.NewMap(sizeRanges)}
 		s.services[name] = svc
+		s.kinds = append(s.kinds, svc)
 	}
 	return svc
 }
@@ -97,11 +100,21 @@
 		w.hold.mark = mark
 		s.listed(w, &instances[i])
 	}
-	for _, w := range s.workers {
+	for _, instance := range s.unmarked(mark) {
+		s.unlisted(s.workers[instance])
+	}
+}
+
+// unmarked are the workers that the last list lacks, in order.
+func (s *Scheduler) unmarked(mark uint64) []string {
+	var instances []string
+	for instance, w := range s.workers {
 		if w.hold.mark != mark {
-			s.unlisted(w)
+			instances = append(instances, instance)
 		}
 	}
+	slices.Sort(instances)
+	return instances
 }
 
 // listed takes in what the platform tells of one worker.
