Keep tasks from a worker that answers neither sending of a start

Cause: a worker that is cut off went on being given tasks until two of its holds had failed, more than a second later, and each was lost for six. Change: a start in doubt, with no answer of that worker since, closes it and has it looked at at once; any answered hold opens it again.

--- a/internal/system/scheduler/holds.go
+++ b/internal/system/scheduler/holds.go
@@ -170,6 +170,7 @@
 	switch reply.Outcome {
 	case workerapi.Done:
 		s.takeLists(w, ended, reply)
+		s.heard(w)
 		if w.seen > s.lastSeen(w) || w.hold.out != 0 {
 			return
 		}
@@ -179,6 +180,25 @@
 	}
 }
 
+// silence takes a worker for out of reach, and looks whether it is: nothing is started there until it answers a hold.
+func (s *Scheduler) silence(w *worker) {
+	if w.reach != answering {
+		return
+	}
+	w.reach = silent
+	s.suspected(w)
+	s.probe(w)
+}
+
+// heard takes a worker that has answered a hold for one in reach.
+func (s *Scheduler) heard(w *worker) {
+	if w.reach == answering || w.reach == over {
+		return
+	}
+	w.reach = answering
+	s.roomFreed(w)
+}
+
 // holdFailed takes note of a worker that can't be reached, and tries again.
 func (s *Scheduler) holdFailed(w *worker) {
 	w.hold.failures++
@@ -186,9 +206,8 @@
 	if s.lossy() {
 		most = lossyFailures
 	}
-	if w.reach == answering && w.hold.failures >= most {
-		w.reach = silent
-		s.suspected(w)
+	if w.hold.failures >= most {
+		s.silence(w)
 	}
 	s.checkLoss(w)
 	retry := idleRetry
@@ -207,10 +226,7 @@
 	}
 	w.hold.failures = 0
 	news := s.takeLists(w, ended, reply)
-	if w.reach != answering {
-		w.reach = answering
-		s.roomFreed(w)
-	}
+	s.heard(w)
 	if reply.RemainingMs > 0 {
 		s.drain(w, reply.RemainingMs)
 	}
--- a/internal/system/scheduler/starts.go
+++ b/internal/system/scheduler/starts.go
@@ -319,6 +319,9 @@
 		return
 	}
 	r.setPhase(runDoubtful)
+	if r.worker.answeredAt < r.orderedAt {
+		s.silence(r.worker)
+	}
 	s.wantStop(r)
 	s.spoilGang(r)
 	s.at(r.worker.clock.surelyPast(r.dueAtMs), func() { s.probeFor(r) })
