Measure waits for a core, and keep every size of a scale run on disks of its own

A scale run on a busy machine tells how long each role's threads waited for a core, so that a slow answer can be laid to the machine. Replicas may be given other memory and descriptors than a core machine's, which shows which limit is met first. A folder that holds another cluster's disks is refused. A configuration that isn't in force everywhere in time is a figure of the report and doesn't end the run.

Tests: go test -race ./internal/system/localcluster ./cmd/gaugelab

--- a/cmd/gaugelab/system.go
+++ b/cmd/gaugelab/system.go
@@ -40,6 +40,7 @@
 	flags.StringVar(&f.options.Folder, "folder", "", "folder for settings, disks and logs; a temporary one, removed at the end, where it is empty")
 	flags.StringVar(&f.options.Profiles, "profiles", "", "folder for processor and heap profiles of the replicas; none where it is empty")
 	flags.Float64Var(&f.options.ReplicaMemoryMb, "replica-memory", 0, "megabytes that replicas are told they have; 0: those of a core machine")
+	flags.IntVar(&f.options.ReplicaFiles, "replica-files", 0, "descriptors that replicas are told they have; 0: those of a core machine")
 	flags.Float64Var(&f.options.ListRate, "list-rate", 30, "calls a second that the platform's list takes")
 	flags.IntVar(&f.options.ListPage, "list-page", 50, "workers on a page of the platform's list")
 	flags.BoolVar(&f.asJSON, "json", false, "print the report as JSON")
--- a/internal/system/localcluster/cluster.go
+++ b/internal/system/localcluster/cluster.go
@@ -67,6 +67,7 @@
 	}
 	c.plan.replicas, c.plan.tolerance = c.options.Replicas, c.options.tolerance()
 	c.plan.memoryMb = c.options.ReplicaMemoryMb
+	c.plan.files = c.options.ReplicaFiles
 	c.plan.listRate = c.options.ListRate
 	c.plan.worldRules = hollow.DefaultSettings()
 	c.plan.worldRules.Seed = c.options.Seed
@@ -98,6 +99,13 @@
 	if err := os.MkdirAll(c.plan.folder, folderMode); err != nil {
 		return fmt.Errorf("folder: %w", err)
 	}
+	held, err := os.ReadDir(c.plan.folder)
+	if err != nil {
+		return fmt.Errorf("folder: %w", err)
+	}
+	if len(held) > 0 {
+		return fmt.Errorf("folder %s: %w", c.plan.folder, errFolderInUse)
+	}
 	return nil
 }
 
@@ -194,6 +202,9 @@
 	return addresses
 }
 
+// errFolderInUse keeps a cluster from starting on the disks of another one.
+var errFolderInUse = errors.New("it isn't empty")
+
 var errNoView = errors.New("no replica tells of a head")
 
 // view is the newest view that any replica tells.
--- a/internal/system/localcluster/nodefile.go
+++ b/internal/system/localcluster/nodefile.go
@@ -86,6 +86,8 @@
 	worldRules hollow.Settings
 	// memoryMb of a replica; 0 stands for that of the core machines.
 	memoryMb float64
+	// files is the descriptors of a replica; 0 likewise.
+	files int
 }
 
 // seeds are the control addresses of the first replicas, three at the most.
@@ -152,6 +154,9 @@
 	if p.memoryMb > 0 {
 		file.Limits.MemoryMb = p.memoryMb
 	}
+	if p.files > 0 {
+		file.Limits.MaxOpenFiles = p.files
+	}
 	return file
 }
 
--- a/internal/system/localcluster/nodefile_test.go
+++ b/internal/system/localcluster/nodefile_test.go
@@ -43,6 +43,8 @@
 
 	require.False(t, load(t, plan, plan.replica(1, false), nodesettings.RoleControlPlane).Bootstrap)
 	plan.memoryMb = 512
+	plan.files = 9000
+	require.Equal(t, 9000, load(t, plan, plan.replica(1, false), nodesettings.RoleControlPlane).Limits.MaxOpenFiles)
 	require.InDelta(t, 512, load(t, plan, plan.replica(1, false), nodesettings.RoleControlPlane).Limits.MemoryMb, 0)
 }
 
--- a/internal/system/localcluster/options.go
+++ b/internal/system/localcluster/options.go
@@ -29,6 +29,8 @@
 	Profiles string
 	// ReplicaMemoryMb is what settings give replicas; 0 stands for that of the core machines.
 	ReplicaMemoryMb float64
+	// ReplicaFiles is how many descriptors settings give replicas; 0 stands for those of the core machines.
+	ReplicaFiles int
 	// ListRate is how many calls a second the platform's list takes, 30 by default, and ListPage how many workers a page holds, 50.
 	ListRate float64
 	ListPage int
--- a/internal/system/localcluster/proc.go
+++ b/internal/system/localcluster/proc.go
@@ -16,6 +16,7 @@
 // Usage is what one process, or several, have used so far.
 type Usage struct {
 	Processor time.Duration // user and system
+	Waited    time.Duration // of its threads, for a core
 	Resident  int64         // bytes
 	Peak      int64         // bytes, the most that was resident of one process
 	// Received and Sent are all bytes read and written by system calls: sockets and files.
@@ -29,6 +30,7 @@
 func (u Usage) plus(other Usage) Usage {
 	return Usage{
 		Processor: u.Processor + other.Processor,
+		Waited:    u.Waited + other.Waited,
 		Resident:  u.Resident + other.Resident,
 		Peak:      max(u.Peak, other.Peak),
 		Received:  u.Received + other.Received,
@@ -43,6 +45,7 @@
 // since is what was used since an earlier look; what doesn't add up over time stays as it is.
 func (u Usage) since(earlier Usage) Usage {
 	u.Processor -= earlier.Processor
+	u.Waited -= earlier.Waited
 	u.Received -= earlier.Received
 	u.Sent -= earlier.Sent
 	u.Reads -= earlier.Reads
@@ -68,6 +71,7 @@
 			return Usage{}, fmt.Errorf("process %d: %s: %w", pid, part.name, err)
 		}
 	}
+	usage.Waited = readWaits(filepath.Join(folder, "task"))
 	files, err := os.ReadDir(filepath.Join(folder, "fd"))
 	if err != nil {
 		return Usage{}, fmt.Errorf("process %d: %w", pid, err)
@@ -76,6 +80,34 @@
 	return usage, nil
 }
 
+// readWaits sums up how long all threads have waited for a core; it leaves out threads that have just ended.
+func readWaits(folder string) (total time.Duration) {
+	threads, err := os.ReadDir(folder)
+	if err != nil {
+		return 0
+	}
+	for _, thread := range threads {
+		content, err := os.ReadFile(filepath.Join(folder, thread.Name(), "schedstat"))
+		if err == nil {
+			total += parseSchedstat(content)
+		}
+	}
+	return total
+}
+
+// parseSchedstat reads the second figure of a thread's schedstat, nanoseconds in the queue for a core; 0 where the kernel keeps none.
+func parseSchedstat(content []byte) time.Duration {
+	fields := bytes.Fields(content)
+	if len(fields) < 2 {
+		return 0
+	}
+	waited, err := strconv.ParseInt(string(fields[1]), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(waited)
+}
+
 // The fields of /proc/PID/stat, counted from the one behind the program's name, which may hold spaces and brackets.
 const (
 	statUser   = 11
--- a/internal/system/localcluster/proc_test.go
+++ b/internal/system/localcluster/proc_test.go
@@ -21,6 +21,12 @@
 	require.Equal(t, []int64{11, 12, 13, 14}, []int64{usage.Received, usage.Sent, usage.Reads, usage.Writes})
 }
 
+func TestParseSchedstat(t *testing.T) {
+	require.Equal(t, 1500*time.Microsecond, parseSchedstat([]byte("9000000 1500000 42\n")))
+	require.Zero(t, parseSchedstat([]byte("")))
+	require.Zero(t, parseSchedstat([]byte("1 x 2")))
+}
+
 func TestParseProcRefusesOtherForms(t *testing.T) {
 	var usage Usage
 	for _, stat := range []string{"", "1 (x) S 1", "1 x S 1 2 3 4 5 6 7 8 9 10 11 12 13 14", "1 (x) S 1 4242 4242 0 -1 4194560 950 0 0 0 a 63 0"} {
--- a/internal/system/localcluster/report.go
+++ b/internal/system/localcluster/report.go
@@ -122,7 +122,7 @@
 	r.Latencies.Accepted.row(table, "accepted")
 	r.Latencies.Started.row(table, "first start")
 	r.Latencies.Over.row(table, "done")
-	fmt.Fprintln(table, "\nrole, each\tcount\tcores\tMB\tpeak MB\tKB/s in\tKB/s out\treads/s\twrites/s\tfiles\t")
+	fmt.Fprintln(table, "\nrole, each\tcount\tcores\twaited\tMB\tpeak MB\tKB/s in\tKB/s out\treads/s\twrites/s\tfiles\t")
 	for _, role := range r.Roles {
 		role.row(table)
 	}
@@ -146,7 +146,7 @@
 }
 
 func (r *RoleCost) row(out io.Writer) {
-	fmt.Fprintf(out, "%s\t%d\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f\t\n", r.Role, r.Processes, r.Cores, r.ResidentMb, r.PeakMb,
+	fmt.Fprintf(out, "%s\t%d\t%.3f\t%.3f\t%.1f\t%.1f\t%.1f\t%.1f\t%.0f\t%.0f\t%.0f\t\n", r.Role, r.Processes, r.Cores, r.Waited, r.ResidentMb, r.PeakMb,
 		r.ReceivedKBs, r.SentKBs, r.ReadsPerS, r.WritesPerS, r.Files)
 }
 
--- a/internal/system/localcluster/roles.go
+++ b/internal/system/localcluster/roles.go
@@ -17,6 +17,7 @@
 	Role      string  `json:"role"`
 	Processes int     `json:"processes"` // or dispatchers, where many are in a process
 	Cores     float64 `json:"cores"`     // processor time a second
+	Waited    float64 `json:"waited"`    // seconds a second that its threads waited for a core: the machine's load
 	// ResidentMb is at the end of the span, PeakMb the most of any of its processes.
 	ResidentMb     float64 `json:"resident_mb"`
 	PeakMb         float64 `json:"peak_mb"`
@@ -36,6 +37,7 @@
 		Role:        role,
 		Processes:   processes,
 		Cores:       used.Processor.Seconds() / seconds,
+		Waited:      used.Waited.Seconds() / seconds,
 		ResidentMb:  float64(used.Resident) / megabyte / count,
 		PeakMb:      float64(used.Peak) / megabyte,
 		ReceivedKBs: float64(used.Received) / kilobyte / seconds,
--- a/internal/system/localcluster/run_test.go
+++ b/internal/system/localcluster/run_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -43,3 +44,10 @@
 	require.NoError(t, err)
 	require.Empty(t, left)
 }
+
+func TestStartLeavesTheFolderOfAnotherCluster(t *testing.T) {
+	folder := t.TempDir()
+	require.NoError(t, os.Mkdir(filepath.Join(folder, replicaName(0)), folderMode))
+	_, err := Start(Options{Programs: "/nowhere", Folder: folder})
+	require.ErrorIs(t, err, errFolderInUse)
+}
--- a/internal/system/localcluster/scale.go
+++ b/internal/system/localcluster/scale.go
@@ -16,10 +16,11 @@
 	runningPerWorker       = 20_000.0 / 2300
 	workersADispatcher     = 10
 	leastDispatchers       = 6
-	fillLimit              = 2 * time.Minute
+	fillLimit              = time.Minute
 	settleSpan             = 3 * time.Second
 	contactLimit           = 30 * time.Second
 	fillJobsASecond        = 20
+	notInForce             = -1 // seconds: a configuration that wasn't in force everywhere when patience was over
 )
 
 // ScaleOptions say how a scale run plays each size.
@@ -39,7 +40,8 @@
 	Resident       int     `json:"resident"`
 	Wanted         int     `json:"resident_wanted"`
 	FillStartsPerS float64 `json:"fill_starts_s"`
-	// ConfigurationSeconds is the time from the send of a changed configuration until the last dispatcher had it in force.
+	// ConfigurationSeconds is the time from the send of a changed configuration until the last dispatcher had it in force;
+	// -1: it hadn't when patience was over.
 	ConfigurationSeconds float64 `json:"configuration_s"`
 	WindowSeconds        float64 `json:"window_s"`
 }
@@ -139,10 +141,12 @@
 	after, orderEnd := s.cluster.look(), s.cluster.lookAtOrders()
 	s.tell("measured")
 	s.awaitJobs(ctx)
-	var err error
-	if size.ConfigurationSeconds, err = s.timeConfiguration(ctx); err != nil {
-		return err
+	seconds, err := s.timeConfiguration(ctx)
+	if err != nil {
+		s.tell(err.Error())
+		seconds = notInForce
 	}
+	size.ConfigurationSeconds = seconds
 	size.Report = *s.report(before, after, orders.until(orderEnd), cancel)
 	return nil
 }
--- a/internal/system/localcluster/scaletable.go
+++ b/internal/system/localcluster/scaletable.go
@@ -8,7 +8,7 @@
 
 func printRoleTable(out io.Writer, sizes []*SizeReport) {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "\nworkers\trole, each\tcount\tcores\tMB\tpeak MB\tKB/s in\tKB/s out\treads/s\twrites/s\tfiles\t")
+	fmt.Fprintln(table, "\nworkers\trole, each\tcount\tcores\twaited\tMB\tpeak MB\tKB/s in\tKB/s out\treads/s\twrites/s\tfiles\t")
 	for _, size := range sizes {
 		for i := range size.Roles {
 			fmt.Fprintf(table, "%d\t", size.Workers)
