Join the tenants' shares into the scheduler and the control plane

Jobs carry the tenant of their queue, and a job that can never run within its tenant's share is refused as invalid when it is handed in. The scheduler asks the desk before it chooses a worker; a step that doesn't fit is passed over, and tried again only when some tenant may take more. That no share is exceeded rests on the replicated state alone, as before.

go test -race ./internal/system/scheduler ./internal/system/state \ ./internal/system/quota ./internal/system/control

--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -95,6 +95,10 @@
 		answer(internalapi.JobReply{Verdict: internalapi.NoRoute, ConfigVersion: uint64(n.config.Version)})
 		return
 	}
+	if err := n.engine.machine.CheckShare(accepted); err != nil {
+		answer(internalapi.JobReply{Verdict: internalapi.Invalid, Text: err.Error()})
+		return
+	}
 	n.engine.propose(state.Command{Kind: state.KindJobAccepted, JobAccepted: accepted}, func(result state.Result, fate fate) {
 		answer(n.jobReply(result, fate))
 	})
@@ -109,7 +113,7 @@
 		}
 		return &state.JobAccepted{ID: state.JobID(args.ID), Route: route.Name, Service: route.Backend, Priority: route.Priority,
 			MaxRetries: route.MaxRetries, Extension: route.Extension, TargetLatencyMs: float64(route.TargetLatency) / float64(time.Millisecond),
-			AcceptedMs: n.unixMs(n.now()), Body: args.Body}
+			AcceptedMs: n.unixMs(n.now()), Body: args.Body, Tenant: route.Tenant}
 	}
 	return nil
 }
--- a/internal/system/scheduler/gangs.go
+++ b/internal/system/scheduler/gangs.go
@@ -134,7 +134,7 @@
 
 // placeGang starts all members at once, or none.
 func (s *Scheduler) placeGang(st *step) {
-	if st.gang != gangWaiting {
+	if st.gang != gangWaiting || !s.shareFits(st) {
 		return
 	}
 	st.retryAt = s.now + gangRetry
--- a/internal/system/scheduler/load_test.go
+++ b/internal/system/scheduler/load_test.go
@@ -167,3 +167,21 @@
 		})
 	}
 }
+
+// BenchmarkDrain hands out what is to be done while 2,000 tasks run, 40 steps are held, and room has been freed on one worker.
+func BenchmarkDrain(b *testing.B) {
+	const workers, tasks, running, held = 200, 50, 40, 40
+	r := newRush(workers, tasks, 4*time.Second)
+	r.run(r.now + time.Second) // workers answer
+	for range running + held {
+		r.submit()
+	}
+	if r.started != running*tasks {
+		b.Fatalf("%d tasks run", r.started)
+	}
+	b.ReportAllocs()
+	for number := 0; b.Loop(); number++ {
+		r.sched.roomFreed(r.sched.workers[fmt.Sprintf("i-%06d", number%workers)])
+		r.drain()
+	}
+}
--- a/internal/system/scheduler/queue.go
+++ b/internal/system/scheduler/queue.go
@@ -105,6 +105,7 @@
 
 // dispatch starts what can be started.
 func (s *Scheduler) dispatch() {
+	s.retryKept()
 	for _, svc := range s.kinds {
 		for svc.fresh || len(svc.freed) > 0 {
 			s.dispatchService(svc)
@@ -116,7 +117,7 @@
 // the others where room has been freed.
 func (s *Scheduler) dispatchService(svc *service) {
 	freed := svc.takeFreed()
-	svc.fresh = false
+	svc.fresh, svc.kept = false, false
 	held := s.scratch.held[:0]
 	if svc.queue.Len() > 0 {
 		for _, st := range svc.queue.All() {
@@ -125,6 +126,9 @@
 		s.refreshLayout(svc)
 	}
 	for _, st := range held {
+		if s.keptBack(st) {
+			continue
+		}
 		if st.fresh {
 			s.placeAnywhere(st)
 		} else if len(freed) > 0 {
@@ -132,7 +136,7 @@
 		}
 		if !st.hasWaiting() {
 			s.dequeue(st)
-		} else {
+		} else if !st.kept {
 			s.considerReserving(st)
 		}
 	}
@@ -167,7 +171,11 @@
 	}
 	left := st.waiting[:0]
 	full := false
-	for _, index := range st.waiting {
+	for at, index := range st.waiting {
+		if !s.shareFits(st) {
+			left = append(left, st.waiting[at:]...)
+			break
+		}
 		t := &st.tasks[index]
 		if full && t.plain() {
 			left = append(left, index)
@@ -201,7 +209,11 @@
 // fill starts tasks of the step on one worker.
 func (s *Scheduler) fill(st *step, w *worker) {
 	left := st.waiting[:0]
-	for _, index := range st.waiting {
+	for at, index := range st.waiting {
+		if !s.shareFits(st) {
+			left = append(left, st.waiting[at:]...)
+			break
+		}
 		if !s.suits(w, st, &st.tasks[index]) {
 			left = append(left, index)
 			continue
--- a/internal/system/scheduler/scheduler.go
+++ b/internal/system/scheduler/scheduler.go
@@ -75,6 +75,7 @@
 	voids    []state.Run
 	voiding  map[state.Run]*run
 	ordered  []*run
+	shares   shares
 	scratch  scratch
 }
 
@@ -92,6 +93,7 @@
 		estimates: make(map[estimateKey]*estimate),
 		calls:     make(map[uint64]*call),
 		voiding:   make(map[state.Run]*run),
+		shares:    newShares(options.Machine.Quotas()),
 	}
 	s.rebuild()
 	return s
--- a/internal/system/scheduler/simjobs_test.go
+++ b/internal/system/scheduler/simjobs_test.go
@@ -61,6 +61,7 @@
 		accepted: state.JobAccepted{
 			ID: id, Route: "route-" + service, Service: service, Priority: w.random.IntN(3), MaxRetries: retries,
 			Extension: 2, TargetLatencyMs: 1000, AcceptedMs: w.unixMs(), Body: body,
+			Tenant: w.drawTenant(),
 		},
 	}
 	for i := range spec.Stages {
@@ -273,6 +274,7 @@
 	if !worker.used().fitsInto(worker.room) {
 		w.violated("LIMIT", "%v on %s: %v of %v", r.name, worker.instance, worker.used(), worker.room)
 	}
+	w.checkShare(r)
 	held := 0
 	for name := range worker.runs {
 		if name.Task.Job == r.name.Task.Job && name.Task.Time == r.name.Task.Time && name.Task.Step == r.name.Task.Step {
--- a/internal/system/scheduler/starts.go
+++ b/internal/system/scheduler/starts.go
@@ -149,6 +149,7 @@
 func (s *Scheduler) proposeRun(st *step, index uint32, w *worker, attempt uint32, checkpoint string) {
 	name := state.Run{Task: st.name(index), Attempt: attempt}
 	s.add(&run{name: name, worker: w, step: st, need: st.need, resumed: checkpoint != ""})
+	s.shares.propose(name, st)
 	s.starts = append(s.starts, state.Start{Run: name, Worker: w.life.Instance, Checkpoint: checkpoint})
 }
 
@@ -184,6 +185,7 @@
 }
 
 func (s *Scheduler) startCommitted(start *state.Start, holds bool) {
+	s.shares.settle(start.Run, holds)
 	w := s.openWorker(start.Worker)
 	r := w.runs[start.Run]
 	switch {
--- a/internal/system/scheduler/steps.go
+++ b/internal/system/scheduler/steps.go
@@ -28,6 +28,7 @@
 	queued   bool
 	ticket   sizing.Ticket
 	fresh    bool // it has to be tried on all workers
+	kept     bool // its tenant's share had no room for it when it was tried last
 	farAt    time.Duration
 	onWorker map[*worker]int // runs, where antiAffinity bounds them
 	gang     gangState
--- a/internal/system/scheduler/workers.go
+++ b/internal/system/scheduler/workers.go
@@ -59,6 +59,7 @@
 	queue   *sizing.Queue[*step]
 	fresh   bool      // some held step has to be tried on all workers
 	freed   []*worker // on which room has been freed
+	kept    bool      // some held step may be kept back by its tenant's share
 
 	reserved  reservation
 	sizes     *sizing.Map
--- a/internal/system/scheduler/world_test.go
+++ b/internal/system/scheduler/world_test.go
@@ -32,6 +32,7 @@
 	workers   []*simWorker
 	instances int
 	jobs      map[state.JobID]*simJob
+	tenants   []string // of whom jobs are handed in; nobody's where there are none
 	gangs     map[gangKey]*simGang
 	faults    worldFaults
 	calm      bool // nothing goes wrong in this world
