Keep fewer idle connections to workers, so that calls never lack one

Change: at most four idle connections a worker and half of the bound altogether; the bound is all descriptors but 700.

--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -99,7 +99,7 @@
 		left: make(chan struct{}), failures: make(chan error, 1)}
 	n.client = transport.NewClient(transport.Options{})
 	n.sender = transport.NewSender[*replica.Message](n.client, chainService+".Receive", transport.SenderOptions{})
-	n.orders = newOrders(n.settings.Limits.MaxOpenFiles / 2)
+	n.orders = newOrders(max(n.settings.Limits.MaxOpenFiles-reservedFiles, leastConnections))
 	n.list = workerapi.NewListClient()
 	if err := n.listen(); err != nil {
 		return nil, err
--- a/internal/system/control/orders.go
+++ b/internal/system/control/orders.go
@@ -10,6 +10,13 @@
 // mostCalls bounds the calls on workers that are out at once.
 const mostCalls = 4096
 
+// reservedFiles are the descriptors left for the platform, the log, other processes and the operator; leastConnections are allowed
+// to workers whatever the limit.
+const (
+	reservedFiles    = 700
+	leastConnections = 256
+)
+
 // connectionsPerWorker bounds the connections to one worker: two holds, and orders beside them of which some get no answer.
 const connectionsPerWorker = 8
 
--- a/internal/system/workerapi/client_test.go
+++ b/internal/system/workerapi/client_test.go
@@ -343,3 +343,10 @@
 		http.CanonicalHeaderKey(expectInstanceHeader) + ": i-7f3a91c2\r\n\r\n" + `{"fenceToken":7,"lastSeen":57}`
 	require.Equal(t, expected, <-seen)
 }
+
+func TestManyWorkersLeaveRoomForCallsThatComeAtOnce(t *testing.T) {
+	transport := newTransport(newConnectionBound(100), 8)
+	require.Equal(t, 50, transport.MaxIdleConns, "half of the bound stays free of idle connections")
+	require.Equal(t, idlePerHost, transport.MaxIdleConnsPerHost)
+	require.Equal(t, 8, transport.MaxConnsPerHost)
+}
--- a/internal/system/workerapi/transport.go
+++ b/internal/system/workerapi/transport.go
@@ -21,6 +21,10 @@
 	idleTimeout       = time.Minute
 	bufferBytes       = 2 << 10
 	maxHeaderBytes    = 16 << 10
+	// idlePerHost connections that no call uses are kept to one host, and to all hosts one part in idlePart of the bound, so that there
+	// is always room for the calls that come at once.
+	idlePerHost = 4
+	idlePart    = 2
 )
 
 // connectionBound counts the open connections of one client and refuses to dial beyond its limit.
@@ -96,8 +100,8 @@
 		DialContext:            bound.dial,
 		Protocols:              protocols,
 		DisableCompression:     true,
-		MaxIdleConns:           int(bound.limit),
-		MaxIdleConnsPerHost:    connectionsPerHost,
+		MaxIdleConns:           int(bound.limit) / idlePart,
+		MaxIdleConnsPerHost:    min(connectionsPerHost, idlePerHost),
 		MaxConnsPerHost:        connectionsPerHost,
 		IdleConnTimeout:        idleTimeout,
 		ReadBufferSize:         bufferBytes,
