Send each start with the checkpoint that was proposed for it

Change: the run keeps the checkpoint that it was proposed with, for both sendings. Test: go test -race ./internal/system/scheduler/ ./internal/system/state/, and 6,000 seeds without -race.

--- a/internal/system/scheduler/starts.go
+++ b/internal/system/scheduler/starts.go
@@ -45,6 +45,8 @@
 	mark    uint64
 	dueAtMs int64 // of its start
 	resumed bool  // it was started from a checkpoint
+	// checkpoint is what its start carries, each time that it is sent: an end that comes late may change the replicated one.
+	checkpoint string
 
 	orderedAt  time.Duration
 	presentAt  time.Duration
@@ -148,7 +150,7 @@
 
 func (s *Scheduler) proposeRun(st *step, index uint32, w *worker, attempt uint32, checkpoint string) {
 	name := state.Run{Task: st.name(index), Attempt: attempt}
-	s.add(&run{name: name, worker: w, step: st, need: st.need, resumed: checkpoint != ""})
+	s.add(&run{name: name, worker: w, step: st, need: st.need, checkpoint: checkpoint, resumed: checkpoint != ""})
 	s.shares.propose(name, st)
 	s.starts = append(s.starts, state.Start{Run: name, Worker: w.life.Instance, Checkpoint: checkpoint})
 }
@@ -270,7 +272,7 @@
 		Spec:       r.step.job.record.Spec.Text,
 		DueAtMs:    r.dueAtMs,
 		FenceToken: s.token,
-		Checkpoint: r.step.record(r.name.Task.Index).Checkpoint,
+		Checkpoint: r.checkpoint,
 	}
 	r.startsOut++
 	s.send(Call{Kind: CallStart, Start: order, Timeout: s.answers.timeout()}, w, r)
