Keep a tenant's share back for a gang that its own small tasks would starve

A gang, or a task of several accelerators, that its tenant's share has kept waiting past a quarter of its slack keeps the share from later deadlines of the same tenant, so that small tasks can't hold it back for ever. Nothing is kept for what lasting runs or the workers leave no room for, and a share that has room stands idle for 2.5 s at most while the workers have none.

go test -race ./internal/system/scheduler

--- a/internal/system/scheduler/check.go
+++ b/internal/system/scheduler/check.go
@@ -20,9 +20,21 @@
 			return fmt.Errorf("job %s: %w", id, err)
 		}
 	}
+	if err := s.checkKeepings(); err != nil {
+		return err
+	}
 	return s.checkPlacements()
 }
 
+func (s *Scheduler) checkKeepings() error {
+	for tenant, kept := range s.shares.keepings {
+		if st := kept.step; !st.queued || st.tenant() != tenant {
+			return fmt.Errorf("the share of %q is kept for a step of %q with queued %v", tenant, st.tenant(), st.queued)
+		}
+	}
+	return nil
+}
+
 func (s *Scheduler) checkWorker(w *worker) error {
 	if len(w.list) != len(w.runs) {
 		return fmt.Errorf("%d runs are listed, %d kept", len(w.list), len(w.runs))
--- a/internal/system/scheduler/queue.go
+++ b/internal/system/scheduler/queue.go
@@ -90,6 +90,7 @@
 	}
 	st.service.queue.Remove(st.ticket)
 	st.queued = false
+	s.stopKeeping(st)
 	if st.service.reserved.step == st {
 		s.release(st.service)
 	}
@@ -97,10 +98,13 @@
 
 // requeue gives a held step its present rank.
 func (s *Scheduler) requeue(st *step) {
-	fresh := st.fresh
+	fresh, kept := st.fresh, s.shares.keepingFor(st)
 	s.dequeue(st)
 	s.enqueue(st)
 	st.fresh = fresh
+	if kept != nil {
+		s.shares.keepings[st.tenant()] = kept
+	}
 }
 
 // dispatch starts what can be started.
@@ -134,9 +138,12 @@
 		} else if len(freed) > 0 {
 			s.placeOnFreed(st, freed)
 		}
-		if !st.hasWaiting() {
+		switch {
+		case !st.hasWaiting():
 			s.dequeue(st)
-		} else if !st.kept {
+		case st.kept:
+			s.considerKeeping(st)
+		default:
 			s.considerReserving(st)
 		}
 	}
--- a/internal/system/scheduler/shares.go
+++ b/internal/system/scheduler/shares.go
@@ -9,6 +9,8 @@
 type shares struct {
 	desk     *quota.Desk
 	proposed map[state.Run]claim
+	keepings map[string]*keeping // by tenant
+	returned bool                // something that was kept back is free again
 }
 
 // claim is what a proposed start takes of its tenant's share; its job may be over and gone when it comes back.
@@ -18,7 +20,7 @@
 }
 
 func newShares(ledger *quota.Ledger) shares {
-	return shares{desk: quota.NewDesk(ledger), proposed: make(map[state.Run]claim)}
+	return shares{desk: quota.NewDesk(ledger), proposed: make(map[state.Run]claim), keepings: make(map[string]*keeping)}
 }
 
 // propose takes note of a start that is proposed.
@@ -26,7 +28,7 @@
 	if st.need.GPUs == 0 {
 		return
 	}
-	taken := claim{tenant: st.job.record.Tenant, need: st.need.GPUs}
+	taken := claim{tenant: st.tenant(), need: st.need.GPUs}
 	s.proposed[name] = taken
 	s.desk.Propose(taken.tenant, taken.need)
 }
@@ -41,19 +43,35 @@
 	s.desk.Settle(taken.tenant, taken.need, holds)
 }
 
-// fit tells whether the step's tenant may take what the step needs at once: that of one task, or of the whole gang.
-func (s *shares) fit(st *step) bool {
-	need := st.need.GPUs
+// tenant is whose share the step's tasks count against.
+func (st *step) tenant() string { return st.job.record.Tenant }
+
+// atOnce is how many accelerators the step needs at once: for one task, or for the whole gang.
+func (st *step) atOnce() int64 {
 	if st.stage.Gang {
-		need *= int64(len(st.tasks))
+		return st.need.GPUs * int64(len(st.tasks))
 	}
-	return s.desk.Fits(st.job.record.Tenant, need)
+	return st.need.GPUs
+}
+
+// fit tells whether the step's tenant may take what the step needs at once. What takes no accelerators always fits.
+func (s *shares) fit(st *step) bool {
+	need := st.atOnce()
+	return need == 0 || s.desk.Fits(st.tenant(), need+s.keptFrom(st))
+}
+
+// moved tells whether kept steps are to be tried again.
+func (s *shares) moved() bool {
+	moved := s.desk.Moved() || s.returned
+	s.returned = false
+	return moved
 }
 
 // shareFits tells whether the next task of a step, or its gang, fits its tenant's share; if not, the step is kept back.
 func (s *Scheduler) shareFits(st *step) bool {
 	fits := s.shares.fit(st)
 	st.kept = !fits
+	s.fitFound(st, fits)
 	if fits {
 		return true
 	}
@@ -70,6 +88,7 @@
 		return false
 	}
 	if !s.shareFits(st) {
+		s.considerKeeping(st)
 		return true
 	}
 	st.fresh = true
@@ -78,7 +97,7 @@
 
 // retryKept has the held steps tried again that were kept back, once some tenant may take more.
 func (s *Scheduler) retryKept() {
-	if !s.shares.desk.Moved() {
+	if !s.shares.moved() {
 		return
 	}
 	for _, svc := range s.kinds {
--- a/internal/system/scheduler/steps.go
+++ b/internal/system/scheduler/steps.go
@@ -25,14 +25,17 @@
 	closed  bool
 	readyAt time.Duration
 
-	queued   bool
-	ticket   sizing.Ticket
-	fresh    bool // it has to be tried on all workers
-	kept     bool // its tenant's share had no room for it when it was tried last
-	farAt    time.Duration
-	onWorker map[*worker]int // runs, where antiAffinity bounds them
-	gang     gangState
-	retryAt  time.Duration // when a held gang is tried again at the earliest
+	queued bool
+	ticket sizing.Ticket
+	fresh  bool // it has to be tried on all workers
+	kept   bool // its tenant's share had no room for it when it was tried last
+	// keepPlanned tells that it will be considered for keeping its share back, keepNotBefore when at the earliest.
+	keepPlanned   bool
+	keepNotBefore time.Duration
+	farAt         time.Duration
+	onWorker      map[*worker]int // runs, where antiAffinity bounds them
+	gang          gangState
+	retryAt       time.Duration // when a held gang is tried again at the earliest
 	// retryPlanned tells that it will be, since room was freed before.
 	retryPlanned bool
 }
--- a/internal/system/scheduler/view.go
+++ b/internal/system/scheduler/view.go
@@ -115,6 +115,9 @@
 // obstacle says what keeps a task from the worker that comes nearest to taking it.
 func (s *Scheduler) obstacle(st *step, t *task) string {
 	if !s.shares.fit(st) {
+		if s.shares.keptFrom(st) > 0 {
+			return "its tenant's share of accelerators is kept for a gang or a larger task with an earlier deadline"
+		}
 		return "its tenant's share of accelerators is used up"
 	}
 	obstacle := "its service has no worker that answers"
