Count an end once though its worker was lost between, and forget jobs by the head's own clock

Change: a loss keeps the record, which goes by a command of its own once the life is over for good; the head counts the time for which a job has been over. A replica whose disk failed opens its log again only when nothing is written to it any more. Tests: TestEndsCountOnceThoughTheWorkerWasLostBetween, TestStepsBehindAnEmptyOneStart.

--- a/internal/system/control/disk.go
+++ b/internal/system/control/disk.go
@@ -20,12 +20,13 @@
 	waiting []diskJob
 	wake    chan struct{}
 	stopped chan struct{}
+	ended   chan struct{} // closed when nothing is written any more
 	once    sync.Once
 	size    int64
 }
 
 func newDisk(log *wal.Log) *disk {
-	return &disk{log: log, wake: make(chan struct{}, 1), stopped: make(chan struct{}), size: log.Size()}
+	return &disk{log: log, wake: make(chan struct{}, 1), stopped: make(chan struct{}), ended: make(chan struct{}), size: log.Size()}
 }
 
 // submit queues a job; done is called on the disk's goroutine.
@@ -46,6 +47,7 @@
 			d.work(d.take())
 		case <-d.stopped:
 			_ = d.log.Close()
+			close(d.ended)
 			return
 		}
 	}
@@ -53,6 +55,16 @@
 
 func (d *disk) stop() { d.once.Do(func() { close(d.stopped) }) }
 
+// hasEnded tells whether the last write is over, so that the log may be opened anew.
+func (d *disk) hasEnded() bool {
+	select {
+	case <-d.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 func (d *disk) take() []diskJob {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -79,18 +79,21 @@
 	listAt          time.Duration
 	listFailures    int
 	clockAt         time.Duration
-	housekeepingAt  time.Duration
-	config          *clusterconfig.Config
-	configStale     bool // a newer one was committed since
-	configWaiting   []func()
-	configBusy      bool
-	leaving         bool
-	handover        *handover // a transfer that an operator has asked for
-	counts          counts
-	seenView        view.View // the newest that the log was told of
-	commits         commitPauses
-	left            chan struct{}
-	failures        chan error
+	// overSince is when this replica, as the head, first saw each job over; forgetAt is when it looks next.
+	overSince      map[state.JobID]time.Duration
+	forgetAt       time.Duration
+	housekeepingAt time.Duration
+	config         *clusterconfig.Config
+	configStale    bool // a newer one was committed since
+	configWaiting  []func()
+	configBusy     bool
+	leaving        bool
+	handover       *handover // a transfer that an operator has asked for
+	counts         counts
+	seenView       view.View // the newest that the log was told of
+	commits        commitPauses
+	left           chan struct{}
+	failures       chan error
 }
 
 // Start brings a replica up: its log is read, its sockets listen.
@@ -242,6 +245,10 @@
 	if n.leaving {
 		return
 	}
+	if !n.engine.disk.hasEnded() {
+		time.AfterFunc(restartPause, func() { n.loop.post(n.restartEngine) })
+		return
+	}
 	if err := n.startEngine(); err != nil {
 		n.logger.Error("replica doesn't start", "error", err)
 		time.AfterFunc(restartPause, func() { n.loop.post(n.restartEngine) })
--- a/internal/system/control/roles.go
+++ b/internal/system/control/roles.go
@@ -19,7 +19,8 @@
 	listTimeout       = 2 * time.Second
 	listRetryFirst    = 300 * time.Millisecond
 	listRetryMost     = 2 * time.Second
-	forgetAtMost      = 512
+	forgetAtMost      = 8192
+	forgetEvery       = 10 * time.Second
 )
 
 // flush collects what the cores want done after a batch of inputs, until nothing more comes up, and gives the time to the next wake.
@@ -197,20 +198,32 @@
 		return
 	}
 	n.engine.step(replica.Contacts{Addresses: n.contacts()})
-	if n.schedulerActive && n.engine.isHead() {
+	if n.schedulerActive && n.engine.isHead() && n.now() >= n.forgetAt {
+		n.forgetAt = n.now() + forgetEvery
 		n.forgetJobs()
 	}
 }
 
-// forgetJobs drops jobs that have been over for twice the time for which their state has to be told.
+// forgetJobs drops jobs that have been over for twice the time for which their state has to be told, as far as this head has seen.
 func (n *Node) forgetJobs() {
-	before := n.unixMs(n.now()) - 2*n.settings.Bounds.Status().Milliseconds()
+	now := n.now()
+	keep := 2 * n.settings.Bounds.Status()
+	over := make(map[state.JobID]time.Duration, len(n.overSince))
 	var old []state.JobID
 	for id, job := range n.engine.machine.Jobs() {
-		if job.State.Over() && job.Runs == 0 && job.OverMs < before && len(old) < forgetAtMost {
+		if !job.State.Over() || job.Runs > 0 {
+			continue
+		}
+		since, seen := n.overSince[id]
+		if !seen {
+			since = now
+		}
+		over[id] = since
+		if now-since > keep && len(old) < forgetAtMost {
 			old = append(old, id)
 		}
 	}
+	n.overSince = over
 	if len(old) > 0 {
 		n.engine.propose(state.Command{Kind: state.KindJobsForgotten, JobsForgotten: old}, func(state.Result, fate) {})
 	}
--- a/internal/system/scheduler/workers.go
+++ b/internal/system/scheduler/workers.go
@@ -169,7 +169,7 @@
 func (s *Scheduler) forget(w *worker) {
 	delete(s.workers, w.life.Instance)
 	if s.machine.Worker(w.life.Instance) != nil {
-		s.propose(state.Command{Kind: state.KindWorkerLost, WorkerLost: w.life.Instance})
+		s.propose(state.Command{Kind: state.KindWorkerForgotten, WorkerForgotten: w.life.Instance})
 	}
 }
 
--- a/internal/system/state/command.go
+++ b/internal/system/state/command.go
@@ -18,6 +18,7 @@
 	// kindTenantJobAccepted is on the wire what KindJobAccepted is for a job of a tenant. Jobs of nobody keep the older form, so that
 	// replicas which know no tenants read everything as long as the configuration names none.
 	kindTenantJobAccepted
+	KindWorkerForgotten
 )
 
 // Command is one change of the replicated state; exactly the field that Kind names is set.
@@ -29,8 +30,10 @@
 	TasksStarting  []Start
 	StartsVoided   []Run
 	TasksEnded     *TasksEnded
-	WorkerLost     string // the worker's instance
-	JobsForgotten  []JobID
+	WorkerLost     string // the worker's instance: nothing runs there any more of what may have
+	// WorkerForgotten is the instance of a life that is over for good: its record is dropped, with the number of its last end.
+	WorkerForgotten string
+	JobsForgotten   []JobID
 }
 
 // ConfigReplaced puts a whole configuration in the place of version Base.
@@ -142,6 +145,8 @@
 		w.ended(c.TasksEnded)
 	case KindWorkerLost:
 		w.string(c.WorkerLost)
+	case KindWorkerForgotten:
+		w.string(c.WorkerForgotten)
 	case KindJobsForgotten:
 		w.uint(uint64(len(c.JobsForgotten)))
 		for _, id := range c.JobsForgotten {
@@ -246,6 +251,8 @@
 		c.TasksEnded = r.ended()
 	case KindWorkerLost:
 		c.WorkerLost = r.string()
+	case KindWorkerForgotten:
+		c.WorkerForgotten = r.string()
 	case KindJobsForgotten:
 		c.JobsForgotten = make([]JobID, r.count())
 		for i := range c.JobsForgotten {
--- a/internal/system/state/describe.go
+++ b/internal/system/state/describe.go
@@ -3,14 +3,15 @@
 import "fmt"
 
 var kindNames = [...]string{
-	KindConfigReplaced: "config-replaced",
-	KindJobAccepted:    "job-accepted",
-	KindJobCancelled:   "job-cancelled",
-	KindTasksStarting:  "tasks-starting",
-	KindStartsVoided:   "starts-voided",
-	KindTasksEnded:     "tasks-ended",
-	KindWorkerLost:     "worker-lost",
-	KindJobsForgotten:  "jobs-forgotten",
+	KindConfigReplaced:  "config-replaced",
+	KindJobAccepted:     "job-accepted",
+	KindJobCancelled:    "job-cancelled",
+	KindTasksStarting:   "tasks-starting",
+	KindStartsVoided:    "starts-voided",
+	KindTasksEnded:      "tasks-ended",
+	KindWorkerLost:      "worker-lost",
+	KindWorkerForgotten: "worker-forgotten",
+	KindJobsForgotten:   "jobs-forgotten",
 }
 
 // String gives the kind's name, as operators see it.
@@ -51,6 +52,8 @@
 		})
 	case KindWorkerLost:
 		return c.WorkerLost
+	case KindWorkerForgotten:
+		return c.WorkerForgotten
 	case KindJobsForgotten:
 		return summary(c.JobsForgotten, func(id JobID) string { return id.String() })
 	}
--- a/internal/system/state/describe_test.go
+++ b/internal/system/state/describe_test.go
@@ -17,6 +17,7 @@
 		{Kind: KindTasksEnded, TasksEnded: &TasksEnded{Worker: "w-1", Ends: []End{{Run: run, Number: 9, How: Done}}}},
 		{Kind: KindWorkerLost, WorkerLost: "w-1"},
 		{Kind: KindJobsForgotten, JobsForgotten: []JobID{1, 2, 3, 4, 5}},
+		{Kind: KindWorkerForgotten, WorkerForgotten: "w-1"},
 	}
 	seen := map[string]bool{}
 	for _, command := range commands {
--- a/internal/system/state/machine.go
+++ b/internal/system/state/machine.go
@@ -118,6 +118,8 @@
 		m.end(command.TasksEnded, &result)
 	case KindWorkerLost:
 		m.lose(command.WorkerLost, &result)
+	case KindWorkerForgotten:
+		m.forgetWorker(command.WorkerForgotten, &result)
 	case KindJobsForgotten:
 		m.forget(command.JobsForgotten)
 	default:
@@ -413,6 +415,16 @@
 			result.touch(job)
 		}
 	}
+	clear(worker.Runs)
+}
+
+// forgetWorker drops the record of a life that is over for good. A life that was only out of reach keeps its record: it may come back and
+// list ends that were counted before.
+func (m *Machine) forgetWorker(instance string, result *Result) {
+	if worker := m.workers[instance]; worker == nil || len(worker.Runs) > 0 {
+		result.Outcome = Unknown
+		return
+	}
 	delete(m.workers, instance)
 }
 
--- a/internal/system/state/machine_test.go
+++ b/internal/system/state/machine_test.go
@@ -56,7 +56,11 @@
 
 // drawCommand draws any command; most concern the few jobs and workers that there are.
 func drawCommand(t *rapid.T) Command {
-	switch kind := Kind(rapid.IntRange(int(KindConfigReplaced), int(KindJobsForgotten)).Draw(t, "kind")); kind {
+	kinds := []Kind{
+		KindConfigReplaced, KindJobAccepted, KindJobCancelled, KindTasksStarting, KindStartsVoided, KindTasksEnded, KindWorkerLost,
+		KindWorkerForgotten, KindJobsForgotten,
+	}
+	switch kind := rapid.SampledFrom(kinds).Draw(t, "kind"); kind {
 	case KindConfigReplaced:
 		return Command{Kind: kind, ConfigReplaced: &ConfigReplaced{
 			Base: rapid.Uint64Range(0, 4).Draw(t, "base"), Version: rapid.Uint64Range(0, 5).Draw(t, "version"),
@@ -89,6 +93,8 @@
 		return Command{Kind: kind, TasksEnded: ended}
 	case KindWorkerLost:
 		return Command{Kind: kind, WorkerLost: drawWorker(t)}
+	case KindWorkerForgotten:
+		return Command{Kind: kind, WorkerForgotten: drawWorker(t)}
 	default:
 		return Command{Kind: kind, JobsForgotten: []JobID{JobID(rapid.Uint64Range(1, 4).Draw(t, "job"))}}
 	}
@@ -137,3 +143,27 @@
 		_ = New().Restore(data)
 	})
 }
+
+// A worker out of reach may come back and list ends that were counted before its loss: a failure counts once.
+func TestEndsCountOnceThoughTheWorkerWasLostBetween(t *testing.T) {
+	machine := New()
+	body := []byte(`{"spec":"x","stages":[{"count":1,"cpu":100}]}`)
+	machine.Apply(Command{Kind: KindJobAccepted, JobAccepted: &JobAccepted{ID: 1, Route: "r", MaxRetries: 2, Body: body}})
+	run := Run{Task: TaskName{Job: 1}, Attempt: 1}
+	machine.Apply(Command{Kind: KindTasksStarting, TasksStarting: []Start{{Run: run, Worker: "i-1"}}})
+	ended := Command{Kind: KindTasksEnded, TasksEnded: &TasksEnded{Worker: "i-1", Ends: []End{{Run: run, Number: 1, How: Failed}}}}
+	machine.Apply(ended)
+	machine.Apply(Command{Kind: KindWorkerLost, WorkerLost: "i-1"})
+	machine.Apply(ended)
+	require.Equal(t, uint32(1), machine.Job(1).Task(run.Task).Failures)
+	require.Equal(t, Running, machine.Job(1).State)
+	machine.Apply(Command{Kind: KindWorkerForgotten, WorkerForgotten: "i-1"})
+	require.Nil(t, machine.Worker("i-1"))
+}
+
+func TestStepsBehindAnEmptyOneStart(t *testing.T) {
+	machine := New()
+	body := []byte(`{"spec":"x","stages":[{"count":0},{"count":1,"cpu":100,"dependsOn":[0]}]}`)
+	machine.Apply(Command{Kind: KindJobAccepted, JobAccepted: &JobAccepted{ID: 1, Route: "r", MaxRetries: 2, Body: body}})
+	require.True(t, machine.Job(1).StepReady(0, 1))
+}
