Show the tenants' shares, their use and what waits: controlplane tenants, /metrics

Operators see each tenant's limit, what it uses, and how many of its tasks wait, for room or for the share; the head answers, from Ledger.Accounts and the held steps. Each replica's /metrics has the share and what is used, by tenant, only while the configuration names tenants.

go test -race ./internal/system/control ./cmd/controlplane go test -race ./internal/system/scheduler -run 'Share|Kept|Keep|Tenant|Gang'

--- a/cmd/controlplane/commands_test.go
+++ b/cmd/controlplane/commands_test.go
@@ -138,6 +138,12 @@
 		showsJSON(t, &list, "workers", at)
 		assert.Equal(t, 1, list.Held["farm"])
 	})
+	t.Run("tenants", func(t *testing.T) {
+		assert.Contains(t, eventually(t, "FOR ITS SHARE", "tenants", at), "TENANT")
+		var list shownTenants
+		showsJSON(t, &list, "tenants", at)
+		assert.Empty(t, list.Tenants)
+	})
 	t.Run("jobs", func(t *testing.T) {
 		assert.Contains(t, eventually(t, testJobName, "jobs", at), "pending")
 		assert.NotContains(t, eventually(t, "JOB", "jobs", at, "--state=failed"), testJobName)
@@ -197,7 +203,7 @@
 func TestWithoutAReplica(t *testing.T) {
 	t.Setenv("GAUGESLIP_NODE_FILE", "")
 	nowhere := "--address=127.0.0.1:" + strconv.Itoa(freePort(t))
-	for _, command := range [][]string{{"status"}, {"view"}, {"workers"}, {"jobs"}, {"job", testJobName}, {"why", testJobName}, {"handover"}} {
+	for _, command := range [][]string{{"status"}, {"view"}, {"workers"}, {"tenants"}, {"jobs"}, {"job", testJobName}, {"why", testJobName}, {"handover"}} {
 		_, err := execute(t, append(command, nowhere)...)
 		assert.ErrorContains(t, err, "check that the process runs", command)
 		assert.Equal(t, console.ExitFault, exitCode(err))
--- a/cmd/controlplane/main.go
+++ b/cmd/controlplane/main.go
@@ -23,6 +23,7 @@
 	Status        statusCommand        `cmd:"" help:"Show a running replica: role, view, lease, who catches up, jobs."`
 	View          viewCommand          `cmd:"" help:"Show the agreed view: epoch, chain, voters, who catches up."`
 	Workers       workersCommand       `cmd:"" help:"Show the workers as the scheduler at the head sees them."`
+	Tenants       tenantsCommand       `cmd:"" help:"Show the tenants' shares of accelerators, what they use, and what waits."`
 	Jobs          jobsCommand          `cmd:"" help:"List accepted jobs, the newest first."`
 	Job           jobCommand           `cmd:"" help:"Show one job: its tasks, attempts, where they run, why they wait."`
 	Why           whyCommand           `cmd:"" help:"Tell what keeps the tasks of a job from starting."`
--- a/internal/system/control/figures.go
+++ b/internal/system/control/figures.go
@@ -80,6 +80,7 @@
 	}
 	w.Gauges("jobs", "Jobs that are kept, by state.", "state", jobs)
 	w.Gauge("runs", "Runs of tasks that may exist on workers.", float64(overview.Runs))
+	writeTenants(w, n.engine.machine.Quotas())
 	if n.acting() && n.scheduler != nil {
 		writeScheduler(w, n.scheduler.Snapshot())
 	}
--- a/internal/system/scheduler/shares_test.go
+++ b/internal/system/scheduler/shares_test.go
@@ -144,6 +144,7 @@
 	why := w.sched.Why(long.id)
 	require.Len(t, why, 6)
 	assert.Equal(t, "its tenant's share of accelerators is used up", why[5].Why)
+	assert.Equal(t, map[string]TenantView{"teff": {Held: 2, KeptBack: 2}}, w.sched.Tenants())
 	require.NoError(t, w.finish(60*time.Second))
 	assert.Equal(t, 6, proposed, "what doesn't fit is never proposed")
 }
