--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -39,9 +39,10 @@
 	applied func(state.Result)
 	// committed is told how long an own command took from its append to its commit.
 	committed func(took time.Duration)
-	installd  func() // a snapshot took the place of the state
+	installed func() // a snapshot took the place of the state
 	event     func(replica.Event)
-	failed    func(error)
+	failed    func(error) // the disk refuses
+	fault     func(error) // an invariant is broken: the process has to end before it does harm
 }
 
 // engine drives one replica core: its records to disk, its messages to peers, its committed entries to the machine. All its methods
@@ -127,7 +128,7 @@
 	}
 	e.wake = output.Wake
 	if output.Fault != nil {
-		e.options.failed(output.Fault)
+		e.options.fault(output.Fault)
 		return
 	}
 	if output.NeedSnapshot {
@@ -201,7 +202,7 @@
 			waiting.done(state.Result{}, fateInDoubt)
 		}
 	}
-	e.options.installd()
+	e.options.installed()
 }
 
 func (e *engine) apply(entry chain.Entry) {
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -180,7 +180,8 @@
 		return fmt.Errorf("open log: %w", err)
 	}
 	engine, err := newEngine(engineOptions{config: n.replicaConfig(), log: file, records: records, now: n.now, post: n.loop.post,
-		send: n.sender.Send, applied: n.applied, committed: n.counts.latency.Observe, installd: n.installed, event: n.event, failed: n.engineFailed})
+		send: n.sender.Send, applied: n.applied, committed: n.counts.latency.Observe, installed: n.installed, event: n.event,
+		failed: n.engineFailed, fault: n.fail})
 	if err != nil {
 		return fmt.Errorf("read log: %w", err)
 	}
@@ -421,6 +422,9 @@
 
 // fail ends the process for a fault that it must not go on with.
 func (n *Node) fail(err error) {
+	n.logger.Error("an invariant is broken, the replica ends", "error", err)
+	n.dropScheduler()
+	n.engine.close()
 	select {
 	case n.failures <- err:
 	default:
--- a/internal/system/hollow/platform.go
+++ b/internal/system/hollow/platform.go
@@ -108,7 +108,7 @@
 		Version:     worker.settings.Version,
 		Capacity:    worker.settings.Capacity,
 		State:       "ready",
-		Allocatable: listResources{room.CPU, room.MemoryMB, room.GPUs},
+		Allocatable: listResources(room),
 		Labels:      worker.labels(),
 		ID:          worker.instance,
 	}
--- a/internal/system/scheduler/estimates.go
+++ b/internal/system/scheduler/estimates.go
@@ -16,7 +16,6 @@
 // estimate refines the hints of one class by measured run times.
 type estimate struct {
 	sizing.Estimator
-	failed, finished float64 // ends of late, by which a failure is judged
 }
 
 const (
--- a/internal/system/scheduler/world_test.go
+++ b/internal/system/scheduler/world_test.go
@@ -49,7 +49,6 @@
 
 type worldStats struct {
 	starts, ends, gangsAlone, holds int
-	wasted                          time.Duration
 }
 
 type event struct {
