--- a/cmd/gaugelab/system_scale.go
+++ b/cmd/gaugelab/system_scale.go
@@ -17,6 +17,7 @@
 func systemScale() *cobra.Command {
 	var f systemFlags
 	var sizes, out string
+	var troubles []string
 	var window time.Duration
 	c := &cobra.Command{Use: "scale", Short: "Run clusters of growing size, and tell what each role costs",
 		Args: cobra.NoArgs, RunE: func(cmd *cobra.Command, _ []string) error {
@@ -24,6 +25,9 @@
 			if err != nil {
 				return err
 			}
+			if err := readTroubles(&f, troubles, ""); err != nil {
+				return usageError{err}
+			}
 			cleanUp, err := f.prepare(cmd)
 			defer cleanUp()
 			if err != nil {
@@ -35,6 +39,7 @@
 	f.common(c)
 	c.Flags().StringVar(&sizes, "workers", "30,100,300,1000,2300", "numbers of hollow workers; one dispatcher for each ten, most of them in one process")
 	c.Flags().DurationVar(&window, "window", 15*time.Second, "how long the steady load of each size is measured")
+	c.Flags().StringArrayVar(&troubles, "trouble", nil, `a trouble while the lasting tasks start, "KIND TARGET AT [FOR]"; may be given again`)
 	c.Flags().StringVar(&out, "out", "", "file for the reports as JSON, written anew after each size")
 	return c
 }
--- a/internal/system/localcluster/report.go
+++ b/internal/system/localcluster/report.go
@@ -34,6 +34,8 @@
 	StartsPerS float64 `json:"starts_s"`
 	HoldsPerS  float64 `json:"holds_s"`
 	StopsPerS  float64 `json:"stops_s"`
+	// Refused are the starts that workers refused in the whole span, by reason.
+	Refused map[string]int `json:"refused"`
 	// Ends are the ends of runs in the whole span, by the word that workers list them with.
 	Ends            map[string]int `json:"ends"`
 	ListsPerS       float64        `json:"list_calls_s"`
@@ -62,6 +64,7 @@
 		StartsPerS:      float64(later.stats.Starts-o.stats.Starts) / seconds,
 		HoldsPerS:       float64(later.stats.Holds-o.stats.Holds) / seconds,
 		StopsPerS:       float64(later.stats.Stops-o.stats.Stops) / seconds,
+		Refused:         refusedBetween(&o.stats, &later.stats),
 		Ends:            endsBetween(&o.stats, &later.stats),
 		ListsPerS:       float64(listing.Calls) / seconds,
 		ListsRefused:    later.stats.ListRejected - o.stats.ListRejected,
@@ -85,6 +88,21 @@
 	return ends
 }
 
+func refusedBetween(earlier, later *hollow.Stats) map[string]int {
+	refused := make(map[string]int)
+	for reason, count := range map[string]int{
+		"fence": later.StartsFence - earlier.StartsFence,
+		"old":   later.StartsOld - earlier.StartsOld,
+		"late":  later.StartsLate - earlier.StartsLate,
+		"room":  later.StartsRoom - earlier.StartsRoom,
+	} {
+		if count > 0 {
+			refused[reason] = count
+		}
+	}
+	return refused
+}
+
 const mostExamples = 10
 
 // noteRules takes in what the workers' checker found.
@@ -153,7 +171,7 @@
 func (o *Orders) print(out io.Writer) {
 	fmt.Fprintf(out, "\nworkers, a second: %.1f starts, %.1f holds, %.1f stops, %.0f KB to them, %.0f KB from them; %d new connections\n",
 		o.StartsPerS, o.HoldsPerS, o.StopsPerS, o.ToWorkersKBs, o.FromWorkersKBs, o.Connections)
-	fmt.Fprintf(out, "ends of runs: %s\n", countsText(o.Ends))
+	fmt.Fprintf(out, "ends of runs: %s; refused starts: %s\n", countsText(o.Ends), countsText(o.Refused))
 	fmt.Fprintf(out, "platform's list: %.2f calls a second, %d refused, %.1f KB a second\n", o.ListsPerS, o.ListsRefused, o.FromPlatformKBs)
 }
 
--- a/internal/system/localcluster/report_test.go
+++ b/internal/system/localcluster/report_test.go
@@ -91,7 +91,7 @@
 }
 
 func TestReportTellsWhatIsUnsound(t *testing.T) {
-	report := &Report{Seed: 7, Orders: Orders{Ends: map[string]int{"done": 2}}}
+	report := &Report{Seed: 7, Orders: Orders{Ends: map[string]int{"done": 2}, Refused: map[string]int{"late": 1}}}
 	report.noteRules(nil)
 	require.True(t, report.Sound())
 	report.noteRules([]hollow.Violation{{Rule: hollow.RuleTwice, Task: "x"}, {Rule: hollow.RuleTwice}, {Rule: hollow.RuleRoute}})
@@ -114,7 +114,7 @@
 
 func TestOrdersAreASecond(t *testing.T) {
 	early := orderLook{at: time.Second, stats: hollow.Stats{Starts: 10, Holds: 5}, traffic: TrafficCount{Received: kilobyte}}
-	late := orderLook{at: 3 * time.Second, stats: hollow.Stats{Starts: 30, Holds: 6, ListRejected: 2, Ends: [len(endWords)]int{9, 0, 0, 3}},
+	late := orderLook{at: 3 * time.Second, stats: hollow.Stats{Starts: 30, Holds: 6, ListRejected: 2, Ends: [len(endWords)]int{9, 0, 0, 3}, StartsRoom: 4},
 		traffic: TrafficCount{Received: 5 * kilobyte, Connections: 4}, listing: TrafficCount{Calls: 3}}
 	orders := early.until(late)
 	require.InDelta(t, 10, orders.StartsPerS, 0)
@@ -124,6 +124,7 @@
 	require.Equal(t, 2, orders.ListsRefused)
 	require.EqualValues(t, 4, orders.Connections)
 	require.Equal(t, map[string]int{"done": 9, "lapsed": 3}, orders.Ends)
+	require.Equal(t, map[string]int{"room": 4}, orders.Refused)
 }
 
 func TestSizesArePrintedOneALine(t *testing.T) {
--- a/internal/system/localcluster/scale.go
+++ b/internal/system/localcluster/scale.go
@@ -81,9 +81,12 @@
 	s.tell("all workers were called on, or patience is over")
 }
 
-// fill hands in the tasks that outlast the run, and waits for their starts.
+// fill hands in the tasks that outlast the run, has the troubles strike meanwhile, and waits for the starts.
 func (s *session) fill(ctx context.Context, size *SizeReport) error {
 	begun := s.cluster.ledger.now()
+	troubles := &troublemaker{cluster: s.cluster, tell: s.tell, version: s.cluster.configuration.parsed.Version}
+	troubled := make(chan error, 1)
+	go func() { troubled <- troubles.run(ctx, s.options.Troubles) }()
 	first := s.cluster.fleet.world.Stats().Starts
 	limited, cancel := context.WithTimeout(ctx, fillLimit)
 	defer cancel()
@@ -105,7 +108,7 @@
 	size.FillSeconds = (s.cluster.ledger.now() - begun).Seconds()
 	size.FillStartsPerS = float64(started) / size.FillSeconds
 	s.tell(fmt.Sprintf("%d of %d lasting tasks started", started, size.Wanted))
-	return ctx.Err()
+	return firstOf(<-troubled, ctx.Err())
 }
 
 func (s *session) resident() (jobKind, *clusterconfig.Route) {
