Test shares of 160 tenants while replicas take over from one another

Three replicas with disks in memory, peers and workers reached without sockets, in a synctest bubble: 160 tenants hand 960 jobs in at all replicas while the head is cut off again and again. At each commit of each replica, and at each start on a worker, no tenant has more than its share; no task is held for 5 s beside an unused part of the share and free room.

go test -race ./internal/system/control

--- /dev/null
+++ b/internal/system/control/shares_test.go
@@ -0,0 +1,307 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/system/internalapi"
+	"gaugeslip/internal/system/jobspec"
+	"gaugeslip/internal/system/state"
+)
+
+const (
+	shareSeeds   = 2
+	shareTenants = 160
+	jobsATenant  = 6
+	lookEvery    = 250 * time.Millisecond
+	// longestIdle is how long a task may be held beside room that it could have: reservations of room and pauses end within that.
+	longestIdle = 5 * time.Second
+	cutLength   = 1500 * time.Millisecond
+	cutEvery    = 4 * time.Second
+	cuts        = 5
+)
+
+// shareServices are the services of every tenant; its share is one for both.
+var shareServices = []string{"farm", "mill"}
+
+func tenantName(number int) string { return fmt.Sprintf("tenant-%03d", number) }
+
+func routeName(number int, service string) string { return tenantName(number) + "-" + service }
+
+// shareConfig promises each tenant a few accelerators; together that is more than there are, so that room is scarce at times too.
+func shareConfig(random *rand.Rand) (body []byte, limits map[string]int64) {
+	limits = map[string]int64{}
+	tenants, routes := "", ""
+	for i := range shareTenants {
+		limits[tenantName(i)] = 2 + random.Int64N(6)
+		tenants += fmt.Sprintf(`,{"name":%q,"accelerators":%d}`, tenantName(i), limits[tenantName(i)])
+		for _, service := range shareServices {
+			routes += fmt.Sprintf(`,{"name":%q,"tenant":%q,"host":"%s.example","pathPrefix":"/%d/","type":"idempotent","timeoutMs":2000,`+
+				`"targetLatencyMs":500,"backend":%q,"maxRetries":2,"extension":2}`, routeName(i, service), tenantName(i), service, i, service)
+		}
+	}
+	return fmt.Appendf(nil, `{"version":1,"tenants":[%s],"routes":[%s],"services":[{"name":"farm"},{"name":"mill"}]}`, tenants[1:],
+		routes[1:]), limits
+}
+
+// drawJob draws a job that its tenant's share can hold, and tells the workers of its tasks.
+func (w *shareWorld) drawJob(id uint64, tenant string) []byte {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	stage := jobspec.Stage{Count: 1 + w.random.IntN(3), GPUs: 1 + w.random.Int64N(2), CPU: 100, MemoryMb: 10, Gang: w.random.IntN(4) == 0,
+		Estimated: time.Duration(200+w.random.IntN(1200)) * time.Millisecond}
+	if stage.Gang && int64(stage.Count)*stage.GPUs > w.limits[tenant] {
+		stage.Count = 1
+	}
+	for index := range stage.Count {
+		name := state.TaskName{Job: state.JobID(id), Index: uint32(index)}.String()
+		w.tasks[name] = shareTask{tenant: tenant, accelerators: stage.GPUs, length: stage.Estimated}
+	}
+	body, err := (&jobspec.Spec{Text: "text", Stages: []jobspec.Stage{stage}}).Encode()
+	if err != nil {
+		w.t.Error(err)
+	}
+	return body
+}
+
+func (w *shareWorld) pause(most time.Duration) {
+	w.mutex.Lock()
+	pause := time.Duration(w.random.Int64N(int64(most)))
+	w.mutex.Unlock()
+	time.Sleep(pause) // of the bubble
+}
+
+// handIn hands all jobs of a tenant in, each until it is taken.
+func (w *shareWorld) handIn(number int) {
+	w.pause(15 * time.Second)
+	for i := range jobsATenant {
+		id := uint64(number*jobsATenant + i + 1)
+		args := internalapi.SubmitArgs{ID: id, Route: routeName(number, shareServices[i%len(shareServices)]),
+			Body: w.drawJob(id, tenantName(number))}
+		for replica := i; ; replica++ {
+			service := &Service{node: w.replicas[replica%shareReplicas].Node}
+			var reply internalapi.JobReply
+			if err := service.Submit(args, &reply); err == nil && reply.Verdict == internalapi.Done {
+				break
+			}
+			w.pause(200 * time.Millisecond)
+		}
+		w.pause(400 * time.Millisecond)
+	}
+}
+
+// lookAt runs a question on a replica's loop.
+func lookAt[T any](r *shareReplica, question func() T) T {
+	answers := make(chan T, 1)
+	r.loop.post(func() { answers <- question() })
+	return <-answers
+}
+
+// head is the replica that acts as the head; nil while none does.
+func (w *shareWorld) head() *shareReplica {
+	for _, r := range w.replicas {
+		if lookAt(r, func() bool { return r.acting() && r.scheduler != nil }) {
+			return r
+		}
+	}
+	return nil
+}
+
+// trouble cuts the head off again and again, so that others take over while it still believes itself the head for a moment.
+func (w *shareWorld) trouble() {
+	for range cuts {
+		time.Sleep(cutEvery)
+		if head := w.head(); head != nil {
+			w.setCut(head.number, true)
+			time.Sleep(cutLength)
+			w.setCut(head.number, false)
+		}
+	}
+}
+
+// watchIdle looks again and again for tasks that are held beside room on workers and in their tenant's share, until all jobs are over.
+func (w *shareWorld) watchIdle(deadline time.Duration) {
+	var since map[state.TaskName]time.Time
+	epoch := uint64(0)
+	for time.Since(w.started) < deadline {
+		time.Sleep(lookEvery)
+		head := w.head()
+		if head == nil {
+			since = nil
+			continue
+		}
+		view := lookAt(head, head.idleTasks)
+		if view.over == shareTenants*jobsATenant {
+			return
+		}
+		if view.epoch != epoch {
+			since, epoch = nil, view.epoch
+		}
+		since = w.prolong(since, view.idle)
+	}
+	w.t.Error("not all jobs are over in time")
+}
+
+// prolong keeps since when each task has been idle, and tells of those that are it for too long.
+func (w *shareWorld) prolong(since map[state.TaskName]time.Time, idle []state.TaskName) map[state.TaskName]time.Time {
+	next := make(map[state.TaskName]time.Time, len(idle))
+	for _, name := range idle {
+		next[name] = time.Now()
+		if from, known := since[name]; known {
+			next[name] = from
+		}
+		if time.Since(next[name]) > longestIdle {
+			w.t.Errorf("%v is held since %v though its share stands unused and room is free", name, next[name])
+		}
+	}
+	return next
+}
+
+// idleView is what a look at the head finds.
+type idleView struct {
+	epoch uint64
+	over  int
+	idle  []state.TaskName
+}
+
+// idleTasks finds tasks, and first members of gangs, that wait though share and workers have room. What its tenant keeps back for more at
+// once isn't idle.
+func (r *shareReplica) idleTasks() idleView {
+	view := idleView{epoch: r.schedulerEpoch}
+	free := r.freeRoom()
+	wanted := map[string]int64{} // the most that waits at once, by tenant
+	waiting := map[state.TaskName]*state.Job{}
+	for _, job := range r.engine.machine.Jobs() {
+		if job.State.Over() {
+			view.over++
+			continue
+		}
+		for _, name := range waitingTasks(job) {
+			waiting[name] = job
+			wanted[job.Tenant] = max(wanted[job.Tenant], needAtOnce(job))
+		}
+	}
+	for name, job := range waiting {
+		need := needAtOnce(job)
+		if need <= r.engine.machine.Quotas().Free(job.Tenant) && need == wanted[job.Tenant] && hasRoom(free[job.Service], job) {
+			view.idle = append(view.idle, name)
+		}
+	}
+	return view
+}
+
+// freeRoom is what is free on each worker, by service.
+func (r *shareReplica) freeRoom() map[string][]int64 {
+	free := map[string][]int64{}
+	for _, worker := range r.world.workers {
+		left := int64(acceleratorsEach)
+		if record := r.engine.machine.Worker(worker.instance); record != nil {
+			for run := range record.Runs {
+				left -= r.engine.machine.Job(run.Task.Job).Spec.Stages[0].GPUs
+			}
+		}
+		free[worker.service] = append(free[worker.service], left)
+	}
+	return free
+}
+
+// waitingTasks are the tasks of a job's one step that aren't done and don't run; of a gang its first member while none runs.
+func waitingTasks(job *state.Job) []state.TaskName {
+	var names []state.TaskName
+	stage := &job.Spec.Stages[0]
+	for index := range stage.Count {
+		name := state.TaskName{Job: job.ID, Index: uint32(index)}
+		task := job.Task(name)
+		if task == nil || !task.Done && len(task.Placements) == 0 {
+			names = append(names, name)
+		}
+	}
+	if stage.Gang && len(names) < stage.Count {
+		return nil
+	}
+	if stage.Gang {
+		return names[:1]
+	}
+	return names
+}
+
+func needAtOnce(job *state.Job) int64 {
+	stage := &job.Spec.Stages[0]
+	if stage.Gang {
+		return int64(stage.Count) * stage.GPUs
+	}
+	return stage.GPUs
+}
+
+func hasRoom(free []int64, job *state.Job) bool {
+	stage := &job.Spec.Stages[0]
+	fits := int64(0)
+	for _, left := range free {
+		fits += max(left, 0) / stage.GPUs
+	}
+	if stage.Gang {
+		return fits >= int64(stage.Count)
+	}
+	return fits > 0
+}
+
+// TestSharesHoldWhileReplicasTakeOver has 160 tenants hand jobs in at the same time, at all replicas, while the head is cut off again and
+// again. No tenant has more than its share at any commit of any replica nor on the workers, and nothing is held for long beside room.
+func TestSharesHoldWhileReplicasTakeOver(t *testing.T) {
+	for seed := range uint64(shareSeeds) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { synctest.Test(t, func(t *testing.T) { playShares(t, seed) }) })
+	}
+}
+
+func playShares(t *testing.T, seed uint64) {
+	body, limits := shareConfig(rand.New(rand.NewPCG(seed, 1)))
+	w := newShareWorld(t, seed, limits)
+	defer w.stop()
+	for w.head() == nil {
+		time.Sleep(lookEvery)
+	}
+	reply := w.head().replaceHere(internalapi.ReplaceArgs{Body: body}, operatorPatience)
+	require.Equal(t, internalapi.Done, reply.Verdict, reply.Text)
+
+	var clients sync.WaitGroup
+	for number := range shareTenants {
+		clients.Go(func() { w.handIn(number) })
+	}
+	clients.Go(w.trouble)
+	w.watchIdle(3 * time.Minute)
+	clients.Wait()
+	w.checkEnd()
+}
+
+// checkEnd looks at what there is when all is over.
+func (w *shareWorld) checkEnd() {
+	for _, r := range w.replicas {
+		lookAt(r, func() bool { return assert.NoError(w.t, r.engine.machine.Check()) })
+	}
+	head := w.head()
+	require.NotNil(w.t, head)
+	completed := lookAt(head, func() int {
+		count := 0
+		for _, job := range head.engine.machine.Jobs() {
+			if job.State == state.Completed {
+				count++
+			}
+		}
+		return count
+	})
+	epoch := lookAt(head, func() uint64 { return head.schedulerEpoch })
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.t.Logf("%d jobs completed, %d starts, %d tenants had their whole share, epoch %d, %v", completed, w.starts, len(w.atLimit), epoch,
+		time.Since(w.started))
+	assert.Equal(w.t, shareTenants*jobsATenant, completed)
+	assert.GreaterOrEqual(w.t, epoch, uint64(3), "hardly anybody took over")
+	assert.Greater(w.t, len(w.atLimit), shareTenants/2, "the shares hardly bound anybody")
+}
