Don't take a run that is being stopped for gone; don't stop a start in doubt

Change: a run whose stop somebody may have ordered is gone only when it has been absent for longer than a stop lasts; a start in doubt is no longer stopped but looked for when its due time (now 300 ms) has passed. The rewriting of the log is told in one line.

--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -41,8 +41,9 @@
 	committed func(took time.Duration)
 	installed func() // a snapshot took the place of the state
 	event     func(replica.Event)
-	failed    func(error) // the disk refuses
-	fault     func(error) // an invariant is broken: the process has to end before it does harm
+	rewritten func(bytes int64, took time.Duration) // the log was rewritten
+	failed    func(error)                           // the disk refuses
+	fault     func(error)                           // an invariant is broken: the process has to end before it does harm
 }
 
 // engine drives one replica core: its records to disk, its messages to peers, its committed entries to the machine. All its methods
@@ -172,12 +173,13 @@
 		return
 	}
 	e.rewriting = true
+	began := e.options.now()
 	e.disk.submit(diskJob{records: toLog(records), rewrite: true, done: func(err error) {
-		e.options.post(func() { e.compacted(err) })
+		e.options.post(func() { e.compacted(err, e.options.now()-began) })
 	}})
 }
 
-func (e *engine) compacted(err error) {
+func (e *engine) compacted(err error, took time.Duration) {
 	if e.closed {
 		return
 	}
@@ -187,6 +189,7 @@
 		return
 	}
 	e.compactAt = max(leastCompaction, compactionGrowth*e.disk.bytes())
+	e.options.rewritten(e.disk.bytes(), took)
 }
 
 // install puts a snapshot in the place of the state; what was proposed and isn't known to be committed is in doubt.
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -181,7 +181,7 @@
 	}
 	engine, err := newEngine(engineOptions{config: n.replicaConfig(), log: file, records: records, now: n.now, post: n.loop.post,
 		send: n.sender.Send, applied: n.applied, committed: n.counts.latency.Observe, installed: n.installed, event: n.event,
-		failed: n.engineFailed, fault: n.fail})
+		failed: n.engineFailed, fault: n.fail, rewritten: n.logRewritten})
 	if err != nil {
 		return fmt.Errorf("read log: %w", err)
 	}
@@ -432,3 +432,7 @@
 }
 
 var errNoHead = errors.New("no head is known")
+
+func (n *Node) logRewritten(bytes int64, took time.Duration) {
+	n.logger.Info("log rewritten", "bytes", bytes, "took", took.Round(time.Millisecond))
+}
--- a/internal/system/scheduler/holds.go
+++ b/internal/system/scheduler/holds.go
@@ -276,6 +276,7 @@
 			r = s.foreign(w, key)
 		}
 		r.mark = mark
+		r.absentAt = 0
 		s.present(r)
 		s.progress(r, listed)
 	}
--- a/internal/system/scheduler/runs.go
+++ b/internal/system/scheduler/runs.go
@@ -94,7 +94,7 @@
 func (s *Scheduler) voidAbsent(w *worker, hold *call, clockMs int64, mark uint64) {
 	for i := len(w.list) - 1; i >= 0; i-- { // backwards, as one may be dropped
 		r := w.list[i]
-		if r.mark == mark || !r.phase.mayRun() || !absent(r, hold, clockMs) {
+		if r.mark == mark || !r.phase.mayRun() || !absent(r, hold, clockMs) || !s.absentForGood(r, hold) {
 			continue
 		}
 		s.spoilGang(r)
@@ -102,6 +102,29 @@
 	}
 }
 
+// absentForGood tells whether an absent run can't be one that is just being stopped: until its end is listed, a worker may list it
+// nowhere, though it still runs. So wherever somebody may have ordered its stop, it has to be absent for longer than a stop lasts.
+func (s *Scheduler) absentForGood(r *run, hold *call) bool {
+	if !r.stopSent && (r.phase == runOrdered || r.phase == runDoubtful) {
+		return true
+	}
+	lasts := time.Duration(float64(s.bounds.Stop())*holdStretch) + stopMargin
+	if r.absentAt == 0 {
+		r.absentAt = s.now
+		w := r.worker
+		s.at(s.now+lasts+time.Millisecond, func() {
+			if w.runs[r.name] == r && r.absentAt > 0 {
+				s.probe(w)
+			}
+		})
+		return false
+	}
+	return hold.sentAt >= r.absentAt+lasts
+}
+
+// stopMargin is added to how long a stop lasts.
+const stopMargin = 20 * time.Millisecond
+
 func absent(r *run, hold *call, clockMs int64) bool {
 	if r.stopAnswered && hold.sentAt > r.stopAnswerAt {
 		return true
@@ -135,7 +158,7 @@
 		s.stopAgain(r, longestRetry)
 		return
 	}
-	r.stopOut = true
+	r.stopOut, r.stopSent = true, true
 	order := workerapi.StopOrder{Task: r.name.Task.String(), Attempt: int(r.name.Attempt), FenceToken: s.token}
 	s.send(Call{Kind: CallStop, Stop: order, Timeout: s.answers.timeout()}, w, r)
 }
--- a/internal/system/scheduler/starts.go
+++ b/internal/system/scheduler/starts.go
@@ -9,7 +9,7 @@
 )
 
 // startWindow is how long a worker may carry out a start, on its clock.
-const startWindow = 400 * time.Millisecond
+const startWindow = 300 * time.Millisecond
 
 // runPhase tells how much is certain of a run.
 type runPhase uint8
@@ -60,6 +60,8 @@
 
 	stopWanted    bool
 	stopOut       bool
+	stopSent      bool          // its stop may have been carried out
+	absentAt      time.Duration // when a list that lacks it was first seen; 0: it was listed since
 	stopFailures  int
 	stopAnswered  bool
 	stopAnswerAt  time.Duration
@@ -326,7 +328,6 @@
 	if r.worker.answeredAt < r.orderedAt {
 		s.silence(r.worker)
 	}
-	s.wantStop(r)
 	s.spoilGang(r)
 	s.at(r.worker.clock.surelyPast(r.dueAtMs), func() { s.probeFor(r) })
 }
