Give the control plane more of Go's processors, and look less often where answers are slow

Cause: with one processor of Go's a goroutine that waits for the disk holds all others up until the runtime notices; the head of a large fleet fell behind for seconds at a time, took its own slowness for lost answers, and doubled its looks. Change: at least three processors of Go's (the machine's one core stays one); a missing answer counts as lost only while answers are prompt; in a large fleet holds wait longer.

--- a/cmd/controlplane/run.go
+++ b/cmd/controlplane/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -19,7 +20,9 @@
 	collectorPercent = 200
 	// memoryShare is the part of the machine's memory from which on the collector works harder.
 	memoryShare = 0.6
-	megabyte    = 1 << 20
+	// leastProcessors lets other goroutines run while one waits for the disk: with one processor of Go's, a sync holds them all up.
+	leastProcessors = 3
+	megabyte        = 1 << 20
 )
 
 var errNoSettings = errors.New("no settings file: set " + nodesettings.FileVariable)
@@ -39,6 +42,7 @@
 		logger.SetLevel(log.DebugLevel)
 	}
 	limitMemory(settings)
+	runtime.GOMAXPROCS(max(runtime.GOMAXPROCS(0), leastProcessors))
 	node, err := control.Start(control.Options{Settings: settings, Logger: logger})
 	if err != nil {
 		return fmt.Errorf("start: %w", err)
--- a/internal/system/scheduler/calls.go
+++ b/internal/system/scheduler/calls.go
@@ -40,7 +40,10 @@
 	longestTimeout  = 700 * time.Millisecond
 	// timeoutFactor is how many times the mean answer time a call waits; answerMemory is over how many answers that mean goes.
 	timeoutFactor = 8
-	answerMemory  = 64
+	answerMemory  = 24
+	// promptAnswer is up to which mean answer time a missing answer counts as lost: beyond it, this replica or the way is slow itself, and
+	// more calls would make that worse.
+	promptAnswer = 25 * time.Millisecond
 	// hedgePart is after which part of its time-out a start is sent a second time.
 	hedgePart = 4
 	// firstAnswerTime is the mean before anything was measured.
@@ -83,6 +86,13 @@
 // unanswered takes note of a call without an answer; if its worker has answered another call since, the answer was lost.
 func (s *Scheduler) unanswered(ended *call) {
 	if ended.worker.answeredAt > ended.sentAt {
+		s.answerLost()
+	}
+}
+
+// answerLost takes note of a lost answer, unless answers are slow altogether.
+func (s *Scheduler) answerLost() {
+	if s.answers.mean < promptAnswer {
 		s.answers.lossyUntil = s.now + lossyFor
 	}
 }
--- a/internal/system/scheduler/holds.go
+++ b/internal/system/scheduler/holds.go
@@ -12,8 +12,10 @@
 	// longestWait is how long a hold waits for an end where nothing runs, runningWait where something does, and lossyWait while
 	// answers are lost now and then: what an end costs whose hold was lost.
 	longestWait = workerapi.MaxWaitMs * time.Millisecond
+	// In a large fleet both are longer, so that there are no more than some looks a second.
 	runningWait = 600 * time.Millisecond
 	lossyWait   = 200 * time.Millisecond
+	waitAWorker = 3 * time.Millisecond
 	// failuresToSilence is after how many unanswered holds a worker counts as out of reach, lossyFailures while answers are lost.
 	failuresToSilence = 2
 	lossyFailures     = 4
@@ -120,9 +122,11 @@
 	}
 	wait := min(longestWait, s.bounds.MaxHold()/3)
 	if len(w.runs) > 0 {
-		wait = min(wait, runningWait)
+		share := waitAWorker * time.Duration(len(s.workers))
 		if s.lossy() {
-			wait = lossyWait
+			wait = min(wait, max(lossyWait, share/2))
+		} else {
+			wait = min(wait, max(runningWait, share))
 		}
 	}
 	for _, r := range w.list {
@@ -222,7 +226,7 @@
 // holdAnswered takes in both lists of a worker.
 func (s *Scheduler) holdAnswered(w *worker, ended *call, reply *workerapi.HoldReply) {
 	if w.hold.failures > 0 && w.reach == answering {
-		s.answers.lossyUntil = s.now + lossyFor
+		s.answerLost()
 	}
 	w.hold.failures = 0
 	news := s.takeLists(w, ended, reply)
