Ask again for a page of the platform's list that was refused for the rate

Cause: a list of many pages, read at once, ran over the platform's rate, and one refused page threw all others away: from about 1,500 workers in pages of 50 the head never had a list (docs/CAPACITY.md). Change: a further page that is refused waits 120 ms and is asked for again, ten times at most. Not measured at that size yet.

--- a/internal/system/control/roles.go
+++ b/internal/system/control/roles.go
@@ -16,7 +16,7 @@
 	clockCallTimeout  = 400 * time.Millisecond
 	housekeepingEvery = time.Second
 	listEvery         = 900 * time.Millisecond
-	listTimeout       = 2 * time.Second
+	listTimeout       = 4 * time.Second
 	listRetryFirst    = 300 * time.Millisecond
 	listRetryMost     = 2 * time.Second
 	forgetAtMost      = 8192
--- a/internal/system/workerapi/list.go
+++ b/internal/system/workerapi/list.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"gaugeslip/internal/pause"
 )
 
 const (
@@ -14,6 +16,9 @@
 	maxListPages       = 10_000
 	listConnections    = 2
 	defaultListTimeout = 5 * time.Second
+	// ratePause is how long a page that was refused for the rate waits, mostPageTries how often it is asked for.
+	ratePause     = 120 * time.Millisecond
+	mostPageTries = 10
 )
 
 // Errors of the platform's list.
@@ -62,11 +67,12 @@
 // ListClient reads the platform's list. It is safe for concurrent use.
 type ListClient struct {
 	transport *http.Transport
+	pause     func(ctx context.Context, length time.Duration) error
 }
 
 // NewListClient returns a client that has no connection yet.
 func NewListClient() *ListClient {
-	return &ListClient{transport: newTransport(newConnectionBound(listConnections), listConnections)}
+	return &ListClient{transport: newTransport(newConnectionBound(listConnections), listConnections), pause: pause.For}
 }
 
 // Close closes the connections that no call uses.
@@ -83,7 +89,7 @@
 	var instances []Instance
 	token := ""
 	for range maxListPages {
-		page, err := client.page(ctx, address, token)
+		page, err := client.patientPage(ctx, address, token)
 		if err != nil {
 			return nil, fmt.Errorf("list of %s: %w", address, err)
 		}
@@ -99,6 +105,20 @@
 	return nil, fmt.Errorf("list of %s: %w", address, ErrEndlessList)
 }
 
+// patientPage reads a page; one that is refused for the rate is asked for again, so that a list of many pages gets through: the pages
+// read so far aren't thrown away.
+func (client *ListClient) patientPage(ctx context.Context, address, token string) (listPage, error) {
+	for try := 1; ; try++ {
+		page, err := client.page(ctx, address, token)
+		if !errors.Is(err, ErrRateLimited) || try == mostPageTries || token == "" {
+			return page, err
+		}
+		if pauseErr := client.pause(ctx, ratePause); pauseErr != nil {
+			return page, err
+		}
+	}
+}
+
 func (client *ListClient) page(ctx context.Context, address, token string) (listPage, error) {
 	response, err := client.transport.RoundTrip(newListRequest(ctx, address, token))
 	if err != nil {
