Let both programs share their common commands, logger and memory limit

The check of a configuration, the version, the logger and the limit of memory stood in both programs: they are console's now. Waits that a context ends stood twice beside internal/pause; the scheduler's Seed was read by nobody. Behaviour stays.

--- a/cmd/controlplane/main.go
+++ b/cmd/controlplane/main.go
@@ -3,12 +3,10 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/alecthomas/kong"
 
-	"gaugeslip/internal/system/clusterconfig"
 	"gaugeslip/internal/system/console"
 	"gaugeslip/internal/system/nodesettings"
 )
@@ -30,8 +28,8 @@
 	Handover      handoverCommand      `cmd:"" help:"Have the head hand over to its successor; it comes back as a learner."`
 	Log           logCommands          `cmd:"" help:"Look at a replica's log on disk, which is not changed, or restore from it."`
 	CheckSettings checkSettingsCommand `cmd:"" help:"Check a settings file and print all findings (exit code 2)."`
-	CheckConfig   checkConfigCommand   `cmd:"" help:"Check an operator's configuration and print all findings (exit code 2)."`
-	Version       versionCommand       `cmd:"" help:"Print the version."`
+	CheckConfig   console.CheckConfig  `cmd:"" help:"Check an operator's configuration and print all findings (exit code 2)."`
+	Version       console.ShowVersion  `cmd:"" help:"Print the version."`
 }
 
 type checkSettingsCommand struct {
@@ -45,7 +43,7 @@
 
 func loadSettings(path string) (*nodesettings.Settings, error) {
 	if path == "" {
-		return nil, errNoSettings
+		return nil, console.ErrNoSettings
 	}
 	settings, err := nodesettings.Load(path)
 	if err != nil {
@@ -54,32 +52,10 @@
 	return settings, settings.Check(nodesettings.RoleControlPlane)
 }
 
-type checkConfigCommand struct {
-	File string `arg:"" help:"Configuration (JSON)."`
-}
-
-func (c *checkConfigCommand) Run() error {
-	body, err := os.ReadFile(c.File)
-	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	if _, err := clusterconfig.Parse(body); err != nil {
-		return fmt.Errorf("configuration %s: %w", c.File, err)
-	}
-	return nil
-}
-
-type versionCommand struct{}
-
-func (versionCommand) Run(printer *console.Printer) error {
-	_, err := fmt.Fprintln(printer.Out, "gaugeslip", programName, version)
-	return err
-}
-
 func main() {
 	var line commandLine
 	context := kong.Parse(&line, kong.Name(programName), kong.Description("A replica of gaugeslip's control plane, and its operators' commands."))
-	if err := context.Run(&console.Printer{Out: os.Stdout}); err != nil {
+	if err := context.Run(&console.Printer{Out: os.Stdout}, console.Program{Name: programName, Version: version}); err != nil {
 		os.Exit(console.Report(os.Stderr, programName, err))
 	}
 }
--- a/cmd/controlplane/main_test.go
+++ b/cmd/controlplane/main_test.go
@@ -70,7 +70,7 @@
 	_, err = execute(t, "check-settings", filepath.Join(t.TempDir(), "none"))
 	assert.Equal(t, console.ExitFault, exitCode(err))
 	_, err = execute(t, "check-settings")
-	assert.ErrorIs(t, err, errNoSettings)
+	assert.ErrorIs(t, err, console.ErrNoSettings)
 }
 
 func TestCheckConfig(t *testing.T) {
@@ -85,7 +85,7 @@
 func TestRunIsTheDefaultAndNeedsSettings(t *testing.T) {
 	t.Setenv("GAUGESLIP_NODE_FILE", "")
 	_, err := execute(t)
-	assert.ErrorIs(t, err, errNoSettings)
+	assert.ErrorIs(t, err, console.ErrNoSettings)
 	_, err = execute(t, "run", "--settings", written(t, `ip = "127.0.0.1"`))
 	assert.Equal(t, console.ExitFindings, exitCode(err))
 }
--- a/cmd/controlplane/run.go
+++ b/cmd/controlplane/run.go
@@ -1,31 +1,20 @@
 package main
 
 import (
-	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"runtime"
-	"runtime/debug"
 	"syscall"
 
 	"github.com/charmbracelet/log"
 
+	"gaugeslip/internal/system/console"
 	"gaugeslip/internal/system/control"
-	"gaugeslip/internal/system/nodesettings"
 )
 
-const (
-	// collectorPercent makes collections rare: they cost processor time.
-	collectorPercent = 200
-	// memoryShare is the part of the machine's memory from which on the collector works harder.
-	memoryShare = 0.6
-	// leastProcessors lets other goroutines run while one waits for the disk: with one processor of Go's, a sync holds them all up.
-	leastProcessors = 3
-	megabyte        = 1 << 20
-)
-
-var errNoSettings = errors.New("no settings file: set " + nodesettings.FileVariable)
+// leastProcessors lets other goroutines run while one waits for the disk: with one processor of Go's, a sync holds them all up.
+const leastProcessors = 3
 
 type runCommand struct {
 	Settings string `env:"GAUGESLIP_NODE_FILE" placeholder:"FILE" help:"Settings file (TOML). No default."`
@@ -37,11 +26,8 @@
 	if err != nil {
 		return err
 	}
-	logger := log.NewWithOptions(os.Stderr, log.Options{ReportTimestamp: true})
-	if c.Debug {
-		logger.SetLevel(log.DebugLevel)
-	}
-	limitMemory(settings)
+	logger := console.NewLogger(c.Debug)
+	console.LimitMemory(settings.Limits.MemoryMb)
 	runtime.GOMAXPROCS(max(runtime.GOMAXPROCS(0), leastProcessors))
 	node, err := control.Start(control.Options{Settings: settings, Logger: logger})
 	if err != nil {
@@ -50,12 +36,6 @@
 	return serve(node, c.Settings, logger)
 }
 
-// limitMemory keeps the collector well under the machine's limit; rare collections cost less processor time.
-func limitMemory(settings *nodesettings.Settings) {
-	debug.SetGCPercent(collectorPercent)
-	debug.SetMemoryLimit(int64(settings.Limits.MemoryMb * memoryShare * megabyte))
-}
-
 // serve waits for signals: SIGHUP reads the settings again, SIGTERM hands over and ends.
 func serve(node *control.Node, path string, logger *log.Logger) error {
 	signals := make(chan os.Signal, 4)
--- a/cmd/dataplane/main.go
+++ b/cmd/dataplane/main.go
@@ -2,12 +2,10 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/alecthomas/kong"
 
-	"gaugeslip/internal/system/clusterconfig"
 	"gaugeslip/internal/system/console"
 	"gaugeslip/internal/system/dataplane"
 )
@@ -21,8 +19,8 @@
 	Run           runCommand           `cmd:"" default:"1" help:"Run the dispatcher until SIGTERM."`
 	Status        statusCommand        `cmd:"" help:"Show a running dispatcher: readiness, configuration, chain, answers by status."`
 	CheckSettings checkSettingsCommand `cmd:"" help:"Check a settings file and print all findings (exit code 2)."`
-	CheckConfig   checkConfigCommand   `cmd:"" help:"Check an operator's configuration and print all findings (exit code 2)."`
-	Version       versionCommand       `cmd:"" help:"Print the version."`
+	CheckConfig   console.CheckConfig  `cmd:"" help:"Check an operator's configuration and print all findings (exit code 2)."`
+	Version       console.ShowVersion  `cmd:"" help:"Print the version."`
 }
 
 type checkSettingsCommand struct {
@@ -31,38 +29,16 @@
 
 func (c *checkSettingsCommand) Run() error {
 	if c.File == "" {
-		return errNoSettings
+		return console.ErrNoSettings
 	}
 	_, err := dataplane.OpenSettings(c.File)
 	return err
 }
 
-type checkConfigCommand struct {
-	File string `arg:"" help:"Configuration (JSON)."`
-}
-
-func (c *checkConfigCommand) Run() error {
-	body, err := os.ReadFile(c.File)
-	if err != nil {
-		return fmt.Errorf("configuration: %w", err)
-	}
-	if _, err := clusterconfig.Parse(body); err != nil {
-		return fmt.Errorf("configuration %s: %w", c.File, err)
-	}
-	return nil
-}
-
-type versionCommand struct{}
-
-func (versionCommand) Run(printer *console.Printer) error {
-	_, err := fmt.Fprintln(printer.Out, "gaugeslip", programName, version)
-	return err
-}
-
 func main() {
 	var line commandLine
 	context := kong.Parse(&line, kong.Name(programName), kong.Description("The dispatcher of gaugeslip's data plane, and its operators' commands."))
-	if err := context.Run(&console.Printer{Out: os.Stdout}); err != nil {
+	if err := context.Run(&console.Printer{Out: os.Stdout}, console.Program{Name: programName, Version: version}); err != nil {
 		os.Exit(console.Report(os.Stderr, programName, err))
 	}
 }
--- a/cmd/dataplane/main_test.go
+++ b/cmd/dataplane/main_test.go
@@ -59,6 +59,6 @@
 func TestRunIsTheDefault(t *testing.T) {
 	t.Setenv("GAUGESLIP_NODE_FILE", "")
 	assert.Equal(t, "run", parse(t).Command())
-	assert.ErrorIs(t, parse(t).Run(), errNoSettings)
+	assert.ErrorIs(t, parse(t).Run(), console.ErrNoSettings)
 	assert.Equal(t, console.ExitFault, console.Report(io.Discard, programName, errors.New("any")))
 }
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -289,8 +289,7 @@
 	if event.Continued && n.scheduler != nil {
 		return
 	}
-	n.scheduler = scheduler.New(scheduler.Options{Token: event.Epoch, Machine: n.engine.machine, Bounds: n.settings.Bounds,
-		Seed: rand.Uint64()}, n.now())
+	n.scheduler = scheduler.New(scheduler.Options{Token: event.Epoch, Machine: n.engine.machine, Bounds: n.settings.Bounds}, n.now())
 	n.schedulerEpoch = event.Epoch
 	n.listAt, n.listing = 0, false
 	if n.config != nil {
--- a/internal/system/dataplane/certainty_test.go
+++ b/internal/system/dataplane/certainty_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"gaugeslip/internal/pause"
 	"gaugeslip/internal/system/jobspec"
 )
 
@@ -92,7 +93,7 @@
 }
 
 func turnOvers(ctx context.Context, core *faultyCore) {
-	for sleep(ctx, time.Duration(1+core.draw(1500))*time.Millisecond) {
+	for pause.For(ctx, time.Duration(1+core.draw(1500))*time.Millisecond) == nil {
 		core.turnOver()
 	}
 }
--- a/internal/system/dataplane/poller.go
+++ b/internal/system/dataplane/poller.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"gaugeslip/internal/pause"
 	"gaugeslip/internal/system/internalapi"
 )
 
@@ -66,7 +67,7 @@
 		case <-p.poked:
 		}
 		p.Look()
-		if !sleep(ctx, p.options.PokeGap) {
+		if pause.For(ctx, p.options.PokeGap) != nil {
 			return
 		}
 		timer.Reset(p.interval())
@@ -150,15 +151,3 @@
 		p.onError(err)
 	}
 }
-
-// sleep waits; false when the context ended.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/system/localcluster/clients.go
+++ b/internal/system/localcluster/clients.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"gaugeslip/internal/pause"
 	"gaugeslip/internal/system/hollow"
 )
 
@@ -51,7 +52,7 @@
 // handIn tries until there is a clear answer, and tells whether the job was taken.
 func (c *clients) handIn(ctx context.Context, drawn *draft) bool {
 	inDoubt := false
-	pause := firstRetryPause
+	gap := firstRetryPause
 	for range mostTries {
 		c.ledger.tried(drawn.id)
 		status, _, err := c.call(ctx, http.MethodPost, drawn)
@@ -62,10 +63,10 @@
 		case err != nil || status == http.StatusBadGateway || status == http.StatusGatewayTimeout:
 			inDoubt = true
 		}
-		if !pauseFor(ctx, pause) {
+		if pause.For(ctx, gap) != nil {
 			break
 		}
-		pause *= 2
+		gap *= 2
 	}
 	if !inDoubt {
 		c.ledger.settle(drawn.id, verdictRefused)
@@ -76,9 +77,9 @@
 
 // follow asks for the job's state until it is over.
 func (c *clients) follow(ctx context.Context, drawn *draft) {
-	pause := max(statusPause, drawn.work)
-	for pauseFor(ctx, pause) {
-		pause = min(max(pause/4, statusPause)*2, longestStatus)
+	gap := max(statusPause, drawn.work)
+	for pause.For(ctx, gap) == nil {
+		gap = min(max(gap/4, statusPause)*2, longestStatus)
 		status, body, err := c.call(ctx, http.MethodGet, drawn)
 		if err != nil {
 			continue
@@ -159,7 +160,7 @@
 				return nil
 			}
 		}
-		if !pauseFor(ctx, readyPause) {
+		if pause.For(ctx, readyPause) != nil {
 			return ctx.Err()
 		}
 	}
@@ -170,15 +171,3 @@
 	c.group.Wait()
 	c.client.CloseIdleConnections()
 }
-
-// pauseFor waits; false when the context has ended.
-func pauseFor(ctx context.Context, span time.Duration) bool {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/system/localcluster/run.go
+++ b/internal/system/localcluster/run.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"gaugeslip/internal/pause"
 	"gaugeslip/internal/system/clusterconfig"
 )
 
@@ -127,14 +128,14 @@
 		if due >= end {
 			break
 		}
-		if wait := due - s.cluster.ledger.now(); wait > 0 && !pauseFor(ctx, wait) {
+		if wait := due - s.cluster.ledger.now(); wait > 0 && pause.For(ctx, wait) != nil {
 			return ctx.Err()
 		}
 		if err := s.hand(ctx, next); err != nil {
 			return err
 		}
 	}
-	pauseFor(ctx, end-s.cluster.ledger.now())
+	_ = pause.For(ctx, end-s.cluster.ledger.now())
 	return ctx.Err()
 }
 
@@ -160,7 +161,7 @@
 func (s *session) awaitJobs(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, s.options.Patience)
 	defer cancel()
-	for s.cluster.ledger.waiting() > 0 && pauseFor(limited, waitEvery) {
+	for s.cluster.ledger.waiting() > 0 && pause.For(limited, waitEvery) == nil {
 	}
 }
 
@@ -177,7 +178,7 @@
 	if s.options.Table == nil {
 		return
 	}
-	for pauseFor(ctx, tableEvery) {
+	for pause.For(ctx, tableEvery) == nil {
 		s.tell(s.cluster.line())
 	}
 }
--- a/internal/system/localcluster/scale.go
+++ b/internal/system/localcluster/scale.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"gaugeslip/internal/pause"
 	"gaugeslip/internal/system/clusterconfig"
 )
 
@@ -75,7 +76,7 @@
 func (s *session) awaitContact(ctx context.Context, size *SizeReport) {
 	limited, cancel := context.WithTimeout(ctx, contactLimit)
 	defer cancel()
-	for s.cluster.fleet.world.Stats().Holds < s.options.Workers && pauseFor(limited, waitEvery) {
+	for s.cluster.fleet.world.Stats().Holds < s.options.Workers && pause.For(limited, waitEvery) == nil {
 	}
 	size.ContactSeconds = (s.cluster.ledger.now() - s.from).Seconds()
 	s.tell("all workers were called on, or patience is over")
@@ -95,14 +96,14 @@
 		if err := s.hand(ctx, s.resident); err != nil {
 			return err
 		}
-		pauseFor(limited, time.Second/fillJobsASecond)
+		_ = pause.For(limited, time.Second/fillJobsASecond)
 	}
 	started := 0
 	for limited.Err() == nil {
 		if started = s.cluster.fleet.world.Stats().Starts - first; started >= size.Wanted {
 			break
 		}
-		pauseFor(limited, waitEvery)
+		_ = pause.For(limited, waitEvery)
 	}
 	size.Resident = started
 	size.FillSeconds = (s.cluster.ledger.now() - begun).Seconds()
--- a/internal/system/localcluster/trouble.go
+++ b/internal/system/localcluster/trouble.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"gaugeslip/internal/pause"
 	"gaugeslip/internal/system/hollow"
 )
 
@@ -25,7 +26,7 @@
 	for i := range troubles {
 		trouble := &troubles[i]
 		group.Go(func() {
-			if !pauseFor(ctx, trouble.at) {
+			if pause.For(ctx, trouble.at) != nil {
 				return
 			}
 			t.tell("trouble: " + trouble.String())
@@ -127,7 +128,7 @@
 	switch trouble.Kind {
 	case troubleFreeze:
 		child.freeze()
-		pauseFor(ctx, trouble.length)
+		_ = pause.For(ctx, trouble.length)
 		child.thaw()
 		return nil
 	case troubleRestart:
@@ -140,7 +141,7 @@
 			return err
 		}
 	}
-	pauseFor(ctx, trouble.length)
+	_ = pause.For(ctx, trouble.length)
 	return child.start()
 }
 
@@ -172,7 +173,7 @@
 	if !struck {
 		return fmt.Errorf("there is no worker:%d", trouble.target.index)
 	}
-	pauseFor(ctx, trouble.length)
+	_ = pause.For(ctx, trouble.length)
 	return nil
 }
 
--- a/internal/system/scheduler/scheduler.go
+++ b/internal/system/scheduler/scheduler.go
@@ -30,8 +30,6 @@
 	Machine *state.Machine
 	// Bounds are the figures of the rules in force.
 	Bounds nodesettings.Bounds
-	// Seed varies choices between equals.
-	Seed uint64
 }
 
 // Output is what is to be done now.
--- a/internal/system/scheduler/world_test.go
+++ b/internal/system/scheduler/world_test.go
@@ -123,7 +123,7 @@
 func (w *world) elect() {
 	w.depose()
 	w.token++
-	options := Options{Token: w.token, Machine: w.machine, Bounds: w.bounds, Seed: w.seed}
+	options := Options{Token: w.token, Machine: w.machine, Bounds: w.bounds}
 	w.sched = New(options, w.now)
 	w.sched.Configured(w.now, w.config())
 	w.sched.WallClock(w.now, w.unixMs())
