--- a/cmd/controlplane/main_test.go
+++ b/cmd/controlplane/main_test.go
@@ -25,7 +25,7 @@
 		return "", err
 	}
 	var out bytes.Buffer
-	err = context.Run(&console.Printer{Out: &out})
+	err = context.Run(&console.Printer{Out: &out}, console.Program{Name: programName, Version: version})
 	return out.String(), err
 }
 
--- a/cmd/dataplane/status_test.go
+++ b/cmd/dataplane/status_test.go
@@ -75,6 +75,6 @@
 
 func TestVersion(t *testing.T) {
 	var out strings.Builder
-	require.NoError(t, parse(t, "version").Run(&console.Printer{Out: &out}))
+	require.NoError(t, parse(t, "version").Run(&console.Printer{Out: &out}, console.Program{Name: programName, Version: version}))
 	assert.Contains(t, out.String(), version)
 }
