Let reads wait for all that was acknowledged before they came

The tail answered from what it had applied, and it learns last what is committed: a Config.Read right after an acknowledgement gave the configuration before. A tail that had just restarted gave the state of its last rewritten log, however old, once the head had permitted it to read; a new head gave what it had applied before its predecessor's last entries were committed again. Reads now take Replica.ReadIndex when they come (at the head too: what it inherited and what it has committed), wait until that is applied, and end unanswered with a change of view. Digest says Serving only where that holds.

TestReadsShowWhatIsAcknowledged showed version 1 after 2 was acknowledged; now it passes.

--- a/coord/replica/receive.go
+++ b/coord/replica/receive.go
@@ -157,9 +157,12 @@
 	return now < r.tail.readUntil && !r.leaving
 }
 
-// ReadIndex gives the index that has to be committed before a read that came now is answered, so that it shows all
-// that had been acknowledged. Only the tail has it.
+// ReadIndex gives the index that has to be applied before a read that came now is answered, so that it shows all
+// that had been acknowledged. The tail has it with its permission, the head with its lease.
 func (r *Replica) ReadIndex(now time.Duration) (uint64, bool) {
+	if r.IsHead(now) {
+		return max(r.Committed(), r.head.inherited), true
+	}
 	if !r.IsTail(now) || !r.chain.InStep() {
 		return 0, false
 	}
--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -56,6 +56,7 @@
 	appliedTo uint64
 	queue     []*proposal
 	flying    map[uint64]*proposal
+	reads     []waitingRead
 	wake      time.Duration
 	closed    bool
 	rewriting bool
@@ -124,7 +125,11 @@
 	for _, entry := range output.Committed {
 		e.apply(entry)
 	}
+	e.settleReads()
 	for _, event := range output.Events {
+		if _, changed := event.(replica.ViewChanged); changed {
+			e.refuseReads()
+		}
 		e.options.event(event)
 	}
 	e.wake = output.Wake
@@ -277,12 +282,6 @@
 // isHead tells whether this replica may act as the head now.
 func (e *engine) isHead() bool { return !e.closed && e.replica.IsHead(e.options.now()) }
 
-// mayRead tells whether the state may be shown to clients now: at the tail with its permission, or at the head with its lease.
-func (e *engine) mayRead() bool {
-	now := e.options.now()
-	return !e.closed && (e.replica.IsTail(now) || e.replica.IsHead(now))
-}
-
 // view is the newest view known here.
 func (e *engine) view() view.View { return e.replica.View() }
 
@@ -294,6 +293,7 @@
 	e.closed = true
 	e.disk.stop()
 	e.refuseQueued()
+	e.refuseReads()
 	for index, waiting := range e.flying {
 		delete(e.flying, index)
 		waiting.done(state.Result{}, fateInDoubt)
--- a/internal/system/control/looks.go
+++ b/internal/system/control/looks.go
@@ -41,13 +41,22 @@
 }
 
 // Jobs shows accepted jobs; the tail and the head can.
-func (s *Service) Jobs(args internalapi.JobsArgs, reply *internalapi.JobsReply) (err error) {
-	*reply, err = look(s.node, func() internalapi.JobsReply { return s.node.listJobs(args) })
-	return err
+func (s *Service) Jobs(args internalapi.JobsArgs, reply *internalapi.JobsReply) error {
+	answer := ask(s.node, lookPatience, (*internalapi.JobsReply)(nil), func(answer func(*internalapi.JobsReply)) {
+		s.node.engine.read(func(current bool) {
+			found := s.node.listJobs(args, current)
+			answer(&found)
+		})
+	})
+	if answer == nil {
+		return errBusy
+	}
+	*reply = *answer
+	return nil
 }
 
-func (n *Node) listJobs(args internalapi.JobsArgs) internalapi.JobsReply {
-	if !n.engine.mayRead() {
+func (n *Node) listJobs(args internalapi.JobsArgs, current bool) internalapi.JobsReply {
+	if !current {
 		return internalapi.JobsReply{Verdict: internalapi.NotHead, View: n.engine.view()}
 	}
 	var jobs []internalapi.JobOverview
--- /dev/null
+++ b/internal/system/control/reads_test.go
@@ -0,0 +1,178 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/system/internalapi"
+)
+
+// readWorld is a deployment with one configuration after the other, of which the newest acknowledged is known.
+type readWorld struct {
+	*shareWorld
+	acknowledged uint64
+}
+
+func startReadWorld(t *testing.T, seed uint64) *readWorld {
+	w := &readWorld{shareWorld: newShareWorld(t, seed, nil)}
+	time.Sleep(2 * time.Second) // of the bubble, as all pauses here
+	require.NotNil(t, w.head())
+	w.replace()
+	return w
+}
+
+// replace puts the next configuration in force, wherever there is a head, and notes it once it is acknowledged.
+func (w *readWorld) replace() {
+	next := w.acknowledged + 1
+	args := internalapi.ReplaceArgs{Base: w.acknowledged, Body: fmt.Appendf(nil, `{"version":%d}`, next)}
+	for attempt := 0; ; attempt++ {
+		reply := w.replicas[attempt%shareReplicas].replaceHere(args, operatorPatience)
+		if reply.Verdict == internalapi.Done {
+			w.acknowledged = next
+			return
+		}
+		require.Less(w.t, attempt, 100, "%v", reply)
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// tail is the replica at the chain's end, as the head knows it.
+func (w *readWorld) tail() *shareReplica {
+	head := w.head()
+	address := lookAt(head, func() string { return head.engine.view().Tail().Address })
+	for _, r := range w.replicas {
+		if r.self().Address == address {
+			return r
+		}
+	}
+	return nil
+}
+
+// Whoever asks after an acknowledgement is shown at least what was acknowledged, at the tail too, which learns last that it is
+// committed.
+func TestReadsShowWhatIsAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startReadWorld(t, 1)
+		defer w.stop()
+		for range 20 {
+			w.replace()
+			w.checkReads()
+			reply := w.tail().readHere()
+			assert.Equal(t, internalapi.Done, reply.Verdict, "the tail answers")
+			assert.Equal(t, w.acknowledged, reply.Version)
+		}
+	})
+}
+
+// checkReads asks every replica in every way; none may show less than what is acknowledged.
+func (w *readWorld) checkReads() {
+	for i, r := range w.replicas {
+		if reply := r.readHere(); reply.Verdict == internalapi.Done {
+			assert.Equal(w.t, w.acknowledged, reply.Version, "Read at %d", i)
+		}
+		var digest internalapi.DigestReply
+		service := &Service{node: r.Node}
+		require.NoError(w.t, service.Digest(internalapi.DigestArgs{}, &digest))
+		if digest.Serving {
+			assert.Equal(w.t, w.acknowledged, digest.ConfigVersion, "Digest at %d", i)
+		}
+	}
+}
+
+// A replica that is cut off says after a moment that it can't answer, whatever place it has in the chain; the others go on, and
+// nothing that it says contradicts them, then or at its return.
+func TestCutOffReplicaDoesNotAnswer(t *testing.T) {
+	for place := range shareReplicas {
+		t.Run(fmt.Sprint(place), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := startReadWorld(t, uint64(10+place))
+				defer w.stop()
+				head := w.head()
+				chain := lookAt(head, func() []string { return addresses(head.engine.view().Chain) })
+				for _, r := range w.replicas {
+					if r.self().Address == chain[place] {
+						w.cutOff(r, 20*time.Second)
+					}
+				}
+			})
+		})
+	}
+}
+
+// cutOff cuts a replica off for a while, asks and orders there, and goes on with the others.
+func (w *readWorld) cutOff(r *shareReplica, length time.Duration) {
+	w.setCut(r.number, true)
+	began := time.Now()
+	stale := internalapi.ReplaceArgs{Base: w.acknowledged, Body: fmt.Appendf(nil, `{"version":%d}`, 1000)}
+	for time.Since(began) < length {
+		time.Sleep(500 * time.Millisecond)
+		asked := time.Now()
+		assert.Equal(w.t, internalapi.NotHead, r.readHere().Verdict)
+		assert.Equal(w.t, internalapi.NotHead, r.replaceHere(stale, operatorPatience).Verdict)
+		var job internalapi.JobReply
+		require.NoError(w.t, (&Service{node: r.Node}).Cancel(internalapi.CancelArgs{ID: 1}, &job))
+		assert.Equal(w.t, internalapi.NotHead, job.Verdict)
+		assert.Less(w.t, time.Since(asked), 10*time.Millisecond, "it answers at once")
+		w.replace()
+		w.checkReads()
+	}
+	w.setCut(r.number, false)
+	for range 100 {
+		assert.NotEqual(w.t, internalapi.Done, r.replaceHere(stale, operatorPatience).Verdict)
+		w.checkReads()
+		time.Sleep(10 * time.Millisecond)
+	}
+	w.replace()
+	w.checkReads()
+}
+
+// A read that waits for a state ends with the view: its index may never be committed.
+func TestWaitingReadEndsWithTheView(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startReadWorld(t, 2)
+		defer w.stop()
+		tail, head := w.tail(), w.head()
+		answers := make(chan bool, 1)
+		tail.loop.post(func() {
+			tail.engine.reads = append(tail.engine.reads, waitingRead{index: 1 << 40, answer: func(current bool) { answers <- current }})
+		})
+		w.replace()
+		assert.Empty(t, answers, "it waits for its index")
+		w.setCut(head.number, true)
+		time.Sleep(3 * time.Second)
+		require.Len(t, answers, 1)
+		assert.False(t, <-answers)
+		w.setCut(head.number, false)
+	})
+}
+
+// At most so many reads wait, and a closed engine answers all.
+func TestWaitingReadsAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startReadWorld(t, 3)
+		defer w.stop()
+		tail := w.tail()
+		refused := lookAt(tail, func() int {
+			refused := 0
+			count := func(current bool) {
+				if !current {
+					refused++
+				}
+			}
+			for range mostWaitingReads {
+				tail.engine.reads = append(tail.engine.reads, waitingRead{index: 1 << 40, answer: count})
+			}
+			tail.engine.read(count)
+			assert.Equal(t, 1, refused)
+			tail.engine.close()
+			tail.engine.read(count)
+			return refused
+		})
+		assert.Equal(t, mostWaitingReads+2, refused)
+	})
+}
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -46,8 +46,10 @@
 func (s *Service) Digest(_ internalapi.DigestArgs, reply *internalapi.DigestReply) error {
 	*reply = ask(s.node, time.Second, internalapi.DigestReply{}, func(answer func(internalapi.DigestReply)) {
 		e := s.node.engine
-		answer(internalapi.DigestReply{Epoch: e.view().Epoch, ConfigVersion: e.machine.Config().Version, Serving: e.mayRead(),
-			UnixMs: time.Now().UnixMilli()})
+		e.read(func(current bool) {
+			answer(internalapi.DigestReply{Epoch: e.view().Epoch, ConfigVersion: e.machine.Config().Version, Serving: current,
+				UnixMs: time.Now().UnixMilli()})
+		})
 	})
 	return nil
 }
@@ -181,11 +183,13 @@
 func (s *Service) read(look func(*state.Machine) internalapi.JobReply) internalapi.JobReply {
 	refused := internalapi.JobReply{Verdict: internalapi.NotHead}
 	return ask(s.node, time.Second, refused, func(answer func(internalapi.JobReply)) {
-		if !s.node.engine.mayRead() {
-			answer(s.node.notHead())
-			return
-		}
-		answer(look(s.node.engine.machine))
+		s.node.engine.read(func(current bool) {
+			if !current {
+				answer(s.node.notHead())
+				return
+			}
+			answer(look(s.node.engine.machine))
+		})
 	})
 }
 
@@ -282,15 +286,18 @@
 func (n *Node) readHere() internalapi.ReadReply {
 	refused := internalapi.ReadReply{Verdict: internalapi.NotHead}
 	return ask(n, time.Second, refused, func(answer func(internalapi.ReadReply)) {
-		if !n.engine.mayRead() {
-			answer(internalapi.ReadReply{Verdict: internalapi.NotHead, View: n.engine.view()})
-			return
-		}
-		current := n.engine.machine.Config()
-		answer(internalapi.ReadReply{Verdict: internalapi.Done, Version: current.Version, Body: current.Body})
+		n.engine.read(func(current bool) { answer(n.readReply(current)) })
 	})
 }
 
+func (n *Node) readReply(current bool) internalapi.ReadReply {
+	if !current {
+		return internalapi.ReadReply{Verdict: internalapi.NotHead, View: n.engine.view()}
+	}
+	newest := n.engine.machine.Config()
+	return internalapi.ReadReply{Verdict: internalapi.Done, Version: newest.Version, Body: newest.Body}
+}
+
 // replaceAnywhere decides an order here or passes it on to the head, until it is decided or the patience is over.
 func (n *Node) replaceAnywhere(args internalapi.ReplaceArgs, patience time.Duration) internalapi.ReplaceReply {
 	deadline := time.Now().Add(patience)
--- a/internal/system/internalapi/api.go
+++ b/internal/system/internalapi/api.go
@@ -37,11 +37,11 @@
 // DigestArgs asks a replica what is newest there.
 type DigestArgs struct{}
 
-// DigestReply is what is newest at a replica; it may lag behind the head.
+// DigestReply is what is newest at a replica; it may lag behind the head unless the replica is Serving.
 type DigestReply struct {
 	Epoch         uint64
 	ConfigVersion uint64
-	// Serving tells whether the replica is in the chain of the view that it knows and that view's head holds its lease, as far as it knows.
+	// Serving tells that the reply shows all that had been acknowledged when the call came in.
 	Serving bool
 	// UnixMs is the replica's time of day, in milliseconds since 1970.
 	UnixMs int64
