--- /dev/null
+++ b/internal/system/control/headship.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"gaugeslip/coord/replica"
+	"gaugeslip/coord/view"
+	"gaugeslip/internal/system/internalapi"
+	"gaugeslip/internal/system/scheduler"
+)
+
+// event takes in what the replica core tells.
+func (n *Node) event(event replica.Event) {
+	switch event := event.(type) {
+	case replica.BecameHead:
+		n.becameHead(event)
+	case replica.LostHead:
+		n.schedulerActive = false
+		n.logger.Info("head's lease lost", "epoch", event.Epoch)
+	case replica.ViewChanged:
+		n.viewChanged(event.View)
+	case replica.Left:
+		n.handedOver()
+	}
+}
+
+// handedOver ends the wait of Leave; a replica that only its disk has taken out of the chain comes back.
+func (n *Node) handedOver() {
+	if n.leaving {
+		n.leaving = false
+		close(n.left)
+		return
+	}
+	n.handoverDone()
+}
+
+func (n *Node) becameHead(event replica.BecameHead) {
+	n.logger.Info("head", "epoch", event.Epoch, "continued", event.Continued, "quiet", n.commits.quiet(n.now()))
+	n.schedulerActive = true
+	if event.Continued && n.scheduler != nil {
+		return
+	}
+	n.scheduler = scheduler.New(scheduler.Options{Token: event.Epoch, Machine: n.engine.machine, Bounds: n.settings.Bounds}, n.now())
+	n.schedulerEpoch = event.Epoch
+	n.listAt, n.listing = 0, false
+	if n.config != nil {
+		n.scheduler.Configured(n.now(), n.config)
+	}
+}
+
+// dropScheduler ends the scheduler role here; what its calls come to concerns nobody any more.
+func (n *Node) dropScheduler() {
+	n.scheduler, n.schedulerActive = nil, false
+}
+
+func (n *Node) viewChanged(newest view.View) {
+	n.counts.views++
+	n.tellOfView(newest)
+	if newest.Head().ID != n.engine.replica.Self().ID {
+		n.dropScheduler()
+		n.engine.refuseQueued()
+	}
+	data, err := internalapi.EncodeView(newest)
+	if err != nil {
+		n.logger.Error("view not spread", "error", err)
+		return
+	}
+	n.spread(internalapi.KeyView, internalapi.ViewVersion(newest), data)
+}
+
+func addresses(members []view.Member) []string {
+	list := make([]string, len(members))
+	for i, member := range members {
+		list[i] = member.Address
+	}
+	return list
+}
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -3,28 +3,18 @@
 package control
 
 import (
-	"cmp"
 	"context"
 	"errors"
-	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
-	"os"
-	"slices"
 	"time"
 
 	"github.com/charmbracelet/log"
 
-	"gaugeslip/coord/gossip"
 	"gaugeslip/coord/membership"
-	"gaugeslip/coord/peersampling"
 	"gaugeslip/coord/replica"
 	"gaugeslip/coord/transport"
 	"gaugeslip/coord/view"
-	"gaugeslip/coord/wal"
 	"gaugeslip/internal/system/clusterconfig"
-	"gaugeslip/internal/system/internalapi"
 	"gaugeslip/internal/system/nodesettings"
 	"gaugeslip/internal/system/scheduler"
 	"gaugeslip/internal/system/state"
@@ -127,260 +117,6 @@
 	return view.Member{Address: n.settings.InternalAddress(), Control: n.settings.Bind.ControlPlane}
 }
 
-func (n *Node) listen() error {
-	server, err := transport.Listen(n.self().Address)
-	if err != nil {
-		return fmt.Errorf("listen for peers: %w", err)
-	}
-	n.server = server
-	n.members = membership.New(n.client, membership.Options{
-		Self:  peersampling.Peer{Address: n.self().Address, Role: RoleName, Zone: n.settings.Zone, Incarnation: uint64(time.Now().UnixNano())},
-		Seeds: n.settings.SeedInternalAddresses(), RandomSeed: rand.Uint64(), Clock: n.now,
-	})
-	receiver := transport.NewReceiver(n.received)
-	for name, service := range map[string]any{chainService: receiver, membership.ServiceName: n.members.Service(),
-		internalapi.Service: &Service{node: n}} {
-		if err := server.Register(name, service); err != nil {
-			return fmt.Errorf("register %s: %w", name, err)
-		}
-	}
-	return n.listenForOperator()
-}
-
-func (n *Node) listenForOperator() error {
-	listener, err := net.Listen("tcp", n.settings.Bind.ControlPlane)
-	if err != nil {
-		return fmt.Errorf("listen for the operator: %w", err)
-	}
-	api := &operatorAPI{replace: n.replaceAnywhere, read: n.readAnywhere, figures: n.serveFigures}
-	n.operator = &http.Server{Handler: api.handler(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
-	go func() { _ = n.operator.Serve(listener) }()
-	return nil
-}
-
-func (n *Node) received(messages []*replica.Message) {
-	n.loop.post(func() {
-		for _, message := range messages {
-			n.engine.step(replica.Receive{Message: message})
-		}
-	})
-}
-
-// startEngine opens the log and makes the replica from what it holds.
-func (n *Node) startEngine() error {
-	if err := os.MkdirAll(n.settings.DataDir, 0o755); err != nil {
-		return fmt.Errorf("data folder: %w", err)
-	}
-	folder, err := wal.OSDisk(n.settings.DataDir)
-	if err != nil {
-		return fmt.Errorf("data folder: %w", err)
-	}
-	file, records, err := wal.Open(folder, logName)
-	if err != nil {
-		return fmt.Errorf("open log: %w", err)
-	}
-	engine, err := newEngine(engineOptions{config: n.replicaConfig(), log: file, records: records, now: n.now, post: n.loop.post,
-		send: n.sender.Send, applied: n.applied, committed: n.counts.latency.Observe, installed: n.installed, event: n.event,
-		failed: n.engineFailed, fault: n.fail, rewritten: n.logRewritten})
-	if err != nil {
-		return fmt.Errorf("read log: %w", err)
-	}
-	n.engine = engine
-	n.tellOfDisk(len(records), file.Size())
-	n.configTaken()
-	n.engine.begin()
-	n.engine.step(replica.Contacts{Addresses: n.contacts()})
-	return nil
-}
-
-// replicaConfig names this replica; at the very first start a seed's identity is its address, so that all know the first view.
-func (n *Node) replicaConfig() replica.Config {
-	self := n.self()
-	seeds := n.settings.SeedInternalAddresses()
-	config := replica.Config{Tolerance: n.settings.FaultTolerance.Machines, Seed: rand.Uint64(), Grant: grant,
-		HeartbeatEvery: heartbeatEvery, DropAfter: dropAfter, StallAfter: stallAfter}
-	if n.settings.Bootstrap && slices.Contains(seeds, self.Address) {
-		self.ID = view.ReplicaID(self.Address)
-		config.Genesis = n.genesis()
-	} else {
-		self.ID = view.ReplicaID(fmt.Sprintf("%s#%016x", self.Address, rand.Uint64()))
-	}
-	config.Self = self
-	return config
-}
-
-func (n *Node) genesis() *view.View {
-	var first view.View
-	for i, address := range n.settings.SeedInternalAddresses() {
-		first.Voters = append(first.Voters, view.Member{ID: view.ReplicaID(address), Address: address, Control: n.settings.SeedNodes[i]})
-	}
-	slices.SortFunc(first.Voters, func(a, b view.Member) int { return cmp.Compare(a.ID, b.ID) })
-	first.Chain = slices.Clone(first.Voters)
-	return &first
-}
-
-// contacts are the replicas that this one knows of: the seeds and, among the peers, those that call themselves replicas.
-func (n *Node) contacts() []string {
-	addresses := n.settings.SeedInternalAddresses()
-	for _, peer := range n.members.Peers() {
-		if peer.Role == RoleName && !slices.Contains(addresses, peer.Address) {
-			addresses = append(addresses, peer.Address)
-		}
-	}
-	return slices.DeleteFunc(addresses, func(address string) bool { return address == n.self().Address })
-}
-
-// engineFailed takes the replica out; it comes back after a pause with what the disk holds.
-func (n *Node) engineFailed(err error) {
-	if n.engine == nil || n.engine.closed {
-		return
-	}
-	n.logger.Error("replica stopped", "error", err)
-	n.engine.step(replica.DiskFailed{})
-	n.dropScheduler()
-	n.engine.close()
-	time.AfterFunc(restartPause, func() { n.loop.post(n.restartEngine) })
-}
-
-func (n *Node) restartEngine() {
-	if n.leaving {
-		return
-	}
-	if !n.engine.disk.hasEnded() {
-		time.AfterFunc(restartPause, func() { n.loop.post(n.restartEngine) })
-		return
-	}
-	if err := n.startEngine(); err != nil {
-		n.logger.Error("replica doesn't start", "error", err)
-		time.AfterFunc(restartPause, func() { n.loop.post(n.restartEngine) })
-		return
-	}
-	n.logger.Info("replica started again")
-}
-
-// event takes in what the replica core tells.
-func (n *Node) event(event replica.Event) {
-	switch event := event.(type) {
-	case replica.BecameHead:
-		n.becameHead(event)
-	case replica.LostHead:
-		n.schedulerActive = false
-		n.logger.Info("head's lease lost", "epoch", event.Epoch)
-	case replica.ViewChanged:
-		n.viewChanged(event.View)
-	case replica.Left:
-		n.handedOver()
-	}
-}
-
-// handedOver ends the wait of Leave; a replica that only its disk has taken out of the chain comes back.
-func (n *Node) handedOver() {
-	if n.leaving {
-		n.leaving = false
-		close(n.left)
-		return
-	}
-	n.handoverDone()
-}
-
-func (n *Node) becameHead(event replica.BecameHead) {
-	n.logger.Info("head", "epoch", event.Epoch, "continued", event.Continued, "quiet", n.commits.quiet(n.now()))
-	n.schedulerActive = true
-	if event.Continued && n.scheduler != nil {
-		return
-	}
-	n.scheduler = scheduler.New(scheduler.Options{Token: event.Epoch, Machine: n.engine.machine, Bounds: n.settings.Bounds}, n.now())
-	n.schedulerEpoch = event.Epoch
-	n.listAt, n.listing = 0, false
-	if n.config != nil {
-		n.scheduler.Configured(n.now(), n.config)
-	}
-}
-
-// dropScheduler ends the scheduler role here; what its calls come to concerns nobody any more.
-func (n *Node) dropScheduler() {
-	n.scheduler, n.schedulerActive = nil, false
-}
-
-func (n *Node) viewChanged(newest view.View) {
-	n.counts.views++
-	n.tellOfView(newest)
-	if newest.Head().ID != n.engine.replica.Self().ID {
-		n.dropScheduler()
-		n.engine.refuseQueued()
-	}
-	data, err := internalapi.EncodeView(newest)
-	if err != nil {
-		n.logger.Error("view not spread", "error", err)
-		return
-	}
-	n.spread(internalapi.KeyView, internalapi.ViewVersion(newest), data)
-}
-
-func addresses(members []view.Member) []string {
-	list := make([]string, len(members))
-	for i, member := range members {
-		list[i] = member.Address
-	}
-	return list
-}
-
-// spread gives a value to the epidemic.
-func (n *Node) spread(key gossip.Key, version uint64, data []byte) {
-	members := n.members
-	go func() {
-		if err := members.Set(gossip.Value{Key: key, Version: gossip.Version{Major: version}, Data: data}); err != nil {
-			n.logger.Error("value not spread", "key", key, "error", err)
-		}
-	}()
-}
-
-// applied takes in a committed command.
-func (n *Node) applied(result state.Result) {
-	n.counts.applied(&result)
-	n.commits.note(n.now())
-	if result.Command.Kind == state.KindConfigReplaced && result.Outcome == state.Applied {
-		n.configStale = true
-	}
-	n.tellOfLoss(&result)
-	if n.scheduler != nil {
-		n.scheduler.Applied(n.now(), result)
-	}
-}
-
-// takeConfig puts the newest of the configurations in force that a batch of commits has brought; those before it are passed over.
-func (n *Node) takeConfig() {
-	if n.configStale {
-		n.configTaken()
-	}
-}
-
-// installed takes in that a snapshot took the place of the state.
-func (n *Node) installed() {
-	n.dropScheduler()
-	n.configTaken()
-}
-
-// configTaken puts the newest committed configuration in force here and gives it to the epidemic.
-func (n *Node) configTaken() {
-	n.configStale = false
-	current := n.engine.machine.Config()
-	if current.Version == 0 {
-		return
-	}
-	parsed, err := clusterconfig.Parse(current.Body)
-	if err != nil {
-		n.logger.Error("committed configuration can't be read", "version", current.Version, "error", err)
-		return
-	}
-	n.config = parsed
-	n.logger.Info("configuration in force", "version", current.Version)
-	if n.scheduler != nil {
-		n.scheduler.Configured(n.now(), parsed)
-	}
-	n.spread(internalapi.KeyConfig, current.Version, current.Body)
-}
-
 // Reload takes in settings that were read again; what can't change in a running process counts from the next start on.
 func (n *Node) Reload(settings *nodesettings.Settings) {
 	n.loop.post(func() {
@@ -431,7 +167,3 @@
 }
 
 var errNoHead = errors.New("no head is known")
-
-func (n *Node) logRewritten(bytes int64, took time.Duration) {
-	n.logger.Info("log rewritten", "bytes", bytes, "took", took.Round(time.Millisecond))
-}
--- /dev/null
+++ b/internal/system/control/sockets.go
@@ -0,0 +1,77 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"time"
+
+	"gaugeslip/coord/gossip"
+	"gaugeslip/coord/membership"
+	"gaugeslip/coord/peersampling"
+	"gaugeslip/coord/replica"
+	"gaugeslip/coord/transport"
+	"gaugeslip/internal/system/internalapi"
+)
+
+func (n *Node) listen() error {
+	server, err := transport.Listen(n.self().Address)
+	if err != nil {
+		return fmt.Errorf("listen for peers: %w", err)
+	}
+	n.server = server
+	n.members = membership.New(n.client, membership.Options{
+		Self:  peersampling.Peer{Address: n.self().Address, Role: RoleName, Zone: n.settings.Zone, Incarnation: uint64(time.Now().UnixNano())},
+		Seeds: n.settings.SeedInternalAddresses(), RandomSeed: rand.Uint64(), Clock: n.now,
+	})
+	receiver := transport.NewReceiver(n.received)
+	for name, service := range map[string]any{chainService: receiver, membership.ServiceName: n.members.Service(),
+		internalapi.Service: &Service{node: n}} {
+		if err := server.Register(name, service); err != nil {
+			return fmt.Errorf("register %s: %w", name, err)
+		}
+	}
+	return n.listenForOperator()
+}
+
+func (n *Node) listenForOperator() error {
+	listener, err := net.Listen("tcp", n.settings.Bind.ControlPlane)
+	if err != nil {
+		return fmt.Errorf("listen for the operator: %w", err)
+	}
+	api := &operatorAPI{replace: n.replaceAnywhere, read: n.readAnywhere, figures: n.serveFigures}
+	n.operator = &http.Server{Handler: api.handler(), ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 30 * time.Second}
+	go func() { _ = n.operator.Serve(listener) }()
+	return nil
+}
+
+func (n *Node) received(messages []*replica.Message) {
+	n.loop.post(func() {
+		for _, message := range messages {
+			n.engine.step(replica.Receive{Message: message})
+		}
+	})
+}
+
+// contacts are the replicas that this one knows of: the seeds and, among the peers, those that call themselves replicas.
+func (n *Node) contacts() []string {
+	addresses := n.settings.SeedInternalAddresses()
+	for _, peer := range n.members.Peers() {
+		if peer.Role == RoleName && !slices.Contains(addresses, peer.Address) {
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	return slices.DeleteFunc(addresses, func(address string) bool { return address == n.self().Address })
+}
+
+// spread gives a value to the epidemic.
+func (n *Node) spread(key gossip.Key, version uint64, data []byte) {
+	members := n.members
+	go func() {
+		if err := members.Set(gossip.Value{Key: key, Version: gossip.Version{Major: version}, Data: data}); err != nil {
+			n.logger.Error("value not spread", "key", key, "error", err)
+		}
+	}()
+}
