Make both programs' network, and a replica's disk and clock, replaceable

A simulated whole runs the programs' own code. control.Options and dataplane.Options have a Network (package network: Listen and Dial, nil for the operating system's sockets), control.Options a Disk and a Clock besides.

--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -14,7 +14,9 @@
 	"gaugeslip/coord/replica"
 	"gaugeslip/coord/transport"
 	"gaugeslip/coord/view"
+	"gaugeslip/coord/wal"
 	"gaugeslip/internal/system/clusterconfig"
+	"gaugeslip/internal/system/network"
 	"gaugeslip/internal/system/nodesettings"
 	"gaugeslip/internal/system/scheduler"
 	"gaugeslip/internal/system/state"
@@ -43,12 +45,21 @@
 type Options struct {
 	Settings *nodesettings.Settings
 	Logger   *log.Logger
+	// Network is where connections come from; nil stands for the operating system's sockets.
+	Network network.Network
+	// Disk is where the log lies; nil stands for the folder that the settings name.
+	Disk wal.Disk
+	// Clock is the time of day with a steady reading; nil stands for time.Now.
+	Clock func() time.Time
 }
 
 // Node is a running replica.
 type Node struct {
 	settings *nodesettings.Settings
 	logger   *log.Logger
+	network  network.Network
+	folder   wal.Disk // nil: the folder that the settings name
+	clock    func() time.Time
 	started  time.Time
 	loop     *loop
 	engine   *engine
@@ -88,12 +99,17 @@
 
 // Start brings a replica up: its log is read, its sockets listen.
 func Start(options Options) (*Node, error) {
-	n := &Node{settings: options.Settings, logger: options.Logger, started: time.Now(), loop: newLoop(), wall: newWallClock(),
-		left: make(chan struct{}), failures: make(chan error, 1)}
-	n.client = transport.NewClient(transport.Options{})
+	n := &Node{settings: options.Settings, logger: options.Logger, network: options.Network, folder: options.Disk, clock: options.Clock,
+		loop: newLoop(), wall: newWallClock(), left: make(chan struct{}), failures: make(chan error, 1)}
+	if n.clock == nil {
+		n.clock = time.Now
+	}
+	n.started = n.clock()
+	dial := network.DialOf(n.network)
+	n.client = transport.NewClient(transport.Options{Dial: dial})
 	n.sender = transport.NewSender[*replica.Message](n.client, chainService+".Receive", transport.SenderOptions{})
-	n.orders = newOrders(max(n.settings.Limits.MaxOpenFiles-reservedFiles, leastConnections))
-	n.list = workerapi.NewListClient()
+	n.orders = newOrders(max(n.settings.Limits.MaxOpenFiles-reservedFiles, leastConnections), dial)
+	n.list = workerapi.NewListClient(dial)
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -111,7 +127,7 @@
 func (n *Node) Failed() <-chan error { return n.failures }
 
 // now is the replica's steady clock.
-func (n *Node) now() time.Duration { return time.Since(n.started) }
+func (n *Node) now() time.Duration { return n.clock().Sub(n.started) }
 
 func (n *Node) self() view.Member {
 	return view.Member{Address: n.settings.InternalAddress(), Control: n.settings.Bind.ControlPlane}
--- a/internal/system/control/orders.go
+++ b/internal/system/control/orders.go
@@ -28,9 +28,9 @@
 	ctx    context.Context
 }
 
-func newOrders(connections int) *orders {
+func newOrders(connections int, dial workerapi.Dial) *orders {
 	ctx, cancel := context.WithCancel(context.Background())
-	client := workerapi.NewClient(workerapi.Options{Connections: connections, ConnectionsPerWorker: connectionsPerWorker})
+	client := workerapi.NewClient(workerapi.Options{Connections: connections, ConnectionsPerWorker: connectionsPerWorker, Dial: dial})
 	return &orders{client: client, slots: make(chan struct{}, mostCalls), ctx: ctx, cancel: cancel}
 }
 
--- a/internal/system/control/restart.go
+++ b/internal/system/control/restart.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"slices"
 	"time"
 
@@ -15,10 +14,7 @@
 
 // startEngine opens the log and makes the replica from what it holds.
 func (n *Node) startEngine() error {
-	if err := os.MkdirAll(n.settings.DataDir, 0o755); err != nil {
-		return fmt.Errorf("data folder: %w", err)
-	}
-	folder, err := wal.OSDisk(n.settings.DataDir)
+	folder, err := n.dataFolder()
 	if err != nil {
 		return fmt.Errorf("data folder: %w", err)
 	}
@@ -40,6 +36,13 @@
 	return nil
 }
 
+func (n *Node) dataFolder() (wal.Disk, error) {
+	if n.folder != nil {
+		return n.folder, nil
+	}
+	return wal.OSDisk(n.settings.DataDir)
+}
+
 // replicaConfig names this replica; at the very first start a seed's identity is its address, so that all know the first view.
 func (n *Node) replicaConfig() replica.Config {
 	self := n.self()
--- a/internal/system/control/roles.go
+++ b/internal/system/control/roles.go
@@ -174,12 +174,12 @@
 
 func (n *Node) readClock(address string) {
 	var reply internalapi.DigestReply
-	sent := time.Now()
+	sent := n.clock()
 	if err := n.client.Call(address, internalapi.MethodDigest, internalapi.DigestArgs{}, &reply, clockCallTimeout); err != nil {
 		return
 	}
-	half := time.Since(sent) / 2
-	ours := time.Now().Add(-half)
+	received := n.clock()
+	ours := sent.Add(received.Sub(sent) / 2)
 	n.loop.post(func() { n.wall.heard(address, time.UnixMilli(reply.UnixMs), ours, n.now()) })
 }
 
@@ -190,7 +190,7 @@
 }
 
 // unixMs is the trusted time of day in milliseconds since 1970.
-func (n *Node) unixMs(now time.Duration) int64 { return time.Now().Add(n.wall.offset(now)).UnixMilli() }
+func (n *Node) unixMs(now time.Duration) int64 { return n.clock().Add(n.wall.offset(now)).UnixMilli() }
 
 // keepHouse tells the core of replicas that were heard of, and forgets jobs that were over for long enough.
 func (n *Node) keepHouse() {
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -47,7 +47,7 @@
 	*reply = ask(s.node, time.Second, internalapi.DigestReply{}, func(answer func(internalapi.DigestReply)) {
 		e := s.node.engine
 		answer(internalapi.DigestReply{Epoch: e.view().Epoch, ConfigVersion: e.machine.Config().Version, Serving: e.mayRead(),
-			UnixMs: time.Now().UnixMilli()})
+			UnixMs: s.node.clock().UnixMilli()})
 	})
 	return nil
 }
--- a/internal/system/control/sharesworld_test.go
+++ b/internal/system/control/sharesworld_test.go
@@ -89,7 +89,7 @@
 	settings.NodeName, settings.IP, settings.Bind.ControlPlane = fmt.Sprint("core-", number), loopback(number), seeds[number]
 	settings.EphemeralPorts = []int{9001, 9001}
 	settings.SeedNodes, settings.Bootstrap, settings.FaultTolerance.Machines = seeds, true, 1
-	r := &shareReplica{world: w, number: number, Node: &Node{settings: settings, logger: log.New(io.Discard), started: time.Now(),
+	r := &shareReplica{world: w, number: number, Node: &Node{settings: settings, logger: log.New(io.Discard), clock: time.Now, started: time.Now(),
 		loop: newLoop(), wall: newWallClock(), client: transport.NewClient(transport.Options{}), left: make(chan struct{})}}
 	r.members = membership.New(r.client, membership.Options{Self: peersampling.Peer{Address: r.self().Address, Role: RoleName}})
 	file, records, err := wal.Open(simdisk.New(uint64(number)), logName)
--- a/internal/system/control/sockets.go
+++ b/internal/system/control/sockets.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"slices"
 	"time"
@@ -14,16 +13,17 @@
 	"gaugeslip/coord/replica"
 	"gaugeslip/coord/transport"
 	"gaugeslip/internal/system/internalapi"
+	"gaugeslip/internal/system/network"
 )
 
 func (n *Node) listen() error {
-	server, err := transport.Listen(n.self().Address)
+	server, err := network.ListenForPeers(n.network, n.self().Address)
 	if err != nil {
 		return fmt.Errorf("listen for peers: %w", err)
 	}
 	n.server = server
 	n.members = membership.New(n.client, membership.Options{
-		Self:  peersampling.Peer{Address: n.self().Address, Role: RoleName, Zone: n.settings.Zone, Incarnation: uint64(time.Now().UnixNano())},
+		Self:  peersampling.Peer{Address: n.self().Address, Role: RoleName, Zone: n.settings.Zone, Incarnation: uint64(n.clock().UnixNano())},
 		Seeds: n.settings.SeedInternalAddresses(), RandomSeed: rand.Uint64(), Clock: n.now,
 	})
 	receiver := transport.NewReceiver(n.received)
@@ -37,7 +37,7 @@
 }
 
 func (n *Node) listenForOperator() error {
-	listener, err := net.Listen("tcp", n.settings.Bind.ControlPlane)
+	listener, err := network.Listen(n.network, n.settings.Bind.ControlPlane, network.Sockets)
 	if err != nil {
 		return fmt.Errorf("listen for the operator: %w", err)
 	}
--- a/internal/system/dataplane/frontend.go
+++ b/internal/system/dataplane/frontend.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log"
 	"net"
 	"net/http"
@@ -52,21 +51,18 @@
 	accepting sync.WaitGroup
 }
 
-// ListenFrontend takes the address; nothing is accepted before Serve. At most so many connections are held, further ones wait.
-func ListenFrontend(address string, handler http.Handler, connections int, quiet *log.Logger) (*Frontend, error) {
+// frontendSocket takes the address with the operating system's sockets.
+func frontendSocket(address string) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{
 		Enable:   true,
 		Idle:     clientKeepAlive,
 		Interval: clientKeepAlive,
 	}}
-	listener, err := config.Listen(context.Background(), "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("frontend: %w", err)
-	}
-	return newFrontend(listener, handler, connections, quiet), nil
+	return config.Listen(context.Background(), "tcp", address)
 }
 
-func newFrontend(listener net.Listener, handler http.Handler, connections int, quiet *log.Logger) *Frontend {
+// NewFrontend serves a listener; nothing is accepted before Serve. At most so many connections are held, further ones wait.
+func NewFrontend(listener net.Listener, handler http.Handler, connections int, quiet *log.Logger) *Frontend {
 	return &Frontend{
 		handler:  handler,
 		listener: listener,
--- a/internal/system/dataplane/frontend_test.go
+++ b/internal/system/dataplane/frontend_test.go
@@ -164,7 +164,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		dispatcher := NewDispatcher(slowCore(time.Millisecond), knowing(t, "a"), noPoke, Options{})
 		listener := newPipeListener()
-		frontend := newFrontend(listener, dispatcher, 1, nil)
+		frontend := NewFrontend(listener, dispatcher, 1, nil)
 		frontend.Serve(DefaultLimits())
 		first, accepted := listener.dial(time.Second)
 		require.True(t, accepted)
@@ -182,7 +182,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		dispatcher := NewDispatcher(slowCore(time.Millisecond), knowing(t, "a"), noPoke, Options{})
 		listener := newPipeListener()
-		frontend := newFrontend(listener, dispatcher, 1, nil)
+		frontend := NewFrontend(listener, dispatcher, 1, nil)
 		frontend.Serve(DefaultLimits())
 		first, accepted := listener.dial(time.Second)
 		require.True(t, accepted)
--- a/internal/system/dataplane/options.go
+++ b/internal/system/dataplane/options.go
@@ -1,6 +1,10 @@
 package dataplane
 
-import "time"
+import (
+	"time"
+
+	"gaugeslip/internal/system/network"
+)
 
 // Options are the dispatcher's figures. The zero value of each field stands for its default.
 type Options struct {
@@ -26,6 +30,8 @@
 	DefaultWait time.Duration
 	// Announce is how long a dispatcher that is to end goes on accepting: the platform has to miss two looks, a second apart.
 	Announce time.Duration
+	// Network is where connections come from; nil stands for the operating system's sockets.
+	Network network.Network
 }
 
 const (
--- a/internal/system/dataplane/pipe_test.go
+++ b/internal/system/dataplane/pipe_test.go
@@ -85,7 +85,7 @@
 
 func newPipeServer(t *testing.T, handler http.Handler) *pipeServer {
 	listener := newPipeListener()
-	frontend := newFrontend(listener, handler, 10, nil)
+	frontend := NewFrontend(listener, handler, 10, nil)
 	frontend.Serve(DefaultLimits())
 	t.Cleanup(func() { _ = frontend.Shutdown(t.Context()) })
 	return &pipeServer{t: t, listener: listener, frontend: frontend}
--- a/internal/system/dataplane/process.go
+++ b/internal/system/dataplane/process.go
@@ -6,7 +6,6 @@
 	"io"
 	stdlog "log"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -16,6 +15,7 @@
 	"gaugeslip/coord/peersampling"
 	"gaugeslip/coord/transport"
 	"gaugeslip/internal/system/internalapi"
+	"gaugeslip/internal/system/network"
 	"gaugeslip/internal/system/nodesettings"
 )
 
@@ -71,7 +71,7 @@
 		name:      settings.NodeName,
 		zone:      settings.Zone,
 		directory: NewDirectory(),
-		client:    transport.NewClient(transport.Options{}),
+		client:    transport.NewClient(transport.Options{Dial: network.DialOf(options.Network)}),
 		options:   options.withDefaults(),
 	}
 	p.assemble()
@@ -107,7 +107,7 @@
 // listen takes the three addresses.
 func (p *Process) listen() error {
 	var err error
-	if p.server, err = transport.Listen(p.settings.InternalAddress()); err != nil {
+	if p.server, err = network.ListenForPeers(p.options.Network, p.settings.InternalAddress()); err != nil {
 		return fmt.Errorf("internal address: %w", err)
 	}
 	if err := p.server.Register(membership.ServiceName, p.node.Service()); err != nil {
@@ -118,14 +118,16 @@
 	}
 	quiet := stdlog.New(io.Discard, "", 0)
 	connections := MaxConnections(p.settings.Limits.MaxOpenFiles)
-	if p.frontend, err = ListenFrontend(p.settings.Bind.Frontend, p.dispatcher, connections, quiet); err != nil {
-		return err
+	listener, err := network.Listen(p.options.Network, p.settings.Bind.Frontend, frontendSocket)
+	if err != nil {
+		return fmt.Errorf("frontend: %w", err)
 	}
+	p.frontend = NewFrontend(listener, p.dispatcher, connections, quiet)
 	return p.listenReadiness(quiet)
 }
 
 func (p *Process) listenReadiness(quiet *stdlog.Logger) error {
-	listener, err := net.Listen("tcp", p.settings.Bind.Readiness)
+	listener, err := network.Listen(p.options.Network, p.settings.Bind.Readiness, network.Sockets)
 	if err != nil {
 		return fmt.Errorf("readiness: %w", err)
 	}
