Let a simulated listener's Accept be ended by a deadline

A dispatcher's front end changes its limits by a deadline on its listener, which stays open; without SetDeadline the change would wait for the next connection.

--- a/internal/simnet/conn.go
+++ b/internal/simnet/conn.go
@@ -206,30 +206,7 @@
 	if c.closed {
 		return c.wrap("set", net.ErrClosed)
 	}
-	d.set(t, c)
+	d.set(t, c.network, c.cond)
 	c.cond.Broadcast()
 	return nil
 }
-
-// deadline is when calls of one direction end; the zero time is never.
-type deadline struct {
-	at   time.Time
-	wake *time.Timer
-}
-
-func (d *deadline) set(t time.Time, c *Conn) {
-	d.at = t
-	if d.wake != nil {
-		d.wake.Stop()
-		d.wake = nil
-	}
-	if left := time.Until(t); !t.IsZero() && left > 0 {
-		d.wake = time.AfterFunc(left, func() {
-			c.network.mu.Lock()
-			defer c.network.mu.Unlock()
-			c.cond.Broadcast()
-		})
-	}
-}
-
-func (d *deadline) passed() bool { return !d.at.IsZero() && !time.Now().Before(d.at) }
--- a/internal/simnet/conn_test.go
+++ b/internal/simnet/conn_test.go
@@ -163,3 +163,16 @@
 		require.NotEqual(t, first.Addr().String(), second.Addr().String())
 	})
 }
+
+func TestAListenersDeadlineEndsAccept(t *testing.T) {
+	inBubble(t, func(t *testing.T, n *Network) {
+		l := listen(t, n)
+		require.NoError(t, l.SetDeadline(time.Now().Add(time.Second)))
+		start := time.Now()
+		_, err := l.Accept()
+		require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+		require.Equal(t, time.Second, time.Since(start))
+		require.NoError(t, l.SetDeadline(time.Time{}))
+		join(t, n, l)
+	})
+}
--- a/internal/simnet/listen.go
+++ b/internal/simnet/listen.go
@@ -21,6 +21,7 @@
 	cond    *sync.Cond
 	waiting []*Conn
 	closed  bool
+	until   deadline
 }
 
 // Listen listens at "ip:port"; port 0 takes a free one.
@@ -51,6 +52,8 @@
 		switch {
 		case l.closed:
 			return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.address, Err: net.ErrClosed}
+		case l.until.passed():
+			return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.address, Err: os.ErrDeadlineExceeded}
 		case len(l.waiting) > 0:
 			first := l.waiting[0]
 			l.waiting = l.waiting[1:]
@@ -81,6 +84,15 @@
 	l.cond.Broadcast()
 }
 
+// SetDeadline bounds Accept, as net.TCPListener's does; the zero time is never.
+func (l *Listener) SetDeadline(t time.Time) error {
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	l.until.set(t, l.network, l.cond)
+	l.cond.Broadcast()
+	return nil
+}
+
 // Addr implements net.Listener.
 func (l *Listener) Addr() net.Addr { return l.address }
 
