Let the clients of peers, workers and the platform's list take their connections from elsewhere

A simulated network needs the programs' own clients. transport.Options and workerapi.Options have a Dial, the list's client takes one besides, and transport.NewServer serves a listener that is open already; without them the operating system's sockets are used as before. The bound of a dial to a worker is now the context's, so that it holds for any dial.

--- a/coord/transport/client.go
+++ b/coord/transport/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync"
 	"time"
 )
@@ -22,6 +23,8 @@
 	MaxConnections int
 	// UserTimeout is the TCP_USER_TIMEOUT of connections, 2 s by default.
 	UserTimeout time.Duration
+	// Dial makes connections in place of the operating system's sockets, for a simulated network; UserTimeout is then without effect.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 func (o Options) withDefaults() Options {
@@ -31,6 +34,9 @@
 	if o.UserTimeout == 0 {
 		o.UserTimeout = defaultUserTimeout
 	}
+	if o.Dial == nil {
+		o.Dial = newDialer(o.UserTimeout).DialContext
+	}
 	return o
 }
 
--- a/coord/transport/peers.go
+++ b/coord/transport/peers.go
@@ -130,7 +130,7 @@
 	}
 	bounded, cancel := context.WithTimeout(c.context, timeout)
 	defer cancel()
-	return newDialer(c.options.UserTimeout).DialContext(bounded, "tcp", addr)
+	return c.options.Dial(bounded, "tcp", addr)
 }
 
 // dialed records the end of a dial and starts the connection.
--- a/coord/transport/server.go
+++ b/coord/transport/server.go
@@ -37,12 +37,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", addr, err)
 	}
+	return NewServer(listener), nil
+}
+
+// NewServer returns a server of a listener that is open already, and that belongs to the server from then on.
+func NewServer(listener net.Listener) *Server {
 	return &Server{
 		rpc:      rpc.NewServer(),
 		listener: listener,
 		closing:  make(chan struct{}),
 		links:    map[*link]struct{}{},
-	}, nil
+	}
 }
 
 // Addr returns the address that the server listens on.
--- a/internal/system/workerapi/client.go
+++ b/internal/system/workerapi/client.go
@@ -27,6 +27,8 @@
 	ConnectionsPerWorker int
 	// AnswerTimeout bounds a call whose context has no deadline (2 s); a hold may take its wait besides.
 	AnswerTimeout time.Duration
+	// Dial makes connections in place of the operating system's sockets, for a simulated network.
+	Dial Dial
 }
 
 func (options Options) withDefaults() Options {
@@ -52,7 +54,7 @@
 // NewClient returns a client that has no connection yet.
 func NewClient(options Options) *Client {
 	options = options.withDefaults()
-	bound := newConnectionBound(options.Connections)
+	bound := newConnectionBound(options.Connections, options.Dial)
 	return &Client{
 		transport:     newTransport(bound, options.ConnectionsPerWorker),
 		bound:         bound,
--- a/internal/system/workerapi/client_test.go
+++ b/internal/system/workerapi/client_test.go
@@ -345,7 +345,7 @@
 }
 
 func TestManyWorkersLeaveRoomForCallsThatComeAtOnce(t *testing.T) {
-	transport := newTransport(newConnectionBound(100), 8)
+	transport := newTransport(newConnectionBound(100, nil), 8)
 	require.Equal(t, 50, transport.MaxIdleConns, "half of the bound stays free of idle connections")
 	require.Equal(t, idlePerHost, transport.MaxIdleConnsPerHost)
 	require.Equal(t, 8, transport.MaxConnsPerHost)
--- a/internal/system/workerapi/list.go
+++ b/internal/system/workerapi/list.go
@@ -70,9 +70,9 @@
 	pause     func(ctx context.Context, length time.Duration) error
 }
 
-// NewListClient returns a client that has no connection yet.
-func NewListClient() *ListClient {
-	return &ListClient{transport: newTransport(newConnectionBound(listConnections), listConnections), pause: pause.For}
+// NewListClient returns a client that has no connection yet. Dial makes its connections; nil stands for the operating system's sockets.
+func NewListClient(dial Dial) *ListClient {
+	return &ListClient{transport: newTransport(newConnectionBound(listConnections, dial), listConnections), pause: pause.For}
 }
 
 // Close closes the connections that no call uses.
--- a/internal/system/workerapi/list_test.go
+++ b/internal/system/workerapi/list_test.go
@@ -43,7 +43,7 @@
 }
 
 func newListClient(t *testing.T) *ListClient {
-	client := NewListClient()
+	client := NewListClient(nil)
 	client.pause = func(context.Context, time.Duration) error { return nil }
 	t.Cleanup(client.Close)
 	return client
--- a/internal/system/workerapi/transport.go
+++ b/internal/system/workerapi/transport.go
@@ -27,25 +27,32 @@
 	idlePart    = 2
 )
 
+// Dial makes a connection, as net.Dialer's DialContext does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // connectionBound counts the open connections of one client and refuses to dial beyond its limit.
 type connectionBound struct {
-	dialer net.Dialer
-	limit  int64
-	open   atomic.Int64
+	dial  Dial
+	limit int64
+	open  atomic.Int64
+}
+
+// newConnectionBound returns a bound of connections that dial makes; nil stands for the operating system's sockets.
+func newConnectionBound(limit int, dial Dial) *connectionBound {
+	if dial == nil {
+		dial = newDialer().DialContext
+	}
+	return &connectionBound{limit: int64(limit), dial: dial}
 }
 
-func newConnectionBound(limit int) *connectionBound {
-	return &connectionBound{
-		limit: int64(limit),
-		dialer: net.Dialer{
-			Timeout: dialTimeout,
-			Control: setUserTimeout,
-			KeepAliveConfig: net.KeepAliveConfig{
-				Enable:   true,
-				Idle:     keepAliveIdle,
-				Interval: keepAliveInterval,
-				Count:    keepAliveCount,
-			},
+func newDialer() *net.Dialer {
+	return &net.Dialer{
+		Control: setUserTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     keepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    keepAliveCount,
 		},
 	}
 }
@@ -63,12 +70,14 @@
 	return setError
 }
 
-func (bound *connectionBound) dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (bound *connectionBound) connect(ctx context.Context, network, address string) (net.Conn, error) {
 	if bound.open.Add(1) > bound.limit {
 		bound.open.Add(-1)
 		return nil, fmt.Errorf("%w: %w", errNotDialled, ErrTooManyConnections)
 	}
-	connection, err := bound.dialer.DialContext(ctx, network, address)
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	connection, err := bound.dial(ctx, network, address)
 	if err != nil {
 		bound.open.Add(-1)
 		return nil, fmt.Errorf("%w: %w", errNotDialled, err)
@@ -97,7 +106,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:            bound.dial,
+		DialContext:            bound.connect,
 		Protocols:              protocols,
 		DisableCompression:     true,
 		MaxIdleConns:           int(bound.limit) / idlePart,
