Let a replica be closed so that nothing of it runs on, and answer calls at once then

Tests in a bubble need every goroutine to end, and a kill that hands nothing over: Node.Close. Calls that wait for an answer of the loop end with it in place of waiting out their patience, which also shortens the end of the process after Leave.

--- a/internal/system/control/loop.go
+++ b/internal/system/control/loop.go
@@ -12,11 +12,12 @@
 	queue   []func()
 	wake    chan struct{}
 	stopped chan struct{}
+	ended   chan struct{} // closed at the end of run
 	once    sync.Once
 }
 
 func newLoop() *loop {
-	return &loop{wake: make(chan struct{}, 1), stopped: make(chan struct{})}
+	return &loop{wake: make(chan struct{}, 1), stopped: make(chan struct{}), ended: make(chan struct{})}
 }
 
 // post hands in a function; it never blocks. What is posted after stop isn't run.
@@ -42,6 +43,7 @@
 // run works until stop; after each batch flush collects output and gives the moment at which the loop has to wake by itself, as a
 // duration from now.
 func (l *loop) run(flush func() time.Duration) {
+	defer close(l.ended)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var batch []func()
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -163,11 +163,23 @@
 	n.stop()
 }
 
+// Close ends the replica at once and hands nothing over, as a kill would; nothing of it runs any more when it returns.
+func (n *Node) Close() {
+	_ = n.operator.Close()
+	n.stop()
+	<-n.engine.disk.ended
+}
+
+// stop ends the loop, then all that it owns, then the sockets.
 func (n *Node) stop() {
 	n.loop.stop()
+	<-n.loop.ended
+	n.engine.close()
 	n.orders.close()
+	n.list.Close()
 	_ = n.sender.Close()
 	_ = n.client.Close()
+	n.members.Stop()
 	_ = n.server.Close()
 }
 
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -37,6 +37,8 @@
 	select {
 	case answer := <-answers:
 		return answer
+	case <-n.loop.stopped:
+		return expired
 	case <-timer.C:
 		return expired
 	}
