Add a simulated whole of both programs for tests

Between the pure cores lies wiring that no simulated run had: which goroutine answers after a freeze, what a handler does as its replica loses the lease.

--- /dev/null
+++ b/internal/system/simworld/process_test.go
@@ -0,0 +1,106 @@
+package simworld
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gaugeslip/internal/simnet"
+)
+
+var errEnded = errors.New("the process has ended")
+
+// process is one life of a program on a host: its way to the network and its clock. Once it has ended, nothing that its goroutines
+// still do is seen outside.
+type process struct {
+	net   *simnet.Network
+	host  string
+	ended atomic.Bool
+
+	mutex  sync.Mutex
+	moved  *sync.Cond
+	frozen bool
+	// freezeIn counts the readings of the clock down to a freeze; 0: none is planned.
+	freezeIn int
+	onFreeze func()
+}
+
+func newProcess(network *simnet.Network, host string) *process {
+	p := &process{net: network, host: host}
+	p.moved = sync.NewCond(&p.mutex)
+	return p
+}
+
+// Listen implements network.Network.
+func (p *process) Listen(address string) (net.Listener, error) {
+	if p.ended.Load() {
+		return nil, errEnded
+	}
+	return p.net.Listen(address)
+}
+
+// Dial implements network.Network.
+func (p *process) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	if p.ended.Load() {
+		return nil, errEnded
+	}
+	conn, err := p.net.Dial(ctx, p.host, address)
+	if err != nil {
+		return nil, err
+	}
+	if p.ended.Load() {
+		conn.(*simnet.Conn).Abort()
+		return nil, errEnded
+	}
+	return conn, nil
+}
+
+// now is the process's clock. A frozen process has its reading after the freeze, as a thread that was stopped just before it.
+func (p *process) now() time.Time {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.countDown()
+	for p.frozen {
+		p.moved.Wait()
+	}
+	return time.Now()
+}
+
+func (p *process) countDown() {
+	if p.freezeIn == 0 {
+		return
+	}
+	p.freezeIn--
+	if p.freezeIn == 0 {
+		go p.onFreeze()
+		p.frozen = true
+	}
+}
+
+// freeze stops the process: what it sends and reads from the network waits, and so does whoever reads its clock.
+func (p *process) freeze() {
+	p.setFrozen(true)
+	p.net.Stop(p.host)
+}
+
+func (p *process) thaw() {
+	p.net.Resume(p.host)
+	p.setFrozen(false)
+}
+
+func (p *process) setFrozen(frozen bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.frozen = frozen
+	p.moved.Broadcast()
+}
+
+// end cuts the process off from everything; its goroutines are then free to end.
+func (p *process) end() {
+	p.ended.Store(true)
+	p.net.Kill(p.host)
+	p.thaw()
+}
