--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -37,6 +37,8 @@
 	select {
 	case answer := <-answers:
 		return answer
+	case <-n.loop.stopped:
+		return expired
 	case <-timer.C:
 		return expired
 	}
@@ -48,7 +50,7 @@
 		e := s.node.engine
 		e.read(func(current bool) {
 			answer(internalapi.DigestReply{Epoch: e.view().Epoch, ConfigVersion: e.machine.Config().Version, Serving: current,
-				UnixMs: time.Now().UnixMilli()})
+				UnixMs: s.node.clock().UnixMilli()})
 		})
 	})
 	return nil
