--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -103,7 +103,7 @@
 	n.client = transport.NewClient(transport.Options{})
 	n.sender = transport.NewSender[*replica.Message](n.client, chainService+".Receive", transport.SenderOptions{})
 	n.orders = newOrders(max(n.settings.Limits.MaxOpenFiles-reservedFiles, leastConnections))
-	n.list = workerapi.NewListClient()
+	n.list = workerapi.NewListClient(nil)
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
