Answer 400, never net/http's own 200, to an order whose body can't be read

The operator's API returned without an answer when the body of Config.Replace broke off, on the belief that nobody reads one. An operator who has only ended the sending side, or whose chunks are malformed, still reads, and net/http answers for a handler that wrote nothing with 200: an order that was never taken was acknowledged. It is a 400 now and ends the connection.

--- a/internal/system/control/operator.go
+++ b/internal/system/control/operator.go
@@ -44,8 +44,10 @@
 		http.Error(writer, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
-	if err != nil {
-		return // the caller broke off: nothing was taken, nobody reads an answer
+	if err != nil { // without an answer of ours net/http would send a 200
+		writer.Header().Set("Connection", "close")
+		http.Error(writer, "the body can't be read in full", http.StatusBadRequest)
+		return
 	}
 	reply := o.replace(internalapi.ReplaceArgs{Base: base, Body: body}, operatorPatience)
 	if reply.Status == http.StatusOK {
