Have a hollow worker that is closed leave no listener behind

The server began to serve on a goroutine of its own, and http.Server.Close closes only the listeners that Serve has told it of: a worker closed before that left its listener open, the call's connection was taken and then reset as Serve gave up, and the outcome was rightly unknown. The worker closes its listener itself now; what the client says of such a connection stays as it is, since the order may have left on it.

--- a/internal/system/hollow/server.go
+++ b/internal/system/hollow/server.go
@@ -10,8 +10,9 @@
 
 // server is one listener on loopback.
 type server struct {
-	http    *http.Server
-	address string
+	http     *http.Server
+	listener net.Listener
+	address  string
 }
 
 func serve(handler http.Handler) (*server, error) {
@@ -20,13 +21,20 @@
 		return nil, fmt.Errorf("listen on loopback: %w", err)
 	}
 	created := &server{
-		address: listener.Addr().String(),
-		http:    &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)},
+		listener: listener,
+		address:  listener.Addr().String(),
+		http:     &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)},
 	}
 	go created.http.Serve(listener)
 	return created, nil
 }
 
+// close ends the listener and its connections. The listener is closed here besides: the server doesn't know it before it serves.
+func (s *server) close() {
+	_ = s.listener.Close()
+	_ = s.http.Close()
+}
+
 // Listen opens the worker's listener on a free port of loopback; Close ends it.
 func (worker *Worker) Listen() error {
 	opened, err := serve(worker)
@@ -41,7 +49,7 @@
 // Close ends the worker's listener and its connections.
 func (worker *Worker) Close() {
 	if worker.server != nil {
-		worker.server.http.Close()
+		worker.server.close()
 	}
 }
 
@@ -58,6 +66,6 @@
 // Close ends the platform's listener and its connections.
 func (platform *Platform) Close() {
 	if platform.server != nil {
-		platform.server.http.Close()
+		platform.server.close()
 	}
 }
