Keep a second answer of a worker from the next call, and a switch of protocols from holding one

Two faults of calls on workers over net/http's transport.

After an answer the transport gives its connection to the next call first and looks for unread bytes then. What comes after the next request has gone out can't be told apart over HTTP/1.1 and is as before.

A 101 with an upgrade makes the connection the caller's, whose reads no context ends: the call, its goroutine and its slot were held for as long as the worker kept the connection. Nothing is read of such an answer now.

--- a/internal/system/workerapi/call.go
+++ b/internal/system/workerapi/call.go
@@ -62,9 +62,13 @@
 	return request.WithContext(ctx)
 }
 
-// readAnswer reads the body to its end, so that the connection can be kept, and closes it.
+// readAnswer reads the body to its end, so that the connection can be kept, and closes it. Of a switch of protocols nothing is read:
+// the connection is then the caller's, and no context ends a read from it.
 func readAnswer(response *http.Response, buffer *bytes.Buffer) error {
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		return fmt.Errorf("%w: %d", ErrUnexpectedStatus, response.StatusCode)
+	}
 	count, err := buffer.ReadFrom(io.LimitReader(response.Body, maxAnswerBytes+1))
 	if err != nil {
 		return err
--- a/internal/system/workerapi/transport.go
+++ b/internal/system/workerapi/transport.go
@@ -85,11 +85,37 @@
 	return &boundConnection{Conn: connection, bound: bound}, nil
 }
 
-// boundConnection gives its place back when it is closed.
+// boundConnection gives its place back when it is closed, and ends with errUnasked once more has come than the answers that were asked
+// for.
 type boundConnection struct {
 	net.Conn
-	bound  *connectionBound
-	closed atomic.Bool
+	bound   *connectionBound
+	closed  atomic.Bool
+	framing framing
+	unasked bool
+}
+
+// Read implements net.Conn.
+func (connection *boundConnection) Read(buffer []byte) (int, error) {
+	if connection.unasked {
+		return 0, errUnasked
+	}
+	count, err := connection.Conn.Read(buffer)
+	own := connection.framing.own(buffer[:count])
+	if own == count {
+		return count, err
+	}
+	connection.unasked = true
+	if own == 0 {
+		return 0, errUnasked
+	}
+	return own, nil
+}
+
+// Write implements net.Conn.
+func (connection *boundConnection) Write(data []byte) (int, error) {
+	connection.framing.ask()
+	return connection.Conn.Write(data)
 }
 
 // Close implements net.Conn; it may be called more than once.
