Leave orders unclear that may have been taken before all that is remembered

A configuration sent again after 1,024 later ones was answered 412 though it had been in force: the state remembers that many and took what it had forgotten for a change that lost. Orders whose version lies below the oldest remembered one, and above their own base, are now answered 504: they may have been taken. Whatever else isn't remembered surely never was, as versions only rise, and is refused as before.

The history is found by version, and it alone tells whether an order was taken. The calls for the configuration move to a file of their own.

--- /dev/null
+++ b/internal/system/control/config.go
@@ -0,0 +1,209 @@
+package control
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"gaugeslip/coord/transport"
+	"gaugeslip/internal/system/clusterconfig"
+	"gaugeslip/internal/system/internalapi"
+	"gaugeslip/internal/system/state"
+)
+
+const (
+	forwardFirst = 900 * time.Millisecond
+	forwardPause = 60 * time.Millisecond
+)
+
+// Replace takes an operator's configuration.
+func (s *Service) Replace(args internalapi.ReplaceArgs, reply *internalapi.ReplaceReply) error {
+	*reply = s.node.replaceHere(args, operatorPatience)
+	return nil
+}
+
+func (n *Node) replaceHere(args internalapi.ReplaceArgs, patience time.Duration) internalapi.ReplaceReply {
+	doubt := internalapi.ReplaceReply{Verdict: internalapi.InDoubt, Status: http.StatusGatewayTimeout, Text: "not decided in time"}
+	return ask(n, patience, doubt, func(answer func(internalapi.ReplaceReply)) { n.replace(&args, answer) })
+}
+
+// replace runs on the loop. One configuration is decided at a time, so that a refusal always stands on a committed one.
+func (n *Node) replace(args *internalapi.ReplaceArgs, answer func(internalapi.ReplaceReply)) {
+	if !n.acting() {
+		answer(internalapi.ReplaceReply{Verdict: internalapi.NotHead, View: n.engine.view()})
+		return
+	}
+	if n.configBusy {
+		n.configWaiting = append(n.configWaiting, func() { n.replace(args, answer) })
+		return
+	}
+	command, refusal := n.checkReplace(args)
+	if refusal != nil {
+		n.configRefused(args, refusal)
+		answer(*refusal)
+		return
+	}
+	n.configBusy = true
+	n.engine.propose(state.Command{Kind: state.KindConfigReplaced, ConfigReplaced: command}, func(result state.Result, fate fate) {
+		answer(n.replaceReply(result, fate))
+		n.nextConfig()
+	})
+}
+
+// configRefused logs an order that wasn't taken; a repeated one is none.
+func (n *Node) configRefused(args *internalapi.ReplaceArgs, refusal *internalapi.ReplaceReply) {
+	if refusal.Verdict == internalapi.Invalid {
+		n.logger.Warn("configuration refused", "base", args.Base, "status", refusal.Status, "reason", refusal.Text)
+	}
+}
+
+func (n *Node) nextConfig() {
+	n.configBusy = false
+	waiting := n.configWaiting
+	n.configWaiting = nil
+	for _, next := range waiting {
+		next()
+	}
+}
+
+// checkReplace gives the command for a configuration that may be taken, or the answer for one that surely isn't or was already.
+func (n *Node) checkReplace(args *internalapi.ReplaceArgs) (*state.ConfigReplaced, *internalapi.ReplaceReply) {
+	parsed, err := clusterconfig.Parse(args.Body)
+	if err != nil {
+		return nil, &internalapi.ReplaceReply{Verdict: internalapi.Invalid, Status: http.StatusBadRequest, Text: err.Error()}
+	}
+	command := &state.ConfigReplaced{Base: args.Base, Version: uint64(parsed.Version), Body: args.Body}
+	if outcome := n.engine.machine.CheckConfig(command); outcome != state.Applied {
+		reply := configReply(outcome)
+		return nil, &reply
+	}
+	return command, nil
+}
+
+func (n *Node) replaceReply(result state.Result, fate fate) internalapi.ReplaceReply {
+	switch fate {
+	case fateInDoubt:
+		return internalapi.ReplaceReply{Verdict: internalapi.InDoubt, Status: http.StatusGatewayTimeout, Text: "not decided in time"}
+	case fateRefused:
+		return internalapi.ReplaceReply{Verdict: internalapi.NotHead, View: n.engine.view()}
+	}
+	return configReply(result.Outcome)
+}
+
+func configReply(outcome state.Outcome) internalapi.ReplaceReply {
+	switch outcome {
+	case state.Applied, state.Repeated:
+		return internalapi.ReplaceReply{Verdict: internalapi.Done, Status: http.StatusOK}
+	case state.Conflict:
+		return internalapi.ReplaceReply{Verdict: internalapi.Invalid, Status: http.StatusPreconditionFailed, Text: "another version is in place"}
+	case state.Forgotten:
+		return internalapi.ReplaceReply{Verdict: internalapi.InDoubt, Status: http.StatusGatewayTimeout,
+			Text: "older than all that is remembered: it may have been in place"}
+	}
+	return internalapi.ReplaceReply{Verdict: internalapi.Invalid, Status: http.StatusBadRequest, Text: "version: not higher than the one in force"}
+}
+
+// Read gives the newest configuration.
+func (s *Service) Read(_ internalapi.ReadArgs, reply *internalapi.ReadReply) error {
+	*reply = s.node.readHere()
+	return nil
+}
+
+func (n *Node) readHere() internalapi.ReadReply {
+	refused := internalapi.ReadReply{Verdict: internalapi.NotHead}
+	return ask(n, time.Second, refused, func(answer func(internalapi.ReadReply)) {
+		if !n.engine.mayRead() {
+			answer(internalapi.ReadReply{Verdict: internalapi.NotHead, View: n.engine.view()})
+			return
+		}
+		current := n.engine.machine.Config()
+		answer(internalapi.ReadReply{Verdict: internalapi.Done, Version: current.Version, Body: current.Body})
+	})
+}
+
+// replaceAnywhere decides an order here or passes it on to the head, until it is decided or the patience is over.
+func (n *Node) replaceAnywhere(args internalapi.ReplaceArgs, patience time.Duration) internalapi.ReplaceReply {
+	deadline := time.Now().Add(patience)
+	inDoubt := false
+	for {
+		reply := n.replaceHere(args, time.Until(deadline))
+		if reply.Verdict == internalapi.NotHead {
+			var err error
+			reply, err = n.replaceAtHead(args, deadline)
+			inDoubt = inDoubt || err != nil && !errors.Is(err, transport.ErrNotSent)
+		}
+		inDoubt = inDoubt || reply.Verdict == internalapi.InDoubt
+		if reply.Verdict != internalapi.NotHead && !(inDoubt && reply.Status == http.StatusPreconditionFailed) {
+			return reply
+		}
+		if time.Until(deadline) < 2*forwardPause {
+			return undecided(inDoubt)
+		}
+		time.Sleep(forwardPause)
+	}
+}
+
+func undecided(inDoubt bool) internalapi.ReplaceReply {
+	if inDoubt {
+		return internalapi.ReplaceReply{Verdict: internalapi.InDoubt, Status: http.StatusGatewayTimeout, Text: "not decided in time"}
+	}
+	return internalapi.ReplaceReply{Verdict: internalapi.NotHead, Status: http.StatusServiceUnavailable, Text: errNoHead.Error()}
+}
+
+func (n *Node) replaceAtHead(args internalapi.ReplaceArgs, deadline time.Time) (internalapi.ReplaceReply, error) {
+	reply := internalapi.ReplaceReply{Verdict: internalapi.NotHead}
+	head := n.headAddress()
+	if head == "" {
+		return reply, transport.ErrNotSent
+	}
+	err := n.client.Call(head, internalapi.MethodReplace, args, &reply, min(forwardFirst, time.Until(deadline)))
+	if err != nil {
+		reply = internalapi.ReplaceReply{Verdict: internalapi.NotHead}
+	}
+	return reply, err
+}
+
+// headAddress is where the head of the newest view takes calls, empty if that is this replica or not known.
+func (n *Node) headAddress() string {
+	return ask(n, time.Second, "", func(answer func(string)) {
+		newest := n.engine.view()
+		if !newest.Known() || newest.Head().ID == n.engine.replica.Self().ID {
+			answer("")
+			return
+		}
+		answer(newest.Head().Address)
+	})
+}
+
+// readAnywhere gives the newest configuration from here or, if this replica may not show it, from the chain's tail or head.
+func (n *Node) readAnywhere(patience time.Duration) internalapi.ReadReply {
+	deadline := time.Now().Add(patience)
+	for {
+		reply := n.readHere()
+		if reply.Verdict == internalapi.Done {
+			return reply
+		}
+		for _, address := range n.readers() {
+			reply = internalapi.ReadReply{}
+			err := n.client.Call(address, internalapi.MethodRead, internalapi.ReadArgs{}, &reply, min(forwardFirst, time.Until(deadline)))
+			if err == nil && reply.Verdict == internalapi.Done {
+				return reply
+			}
+		}
+		if time.Until(deadline) < 2*forwardPause {
+			return internalapi.ReadReply{Verdict: internalapi.NotHead, Text: errNoHead.Error()}
+		}
+		time.Sleep(forwardPause)
+	}
+}
+
+func (n *Node) readers() []string {
+	return ask(n, time.Second, nil, func(answer func([]string)) {
+		newest := n.engine.view()
+		if !newest.Known() || len(newest.Chain) == 0 {
+			answer(nil)
+			return
+		}
+		answer([]string{newest.Tail().Address, newest.Head().Address})
+	})
+}
--- a/internal/system/state/machine.go
+++ b/internal/system/state/machine.go
@@ -4,38 +4,22 @@
 package state
 
 import (
-	"bytes"
 	"fmt"
 
 	"gaugeslip/internal/system/jobspec"
 	"gaugeslip/internal/system/quota"
 )
 
-// keptVersions bounds how many accepted configurations are remembered, so that a repeated order is known.
-const keptVersions = 1024
-
 // Machine is the replicated state.
 type Machine struct {
 	config  Config
-	history []taken
+	history []taken // by version
 	jobs    map[JobID]*Job
 	workers map[string]*Worker
 	pending map[string]int // jobs that aren't over, by route
 	quotas  *quota.Ledger
 }
 
-// Config is the configuration in force; Version 0 means none yet.
-type Config struct {
-	Version uint64
-	Body    []byte
-}
-
-// taken is a configuration that was in force once.
-type taken struct {
-	version uint64
-	sum     uint64
-}
-
 // Worker is what is replicated of one life of a worker.
 type Worker struct {
 	LastSeen uint64
@@ -51,6 +35,7 @@
 	Repeated          // it was in effect already
 	Conflict          // a configuration that builds on another version than the current one
 	Stale             // a configuration whose version isn't higher than the current one
+	Forgotten         // a configuration that may have been in force before all that is remembered; it isn't taken now
 	Unknown           // the job isn't known
 	Malformed         // the command can't be read; nothing was changed
 )
@@ -128,40 +113,6 @@
 	return result
 }
 
-// CheckConfig tells what a configuration would come to now.
-func (m *Machine) CheckConfig(next *ConfigReplaced) Outcome {
-	if next.Version == m.config.Version && bytes.Equal(next.Body, m.config.Body) {
-		return Repeated
-	}
-	sum := checksum(next.Body)
-	for _, before := range m.history {
-		if before.version == next.Version && before.sum == sum {
-			return Repeated
-		}
-	}
-	if next.Base != m.config.Version {
-		return Conflict
-	}
-	if next.Version <= m.config.Version {
-		return Stale
-	}
-	return Applied
-}
-
-func (m *Machine) replaceConfig(next *ConfigReplaced) Outcome {
-	outcome := m.CheckConfig(next)
-	if outcome != Applied {
-		return outcome
-	}
-	m.config = Config{Version: next.Version, Body: next.Body}
-	m.history = append(m.history, taken{version: next.Version, sum: checksum(next.Body)})
-	if len(m.history) > keptVersions {
-		m.history = m.history[len(m.history)-keptVersions:]
-	}
-	m.promise()
-	return Applied
-}
-
 func (m *Machine) accept(accepted *JobAccepted, result *Result) {
 	if job := m.jobs[accepted.ID]; job != nil {
 		result.Outcome = Repeated
