Answer 400 to an order whose body can't be read in full

The handler returned without a status when the body broke off or its chunks were malformed, which net/http sends as 200: a caller that had only closed its own direction read an acknowledgement of a configuration that nobody had taken. The test fails with 200 on the former code.

--- a/internal/system/control/operator.go
+++ b/internal/system/control/operator.go
@@ -45,7 +45,9 @@
 		return
 	}
 	if err != nil {
-		return // the caller broke off: nothing was taken, nobody reads an answer
+		// An answer without a status would be a 200, which a caller that has only closed its own direction still reads.
+		http.Error(writer, "the body can't be read in full: "+err.Error(), http.StatusBadRequest)
+		return
 	}
 	reply := o.replace(internalapi.ReplaceArgs{Base: base, Body: body}, operatorPatience)
 	if reply.Status == http.StatusOK {
--- /dev/null
+++ b/internal/system/control/operator_test.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"gaugeslip/internal/system/internalapi"
+)
+
+// orderOver sends an order through the operator's API, which hands it to replace, and gives the answer.
+func orderOver(body io.Reader, base string, replace func(internalapi.ReplaceArgs, time.Duration) internalapi.ReplaceReply) int {
+	api := &operatorAPI{replace: replace, figures: http.NotFound}
+	request := httptest.NewRequest(http.MethodPost, "/Config.Replace", body)
+	request.Header.Set(baseVersionHeader, base)
+	recorder := httptest.NewRecorder()
+	api.handler().ServeHTTP(recorder, request)
+	return recorder.Code
+}
+
+// What can't be read in full reaches no register, and its answer says so.
+func TestOrdersThatCantBeReadAreRefused(t *testing.T) {
+	never := func(internalapi.ReplaceArgs, time.Duration) internalapi.ReplaceReply {
+		t.Error("the order is passed on")
+		return internalapi.ReplaceReply{Status: http.StatusOK}
+	}
+	brokenOff := io.MultiReader(strings.NewReader(`{"version":1`), iotest.ErrReader(errors.New("broken off")))
+	assert.Equal(t, http.StatusBadRequest, orderOver(brokenOff, "0", never), "broken off")
+	assert.Equal(t, http.StatusBadRequest, orderOver(strings.NewReader("{}"), "one", never), "base without a number")
+	assert.Equal(t, http.StatusBadRequest, orderOver(strings.NewReader("{}"), "-1", never), "base below 0")
+	tooLong := strings.NewReader(strings.Repeat(" ", mostConfigBytes+1))
+	assert.Equal(t, http.StatusRequestEntityTooLarge, orderOver(tooLong, "0", never), "too long")
+}
+
+// The answer is the reply's status; an order without a base builds on none.
+func TestOrdersAreAnsweredWithTheRepliesStatus(t *testing.T) {
+	for _, status := range []int{http.StatusOK, http.StatusBadRequest, http.StatusPreconditionFailed, http.StatusServiceUnavailable,
+		http.StatusGatewayTimeout} {
+		code := orderOver(strings.NewReader("body"), "", func(args internalapi.ReplaceArgs, _ time.Duration) internalapi.ReplaceReply {
+			assert.Equal(t, internalapi.ReplaceArgs{Base: 0, Body: []byte("body")}, args)
+			return internalapi.ReplaceReply{Status: status}
+		})
+		assert.Equal(t, status, code)
+	}
+}
