Read the configuration at the head alone, and play operators in a bubble

A read right after a confirmed change showed the version before it: the tail answers by what it knows to be committed, and it learns of a commit a moment after the head has confirmed the order (TestAConfirmedChangeIsReadAtOnce failed at every change). A head that had not yet committed what it inherited answered reads likewise. Reads are now answered where orders are: by the acting head; others pass them on.

operatorsworld_test.go holds replicas with all of the program's own code but its sockets, in a synctest bubble, with disks in memory that lose power, kills, freezes and cuts.

--- a/internal/system/control/config.go
+++ b/internal/system/control/config.go
@@ -109,10 +109,12 @@
 	return nil
 }
 
+// readHere gives the configuration that is committed. Only the head has it for sure: the others learn of a commit later, when its order
+// may have been answered already.
 func (n *Node) readHere() internalapi.ReadReply {
 	refused := internalapi.ReadReply{Verdict: internalapi.NotHead}
 	return ask(n, time.Second, refused, func(answer func(internalapi.ReadReply)) {
-		if !n.engine.mayRead() {
+		if !n.acting() {
 			answer(internalapi.ReadReply{Verdict: internalapi.NotHead, View: n.engine.view()})
 			return
 		}
@@ -156,7 +158,7 @@
 	if head == "" {
 		return reply, transport.ErrNotSent
 	}
-	err := n.client.Call(head, internalapi.MethodReplace, args, &reply, min(forwardFirst, time.Until(deadline)))
+	err := n.forward(head, internalapi.MethodReplace, args, &reply, min(forwardFirst, time.Until(deadline)))
 	if err != nil {
 		reply = internalapi.ReplaceReply{Verdict: internalapi.NotHead}
 	}
@@ -175,21 +177,17 @@
 	})
 }
 
-// readAnywhere gives the newest configuration from here or, if this replica may not show it, from the chain's tail or head.
+// readAnywhere gives the newest configuration from here or, if this replica isn't the head, from there.
 func (n *Node) readAnywhere(patience time.Duration) internalapi.ReadReply {
 	deadline := time.Now().Add(patience)
 	for {
 		reply := n.readHere()
+		if reply.Verdict == internalapi.NotHead {
+			reply = n.readAtHead(deadline)
+		}
 		if reply.Verdict == internalapi.Done {
 			return reply
 		}
-		for _, address := range n.readers() {
-			reply = internalapi.ReadReply{}
-			err := n.client.Call(address, internalapi.MethodRead, internalapi.ReadArgs{}, &reply, min(forwardFirst, time.Until(deadline)))
-			if err == nil && reply.Verdict == internalapi.Done {
-				return reply
-			}
-		}
 		if time.Until(deadline) < 2*forwardPause {
 			return internalapi.ReadReply{Verdict: internalapi.NotHead, Text: errNoHead.Error()}
 		}
@@ -197,13 +195,15 @@
 	}
 }
 
-func (n *Node) readers() []string {
-	return ask(n, time.Second, nil, func(answer func([]string)) {
-		newest := n.engine.view()
-		if !newest.Known() || len(newest.Chain) == 0 {
-			answer(nil)
-			return
-		}
-		answer([]string{newest.Tail().Address, newest.Head().Address})
-	})
+func (n *Node) readAtHead(deadline time.Time) internalapi.ReadReply {
+	refused := internalapi.ReadReply{Verdict: internalapi.NotHead}
+	head := n.headAddress()
+	if head == "" {
+		return refused
+	}
+	var reply internalapi.ReadReply
+	if n.forward(head, internalapi.MethodRead, internalapi.ReadArgs{}, &reply, min(forwardFirst, time.Until(deadline))) != nil {
+		return refused
+	}
+	return reply
 }
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -63,6 +63,7 @@
 	loop     *loop
 	engine   *engine
 	client   *transport.Client
+	forward  func(address, method string, args, reply any, timeout time.Duration) error // calls another replica
 	sender   *transport.Sender[*replica.Message]
 	server   *transport.Server
 	members  *membership.Node
@@ -101,6 +102,7 @@
 	n := &Node{settings: options.Settings, logger: options.Logger, started: time.Now(), loop: newLoop(), wall: newWallClock(),
 		left: make(chan struct{}), failures: make(chan error, 1)}
 	n.client = transport.NewClient(transport.Options{})
+	n.forward = n.client.Call
 	n.sender = transport.NewSender[*replica.Message](n.client, chainService+".Receive", transport.SenderOptions{})
 	n.orders = newOrders(max(n.settings.Limits.MaxOpenFiles-reservedFiles, leastConnections))
 	n.list = workerapi.NewListClient()
--- /dev/null
+++ b/internal/system/control/operators_test.go
@@ -0,0 +1,265 @@
+package control
+
+import (
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/coord/transport"
+	"gaugeslip/internal/system/internalapi"
+	"gaugeslip/internal/system/state"
+)
+
+// longPatience is that of a caller who waits for whatever the program says.
+const longPatience = time.Minute
+
+// playOperators plays a story with a few replicas, the first configuration in force.
+func playOperators(t *testing.T, replicas int, story func(w *operatorsWorld, head *operatorsMachine)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newOperatorsWorld(t, 1, replicas)
+		head := w.head()
+		w.expect(head, newOrder(0, 1, 1), http.StatusOK)
+		story(w, head)
+		w.stop()
+	})
+}
+
+// expect sends an order and holds its answer.
+func (w *operatorsWorld) expect(m *operatorsMachine, call operatorsCall, status int) {
+	if test, ok := w.t.(*testing.T); ok {
+		test.Helper()
+	}
+	assert.Equal(w.t, status, w.send(m, call, longPatience).status, "machine %d, base %d, version %d", m.number, call.base, call.version)
+}
+
+// together sends one order to each machine at once and gives the answers.
+func (w *operatorsWorld) together(calls map[*operatorsMachine]operatorsCall) map[*operatorsMachine]int {
+	var mutex sync.Mutex
+	var all sync.WaitGroup
+	statuses := map[*operatorsMachine]int{}
+	for m, call := range calls {
+		all.Go(func() {
+			status := w.send(m, call, longPatience).status
+			mutex.Lock()
+			defer mutex.Unlock()
+			statuses[m] = status
+		})
+	}
+	all.Wait()
+	return statuses
+}
+
+// Two operators give one number to different changes on the same version, at whatever machines: one is confirmed, one refused.
+func TestOneNumberIsConfirmedOnce(t *testing.T) {
+	playOperators(t, 3, func(w *operatorsWorld, _ *operatorsMachine) {
+		version := uint64(1)
+		for _, one := range w.machines {
+			for _, other := range w.others(one) {
+				calls := map[*operatorsMachine]operatorsCall{one: newOrder(version, version+2, 10), other: newOrder(version, version+2, 20)}
+				statuses := w.together(calls)
+				assert.ElementsMatch(t, []int{http.StatusOK, http.StatusPreconditionFailed}, []int{statuses[one], statuses[other]})
+				for m, call := range calls {
+					w.expect(other, call, statuses[m])
+				}
+				version += 2
+			}
+		}
+	})
+}
+
+// One order, sent to all machines again and again at once, is confirmed to everybody.
+func TestCopiesOfAnOrderAreAllConfirmed(t *testing.T) {
+	playOperators(t, 3, func(w *operatorsWorld, _ *operatorsMachine) {
+		const copies = 8
+		var all sync.WaitGroup
+		for i := range copies {
+			all.Go(func() { w.expect(w.machines[i%len(w.machines)], newOrder(1, 5, 10), http.StatusOK) })
+		}
+		all.Wait()
+		w.expect(w.machines[0], newOrder(5, 6, 10), http.StatusOK)
+		w.expect(w.machines[1], newOrder(1, 5, 10), http.StatusOK)
+		w.expect(w.machines[2], newOrder(1, 5, 11), http.StatusPreconditionFailed)
+	})
+}
+
+// An order's answer is lost; meanwhile the head, then all machines end, and some come back by a snapshot. It is confirmed anew.
+func TestARepeatedOrderIsConfirmedWhateverHappenedBetween(t *testing.T) {
+	playOperators(t, 3, func(w *operatorsWorld, head *operatorsMachine) {
+		order, later := newOrder(1, 4, 10), newOrder(4, 9, 20)
+		w.send(head, order, time.Millisecond) // the answer is lost
+		w.expect(w.others(head)[0], order, http.StatusOK)
+		w.expect(head, later, http.StatusOK)
+		head.kill(true)
+		w.expect(w.others(head)[0], order, http.StatusOK)
+		w.expect(w.others(head)[1], newOrder(1, 4, 11), http.StatusPreconditionFailed)
+		for version := uint64(9); version < 9+4*operatorsKeep; version++ {
+			w.expect(w.others(head)[0], newOrder(version, version+1, 10), http.StatusOK)
+		}
+		head.start()
+		w.head()
+		for _, m := range w.machines {
+			m.kill(true)
+		}
+		w.heal()
+		for _, last := range w.machines { // each is the only one that was there all along, and then answers by itself
+			w.head()
+			w.expect(last, order, http.StatusOK)
+			w.expect(last, later, http.StatusOK)
+			w.expect(last, newOrder(4, 9, 21), http.StatusPreconditionFailed)
+			last.leave()
+			time.Sleep(time.Second)
+			last.kill(false)
+			last.start()
+		}
+	})
+}
+
+// What is older than all that is remembered may have been taken: it is neither confirmed nor refused.
+func TestAnOrderOlderThanTheHistoryIsLeftUnclear(t *testing.T) {
+	playOperators(t, 1, func(w *operatorsWorld, head *operatorsMachine) {
+		p := head.running()
+		const many = 1100
+		for version := uint64(1); version < many; version++ {
+			command := &state.ConfigReplaced{Base: version, Version: version + 1, Body: []byte(operatorsBody(version+1, 10))}
+			p.loop.post(func() {
+				p.engine.propose(state.Command{Kind: state.KindConfigReplaced, ConfigReplaced: command}, func(state.Result, fate) {})
+			})
+		}
+		time.Sleep(time.Second)
+		w.expect(head, newOrder(many, many+1, 10), http.StatusOK)
+		w.expect(head, newOrder(1, 2, 10), unclear)
+		w.expect(head, newOrder(1, 2, 11), unclear)
+		w.expect(head, newOrder(many-2, many-1, 10), http.StatusOK)
+		w.expect(head, newOrder(many-2, many-1, 11), http.StatusPreconditionFailed)
+		w.expect(head, newOrder(1, many+2, 11), http.StatusPreconditionFailed)
+		head.kill(true)
+		head.start()
+		w.head()
+		w.expect(head, newOrder(1, 2, 10), unclear)
+		w.expect(head, newOrder(many, many+1, 10), http.StatusOK)
+	})
+}
+
+// A head is cut off with an order in its log; the others take another one in its place. When it learns so, it refuses its own.
+func TestAnOrderThatLostItsPlaceIsNotConfirmed(t *testing.T) {
+	playOperators(t, 3, func(w *operatorsWorld, head *operatorsMachine) {
+		w.isolate(head, true, true, true)
+		lost, won := newOrder(1, 3, 10), newOrder(1, 3, 20)
+		statuses := make(chan int, 1)
+		go func() { statuses <- w.send(head, lost, longPatience).status }()
+		other := w.others(head)[0]
+		assert.Eventually(t, func() bool { return w.send(other, won, longPatience).status == http.StatusOK }, time.Minute, time.Millisecond)
+		w.isolate(head, false, true, true)
+		assert.NotEqual(t, http.StatusOK, <-statuses)
+		w.expect(head, lost, http.StatusPreconditionFailed)
+		w.expect(head, won, http.StatusOK)
+	})
+}
+
+// A head stands still, out of touch, while the others take a change. Right when it wakes an order on top of that change waits there.
+func TestAHeadThatWakesRefusesNothingByItsOldState(t *testing.T) {
+	playOperators(t, 3, func(w *operatorsWorld, head *operatorsMachine) {
+		w.isolate(head, true, true, true)
+		head.freeze(2 * time.Second)
+		other := w.others(head)[0]
+		assert.Eventually(t, func() bool { return w.send(other, newOrder(1, 3, 10), longPatience).status == http.StatusOK }, time.Minute,
+			time.Millisecond)
+		next := w.send(head, newOrder(3, 4, 10), longPatience)
+		assert.Equal(t, unclear, next.status)
+		stale := w.send(head, operatorsCall{read: true}, longPatience)
+		assert.Equal(t, unclear, stale.status)
+		w.isolate(head, false, true, true)
+		w.expect(head, newOrder(3, 4, 10), http.StatusOK)
+	})
+}
+
+// A change that is confirmed is seen by the next read at any machine, at once.
+func TestAConfirmedChangeIsReadAtOnce(t *testing.T) {
+	playOperators(t, 3, func(w *operatorsWorld, _ *operatorsMachine) {
+		for version := uint64(1); version < 30; version++ {
+			w.expect(w.machines[version%3], newOrder(version, version+1, 10), http.StatusOK)
+			for _, m := range w.machines {
+				assert.Equal(t, version+1, w.send(m, operatorsCall{read: true}, longPatience).version, "machine %d", m.number)
+			}
+		}
+	})
+}
+
+// replaceElsewhere passes an order on from a replica that isn't the head, to one that answers as told.
+func replaceElsewhere(t *testing.T, answers ...func(*internalapi.ReplaceReply) error) (reply internalapi.ReplaceReply) {
+	playOperators(t, 3, func(w *operatorsWorld, head *operatorsMachine) {
+		p := w.others(head)[0].running()
+		p.forward = func(_, _ string, _, reply any, _ time.Duration) error {
+			next := answers[0]
+			if len(answers) > 1 {
+				answers = answers[1:]
+			}
+			return next(reply.(*internalapi.ReplaceReply))
+		}
+		reply = p.replaceAnywhere(internalapi.ReplaceArgs{Base: 1, Body: []byte(operatorsBody(2, 10))}, operatorPatience)
+	})
+	return reply
+}
+
+func answered(verdict internalapi.Verdict, status int) func(*internalapi.ReplaceReply) error {
+	return func(reply *internalapi.ReplaceReply) error {
+		*reply = internalapi.ReplaceReply{Verdict: verdict, Status: status}
+		return nil
+	}
+}
+
+func failed(err error) func(*internalapi.ReplaceReply) error {
+	return func(*internalapi.ReplaceReply) error { return err }
+}
+
+// A refusal counts only if no earlier copy of the order may still be carried out: one on a version that is yet to come may be.
+func TestARefusalAfterADoubtIsNoAnswer(t *testing.T) {
+	refused := answered(internalapi.Invalid, http.StatusPreconditionFailed)
+	assert.Equal(t, http.StatusGatewayTimeout, replaceElsewhere(t, failed(transport.ErrUnknown), refused).Status)
+	assert.Equal(t, http.StatusPreconditionFailed, replaceElsewhere(t, failed(transport.ErrNotSent), refused).Status)
+	assert.Equal(t, http.StatusPreconditionFailed, replaceElsewhere(t, answered(internalapi.NotHead, 0), refused).Status)
+}
+
+// Whoever doesn't know of a head says so; where an order may be on its way, that it isn't decided.
+func TestAnOrderWithoutAHeadIsLeftUnclear(t *testing.T) {
+	assert.Equal(t, http.StatusServiceUnavailable, replaceElsewhere(t, failed(transport.ErrNotSent)).Status)
+	assert.Equal(t, http.StatusGatewayTimeout, replaceElsewhere(t, failed(transport.ErrUnknown)).Status)
+	assert.Equal(t, http.StatusServiceUnavailable, replaceElsewhere(t, answered(internalapi.NotHead, 0)).Status)
+	assert.Equal(t, http.StatusOK, replaceElsewhere(t, failed(transport.ErrUnknown), answered(internalapi.Done, http.StatusOK)).Status)
+}
+
+// A call whose reply came with an error has none.
+func TestAFailedCallGivesNoAnswer(t *testing.T) {
+	half := func(reply *internalapi.ReplaceReply) error {
+		*reply = internalapi.ReplaceReply{Verdict: internalapi.Done, Status: http.StatusOK}
+		return transport.ErrUnknown
+	}
+	assert.Equal(t, http.StatusGatewayTimeout, replaceElsewhere(t, half).Status)
+}
+
+// fates proposes a command at a head whose peers don't answer any more, lets something happen, and gives what the proposal came to.
+func fates(t *testing.T, happens func(e *engine)) (came []fate) {
+	playOperators(t, 3, func(w *operatorsWorld, head *operatorsMachine) {
+		w.isolate(head, true, true, true)
+		p := head.running()
+		command := state.Command{Kind: state.KindConfigReplaced, ConfigReplaced: &state.ConfigReplaced{Base: 1, Version: 2, Body: []byte("x")}}
+		p.loop.post(func() {
+			p.engine.propose(command, func(_ state.Result, fate fate) { came = append(came, fate) })
+			require.True(t, p.engine.flush())
+			p.engine.propose(command, func(_ state.Result, fate fate) { came = append(came, fate) })
+			happens(p.engine)
+		})
+		time.Sleep(100 * time.Millisecond)
+	})
+	return came
+}
+
+// What was appended and is not settled when the replica's core ends may be committed by the others; what never was appended can't be.
+func TestTheEndOfACoreLeavesWhatItAppendedInDoubt(t *testing.T) {
+	assert.Equal(t, []fate{fateRefused, fateInDoubt}, fates(t, (*engine).close))
+}
--- /dev/null
+++ b/internal/system/control/operatorsworld_test.go
@@ -0,0 +1,356 @@
+package control
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/coord/membership"
+	"gaugeslip/coord/peersampling"
+	"gaugeslip/coord/replica"
+	"gaugeslip/coord/transport"
+	"gaugeslip/coord/wal"
+	"gaugeslip/coord/wal/simdisk"
+	"gaugeslip/internal/system/internalapi"
+	"gaugeslip/internal/system/nodesettings"
+)
+
+const (
+	// operatorsKeep is how many entries replicas keep for those that come back: few, so that these get snapshots.
+	operatorsKeep = 6
+	// operatorsCompaction is the length at which a log is rewritten for the first time in a life.
+	operatorsCompaction = 8 << 10
+)
+
+// operatorsWorld is a few machines with replicas whose disks are in memory and whose peers and operators are reached without sockets,
+// inside a synctest bubble. All of a replica but its sockets is the program's own.
+type operatorsWorld struct {
+	t        testing.TB
+	machines []*operatorsMachine
+	trace    func(format string, args ...any)
+
+	mutex  sync.Mutex
+	random *rand.Rand
+	cut    map[[2]int]bool // from, to
+	lossy  float64         // part of the messages and calls that get lost, and of the answers
+}
+
+// operatorsMachine is a machine; its process may be down.
+type operatorsMachine struct {
+	world    *operatorsWorld
+	number   int
+	settings *nodesettings.Settings
+	disk     *simdisk.Disk
+	mutex    sync.Mutex
+	process  *operatorsProcess
+}
+
+// operatorsProcess is one life of a replica.
+type operatorsProcess struct {
+	*Node
+	machine *operatorsMachine
+}
+
+func newOperatorsWorld(t testing.TB, seed uint64, replicas int) *operatorsWorld {
+	w := &operatorsWorld{t: t, random: rand.New(rand.NewPCG(seed, 3)), cut: map[[2]int]bool{}, trace: func(string, ...any) {}}
+	var seeds []string
+	for i := range replicas {
+		seeds = append(seeds, loopback(i)+":9000")
+	}
+	for i := range replicas {
+		settings := nodesettings.Default()
+		settings.NodeName, settings.IP, settings.Bind.ControlPlane = fmt.Sprint("core-", i), loopback(i), seeds[i]
+		settings.EphemeralPorts = []int{9001, 9001}
+		settings.SeedNodes, settings.Bootstrap, settings.FaultTolerance.Machines = seeds, true, (replicas-1)/2
+		w.machines = append(w.machines, &operatorsMachine{world: w, number: i, settings: settings, disk: simdisk.New(seed + uint64(i))})
+	}
+	for _, m := range w.machines {
+		m.start()
+	}
+	return w
+}
+
+// start brings the machine's process up, if it is down.
+func (m *operatorsMachine) start() {
+	if m.running() != nil {
+		return
+	}
+	p := &operatorsProcess{machine: m, Node: &Node{settings: m.settings, logger: log.New(io.Discard),
+		started: time.Now().Add(-time.Second), loop: newLoop(),
+		wall: newWallClock(), client: transport.NewClient(transport.Options{}), left: make(chan struct{})}}
+	p.members = membership.New(p.client, membership.Options{Self: peersampling.Peer{Address: p.self().Address, Role: RoleName}})
+	p.forward = p.callPeer
+	file, records, err := wal.Open(m.disk, logName)
+	require.NoError(m.world.t, err)
+	config := p.replicaConfig()
+	config.KeepEntries, config.Seed = operatorsKeep, m.world.draw()
+	p.engine, err = newEngine(engineOptions{config: config, log: file, records: records, now: p.now, post: p.loop.post, send: p.send,
+		applied: p.applied, committed: p.counts.latency.Observe, installed: p.snapshotTaken, event: p.event, failed: p.failed, fault: p.broken,
+		rewritten: func(int64, time.Duration) {}})
+	require.NoError(m.world.t, err)
+	p.engine.compactAt = operatorsCompaction
+	p.configTaken()
+	m.put(p)
+	p.loop.post(p.engine.begin)
+	p.loop.post(func() { p.engine.step(replica.Contacts{Addresses: p.settings.SeedInternalAddresses()}) })
+	go p.loop.run(p.flush)
+}
+
+func (m *operatorsMachine) running() *operatorsProcess {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.process
+}
+
+func (m *operatorsMachine) put(p *operatorsProcess) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.process = p
+}
+
+// kill ends the machine's process at once; with its power, writes that no sync has covered are lost or torn.
+func (m *operatorsMachine) kill(power bool) {
+	p := m.running()
+	if p == nil {
+		return
+	}
+	m.put(nil)
+	if power {
+		m.disk.PowerLoss()
+	} else {
+		m.disk.Restart()
+	}
+	p.loop.post(func() {
+		p.engine.close()
+		p.loop.stop()
+	})
+}
+
+// freeze lets the process stand still for a while; its clock goes on.
+func (m *operatorsMachine) freeze(length time.Duration) {
+	if p := m.running(); p != nil {
+		p.loop.post(func() { time.Sleep(length) })
+	}
+}
+
+// leave has the process hand over its place, as upon SIGTERM.
+func (m *operatorsMachine) leave() {
+	if p := m.running(); p != nil {
+		p.loop.post(func() {
+			p.leaving = true
+			p.engine.step(replica.Leave{})
+		})
+	}
+}
+
+// alive tells whether this is still the machine's process.
+func (p *operatorsProcess) alive() bool { return p.machine.running() == p }
+
+func (p *operatorsProcess) failed(err error) {
+	if p.alive() {
+		p.machine.world.t.Errorf("machine %d: disk: %v", p.machine.number, err)
+	}
+}
+
+func (p *operatorsProcess) broken(err error) {
+	p.machine.world.t.Errorf("machine %d: %v", p.machine.number, err)
+}
+
+func (p *operatorsProcess) snapshotTaken() {
+	p.machine.world.trace("machine %d has a snapshot", p.machine.number)
+	p.installed()
+}
+
+// flush is what the program does after each batch, but for the scheduler and the calls that need sockets.
+func (p *operatorsProcess) flush() time.Duration {
+	if p.engine.closed {
+		return time.Hour
+	}
+	if p.now() >= p.engine.wake {
+		p.engine.step(replica.Tick{})
+	}
+	p.takeConfig()
+	for p.engine.flush() {
+	}
+	return max(p.engine.wake-p.now(), time.Millisecond)
+}
+
+func (w *operatorsWorld) draw() uint64 {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.random.Uint64()
+}
+
+func (w *operatorsWorld) intn(n int) int { return int(w.draw() % uint64(n)) }
+
+func (w *operatorsWorld) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.draw()%uint64(high-low+1))
+}
+
+// lost tells whether what goes from one machine to another now gets lost.
+func (w *operatorsWorld) lost(from, to int) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.cut[[2]int{from, to}] || w.random.Float64() < w.lossy
+}
+
+// latency is how long something is on its way.
+func (w *operatorsWorld) latency() time.Duration {
+	return w.between(time.Millisecond, 3*time.Millisecond)
+}
+
+// isolate cuts a machine off or joins it again; in and out say which ways.
+func (w *operatorsWorld) isolate(m *operatorsMachine, cut, in, out bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, other := range w.machines {
+		if out {
+			w.cut[[2]int{m.number, other.number}] = cut && other != m
+		}
+		if in {
+			w.cut[[2]int{other.number, m.number}] = cut && other != m
+		}
+	}
+}
+
+func (w *operatorsWorld) setLossy(part float64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.lossy = part
+}
+
+// heal ends all faults and starts what is down.
+func (w *operatorsWorld) heal() {
+	w.mutex.Lock()
+	clear(w.cut)
+	w.lossy = 0
+	w.mutex.Unlock()
+	for _, m := range w.machines {
+		m.start()
+	}
+}
+
+func (w *operatorsWorld) stop() {
+	for _, m := range w.machines {
+		m.kill(false)
+	}
+	time.Sleep(2 * operatorPatience) // of the bubble: all calls have ended
+}
+
+func (w *operatorsWorld) at(address string) *operatorsMachine {
+	for _, m := range w.machines {
+		if m.settings.InternalAddress() == address {
+			return m
+		}
+	}
+	return nil
+}
+
+func (p *operatorsProcess) send(to string, message *replica.Message) {
+	w, target := p.machine.world, p.machine.world.at(to)
+	if target == nil || !p.alive() || w.lost(p.machine.number, target.number) {
+		return
+	}
+	time.AfterFunc(w.latency(), func() {
+		if other := target.running(); other != nil {
+			other.loop.post(func() { other.engine.step(replica.Receive{Message: message}) })
+		}
+	})
+}
+
+// callPeer is a call of another replica's service: refused where nothing runs, else its outcome isn't known if the call or its answer
+// gets lost.
+func (p *operatorsProcess) callPeer(address, method string, args, reply any, timeout time.Duration) error {
+	w, target := p.machine.world, p.machine.world.at(address)
+	expired := time.After(timeout)
+	if w.lost(p.machine.number, target.number) {
+		<-expired
+		return transport.ErrUnknown
+	}
+	time.Sleep(w.latency())
+	other := target.running()
+	if other == nil {
+		return transport.ErrNotSent
+	}
+	answers := make(chan any, 1)
+	go func() { answers <- serve(&Service{node: other.Node}, method, args) }()
+	select {
+	case answer := <-answers:
+		time.Sleep(w.latency())
+		if !other.alive() || !p.alive() || w.lost(target.number, p.machine.number) {
+			<-expired
+			return transport.ErrUnknown
+		}
+		put(reply, answer)
+		return nil
+	case <-expired:
+		return transport.ErrUnknown
+	}
+}
+
+// serve carries a call out as the replica's server does.
+func serve(service *Service, method string, args any) any {
+	if method == internalapi.MethodReplace {
+		var reply internalapi.ReplaceReply
+		_ = service.Replace(args.(internalapi.ReplaceArgs), &reply)
+		return reply
+	}
+	var reply internalapi.ReadReply
+	_ = service.Read(args.(internalapi.ReadArgs), &reply)
+	return reply
+}
+
+func put(reply, answer any) {
+	switch reply := reply.(type) {
+	case *internalapi.ReplaceReply:
+		*reply = answer.(internalapi.ReplaceReply)
+	case *internalapi.ReadReply:
+		*reply = answer.(internalapi.ReadReply)
+	}
+}
+
+// peek runs a question on a process's loop and waits for the answer.
+func peek[T any](p *operatorsProcess, question func(n *Node) T) T {
+	var none T
+	return ask(p.Node, time.Second, none, func(answer func(T)) { answer(question(p.Node)) })
+}
+
+// head waits until a machine acts as the head and the chain has all machines, or gives up.
+func (w *operatorsWorld) head() *operatorsMachine {
+	for range 400 {
+		for _, m := range w.machines {
+			p := m.running()
+			if p == nil {
+				continue
+			}
+			if peek(p, func(n *Node) bool { return n.acting() && len(n.engine.view().Chain) == len(w.machines) }) {
+				return m
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	for _, m := range w.machines {
+		if p := m.running(); p != nil {
+			w.t.Logf("machine %d: %+v", m.number, peek(p, func(n *Node) replica.Status { return n.engine.replica.Status(n.now()) }))
+		}
+	}
+	w.t.Fatal("no head with a whole chain")
+	return nil
+}
+
+// others are the machines but one.
+func (w *operatorsWorld) others(but *operatorsMachine) []*operatorsMachine {
+	var others []*operatorsMachine
+	for _, m := range w.machines {
+		if m != but {
+			others = append(others, m)
+		}
+	}
+	return others
+}
