Let a lost order hold no other up

A head decided one order at a time and waited for word of each. An order that a cut-off head had appended, and that was dropped from its log when it came back, got no word if nothing else was committed at its index: the same replica, head again, answered 504 to every order from then on (TestALostOrderHoldsNoOtherUp on the former code). What was dropped is now left in doubt when its index is used again.

Deciding one order at a time is taken out: a refusal stands on what is committed either way, and all others are decided where they are applied.

--- a/internal/system/control/config.go
+++ b/internal/system/control/config.go
@@ -27,26 +27,21 @@
 	return ask(n, patience, doubt, func(answer func(internalapi.ReplaceReply)) { n.replace(&args, answer) })
 }
 
-// replace runs on the loop. One configuration is decided at a time, so that a refusal always stands on a committed one.
+// replace runs on the loop. A refusal stands on what is committed; whatever isn't refused by that is decided where it is applied, after
+// all that is on its way.
 func (n *Node) replace(args *internalapi.ReplaceArgs, answer func(internalapi.ReplaceReply)) {
 	if !n.acting() {
 		answer(internalapi.ReplaceReply{Verdict: internalapi.NotHead, View: n.engine.view()})
 		return
 	}
-	if n.configBusy {
-		n.configWaiting = append(n.configWaiting, func() { n.replace(args, answer) })
-		return
-	}
 	command, refusal := n.checkReplace(args)
 	if refusal != nil {
 		n.configRefused(args, refusal)
 		answer(*refusal)
 		return
 	}
-	n.configBusy = true
 	n.engine.propose(state.Command{Kind: state.KindConfigReplaced, ConfigReplaced: command}, func(result state.Result, fate fate) {
 		answer(n.replaceReply(result, fate))
-		n.nextConfig()
 	})
 }
 
@@ -57,15 +52,6 @@
 	}
 }
 
-func (n *Node) nextConfig() {
-	n.configBusy = false
-	waiting := n.configWaiting
-	n.configWaiting = nil
-	for _, next := range waiting {
-		next()
-	}
-}
-
 // checkReplace gives the command for a configuration that may be taken, or the answer for one that surely isn't or was already.
 func (n *Node) checkReplace(args *internalapi.ReplaceArgs) (*state.ConfigReplaced, *internalapi.ReplaceReply) {
 	parsed, err := clusterconfig.Parse(args.Body)
--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -257,7 +257,7 @@
 	if err == nil {
 		for i, waiting := range batch {
 			waiting.epoch, waiting.at, waiting.data = epoch, now, nil
-			e.flying[first+uint64(i)] = waiting
+			e.fly(first+uint64(i), waiting)
 		}
 		e.queue = append([]*proposal(nil), e.queue[len(batch):]...)
 	}
@@ -265,6 +265,16 @@
 	return err == nil
 }
 
+// fly notes where a proposal was appended. One of an earlier epoch at that index was dropped from the log here; another replica may
+// still have it, and commit it if this head's epoch ends before that replica has heard of it.
+func (e *engine) fly(index uint64, appended *proposal) {
+	dropped := e.flying[index]
+	e.flying[index] = appended
+	if dropped != nil {
+		dropped.done(state.Result{}, fateInDoubt)
+	}
+}
+
 // refuseQueued ends all that was never appended.
 func (e *engine) refuseQueued() {
 	queued := e.queue
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -86,8 +86,6 @@
 	housekeepingAt time.Duration
 	config         *clusterconfig.Config
 	configStale    bool // a newer one was committed since
-	configWaiting  []func()
-	configBusy     bool
 	leaving        bool
 	handover       *handover // a transfer that an operator has asked for
 	counts         counts
--- a/internal/system/control/operators_test.go
+++ b/internal/system/control/operators_test.go
@@ -263,3 +263,21 @@
 func TestTheEndOfACoreLeavesWhatItAppendedInDoubt(t *testing.T) {
 	assert.Equal(t, []fate{fateRefused, fateInDoubt}, fates(t, (*engine).close))
 }
+
+// A head is cut off with an order in its log and comes back into a system where nothing is written, until it is the head again. The
+// order it has lost holds no other up.
+func TestALostOrderHoldsNoOtherUp(t *testing.T) {
+	playOperators(t, 3, func(w *operatorsWorld, head *operatorsMachine) {
+		w.isolate(head, true, true, true)
+		w.send(head, newOrder(1, 2, 10), historyPatience)
+		time.Sleep(historyPatience)
+		w.isolate(head, false, true, true)
+		for next := w.head(); next != head; next = w.head() {
+			next.kill(false)
+			time.Sleep(2 * time.Second)
+			next.start()
+		}
+		w.expect(head, newOrder(1, 2, 20), http.StatusOK)
+		w.expect(head, newOrder(1, 2, 10), http.StatusPreconditionFailed)
+	})
+}
