--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -64,6 +64,7 @@
 	loop     *loop
 	engine   *engine
 	client   *transport.Client
+	forward  func(address, method string, args, reply any, timeout time.Duration) error // calls another replica
 	sender   *transport.Sender[*replica.Message]
 	server   *transport.Server
 	members  *membership.Node
@@ -86,8 +87,6 @@
 	housekeepingAt time.Duration
 	config         *clusterconfig.Config
 	configStale    bool // a newer one was committed since
-	configWaiting  []func()
-	configBusy     bool
 	leaving        bool
 	handover       *handover // a transfer that an operator has asked for
 	counts         counts
@@ -107,6 +106,7 @@
 	n.started = n.clock()
 	dial := network.DialOf(n.network)
 	n.client = transport.NewClient(transport.Options{Dial: dial})
+	n.forward = n.client.Call
 	n.sender = transport.NewSender[*replica.Message](n.client, chainService+".Receive", transport.SenderOptions{})
 	n.orders = newOrders(max(n.settings.Limits.MaxOpenFiles-reservedFiles, leastConnections), dial)
 	n.list = workerapi.NewListClient(dial)
--- a/internal/system/control/operator.go
+++ b/internal/system/control/operator.go
@@ -44,9 +44,10 @@
 		http.Error(writer, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
-	if err != nil { // without an answer of ours net/http would send a 200
+	if err != nil {
+		// An answer without a status would be a 200, which a caller that has only closed its own direction still reads.
 		writer.Header().Set("Connection", "close")
-		http.Error(writer, "the body can't be read in full", http.StatusBadRequest)
+		http.Error(writer, "the body can't be read in full: "+err.Error(), http.StatusBadRequest)
 		return
 	}
 	reply := o.replace(internalapi.ReplaceArgs{Base: base, Body: body}, operatorPatience)
