--- a/internal/system/control/operatorsworld_test.go
+++ b/internal/system/control/operatorsworld_test.go
@@ -82,7 +82,7 @@
 		return
 	}
 	p := &operatorsProcess{machine: m, Node: &Node{settings: m.settings, logger: log.New(io.Discard),
-		started: time.Now().Add(-time.Second), loop: newLoop(),
+		clock: time.Now, started: time.Now().Add(-time.Second), loop: newLoop(),
 		wall: newWallClock(), client: transport.NewClient(transport.Options{}), left: make(chan struct{})}}
 	p.members = membership.New(p.client, membership.Options{Self: peersampling.Peer{Address: p.self().Address, Role: RoleName}})
 	p.forward = p.callPeer
