--- /dev/null
+++ b/internal/system/state/snapshot_bench_test.go
@@ -0,0 +1,47 @@
+package state_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/system/state"
+)
+
+// large is a state whose snapshot has about as many bytes as asked for: jobs with a body of a kilobyte, 100 tasks and a run of each.
+func large(b *testing.B, bytes int) *state.Machine {
+	b.Helper()
+	const tasks, bytesOfOne = 100, 4500
+	m := state.New()
+	note := strings.Repeat("x", 900)
+	for index := range bytes / bytesOfOne {
+		id := state.JobID(index + 1)
+		accept(m, id, "team", fmt.Sprintf(`{"count":%d,"note":%q}`, tasks, note))
+		starts := make([]state.Start, tasks)
+		for number := range starts {
+			starts[number] = startOf(id, uint32(number), 1)
+			starts[number].Worker = fmt.Sprint("worker-", (index+number)%325)
+		}
+		require.Len(b, start(m, starts...), tasks)
+	}
+	return m
+}
+
+// BenchmarkSnapshot and BenchmarkRestore tell what a learner's snapshot costs its giver and its taker; MB/s is of the snapshot's bytes.
+func BenchmarkSnapshot(b *testing.B) {
+	m := large(b, 50<<20)
+	b.SetBytes(int64(len(m.Snapshot())))
+	for b.Loop() {
+		m.Snapshot()
+	}
+}
+
+func BenchmarkRestore(b *testing.B) {
+	snapshot := large(b, 50<<20).Snapshot()
+	b.SetBytes(int64(len(snapshot)))
+	for b.Loop() {
+		require.NoError(b, state.New().Restore(snapshot))
+	}
+}
