Keep f+1 members that have everything in every chain

A leaver was dropped at its word, also where only f others or fewer had everything; the head dropped silent members, and a candidate those that hadn't answered within 60 ms, down to a chain of one. What was committed then lay with fewer than f+1 disks that may lead: a member back from a short stop with all of it could not lead when the next disk was lost. And where a new machine had come first, the leaver's vote stayed for two seconds after a change of head: the loss of the next head left two of four voters.

Now lost members stay until f+1 others are in touch or a learner that has everything takes their place in the same view; disks that are known to be lost go at once. Leavers go one by one as far as f+1 others stay; till then they work on, the head among them. Their surplus votes go in the same view. A head whose disk stalls and that can't be spared moves to the chain's end. A broken disk is told apart from a wish to leave, in the notice and in the heartbeats' answers. A control machine waits for four of the six seconds of its grace in place of 1.5 s.

--- /dev/null
+++ b/coord/replica/departure_test.go
@@ -0,0 +1,165 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// others are the machines besides the head, in the order of their addresses.
+func (w *world) others() []*machine {
+	var others []*machine
+	for _, m := range w.machines {
+		if m != w.head() {
+			others = append(others, m)
+		}
+	}
+	return others
+}
+
+// stay plays for a while and holds that a leaver is still in and that writes go on.
+func (w *world) stays(t *testing.T, leaver *machine, length time.Duration) {
+	before := len(w.oracle.entries)
+	w.run(w.now + length)
+	require.NoError(t, w.failure, "seed %d", w.seed)
+	assert.False(t, leaver.left, "seed %d: it has left", w.seed)
+	assert.Greater(t, len(w.oracle.entries), before+10, "seed %d", w.seed)
+	require.NotNil(t, w.head(), "seed %d", w.seed)
+	assert.True(t, w.head().process.View().InChain(leaver.process.Self().ID), "seed %d", w.seed)
+}
+
+// leaves plays until a leaver has left.
+func (w *world) leaves(leaver *machine, most time.Duration) time.Duration {
+	began := w.now
+	for !leaver.left && w.now < began+most && w.failure == nil {
+		w.run(w.now + time.Millisecond)
+	}
+	return w.now - began
+}
+
+// A leaver, the head or another, stays while fewer than f+1 others have everything, and works on; it goes as soon as a third is in.
+func TestLeaverStaysUntilOthersHaveEverything(t *testing.T) {
+	for _, ofHead := range []bool{false, true} {
+		eachSeed(t, func(t *testing.T, w *world) {
+			others := w.others()
+			leaver, lost := others[0], others[1]
+			if ofHead {
+				leaver = w.head()
+			}
+			lost.loseDisk()
+			w.run(w.now + time.Second)
+			leaver.input(Leave{})
+			w.stays(t, leaver, 3*time.Second)
+			lost.start()
+			assert.Less(t, w.leaves(leaver, 5*time.Second), 1500*time.Millisecond, "seed %d", w.seed)
+			assert.Less(t, w.untilCommitted(5*time.Second), 500*time.Millisecond, "seed %d", w.seed)
+			assert.Len(t, w.head().process.View().Chain, 2, "seed %d", w.seed)
+		})
+	}
+}
+
+// Of two leavers at once only one can be spared.
+func TestLastButOneStays(t *testing.T) {
+	eachSeed(t, func(t *testing.T, w *world) {
+		others := w.others()
+		others[0].input(Leave{})
+		others[1].input(Leave{})
+		w.run(w.now + 500*time.Millisecond)
+		require.True(t, others[0].left != others[1].left, "seed %d", w.seed)
+		if others[0].left {
+			others[0], others[1] = others[1], others[0]
+		}
+		w.stays(t, others[0], time.Second)
+		head := w.head()
+		head.input(Leave{})
+		w.stays(t, head, time.Second)
+	})
+}
+
+// A leaver that is killed while it waits has its place when it comes back, with nobody to catch up from.
+func TestWaitingLeaverIsKilled(t *testing.T) {
+	for _, ofHead := range []bool{false, true} {
+		eachSeed(t, func(t *testing.T, w *world) {
+			others := w.others()
+			leaver, lost := others[0], others[1]
+			if ofHead {
+				leaver = w.head()
+			}
+			lost.losePower()
+			lost.removed = true
+			w.run(w.now + time.Second)
+			leaver.input(Leave{})
+			w.run(w.now + 300*time.Millisecond)
+			leaver.end()
+			w.run(w.now + time.Second)
+			leaver.start()
+			assert.Less(t, w.untilCommitted(5*time.Second), 1500*time.Millisecond, "seed %d", w.seed)
+		})
+	}
+}
+
+// A chain of f+1 loses a member for a moment and then the head with its disk: the member has everything and leads.
+func TestStoppedMemberLeadsWhenTheHeadsDiskIsLost(t *testing.T) {
+	eachSeed(t, func(t *testing.T, w *world) {
+		head, others := w.head(), w.others()
+		member, outside := others[0], others[1]
+		w.cut(head, outside, time.Minute)
+		w.cut(member, outside, time.Second)
+		w.run(w.now + 2*time.Second)
+		require.False(t, head.process.View().InChain(outside.process.Self().ID), "seed %d", w.seed)
+		member.end()
+		w.run(w.now + time.Second)
+		head.loseDisk()
+		member.start()
+		w.run(w.now + 2*time.Second)
+		w.cuts = map[[2]string]time.Duration{}
+		assert.Less(t, w.untilCommitted(5*time.Second), 2*time.Second, "seed %d", w.seed)
+	})
+}
+
+// cut cuts the ways between two machines.
+func (w *world) cut(a, b *machine, length time.Duration) {
+	w.cuts[[2]string{a.address, b.address}] = w.now + length
+	w.cuts[[2]string{b.address, a.address}] = w.now + length
+}
+
+// A candidate that only a voter outside the chain answers keeps the old head in the chain: with it, f+1 disks have everything.
+func TestElectionKeepsEnoughMembers(t *testing.T) {
+	eachSeed(t, func(t *testing.T, w *world) {
+		head, others := w.head(), w.others()
+		w.cut(head, others[1], time.Minute)
+		w.cut(others[0], others[1], time.Second)
+		w.run(w.now + 2*time.Second)
+		require.Len(t, head.process.View().Chain, 2, "seed %d", w.seed)
+		head.losePower()
+		for w.head() == nil && w.failure == nil && w.now < time.Minute {
+			w.run(w.now + time.Millisecond)
+		}
+		require.Same(t, others[0], w.head(), "seed %d", w.seed)
+		assert.Len(t, w.head().process.View().Chain, 2, "seed %d", w.seed)
+	})
+}
+
+// The new machine came first and has everything, the old one goes: the next loss, at once, leaves a majority.
+func TestLossAfterReplacementLeavesAMajority(t *testing.T) {
+	for _, ofHead := range []bool{false, true} {
+		eachSeed(t, func(t *testing.T, w *world) {
+			newcomer := w.newMachine()
+			newcomer.start()
+			require.Less(t, w.untilIn(newcomer, 5*time.Second), time.Second)
+			leaver := w.others()[0]
+			if ofHead {
+				leaver = w.head()
+			}
+			leaver.input(Leave{})
+			require.Less(t, w.leaves(leaver, 5*time.Second), time.Second, "seed %d", w.seed)
+			leaver.end()
+			leaver.removed = true
+			w.untilCommitted(time.Second)
+			w.head().losePower()
+			assert.Less(t, w.untilCommitted(5*time.Second), 1200*time.Millisecond, "seed %d", w.seed)
+		})
+	}
+}
--- a/coord/replica/election.go
+++ b/coord/replica/election.go
@@ -102,22 +102,29 @@
 	r.repeat(now)
 }
 
-// successor is the view with all members that have answered, or nil while it is worth waiting for more.
+// successor is the view with all members that have answered, or nil while it is worth waiting for more. Those that want to leave and
+// those that haven't answered stay at the chain's end as far as f+1 are needed: they have everything and may lead yet.
 func (r *Replica) successor(now time.Duration) *view.View {
 	next := r.view.Next()
-	head := r.view.Head().ID
+	var members, leaving, silent []view.Member
 	missing := false
-	next.Chain = view.Without(next.Chain, func(id view.ReplicaID) bool {
-		if id == r.self.ID {
-			return r.leaving && len(r.view.Chain) > 1
+	for i, member := range next.Chain {
+		switch {
+		case member.ID != r.self.ID && !r.proposer.Answered(member.ID):
+			missing = missing || i > 0
+			silent = append(silent, member)
+		case member.ID == r.self.ID && r.leaving || r.proposer.Leaving(member.ID):
+			leaving = append(leaving, member)
+		default:
+			members = append(members, member)
 		}
-		answered := r.proposer.Answered(id)
-		missing = missing || !answered && id != head
-		return !answered || r.proposer.Leaving(id)
-	})
-	if missing && now-r.proposer.Majority < electionPatience || len(next.Chain) == 0 {
+	}
+	if missing && now-r.proposer.Majority < electionPatience {
 		return nil
 	}
+	spared := append(leaving, silent...)
+	need := min(max(r.cfg.Tolerance+1-len(members), 0), len(spared))
+	next.Chain = append(members, spared[:need]...)
 	return &next
 }
 
@@ -188,7 +195,11 @@
 	before := r.view
 	next := *r.proposer.Value
 	unheard := !r.proposer.Answered(next.Head().ID)
+	silent := r.silentOf(next)
 	r.learn(now, next)
+	for _, id := range silent {
+		r.peer(id, now).silent = r.position() == 0
+	}
 	if unheard && r.position() > 0 {
 		r.electAt = now + electionUnheard + r.jitter(electionJitter)
 	}
@@ -202,3 +213,14 @@
 		}
 	}
 }
+
+// silentOf are the members of the next chain that haven't answered a candidate.
+func (r *Replica) silentOf(next view.View) []view.ReplicaID {
+	var silent []view.ReplicaID
+	for _, member := range next.Chain {
+		if r.proposer.Ballot.Round > 0 && member.ID != r.self.ID && !r.proposer.Answered(member.ID) {
+			silent = append(silent, member.ID)
+		}
+	}
+	return silent
+}
--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -18,53 +18,123 @@
 	r.governVoters(now)
 }
 
-// governLeave hands the head's place over where this replica has to go.
+// governLeave hands the head's place over where this replica has to go. One that only wants to leave goes on as the head until f+1
+// others have everything.
 func (r *Replica) governLeave(now time.Duration) bool {
-	if !r.leaving && !r.ownDiskStalls(now) {
+	stalls := r.ownDiskStalls(now)
+	if !r.leaving && !stalls {
 		return false
 	}
-	drained := r.Committed() >= r.LastIndex() || now-r.leaveAt > drainAtMost
-	if !drained && !r.ownDiskStalls(now) {
+	rest := r.without(now, r.self.ID)
+	if len(rest) <= r.cfg.Tolerance {
+		r.head.handingOver = false
+		return stalls && r.yield(now)
+	}
+	if !r.head.handingOver {
+		r.head.handingOver, r.head.drainedBy = true, now+drainAtMost
+	}
+	if r.Committed() < r.LastIndex() && now < r.head.drainedBy && !stalls {
 		return true
 	}
-	return r.proposeWithout(now, func(id view.ReplicaID) bool { return id == r.self.ID || r.lost(now, id, "") })
+	return r.proposeChain(now, rest, "")
 }
 
-// governChain drops members that are gone.
-func (r *Replica) governChain(now time.Duration) bool {
-	culprit := r.culprit(now)
-	gone := func(id view.ReplicaID) bool { return r.lost(now, id, culprit) }
-	if !slices.ContainsFunc(r.view.Chain, func(m view.Member) bool { return gone(m.ID) }) {
+// without is the chain without one member and without the lost ones.
+func (r *Replica) without(now time.Duration, id view.ReplicaID) []view.Member {
+	return view.Without(r.view.Chain, func(other view.ReplicaID) bool { return other == id || r.lost(now, other, "") })
+}
+
+// yield gives the head's place to a member whose disk works, where this replica, whose disk stalls, can't be spared.
+func (r *Replica) yield(now time.Duration) bool {
+	next := r.without(now, r.self.ID)
+	if len(next) == 0 {
 		return false
 	}
-	if !r.proposeWithout(now, gone) {
-		return false
+	for _, member := range r.view.Chain {
+		if !slices.Contains(next, member) && !r.peer(member.ID, now).gone {
+			next = append(next, member)
+		}
 	}
-	if culprit != "" {
-		r.punish(now, culprit)
+	return r.proposeChain(now, next, "")
+}
+
+// governChain drops members that are lost, or want to leave and can be spared.
+func (r *Replica) governChain(now time.Duration) bool {
+	culprit := r.culprit(now)
+	next := r.remaining(now, culprit, 0)
+	return len(next) < len(r.view.Chain) && r.proposeChain(now, next, culprit)
+}
+
+// remaining is what stays of the chain if so many newcomers, who have everything, are added. It has no more lost members where f+1
+// others are left; till then they stay: nothing commits either way, and one that comes back with its disk has everything and may lead.
+// A disk that is lost for good is of no use. Of those that want to leave as many go as can be spared.
+func (r *Replica) remaining(now time.Duration, culprit view.ReplicaID, newcomers int) []view.Member {
+	chain := view.Without(r.view.Chain, func(id view.ReplicaID) bool { return id != r.self.ID && r.peer(id, now).gone })
+	found := view.Without(chain, func(id view.ReplicaID) bool { return r.lost(now, id, culprit) })
+	if len(found)+newcomers <= r.cfg.Tolerance {
+		return chain
 	}
-	return true
+	spare := len(found) + newcomers - r.cfg.Tolerance - 1
+	return view.Without(found, func(id view.ReplicaID) bool {
+		if spare == 0 || id == r.self.ID || !r.peer(id, now).leaving {
+			return false
+		}
+		spare--
+		return true
+	})
 }
 
-// lost tells whether a member has to be dropped.
+// short tells whether too few members are in touch to commit anything.
+func (r *Replica) short(now time.Duration) bool {
+	culprit := r.culprit(now)
+	found := view.Without(r.view.Chain, func(id view.ReplicaID) bool { return r.lost(now, id, culprit) })
+	return len(found) <= r.cfg.Tolerance
+}
+
+// lost tells whether a member can't do its part.
 func (r *Replica) lost(now time.Duration, id, culprit view.ReplicaID) bool {
 	if id == r.self.ID {
 		return false
 	}
 	p := r.peer(id, now)
-	return id == culprit || p.gone || p.leaving || now-p.heardAt > r.cfg.DropAfter
+	return id == culprit || p.gone || p.broken || p.silent || now-p.heardAt > r.cfg.DropAfter
 }
 
-func (r *Replica) proposeWithout(now time.Duration, gone func(view.ReplicaID) bool) bool {
+// proposeChain proposes the view with another chain. Voters that go and aren't needed lose their seats with it.
+func (r *Replica) proposeChain(now time.Duration, members []view.Member, culprit view.ReplicaID) bool {
 	next := r.view.Next()
-	next.Chain = view.Without(next.Chain, gone)
+	next.Chain = members
+	r.dropSeats(now, &next)
+	return r.proposeView(now, next, culprit)
+}
+
+// proposeView proposes a view whose chain may lack the culprit.
+func (r *Replica) proposeView(now time.Duration, next view.View, culprit view.ReplicaID) bool {
 	if len(next.Chain) == 0 || !r.readsOver(now, next) {
 		return false
 	}
+	if culprit != "" && !next.InChain(culprit) {
+		r.punish(now, culprit)
+	}
 	r.propose(now, next)
 	return true
 }
 
+// dropSeats takes the votes of those away that have left the chain or lost their disks, as long as 2f+1 voters remain: the next
+// loss may come at once.
+func (r *Replica) dropSeats(now time.Duration, next *view.View) {
+	for _, voter := range slices.Clone(next.Voters) {
+		p := r.peer(voter.ID, now)
+		going := p.leaving || p.gone
+		if voter.ID == r.self.ID {
+			going = r.leaving
+		}
+		if going && !next.InChain(voter.ID) && len(next.Voters) > 2*r.cfg.Tolerance+1 {
+			next.Voters = view.Without(next.Voters, func(id view.ReplicaID) bool { return id == voter.ID })
+		}
+	}
+}
+
 // readsOver tells whether the present tail can't answer reads any more once the next view is decided: it is a
 // member still, has stopped by itself, or its permission has run out.
 func (r *Replica) readsOver(now time.Duration, next view.View) bool {
@@ -102,12 +172,12 @@
 	case acked < r.LastIndex():
 		return true
 	}
-	r.propose(now, r.viewWith(now, l.member))
-	return true
+	culprit := r.culprit(now)
+	return r.proposeView(now, r.viewWith(now, l.member, culprit), culprit)
 }
 
 func (r *Replica) chooseLearner(now time.Duration) {
-	if now < r.head.heldAgain || r.leaving {
+	if now < r.head.heldAgain || r.head.handingOver {
 		return
 	}
 	for id, l := range r.head.learners {
@@ -134,13 +204,13 @@
 	if now-r.head.learners[id].heardAt > learnerHeardSince || r.peer(id, now).leaving {
 		return false
 	}
-	return now >= r.head.penalties[id].until || len(r.view.Chain) <= r.cfg.Tolerance
+	return now >= r.head.penalties[id].until || r.short(now)
 }
 
-// viewWith is the next view with a new member at the chain's end.
-func (r *Replica) viewWith(now time.Duration, member view.Member) view.View {
+// viewWith is the next view with a new member at the chain's end, and without those that can be spared then.
+func (r *Replica) viewWith(now time.Duration, member view.Member, culprit view.ReplicaID) view.View {
 	next := r.view.Next()
-	next.Chain = append(next.Chain, member)
+	next.Chain = append(r.remaining(now, culprit, 1), member)
 	if seat := r.seatFor(now, next, member); seat >= 0 {
 		next.Voters[seat] = member
 	} else {
--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -23,6 +23,9 @@
 	governAt   time.Duration
 	inherited  uint64 // last index at the start of the epoch
 
+	handingOver bool // no writes are taken any more
+	drainedBy   time.Duration
+
 	stuckIndex uint64 // the entry that is watched
 	stuckSince time.Duration
 
@@ -45,6 +48,8 @@
 	synced   uint64
 	acked    uint64
 	leaving  bool
+	broken   bool // its disk refuses
+	silent   bool // out of reach since it was the head's or a candidate's
 	gone     bool // its disk is lost, or it has moved
 }
 
@@ -81,6 +86,7 @@
 			p.ackedAt = now
 		}
 		p.gone = false
+		p.silent = p.silent && r.position() == 0
 		p.echo, p.refused, p.received, p.synced, p.acked = 0, 0, 0, 0, 0
 	}
 	r.head = head
@@ -180,6 +186,7 @@
 	}
 	p := r.peer(from.ID, now)
 	p.heardAt, p.ackedAt = now, now
+	p.silent, p.broken = false, m.Broken
 	p.echo = max(p.echo, m.Sequence)
 	p.received, p.synced, p.acked = m.Received, m.Synced, m.Acked
 	if !m.Granted {
--- a/coord/replica/join.go
+++ b/coord/replica/join.go
@@ -43,7 +43,7 @@
 	}
 	r.joinAt = now + leaveNoticeEvery
 	r.numbers++
-	r.send(r.view.Head(), &Message{Leave: &view.LeaveNotice{Sequence: r.numbers}})
+	r.send(r.view.Head(), &Message{Leave: &view.LeaveNotice{Sequence: r.numbers, Broken: r.broken}})
 }
 
 // leave begins to get out of the chain.
@@ -52,7 +52,7 @@
 		return
 	}
 	r.leaving = true
-	r.leaveAt, r.joinAt = now, now
+	r.joinAt = now
 	r.tail.readUntil = 0
 	if r.position() < 0 {
 		r.left = true
@@ -60,6 +60,13 @@
 	}
 }
 
+// onLeave notes a member that wants to leave.
+func (r *Replica) onLeave(now time.Duration, id view.ReplicaID, m *view.LeaveNotice) {
+	p := r.peer(id, now)
+	p.leaving, p.broken = true, m.Broken
+	r.head.governAt = now
+}
+
 // onJoin notes a replica that wants to become a member, and tells it the newest view.
 func (r *Replica) onJoin(now time.Duration, m *Message) {
 	if !r.view.Known() || !m.Viewless && m.Epoch > r.view.Epoch {
@@ -71,7 +78,7 @@
 	}
 	r.noteGone(now, m.From)
 	p := r.peer(m.From.ID, now)
-	p.leaving = false
+	p.leaving, p.broken = false, false
 	if !r.leading() || m.Viewless || m.Epoch != r.view.Epoch {
 		return
 	}
--- a/coord/replica/receive.go
+++ b/coord/replica/receive.go
@@ -94,8 +94,7 @@
 	case m.Accepted != nil:
 		r.onAccepted(now, m.From, m.Accepted)
 	case m.Leave != nil:
-		r.peer(m.From.ID, now).leaving = true
-		r.head.governAt = now
+		r.onLeave(now, m.From.ID, m.Leave)
 	case m.Request != nil:
 		r.news(now, m.From)
 	}
@@ -120,7 +119,7 @@
 	if r.proposer.Phase == view.Preparing {
 		r.proposer.Phase = view.Idle
 	}
-	ack := &view.HeartbeatAck{Sequence: m.Heartbeat.Sequence, Received: r.LastIndex(), Synced: r.chain.Synced()}
+	ack := &view.HeartbeatAck{Sequence: m.Heartbeat.Sequence, Received: r.LastIndex(), Synced: r.chain.Synced(), Broken: r.broken}
 	ack.Acked = r.chain.Acked()
 	if r.view.IsVoter(r.self.ID) && !r.acceptor.PromisedAway(m.From.ID) {
 		r.grant = max(r.grant, now+r.cfg.Grant)
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -42,7 +42,6 @@
 	peers     map[view.ReplicaID]*peer
 	leaving   bool
 	left      bool
-	leaveAt   time.Duration
 	joinAt    time.Duration
 	broken    bool // the disk refuses
 	numbers   uint64
@@ -160,13 +159,13 @@
 // CanPropose tells why Propose would refuse, nil if it wouldn't.
 func (r *Replica) CanPropose(now time.Duration) error {
 	switch {
-	case r.head.announced && r.proposer.Active() && !r.leaving:
+	case r.head.announced && r.proposer.Active() && !r.head.handingOver:
 		return ErrHeld
-	case !r.IsHead(now) || r.leaving:
+	case !r.IsHead(now) || r.head.handingOver:
 		return ErrNotHead
 	case r.head.admitting != "":
 		return ErrHeld
-	case len(r.view.Chain) <= r.cfg.Tolerance:
+	case r.short(now):
 		return ErrShort
 	}
 	return nil
--- a/coord/view/messages.go
+++ b/coord/view/messages.go
@@ -42,13 +42,17 @@
 	Received uint64 // last index held
 	Synced   uint64 // last index on disk
 	Acked    uint64 // last index on disk here and at all successors
+	Broken   bool   // the disk refuses
 }
 
 // Join asks the head to become a member; the sender's data stand in the message.
 type Join struct{ Sequence uint64 }
 
 // LeaveNotice asks the head to be left out of the chain; the sender has stopped to answer reads.
-type LeaveNotice struct{ Sequence uint64 }
+type LeaveNotice struct {
+	Sequence uint64
+	Broken   bool // the disk refuses: it can't acknowledge anything any more
+}
 
 // Request asks for the newest view.
 type Request struct{ Sequence uint64 }
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -43,8 +43,10 @@
 	chainService = "Chain"
 	// restartPause is how long a replica whose disk refused waits before it tries again with what the disk holds.
 	restartPause = time.Second
-	// leavePatience bounds the planned transfer at the end.
+	// leavePatience bounds a planned transfer.
 	leavePatience = 1500 * time.Millisecond
+	// leaveReserve is what is left of the grace for the end itself.
+	leaveReserve = 2 * time.Second
 	// RoleName is how replicas call themselves among the peers.
 	RoleName = "replica"
 )
@@ -394,16 +396,21 @@
 	})
 }
 
-// Leave hands over what this replica holds and ends it.
+// Leave hands over what this replica holds and ends it. While too few others have everything it stays, as long as its grace allows.
 func (n *Node) Leave() {
 	n.logger.Info("leaving")
 	n.loop.post(func() {
 		n.leaving = true
+		if n.engine.closed {
+			n.handedOver()
+			return
+		}
 		n.engine.step(replica.Leave{})
 	})
 	select {
 	case <-n.left:
-	case <-time.After(leavePatience):
+	case <-time.After(max(leavePatience, n.settings.Bounds.GracePeriod()-leaveReserve)):
+		n.logger.Warn("left without a handover")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
