End a penalty with the trouble, pass a lost disk's vote at once, and let a stalled head give way

Three ways in which a healthy machine was kept out, or a majority was missing, past the time at which the next loss may come:

- A member dropped for its disk four times within a minute stayed out for 16 s.
Where the chain has no f members to spare it now comes back after a second of prompt acknowledgements, 2 s after it was dropped at the earliest; with 2f+1 others the penalty stays whole.
- Writes were held back for the learner with the smallest name, again and again, whether or not that came to anything: a slow disk kept half the writes waiting.
A learner for which they were held in vain has to be prompt for half a second first, and comes last.
- A lost disk's vote waited until its successor had everything.
It goes to the new disk at that address once that asks to join.

And a head whose disk stalled while a view was on its way to it sent heartbeats on and on without a lease: nobody could take over. It gives the place up now.

--- a/coord/replica/config.go
+++ b/coord/replica/config.go
@@ -41,6 +41,8 @@
 	penaltyFirst      = 2 * time.Second
 	penaltyMost       = 16 * time.Second
 	penaltyForgiven   = time.Minute
+	penaltyProven     = time.Second            // of prompt acknowledgements
+	promptAgain       = 500 * time.Millisecond // before writes are held back for a learner once more
 	learnerHeardSince = 400 * time.Millisecond
 )
 
--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -12,6 +13,7 @@
 	if r.proposer.Active() {
 		return
 	}
+	r.watchLearners(now)
 	if r.governLeave(now) || r.governChain(now) || r.governAdmission(now) {
 		return
 	}
@@ -104,6 +106,7 @@
 func (r *Replica) proposeChain(now time.Duration, members []view.Member, culprit view.ReplicaID) bool {
 	next := r.view.Next()
 	next.Chain = members
+	r.passSeats(now, &next)
 	r.dropSeats(now, &next)
 	return r.proposeView(now, next, culprit)
 }
@@ -120,6 +123,19 @@
 	return true
 }
 
+// passSeats gives the votes of lost disks to the new ones at their addresses, which need no data to vote.
+func (r *Replica) passSeats(now time.Duration, next *view.View) (changed bool) {
+	for _, l := range r.head.learners {
+		seat := voterAt(*next, l.member.Address)
+		if seat < 0 || next.IsVoter(l.member.ID) || !r.peer(next.Voters[seat].ID, now).gone || next.InChain(next.Voters[seat].ID) {
+			continue
+		}
+		next.Voters[seat] = l.member
+		changed = true
+	}
+	return changed
+}
+
 // dropSeats takes the votes of those away that have left the chain or lost their disks, as long as 2f+1 voters remain: the next
 // loss may come at once.
 func (r *Replica) dropSeats(now time.Duration, next *view.View) {
@@ -166,6 +182,9 @@
 	acked, _, ok := r.chain.Learner(r.head.admitting)
 	switch {
 	case l == nil || !ok || now-r.head.heldSince > holdAtMost:
+		if l != nil {
+			l.failedAt = now
+		}
 		r.head.admitting = ""
 		r.head.heldAgain = now + holdAgainAfter
 		return false
@@ -180,14 +199,9 @@
 	if now < r.head.heldAgain || r.head.handingOver {
 		return
 	}
-	for id, l := range r.head.learners {
-		if now-l.heardAt > 2*joinEvery+r.cfg.Grant || r.view.InChain(id) {
-			delete(r.head.learners, id)
-		}
-	}
 	best := view.ReplicaID("")
 	for id := range r.head.learners {
-		if r.admissible(now, id) && (best == "" || id < best) {
+		if r.admissible(now, id) && (best == "" || r.before(id, best)) {
 			best = id
 		}
 	}
@@ -196,6 +210,24 @@
 	}
 }
 
+// watchLearners follows the learners, and forgets those that don't ask any more.
+func (r *Replica) watchLearners(now time.Duration) {
+	for id, l := range r.head.learners {
+		if now-l.heardAt > 2*joinEvery+r.cfg.Grant || r.view.InChain(id) {
+			delete(r.head.learners, id)
+			continue
+		}
+		acked, _, ok := r.chain.Learner(id)
+		l.watch(now, acked, ok, r.LastIndex(), r.cfg.StallAfter/2)
+	}
+}
+
+// before tells which of two learners is tried first: the one for which writes were held back in vain longer ago.
+func (r *Replica) before(a, b view.ReplicaID) bool {
+	return cmp.Or(cmp.Compare(r.head.learners[a].failedAt, r.head.learners[b].failedAt), cmp.Compare(a, b)) < 0
+}
+
+// admissible tells whether it is worth holding writes back for a learner.
 func (r *Replica) admissible(now time.Duration, id view.ReplicaID) bool {
 	acked, heard, ok := r.chain.Learner(id)
 	if !ok || now-heard > learnerHeardSince && acked < r.LastIndex() || acked+holdWithin < r.LastIndex() {
@@ -204,7 +236,22 @@
 	if now-r.head.learners[id].heardAt > learnerHeardSince || r.peer(id, now).leaving {
 		return false
 	}
-	return now >= r.head.penalties[id].until || r.short(now)
+	l := r.head.learners[id]
+	if l.failedAt != 0 && now-max(l.promptSince, l.failedAt) < promptAgain {
+		return false
+	}
+	return !r.penalised(now, id)
+}
+
+// penalised tells whether a member that was dropped for its disk has to stay out yet. Where the chain has no f members to spare, it is
+// back as soon as it has been prompt for a while: it counts as well then, and the next loss may come.
+func (r *Replica) penalised(now time.Duration, id view.ReplicaID) bool {
+	p := r.head.penalties[id]
+	if now >= p.until || r.short(now) {
+		return false
+	}
+	proven := now-p.last >= penaltyFirst && now-r.head.learners[id].promptSince >= penaltyProven
+	return !proven || len(r.view.Chain) > 2*r.cfg.Tolerance
 }
 
 // viewWith is the next view with a new member at the chain's end, and without those that can be spared then.
@@ -245,6 +292,10 @@
 // governVoters drops a voter out of reach that isn't needed, and clears promises that keep a voter from granting.
 func (r *Replica) governVoters(now time.Duration) {
 	next := r.view.Next()
+	if r.passSeats(now, &next) {
+		r.propose(now, next)
+		return
+	}
 	if len(next.Voters) > 2*r.cfg.Tolerance+1 {
 		gone := slices.IndexFunc(next.Voters, func(m view.Member) bool { return r.voterGone(now, m.ID) })
 		if gone >= 0 {
--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -53,9 +53,24 @@
 	gone     bool // its disk is lost, or it has moved
 }
 
+// learner is one that has asked to become a member, and how promptly it acknowledges.
 type learner struct {
-	member  view.Member
-	heardAt time.Duration
+	member      view.Member
+	heardAt     time.Duration
+	watched     uint64 // an index that it has to acknowledge
+	watchedAt   time.Duration
+	promptSince time.Duration
+	failedAt    time.Duration // writes were held back for it in vain; 0: never
+}
+
+// watch follows what a learner acknowledges.
+func (l *learner) watch(now time.Duration, acked uint64, ok bool, last uint64, most time.Duration) {
+	switch {
+	case ok && acked >= l.watched:
+		l.watched, l.watchedAt = last, now
+	case now-l.watchedAt > most:
+		l.promptSince = now
+	}
 }
 
 // penalty keeps a member out that stopped to acknowledge while it was in touch.
@@ -107,7 +122,10 @@
 	if now >= r.head.beatAt {
 		r.beat(now)
 	}
-	if !r.leading() || !r.IsHead(now) {
+	if r.leading() && !r.entered && r.ownDiskStalls(now) {
+		r.abdicate(now)
+	}
+	if !r.IsHead(now) {
 		return
 	}
 	if len(r.view.Chain) > r.cfg.Tolerance {
--- a/coord/replica/join.go
+++ b/coord/replica/join.go
@@ -82,7 +82,12 @@
 	if !r.leading() || m.Viewless || m.Epoch != r.view.Epoch {
 		return
 	}
-	r.head.learners[m.From.ID] = &learner{member: m.From, heardAt: now}
+	l := r.head.learners[m.From.ID]
+	if l == nil {
+		l = &learner{watchedAt: now, promptSince: now}
+		r.head.learners[m.From.ID] = l
+	}
+	l.member, l.heardAt = m.From, now
 	r.head.governAt = now
 	r.chain.Invite(now, m.From)
 }
