--- a/coord/chain/chain.go
+++ b/coord/chain/chain.go
@@ -85,8 +85,8 @@
 	helloAt  time.Duration
 	target   uint64 // to be in step
 	ackSent  uint64
-	owed     int    // bytes taken since the last Ack
-	partial  []byte // of a snapshot
+	owed     int      // bytes taken since the last Ack
+	incoming incoming // the snapshot that comes in
 
 	noteAt time.Duration // when to send the commit index by itself; 0: not
 	snap   *Snapshot     // for learners
--- a/coord/chain/downstream.go
+++ b/coord/chain/downstream.go
@@ -159,7 +159,7 @@
 		return
 	}
 	l.wants = false
-	l.transfer = &transfer{snapshot: c.snap, at: now}
+	l.transfer = &transfer{snapshot: c.snap, sum: snapshotSum(c.snap.Data), at: now}
 	c.pumpChunks(now, l)
 }
 
@@ -179,7 +179,7 @@
 	t := l.transfer
 	t.sent = to
 	c.send(l.peer, &Body{Chunk: &Chunk{Session: l.session, Index: t.snapshot.Index, Epoch: t.snapshot.Epoch,
-		Offset: from, Total: len(t.snapshot.Data), Data: t.snapshot.Data[from:to]}})
+		Offset: from, Total: len(t.snapshot.Data), Sum: t.sum, Data: t.snapshot.Data[from:to]}})
 }
 
 func (c *Chain) onChunkAck(now time.Duration, from view.Member, m *ChunkAck) {
--- a/coord/chain/link.go
+++ b/coord/chain/link.go
@@ -38,6 +38,7 @@
 // transfer is a snapshot on its way.
 type transfer struct {
 	snapshot *Snapshot
+	sum      uint64
 	acked    int
 	sent     int
 	at       time.Duration
--- /dev/null
+++ b/coord/chain/snapshot_test.go
@@ -0,0 +1,141 @@
+package chain
+
+import (
+	"bytes"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A learner is cut off in the midst of a transfer for longer than the head remembers it, and the head goes on: the learner must not
+// put the second half of a newer snapshot behind the first half of the older one.
+func TestSnapshotsAreNeverMixed(t *testing.T) {
+	head, learner := trimmedHead(t, 10), newLearner(t, 2)
+	carry(learner, head, nil)
+	require.True(t, head.WantsSnapshot())
+	const size = 8 * chunkBytes
+	head.Offer(head.now, 10, state('a', size))
+	for range 2 { // a part of it gets through
+		carry(head, learner, nil)
+		carry(learner, head, nil)
+	}
+	require.Zero(t, len(learner.installed))
+	head.take()
+
+	head.after(learnerSilence + time.Millisecond)
+	learner.after(learnerSilence + time.Millisecond)
+	head.take()
+	head.write("x", "x")
+	head.sync(2)
+	head.Commit(head.now)
+	carry(learner, head, nil)
+	require.True(t, head.WantsSnapshot())
+	head.Offer(head.now, 12, state('b', size))
+	settleDown(head, learner)
+	require.NoError(t, learner.fault)
+	require.Equal(t, 1, len(learner.installed))
+	got := learner.installed[0]
+	assert.Equal(t, uint64(12), got.Index)
+	assert.Equal(t, 0, bytes.Count(got.Data, []byte("a")), "bytes of the older snapshot are in the newer one")
+	assert.Equal(t, size, len(got.Data))
+}
+
+// chunksFor gives the chunks of a snapshot as a head sends them in a session.
+func chunksFor(session, index uint64, data []byte) []*Chunk {
+	var chunks []*Chunk
+	for from := 0; from < len(data); from += chunkBytes {
+		to := min(from+chunkBytes, len(data))
+		chunks = append(chunks, &Chunk{Session: session, Index: index, Epoch: 2, Offset: from, Total: len(data), Sum: snapshotSum(data),
+			Data: data[from:to]})
+	}
+	return chunks
+}
+
+func TestChunksMayComeTwiceAndOutOfOrder(t *testing.T) {
+	learner := newLearner(t, 2)
+	data := append(state('a', chunkBytes), state('b', chunkBytes)...)
+	data = append(data, 'c')
+	chunks := chunksFor(learner.session, 10, data)
+	for _, at := range []int{1, 0, 2, 0, 1, 0, 2} {
+		learner.gets(headMember, &Body{Chunk: chunks[at]})
+	}
+	require.NoError(t, learner.fault)
+	require.Equal(t, 1, len(learner.installed))
+	assert.True(t, bytes.Equal(data, learner.installed[0].Data))
+	assert.Equal(t, 1, len(learner.snapshots))
+	assert.Equal(t, uint64(10), learner.Log().Base())
+	assert.Equal(t, uint64(10), learner.Committed())
+}
+
+func TestChunksOfAnotherSessionOrAnOlderSnapshotCountForNothing(t *testing.T) {
+	learner := newLearner(t, 2)
+	newer := chunksFor(learner.session, 12, state('b', 2*chunkBytes))
+	older := chunksFor(learner.session, 10, state('a', 2*chunkBytes))
+	foreign := chunksFor(learner.session+1, 12, state('b', 2*chunkBytes))
+	learner.gets(headMember, &Body{Chunk: foreign[0]})
+	learner.gets(headMember, &Body{Chunk: newer[0]})
+	learner.take()
+	learner.gets(headMember, &Body{Chunk: older[0]})
+	learner.gets(headMember, &Body{Chunk: older[1]})
+	learner.gets(headMember, &Body{Chunk: foreign[1]})
+	assert.Zero(t, len(learner.take()), "what is of no use isn't acknowledged")
+	learner.gets(headMember, &Body{Chunk: newer[1]})
+	require.Equal(t, 1, len(learner.installed))
+	assert.Equal(t, uint64(12), learner.installed[0].Index)
+}
+
+func TestADamagedSnapshotIsNotInstalled(t *testing.T) {
+	learner := newLearner(t, 2)
+	chunks := chunksFor(learner.session, 10, state('a', chunkBytes+1))
+	damaged := *chunks[1]
+	damaged.Data = []byte{'b'}
+	learner.gets(headMember, &Body{Chunk: chunks[0]})
+	learner.take()
+	learner.gets(headMember, &Body{Chunk: &damaged})
+	require.Zero(t, len(learner.installed))
+	require.Zero(t, len(learner.snapshots))
+	hellos := hellosOf(learner.take())
+	require.Equal(t, 1, len(hellos), "it asks anew")
+	for _, chunk := range chunksFor(hellos[0].Session, 10, state('a', chunkBytes+1)) {
+		learner.gets(headMember, &Body{Chunk: chunk})
+	}
+	assert.Equal(t, 1, len(learner.installed))
+}
+
+// A head of an older version gives no sum.
+func TestASnapshotWithoutASumIsInstalled(t *testing.T) {
+	learner := newLearner(t, 2)
+	for _, chunk := range chunksFor(learner.session, 10, state('a', chunkBytes+1)) {
+		chunk.Sum = 0
+		learner.gets(headMember, &Body{Chunk: chunk})
+	}
+	assert.Equal(t, 1, len(learner.installed))
+}
+
+func TestASnapshotOfLessThanIsCommittedIsRefused(t *testing.T) {
+	learner := newRig(t, learnerMember, 7, entriesOf(1, 1, 1)...)
+	learner.Enter(learner.now, Role{Epoch: 2, Upstream: headMember})
+	learner.gets(headMember, &Body{Append: &Append{Session: learner.session, Start: true, Target: 3, Prev: 3, PrevEpoch: 1, Commit: 3}})
+	require.Equal(t, uint64(3), learner.Committed())
+	learner.Enter(learner.now, Role{Epoch: 3, Upstream: headMember})
+	learner.gets(headMember, &Body{Chunk: chunksFor(learner.session, 2, state('a', 1))[0]})
+	assert.ErrorIs(t, learner.fault, ErrDiverged)
+	assert.Zero(t, len(learner.installed)+len(learner.snapshots))
+	assert.Equal(t, uint64(3), learner.Log().Last())
+}
+
+// What stands on the disk of the log that a snapshot replaces says nothing about the snapshot.
+func TestASnapshotIsAcknowledgedOnceItIsOnDisk(t *testing.T) {
+	learner := newRig(t, learnerMember, 7, entriesOf(1, 1, 1)...)
+	learner.Enter(learner.now, Role{Epoch: 2, Upstream: headMember})
+	learner.gets(headMember, &Body{Chunk: chunksFor(learner.session, 10, state('a', 1))[0]})
+	assert.Zero(t, learner.Synced())
+	assert.Zero(t, hellosOf(learner.take())[1].Acked)
+	learner.Mark(5)
+	learner.SyncedTo(learner.now, 4)
+	assert.Zero(t, learner.Synced())
+	learner.SyncedTo(learner.now, 5)
+	assert.Equal(t, uint64(10), learner.Synced())
+}
--- a/coord/chain/timers.go
+++ b/coord/chain/timers.go
@@ -68,7 +68,7 @@
 }
 
 func (c *Chain) helloDue() time.Duration {
-	if len(c.partial) > 0 {
+	if c.incoming.begun() {
 		return c.helloAt + 2*transferStall
 	}
 	return c.helloAt + helloEvery
--- a/coord/chain/upstream.go
+++ b/coord/chain/upstream.go
@@ -10,7 +10,7 @@
 	c.sessions++
 	c.session = c.cfg.Life<<sessionBits | c.sessions&(1<<sessionBits-1)
 	c.opened = false
-	c.partial = nil
+	c.incoming = incoming{}
 	c.repeatHello(now)
 }
 
@@ -122,32 +122,3 @@
 	}
 	c.sendAck(c.Acked())
 }
-
-func (c *Chain) onChunk(now time.Duration, m *Chunk) {
-	if m.Session != c.session || c.opened || m.Total < len(c.partial) {
-		return
-	}
-	if m.Offset == len(c.partial) {
-		c.partial = append(c.partial, m.Data...)
-	}
-	c.helloAt = now
-	c.send(c.role.Upstream, &Body{ChunkAck: &ChunkAck{Session: m.Session, Index: m.Index, Offset: len(c.partial)}})
-	if len(c.partial) == m.Total {
-		c.install(now, Snapshot{Index: m.Index, Epoch: m.Epoch, Data: c.partial})
-	}
-}
-
-// install replaces log and state machine, then opens a new session to go on from there.
-func (c *Chain) install(now time.Duration, snapshot Snapshot) {
-	c.partial = nil
-	if snapshot.Index < c.committed {
-		c.env.Fail(fmt.Errorf("snapshot at %d below committed %d: %w", snapshot.Index, c.committed, ErrDiverged))
-		return
-	}
-	c.log.Reset(snapshot.Index, snapshot.Epoch)
-	c.capSynced(0)
-	c.env.StoreSnapshot(snapshot)
-	c.committed, c.delivered = snapshot.Index, snapshot.Index
-	c.env.Install(snapshot)
-	c.hello(now)
-}
