--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"gaugeslip/coord/chain"
@@ -110,17 +111,22 @@
 	e.carryOut(e.replica.Step(e.options.now(), input))
 }
 
-// carryOut does what the core asks for.
+// carryOut does what the core asks for. After a fault it does nothing of it, and a snapshot that can't be read is not stored: the disk
+// stays as it was.
 func (e *engine) carryOut(output replica.Output) {
+	if output.Fault != nil {
+		e.options.fault(output.Fault)
+		return
+	}
+	if output.Install != nil && !e.install(output.Install) {
+		return
+	}
 	for _, envelope := range output.Send {
 		e.options.send(envelope.To, envelope.Message)
 	}
 	if len(output.Persist) > 0 {
 		e.persist(output.Persist, output.Token)
 	}
-	if output.Install != nil {
-		e.install(output.Install)
-	}
 	for _, entry := range output.Committed {
 		e.apply(entry)
 	}
@@ -128,10 +134,6 @@
 		e.options.event(event)
 	}
 	e.wake = output.Wake
-	if output.Fault != nil {
-		e.options.fault(output.Fault)
-		return
-	}
 	if output.NeedSnapshot {
 		e.step(replica.SnapshotReady{Index: e.appliedTo, Data: e.machine.Snapshot()})
 	}
@@ -192,11 +194,12 @@
 	e.options.rewritten(e.disk.bytes(), took)
 }
 
-// install puts a snapshot in the place of the state; what was proposed and isn't known to be committed is in doubt.
-func (e *engine) install(snapshot *chain.Snapshot) {
+// install puts a snapshot in the place of the state and tells whether it could be read; what was proposed and isn't known to be
+// committed is in doubt.
+func (e *engine) install(snapshot *chain.Snapshot) bool {
 	if err := e.machine.Restore(snapshot.Data); err != nil {
-		e.options.failed(err)
-		return
+		e.options.failed(fmt.Errorf("snapshot at %d: %w", snapshot.Index, err))
+		return false
 	}
 	e.appliedTo = snapshot.Index
 	for index, waiting := range e.flying {
@@ -206,6 +209,7 @@
 		}
 	}
 	e.options.installed()
+	return true
 }
 
 func (e *engine) apply(entry chain.Entry) {
