--- a/coord/chain/chain.go
+++ b/coord/chain/chain.go
@@ -235,19 +235,4 @@
 	c.trim()
 }
 
-// trim drops delivered entries from memory once they are a quarter over what is kept.
-func (c *Chain) trim() {
-	held := int(c.delivered - c.log.base)
-	if held <= c.cfg.KeepEntries+c.cfg.KeepEntries/4 && c.log.bytes <= c.cfg.KeepBytes+c.cfg.KeepBytes/4 {
-		return
-	}
-	index := c.log.base
-	bytes := c.log.bytes
-	for index < c.delivered && (int(c.delivered-index) > c.cfg.KeepEntries || bytes > c.cfg.KeepBytes) {
-		bytes -= c.log.entries[index-c.log.base].size()
-		index++
-	}
-	c.log.Drop(index)
-}
-
 func (c *Chain) send(to view.Member, body *Body) { c.env.Send(to, body) }
--- a/coord/chain/link.go
+++ b/coord/chain/link.go
@@ -20,6 +20,7 @@
 	session    uint64 // 0: none
 	early      *Hello // came before this replica was in step itself
 	next       uint64
+	match      uint64 // the peer's log was found to be the same up to here
 	acked      uint64
 	flying     int // bytes not yet acknowledged
 	batches    []batch
@@ -47,10 +48,18 @@
 // owes tells whether the peer has something to acknowledge.
 func (l *link) owes() bool { return l.session != 0 && l.next > l.acked+1 }
 
+// has is up to where the peer has the log, or will have it with the snapshot that is on its way.
+func (l *link) has() uint64 {
+	if l.transfer != nil {
+		return l.transfer.snapshot.Index
+	}
+	return max(l.match, l.acked)
+}
+
 // open starts a session from the match on.
 func (l *link) open(now time.Duration, hello *Hello, match uint64) {
 	l.session = hello.Session
-	l.next = match + 1
+	l.next, l.match = match+1, match
 	l.acked = max(l.acked, min(hello.Acked, match))
 	l.flying = 0
 	l.batches = l.batches[:0]
--- a/coord/chain/snapshot_test.go
+++ b/coord/chain/snapshot_test.go
@@ -139,3 +139,52 @@
 	learner.SyncedTo(learner.now, 5)
 	assert.Equal(t, uint64(10), learner.Synced())
 }
+
+// The head writes more during a transfer than it keeps of its log: the entries after the snapshot stay until the learner has them.
+func TestALearnerNeedsOneSnapshotAlsoWhereTheLogIsTrimmedMeanwhile(t *testing.T) {
+	head, learner := trimmedHead(t, 10), newLearner(t, 2)
+	head.cfg.KeepEntries, head.cfg.KeepBytes = 10, 1<<20
+	carry(learner, head, nil)
+	token, offers := uint64(1), 0
+	for range 40 {
+		if head.WantsSnapshot() {
+			offers++
+			head.Offer(head.now, head.Committed(), state('a', 8*chunkBytes))
+		}
+		carry(head, learner, nil)
+		token++
+		learner.sync(token)
+		carry(learner, head, nil)
+		if offers > 0 && head.Log().Last() < 60 {
+			head.write("x", "x", "x", "x", "x")
+			head.sync(token)
+			head.Commit(head.now)
+		}
+	}
+	require.NoError(t, learner.fault)
+	assert.Equal(t, 1, offers)
+	assert.Equal(t, 1, len(learner.installed))
+	assert.Equal(t, head.Log().Last(), learner.Log().Last())
+	assert.Equal(t, uint64(60), learner.Log().Last())
+}
+
+// A learner that is slow or gone must not have the head keep its log without bound.
+func TestWhatIsKeptForALearnerIsBounded(t *testing.T) {
+	head, learner := trimmedHead(t, 10), newLearner(t, 2)
+	head.cfg.KeepEntries, head.cfg.KeepBytes = 10, 1<<20
+	carry(learner, head, nil)
+	head.Offer(head.now, 10, state('a', 8*chunkBytes))
+	for token := range uint64(400) {
+		head.write("x")
+		head.sync(token + 2)
+		head.Commit(head.now)
+		held := head.Committed() - head.Log().Base()
+		require.LessOrEqual(t, held, uint64(transferKeeps*10))
+		require.GreaterOrEqual(t, held, min(head.Committed()-10, uint64(transferKeeps*10)))
+	}
+	head.after(learnerSilence + time.Millisecond)
+	head.write("x")
+	head.sync(1000)
+	head.Commit(head.now)
+	assert.Equal(t, uint64(10), head.Committed()-head.Log().Base(), "nobody needs it any more")
+}
