--- a/coord/chain/rig_test.go
+++ b/coord/chain/rig_test.go
@@ -33,6 +33,7 @@
 
 var (
 	headMember    = view.Member{ID: "head", Address: "head:1"}
+	middleMember  = view.Member{ID: "middle", Address: "middle:1"}
 	learnerMember = view.Member{ID: "learner", Address: "learner:1"}
 )
 
@@ -134,3 +135,45 @@
 func hellosOf(sent []posted) []*Hello { return bodies(sent, func(b *Body) *Hello { return b.Hello }) }
 
 func state(fill byte, size int) []byte { return slices.Repeat([]byte{fill}, size) }
+
+func acksOf(sent []posted) []*Ack { return bodies(sent, func(b *Body) *Ack { return b.Ack }) }
+
+func appendsOf(sent []posted) []*Append {
+	return bodies(sent, func(b *Body) *Append { return b.Append })
+}
+
+func chunksOf(sent []posted) []*Chunk { return bodies(sent, func(b *Body) *Chunk { return b.Chunk }) }
+
+func probesOf(sent []posted) []*Probe { return bodies(sent, func(b *Body) *Probe { return b.Probe }) }
+
+// follower is a replica with these entries on disk that has entered epoch 5 behind the head, with a successor or without.
+func follower(t *testing.T, successor bool, entries ...Entry) *rig {
+	r := newRig(t, middleMember, 3, entries...)
+	role := Role{Epoch: 5, Upstream: headMember}
+	if successor {
+		role.Downstream = &learnerMember
+	}
+	r.Enter(r.now, role)
+	return r
+}
+
+// starts opens the session of a follower, as its predecessor does.
+func (r *rig) starts(prev, prevEpoch, target, commit uint64, entries ...Entry) {
+	r.gets(headMember, &Body{Append: &Append{Session: r.session, Start: true, Target: target, Prev: prev, PrevEpoch: prevEpoch,
+		Commit: commit, Entries: entries}})
+}
+
+// continues is a later message of the session.
+func (r *rig) continues(prev, prevEpoch, commit uint64, entries ...Entry) {
+	r.gets(headMember, &Body{Append: &Append{Session: r.session, Prev: prev, PrevEpoch: prevEpoch, Commit: commit, Entries: entries}})
+}
+
+// opensBehind opens the session of a successor with a log of these runs.
+func (r *rig) opensBehind(session, acked uint64, runs ...Run) {
+	r.gets(learnerMember, &Body{Hello: &Hello{Session: session, Runs: runs, Acked: acked}})
+}
+
+// ackedBehind is a successor's word on what it has on disk.
+func (r *rig) ackedBehind(session, index uint64) {
+	r.gets(learnerMember, &Body{Ack: &Ack{Session: session, Index: index, Stored: index}})
+}
