Refuse entries that follow an entry of another epoch

An Append names the epoch of the entry before its first one, and nobody looked at it: that both logs are the same up to there rested on the session alone. A difference is now a contradiction (ErrDiverged) and nothing of the message is taken.

--- a/coord/chain/upstream.go
+++ b/coord/chain/upstream.go
@@ -40,7 +40,7 @@
 		c.rehello(now)
 		return
 	}
-	if !c.take(m) {
+	if !c.follows(m) || !c.take(m) {
 		return
 	}
 	c.commitTo(now, m.Commit)
@@ -71,6 +71,16 @@
 	}
 }
 
+// follows tells whether the entry before a message's first one is the same here and there, as far as it is still held.
+func (c *Chain) follows(m *Append) bool {
+	epoch, ok := c.log.EpochAt(m.Prev)
+	if ok && epoch != m.PrevEpoch {
+		c.env.Fail(fmt.Errorf("entry %d is of epoch %d, of %d at the predecessor: %w", m.Prev, epoch, m.PrevEpoch, ErrDiverged))
+		return false
+	}
+	return true
+}
+
 // take appends what is new of a message.
 func (c *Chain) take(m *Append) bool {
 	first := c.log.Last() + 1
