Log the cause of each change of view with the figures that decided it

Views told only who left and who came in. Now the replica that has a view decided tells why (silence of whom and for how long, the entry that was stuck, the age of the own oldest write, the lease, the leaver, the learner, who answered the ballot), and a lost lease tells since when no majority was heard.

--- a/coord/replica/election.go
+++ b/coord/replica/election.go
@@ -8,6 +8,7 @@
 
 // expectHead sets when to stand for the head's place if nothing is heard from the head till then.
 func (r *Replica) expectHead(now time.Duration) {
+	r.expectedAt = now
 	at := r.position()
 	if at < 0 || r.leading() {
 		r.electAt = never
@@ -21,11 +22,20 @@
 	if now < r.electAt || r.proposer.Active() || r.position() < 0 || r.leaving || r.ownDiskStalls(now) {
 		return
 	}
+	if !r.stands(now) {
+		r.because(now, r.headSilence(now))
+	}
 	r.prepare(now, nil)
 }
 
+// stands tells whether the cause to stand is known already.
+func (r *Replica) stands(now time.Duration) bool {
+	return r.position() == 0 && (r.cause.Kind == CauseMajorityLost || r.cause.Kind == CauseRestart)
+}
+
 // propose begins with a wish of the head's. Nothing is appended in this epoch any more.
-func (r *Replica) propose(now time.Duration, next view.View) {
+func (r *Replica) propose(now time.Duration, next view.View, cause Cause) {
+	r.because(now, cause)
 	r.abdicate(now)
 	r.outbidAt = 0
 	r.proposer.AcceptAtOnce(now, &next)
@@ -188,7 +198,7 @@
 	before := r.view
 	next := *r.proposer.Value
 	unheard := !r.proposer.Answered(next.Head().ID)
-	r.learn(now, next)
+	r.learn(now, next, r.self.ID)
 	if unheard && r.position() > 0 {
 		r.electAt = now + electionUnheard + r.jitter(electionJitter)
 	}
--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -27,7 +27,8 @@
 	if !drained && !r.ownDiskStalls(now) {
 		return true
 	}
-	return r.proposeWithout(now, func(id view.ReplicaID) bool { return id == r.self.ID || r.lost(now, id, "") })
+	out := func(id view.ReplicaID) bool { return id == r.self.ID || r.lost(now, id, "") }
+	return r.proposeWithout(now, out, r.leaveCause(now))
 }
 
 // governChain drops members that are gone.
@@ -37,7 +38,7 @@
 	if !slices.ContainsFunc(r.view.Chain, func(m view.Member) bool { return gone(m.ID) }) {
 		return false
 	}
-	if !r.proposeWithout(now, gone) {
+	if !r.proposeWithout(now, gone, r.dropCause(now, culprit, gone)) {
 		return false
 	}
 	if culprit != "" {
@@ -55,13 +56,13 @@
 	return id == culprit || p.gone || p.leaving || now-p.heardAt > r.cfg.DropAfter
 }
 
-func (r *Replica) proposeWithout(now time.Duration, gone func(view.ReplicaID) bool) bool {
+func (r *Replica) proposeWithout(now time.Duration, gone func(view.ReplicaID) bool, cause Cause) bool {
 	next := r.view.Next()
 	next.Chain = view.Without(next.Chain, gone)
 	if len(next.Chain) == 0 || !r.readsOver(now, next) {
 		return false
 	}
-	r.propose(now, next)
+	r.propose(now, next, cause)
 	return true
 }
 
@@ -102,7 +103,7 @@
 	case acked < r.LastIndex():
 		return true
 	}
-	r.propose(now, r.viewWith(now, l.member))
+	r.propose(now, r.viewWith(now, l.member), Cause{Kind: CauseLearner, Member: l.member.ID, Index: acked})
 	return true
 }
 
@@ -178,14 +179,15 @@
 	if len(next.Voters) > 2*r.cfg.Tolerance+1 {
 		gone := slices.IndexFunc(next.Voters, func(m view.Member) bool { return r.voterGone(now, m.ID) })
 		if gone >= 0 {
+			id := next.Voters[gone].ID
 			next.Voters = slices.Delete(next.Voters, gone, gone+1)
-			r.propose(now, next)
+			r.propose(now, next, Cause{Kind: CauseSeat, Member: id, Silence: now - r.peer(id, now).ackedAt, Patience: voterGoneAfter})
 			return
 		}
 	}
 	for _, member := range r.view.Chain {
 		if p := r.peers[member.ID]; p != nil && p.refused != 0 && now-p.refused > refusedRefresh {
-			r.propose(now, next)
+			r.propose(now, next, Cause{Kind: CausePromise, Member: member.ID, Silence: now - p.refused, Patience: refusedRefresh})
 			return
 		}
 	}
--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -69,7 +69,7 @@
 		head.learners, head.penalties = nil, nil
 	}
 	if h.announced && !head.announced {
-		r.out.Events = append(r.out.Events, LostHead{h.announcedE})
+		r.out.Events = append(r.out.Events, LostHead{Epoch: h.announcedE, Cause: r.leaseCause(now)})
 	}
 	if head.learners == nil {
 		head.learners = make(map[view.ReplicaID]*learner)
@@ -121,6 +121,7 @@
 		since = r.learned
 	}
 	if now-since > r.cfg.Grant && !r.alone() {
+		r.because(now, Cause{Kind: CauseMajorityLost, Member: r.self.ID, Silence: now - since, Patience: r.cfg.Grant})
 		r.abdicate(now)
 		r.electAt = now + r.jitter(r.cfg.Grant/2) + r.cfg.Grant/8
 		return
@@ -231,7 +232,7 @@
 	switch {
 	case h.announced && now >= h.leaseUntil:
 		h.announced = false
-		r.out.Events = append(r.out.Events, LostHead{h.announcedE})
+		r.out.Events = append(r.out.Events, LostHead{Epoch: h.announcedE, Cause: r.leaseCause(now)})
 	case r.IsHead(now) && r.Committed() >= h.inherited && (!h.announced || h.announcedE != r.view.Epoch):
 		r.out.Events = append(r.out.Events, BecameHead{Epoch: r.view.Epoch, Continued: h.announced})
 		h.announced, h.announcedE = true, r.view.Epoch
--- a/coord/replica/message.go
+++ b/coord/replica/message.go
@@ -78,10 +78,16 @@
 }
 
 // LostHead says that this replica isn't the head any more, or has no lease.
-type LostHead struct{ Epoch uint64 }
+type LostHead struct {
+	Epoch uint64
+	Cause Cause
+}
 
-// ViewChanged says that a newer view is known.
-type ViewChanged struct{ View view.View }
+// ViewChanged says that a newer view is known, and why it was wished for.
+type ViewChanged struct {
+	View  view.View
+	Cause Cause
+}
 
 // Left says that the replica is out of the chain, as it was told to by Leave.
 type Left struct{}
--- a/coord/replica/receive.go
+++ b/coord/replica/receive.go
@@ -25,7 +25,7 @@
 		return
 	}
 	if m.View != nil {
-		r.learn(now, *m.View)
+		r.learn(now, *m.View, m.From.ID)
 	}
 	if m.From.ID != r.self.ID {
 		r.hear(now, m)
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -33,9 +33,12 @@
 	repeatAt time.Duration // of the ballot
 	outbidAt time.Duration // when to begin a higher one; 0: not
 	electAt  time.Duration
-	chain    *chain.Chain
-	entered  bool // the view is on disk and the chain goes by it
-	enterAt  uint64
+	// expectedAt is since when the head's next heartbeat is waited for.
+	expectedAt time.Duration
+	cause      Cause // of the last own wish for a view
+	chain      *chain.Chain
+	entered    bool // the view is on disk and the chain goes by it
+	enterAt    uint64
 
 	head      headState
 	tail      tailState
@@ -102,7 +105,7 @@
 func (r *Replica) begin(now time.Duration) {
 	r.store(encodeIdentity(r.self.ID))
 	if r.cfg.Genesis != nil {
-		r.learn(now, *r.cfg.Genesis)
+		r.learn(now, *r.cfg.Genesis, "")
 	}
 }
 
@@ -121,7 +124,8 @@
 	r.enter(now)
 	r.expectHead(now)
 	if r.position() == 0 {
-		r.electAt = now
+		r.electAt, r.expectedAt = now, now
+		r.because(now, Cause{Kind: CauseRestart, Member: r.self.ID})
 	}
 }
 
@@ -242,14 +246,15 @@
 	return max(at, now+time.Millisecond)
 }
 
-// learn goes to a newer view.
-func (r *Replica) learn(now time.Duration, v view.View) {
+// learn goes to a newer view, of which a replica told; none told of the very first.
+func (r *Replica) learn(now time.Duration, v view.View, from view.ReplicaID) {
 	if r.view.Known() && v.Epoch <= r.view.Epoch {
 		if v.Epoch == r.view.Epoch && !v.Equal(r.view) {
 			r.fail(fmt.Errorf("two views of epoch %d: %w", v.Epoch, chain.ErrDiverged))
 		}
 		return
 	}
+	cause := r.causeOf(v, from)
 	r.setView(now, v)
 	r.store(encodeView(v))
 	r.acceptor.Reset(v.Epoch + 1)
@@ -267,7 +272,7 @@
 	r.enterAt = r.pendingToken()
 	r.joinAt = now
 	r.expectHead(now)
-	r.out.Events = append(r.out.Events, ViewChanged{v})
+	r.out.Events = append(r.out.Events, ViewChanged{View: v, Cause: cause})
 	if r.leaving && !r.left && r.position() < 0 {
 		r.left = true
 		r.out.Events = append(r.out.Events, Left{})
--- a/internal/system/control/events.go
+++ b/internal/system/control/events.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gaugeslip/coord/replica"
 	"gaugeslip/coord/view"
 	"gaugeslip/internal/system/state"
 )
@@ -37,11 +38,12 @@
 
 // tellOfView logs a view that has come into force, and who fell out of its chain and who came in. They are named by their disks'
 // identities: a replica that lost its disk leaves under one and comes in under another, at the same address.
-func (n *Node) tellOfView(newest view.View) {
+func (n *Node) tellOfView(newest view.View, cause replica.Cause) {
 	before := n.seenView
 	n.seenView = newest
-	n.logger.Info("view", "epoch", newest.Epoch, "chain", addresses(newest.Chain), "voters", len(newest.Voters),
-		"left", missing(before.Chain, &newest), "joined", missing(newest.Chain, &before))
+	line := []any{"epoch", newest.Epoch, "chain", addresses(newest.Chain), "voters", len(newest.Voters),
+		"left", missing(before.Chain, &newest), "joined", missing(newest.Chain, &before)}
+	n.logger.Info("view", append(line, figuresOf(cause)...)...)
 }
 
 // missing are the identities of the members that aren't in the chain of a view.
--- a/internal/system/control/events_test.go
+++ b/internal/system/control/events_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"gaugeslip/coord/replica"
 	"gaugeslip/coord/view"
 	"gaugeslip/internal/system/state"
 )
@@ -47,15 +48,29 @@
 	node := &Node{logger: log.New(&out)}
 	a, b := view.Member{ID: "a:1", Address: "a:1"}, view.Member{ID: "b:1", Address: "b:1"}
 	anew := view.Member{ID: "a:1#5877", Address: "a:1"}
-	node.tellOfView(view.View{Epoch: 1, Voters: []view.Member{a, b}, Chain: []view.Member{a, b}})
+	node.tellOfView(view.View{Epoch: 1, Voters: []view.Member{a, b}, Chain: []view.Member{a, b}}, replica.Cause{})
 	out.Reset()
-	node.tellOfView(view.View{Epoch: 2, Voters: []view.Member{a, b}, Chain: []view.Member{b}})
+	node.tellOfView(view.View{Epoch: 2, Voters: []view.Member{a, b}, Chain: []view.Member{b}}, replica.Cause{})
 	assert.Contains(t, out.String(), "left=[a:1] joined=[]")
 	out.Reset()
-	node.tellOfView(view.View{Epoch: 3, Voters: []view.Member{anew, b}, Chain: []view.Member{b, anew}})
+	node.tellOfView(view.View{Epoch: 3, Voters: []view.Member{anew, b}, Chain: []view.Member{b, anew}}, replica.Cause{})
 	assert.Contains(t, out.String(), "left=[] joined=[a:1#5877]")
 }
 
+func TestAViewTellsItsCauseWithTheFiguresThatDecidedIt(t *testing.T) {
+	var out bytes.Buffer
+	node := &Node{logger: log.New(&out)}
+	node.tellOfView(view.View{Epoch: 1}, replica.Cause{Kind: replica.CauseStuck, Member: "b:1", Silence: 90 * time.Millisecond,
+		Paused: 40 * time.Millisecond, Stuck: 310 * time.Millisecond, Patience: 250 * time.Millisecond, Index: 77,
+		Sync: 12 * time.Millisecond})
+	assert.Contains(t, out.String(), "cause=stuck of=b:1 silence=90ms paused=40ms stuck=310ms patience=250ms sync=12ms index=77")
+	assert.NotContains(t, out.String(), "lease-over")
+	out.Reset()
+	node.tellOfView(view.View{Epoch: 2}, replica.Cause{Kind: replica.CauseHeadSilent, Member: "a:1", LeaseOver: time.Second,
+		Answered: []view.ReplicaID{"b:1", "c:1"}, Adopted: true})
+	assert.Contains(t, out.String(), `cause=head-silent of=a:1 lease-over=1s answered="[b:1 c:1]" adopted=true`)
+}
+
 // A replica that reads many committed configurations at once, as after a restart, puts only the newest in force.
 func TestOnlyTheNewestOfManyCommittedConfigurationsIsTaken(t *testing.T) {
 	cluster := startCluster(t, 1, 0)
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -265,9 +265,9 @@
 		n.becameHead(event)
 	case replica.LostHead:
 		n.schedulerActive = false
-		n.logger.Info("head's lease lost", "epoch", event.Epoch)
+		n.logger.Info("head's lease lost", append([]any{"epoch", event.Epoch}, figuresOf(event.Cause)...)...)
 	case replica.ViewChanged:
-		n.viewChanged(event.View)
+		n.viewChanged(event.View, event.Cause)
 	case replica.Left:
 		n.handedOver()
 	}
@@ -302,9 +302,9 @@
 	n.scheduler, n.schedulerActive = nil, false
 }
 
-func (n *Node) viewChanged(newest view.View) {
+func (n *Node) viewChanged(newest view.View, cause replica.Cause) {
 	n.counts.views++
-	n.tellOfView(newest)
+	n.tellOfView(newest, cause)
 	if newest.Head().ID != n.engine.replica.Self().ID {
 		n.dropScheduler()
 		n.engine.refuseQueued()
