--- a/coord/replica/machine_test.go
+++ b/coord/replica/machine_test.go
@@ -60,7 +60,15 @@
 	m.frozen, m.waiting, m.left = 0, nil, false
 	m.keep = 40 + w.random.IntN(200)
 	m.compact = 100 + w.random.IntN(400)
-	cfg := Config{Self: view.Member{ID: view.ReplicaID(m.address), Address: m.address}, Tolerance: w.tolerance, Seed: w.random.Uint64(), KeepEntries: m.keep}
+	if w.weight != nil {
+		m.compact = leastCompaction
+	}
+	cfg := w.settings
+	cfg.Self = view.Member{ID: view.ReplicaID(m.address), Address: m.address}
+	cfg.Tolerance, cfg.Seed = w.tolerance, w.random.Uint64()
+	if w.weight == nil {
+		cfg.KeepEntries = m.keep
+	}
 	if w.hasty {
 		cfg.DropAfter = w.between(50*time.Millisecond, DefaultDropAfter)
 	}
@@ -81,6 +89,9 @@
 	}
 	w.trace("%v %s starts with %d of epoch %d", w.now, m.address, restored.Log.Last(), restored.View.Epoch)
 	m.process = New(cfg, restored, m.clock())
+	if restored.Snapshot != nil {
+		m.freeze(w.weight.restoring(len(restored.Snapshot.Data)))
+	}
 	m.input(Contacts{Addresses: w.contacts(m)})
 }
 
@@ -145,6 +156,7 @@
 	}
 	if out.Install != nil {
 		m.installed(out.Install)
+		m.freeze(w.weight.restoring(len(out.Install.Data)))
 	}
 	for _, e := range out.Committed {
 		w.applied(m, e)
@@ -178,6 +190,7 @@
 
 func (m *machine) giveSnapshot(life uint64) {
 	if m.life == life && m.process != nil {
+		m.freeze(m.world.weight.making())
 		m.input(SnapshotReady{Index: m.applied, Data: m.snapshot()})
 	}
 }
@@ -186,6 +199,9 @@
 func (m *machine) snapshot() []byte {
 	data := binary.LittleEndian.AppendUint64(nil, m.applied)
 	data = binary.LittleEndian.AppendUint64(data, m.sum)
+	if weight := m.world.weight; weight != nil {
+		return append(data, make([]byte, weight.bytes)...)
+	}
 	if m.applied%16 == 0 {
 		return append(data, make([]byte, 900_000)...)
 	}
@@ -208,7 +224,7 @@
 	}
 	m.writing = len(m.pending)
 	w := m.world
-	length := m.sync + w.between(0, m.sync/2)
+	length := m.sync + w.between(0, m.sync/2) + w.weight.writing(m.pending)
 	if m.stalled > w.now {
 		length += m.stalled - w.now
 	}
@@ -261,15 +277,32 @@
 }
 
 func (m *machine) rewriteIfLong() {
-	if m.process == nil || len(m.records) < m.compact || len(m.pending) > 0 {
+	if m.process == nil || len(m.pending) > 0 || !m.isLong() {
 		return
 	}
+	m.freeze(m.world.weight.making())
 	if records := m.process.Compact(m.snapshot(), m.applied); records != nil {
 		m.pending = append(m.pending, diskWrite{records: records, rewrite: true})
 		m.startSync()
 	}
 }
 
+// isLong tells whether the log has to be rewritten, and how long it may get after that.
+func (m *machine) isLong() bool {
+	if m.world.weight == nil {
+		return len(m.records) >= m.compact
+	}
+	bytes := 0
+	for i := range m.records {
+		bytes += len(m.records[i].Data)
+	}
+	if bytes < m.compact {
+		return false
+	}
+	m.compact = max(leastCompaction, compactionGrowth*m.world.weight.bytes)
+	return true
+}
+
 // end ends the process. What it had written without a sync outlasts it.
 func (m *machine) end() {
 	if m.process == nil {
--- a/coord/replica/simulation_test.go
+++ b/coord/replica/simulation_test.go
@@ -31,6 +31,9 @@
 	trace     func(format string, args ...any)
 	written   int
 	hasty     bool // members are dropped much too early
+	weight    *weight
+	settings  Config // of every replica, but for the fields that start sets
+	onView    func(v view.View)
 }
 
 type event struct {
@@ -126,6 +129,7 @@
 		if w.random.Float64() < w.slow {
 			delay += w.between(0, 300*time.Millisecond)
 		}
+		delay = w.weight.transfer(w.now, from.address, envelope, delay)
 		w.after(delay, func() { w.arrive(from, envelope) })
 	}
 }
@@ -228,6 +232,9 @@
 	}
 	if _, ok := w.oracle.views[v.Epoch]; !ok {
 		w.checkHoldings(v)
+		if w.onView != nil {
+			w.onView(v)
+		}
 	}
 	w.oracle.views[v.Epoch] = v
 	for _, member := range v.Chain {
--- /dev/null
+++ b/coord/replica/weight_test.go
@@ -0,0 +1,83 @@
+package replica
+
+import (
+	"time"
+)
+
+// When the control plane rewrites its log: at this length, and again at each multiple of its rewritten length.
+const (
+	leastCompaction  = 8 << 20
+	compactionGrowth = 3
+)
+
+// weight is what a state of real size costs. A nil weight costs nothing.
+type weight struct {
+	bytes     int           // of a snapshot
+	make      time.Duration // a MB, of the giver's processor
+	restore   time.Duration // a MB, of the taker's processor
+	write     time.Duration // a MB, of the disk
+	perSecond float64       // bytes that leave a machine
+	free      map[string]time.Duration
+	arrival   map[[2]string]time.Duration
+}
+
+// newWeight has the figures that BenchmarkSnapshot, BenchmarkRestore and BenchmarkLargeRecord measured, and a network of 1,000 Mbit/s.
+func newWeight(bytes int) *weight {
+	return &weight{bytes: bytes, make: 7300 * time.Microsecond, restore: 28 * time.Millisecond, write: 5200 * time.Microsecond,
+		perSecond: 125e6, free: make(map[string]time.Duration), arrival: make(map[[2]string]time.Duration)}
+}
+
+func costOf(bytes int, ofMB time.Duration) time.Duration {
+	return time.Duration(float64(bytes) / 1e6 * float64(ofMB))
+}
+
+func (w *weight) making() time.Duration {
+	if w == nil {
+		return 0
+	}
+	return costOf(w.bytes, w.make)
+}
+
+func (w *weight) restoring(bytes int) time.Duration {
+	if w == nil {
+		return 0
+	}
+	return costOf(bytes, w.restore)
+}
+
+func (w *weight) writing(writes []diskWrite) time.Duration {
+	if w == nil {
+		return 0
+	}
+	bytes := 0
+	for i := range writes {
+		for j := range writes[i].records {
+			bytes += len(writes[i].records[j].Data)
+		}
+	}
+	return costOf(bytes, w.write)
+}
+
+// transfer adds to a delay what the sender's line takes, and keeps the order of messages between two machines.
+func (w *weight) transfer(now time.Duration, from string, envelope Envelope, delay time.Duration) time.Duration {
+	if w == nil {
+		return delay
+	}
+	bytes := 300
+	if body := envelope.Message.Chain; body != nil {
+		if body.Chunk != nil {
+			bytes += len(body.Chunk.Data)
+		}
+		if body.Append != nil {
+			for i := range body.Append.Entries {
+				bytes += len(body.Append.Entries[i].Data) + 30
+			}
+		}
+	}
+	sent := max(now, w.free[from]) + time.Duration(float64(bytes)/w.perSecond*float64(time.Second))
+	w.free[from] = sent
+	link := [2]string{from, envelope.To}
+	arrival := max(sent+delay, w.arrival[link]+time.Microsecond)
+	w.arrival[link] = arrival
+	return arrival - now
+}
