Let idle connections to workers give way to those that calls need

With 3,000 workers the holds that wait use some 2,900 of the 3,396 connections that a replica may have to workers. Every start leaves an idle connection to its worker, kept for a minute and up to half of the bound: after some 480 starts on different workers the bound was reached, and from then on each start to a worker without an idle connection was refused by the client itself and never sent. It was refused again on the next worker, and the pauses between grew to a second: tasks waited for 20 s and more beside thousands of workers with room.

At the bound, connections that no call uses are closed before the dial is refused.

--- a/internal/system/workerapi/outcome.go
+++ b/internal/system/workerapi/outcome.go
@@ -12,7 +12,7 @@
 	ErrUnreadable = errors.New("unreadable answer")
 	// ErrUnexpectedStatus means that an answer came with a status that the contract doesn't know.
 	ErrUnexpectedStatus = errors.New("unexpected status")
-	// ErrTooManyConnections means that the client's bound of open connections is reached.
+	// ErrTooManyConnections means that calls use as many connections as the client may have open.
 	ErrTooManyConnections = errors.New("too many connections")
 )
 
--- a/internal/system/workerapi/transport.go
+++ b/internal/system/workerapi/transport.go
@@ -27,11 +27,13 @@
 	idlePart    = 2
 )
 
-// connectionBound counts the open connections of one client and refuses to dial beyond its limit.
+// connectionBound counts the open connections of one client and refuses to dial beyond its limit. Connections that no call uses don't
+// stand in the way of one that a call needs: at the limit they are closed first.
 type connectionBound struct {
-	dialer net.Dialer
-	limit  int64
-	open   atomic.Int64
+	dialer    net.Dialer
+	limit     int64
+	open      atomic.Int64
+	closeIdle func()
 }
 
 func newConnectionBound(limit int) *connectionBound {
@@ -64,8 +66,7 @@
 }
 
 func (bound *connectionBound) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	if bound.open.Add(1) > bound.limit {
-		bound.open.Add(-1)
+	if !bound.take() {
 		return nil, fmt.Errorf("%w: %w", errNotDialled, ErrTooManyConnections)
 	}
 	connection, err := bound.dialer.DialContext(ctx, network, address)
@@ -76,6 +77,23 @@
 	return &boundConnection{Conn: connection, bound: bound}, nil
 }
 
+// take counts one more connection, if need be in the place of those that no call uses.
+func (bound *connectionBound) take() bool {
+	if bound.tryTake() {
+		return true
+	}
+	bound.closeIdle()
+	return bound.tryTake()
+}
+
+func (bound *connectionBound) tryTake() bool {
+	if bound.open.Add(1) <= bound.limit {
+		return true
+	}
+	bound.open.Add(-1)
+	return false
+}
+
 // boundConnection gives its place back when it is closed.
 type boundConnection struct {
 	net.Conn
@@ -96,7 +114,7 @@
 func newTransport(bound *connectionBound, connectionsPerHost int) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{
+	transport := &http.Transport{
 		DialContext:            bound.dial,
 		Protocols:              protocols,
 		DisableCompression:     true,
@@ -108,4 +126,6 @@
 		WriteBufferSize:        bufferBytes,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
+	bound.closeIdle = transport.CloseIdleConnections
+	return transport
 }
