Let a new head ask its workers in turn, those with runs first

A new head asked all listed workers at once. Workers with runs had to wait like the others.

At most 128 looks at workers that have answered nothing yet are out at once; workers on which something may run have their turn first. Where answers are lost, the second hold is left out when fewer than 256 calls are left for starts and stops; the scheduler is told how many there may be.

--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -102,7 +102,7 @@
 		left: make(chan struct{}), failures: make(chan error, 1)}
 	n.client = transport.NewClient(transport.Options{})
 	n.sender = transport.NewSender[*replica.Message](n.client, chainService+".Receive", transport.SenderOptions{})
-	n.orders = newOrders(max(n.settings.Limits.MaxOpenFiles-reservedFiles, leastConnections))
+	n.orders = newOrders(n.workerConnections())
 	n.list = workerapi.NewListClient()
 	if err := n.listen(); err != nil {
 		return nil, err
@@ -289,7 +289,8 @@
 	if event.Continued && n.scheduler != nil {
 		return
 	}
-	n.scheduler = scheduler.New(scheduler.Options{Token: event.Epoch, Machine: n.engine.machine, Bounds: n.settings.Bounds}, n.now())
+	options := scheduler.Options{Token: event.Epoch, Machine: n.engine.machine, Bounds: n.settings.Bounds, Calls: n.workerConnections()}
+	n.scheduler = scheduler.New(options, n.now())
 	n.schedulerEpoch = event.Epoch
 	n.listAt, n.listing = 0, false
 	if n.config != nil {
--- a/internal/system/control/orders.go
+++ b/internal/system/control/orders.go
@@ -17,6 +17,11 @@
 	leastConnections = 256
 )
 
+// workerConnections is how many connections to workers there may be.
+func (n *Node) workerConnections() int {
+	return max(n.settings.Limits.MaxOpenFiles-reservedFiles, leastConnections)
+}
+
 // connectionsPerWorker bounds the connections to one worker: two holds, and orders beside them of which some get no answer.
 const connectionsPerWorker = 8
 
--- a/internal/system/scheduler/calls.go
+++ b/internal/system/scheduler/calls.go
@@ -112,6 +112,15 @@
 	worker *worker
 	run    *run // of a start or a stop
 	sentAt time.Duration
+	first  bool // it is a look at a worker that has answered nothing yet
+}
+
+// spareCalls are left for starts and stops when workers are asked twice.
+const spareCalls = 256
+
+// callsLeft tells whether there is room for calls that could be done without.
+func (s *Scheduler) callsLeft() bool {
+	return s.mostCalls == 0 || len(s.calls)+spareCalls < s.mostCalls
 }
 
 // send puts a call out.
@@ -119,7 +128,11 @@
 	s.lastCall++
 	made.ID = s.lastCall
 	made.Worker = w.life
-	s.calls[made.ID] = &call{id: made.ID, kind: made.Kind, worker: w, run: r, sentAt: s.now}
+	first := made.Kind == CallHold && w.reach == unheard
+	if first {
+		s.looks.out++
+	}
+	s.calls[made.ID] = &call{id: made.ID, kind: made.Kind, worker: w, run: r, sentAt: s.now, first: first}
 	s.out = append(s.out, made)
 	return made.ID
 }
--- a/internal/system/scheduler/holds.go
+++ b/internal/system/scheduler/holds.go
@@ -41,6 +41,7 @@
 	failures int
 	mark     uint64 // of the last list
 	lossAt   time.Duration
+	inTurn   bool   // its first look waits for its turn
 	taken    uint64 // the gang for which it was chosen last
 }
 
@@ -65,10 +66,13 @@
 }
 
 func (s *Scheduler) sendHold(w *worker) {
+	if !s.mayLook(w) {
+		return
+	}
 	w.hold.nextAt = 0
 	w.hold.wait = s.holdWait(w)
 	w.hold.out = s.orderHold(w, w.hold.wait)
-	if s.lossy() && len(w.runs) > 0 && w.hold.probe == 0 {
+	if s.lossy() && len(w.runs) > 0 && w.hold.probe == 0 && s.callsLeft() {
 		w.hold.probe = s.orderHold(w, w.hold.wait)
 	}
 }
--- a/internal/system/scheduler/load_test.go
+++ b/internal/system/scheduler/load_test.go
@@ -23,6 +23,9 @@
 	body    []byte
 	jobs    uint64
 	started int
+	list    []workerapi.Instance
+	// holdCosts is how long the head is busy with each hold, 0 for no time; busyUntil is when it has dealt with all that are out.
+	holdCosts, busyUntil time.Duration
 }
 
 type rushWorker struct {
@@ -39,21 +42,44 @@
 	r.body, _ = (&jobspec.Spec{Text: "rush", Stages: []jobspec.Stage{stage}}).Encode()
 	r.sched = New(Options{Token: 1, Machine: r.machine, Bounds: nodesettings.DefaultBounds()}, r.now)
 	r.sched.WallClock(r.now, unixZeroMs)
-	var list []workerapi.Instance
 	for i := range workers {
 		id := fmt.Sprintf("i-%06d", i)
 		r.workers[id] = &rushWorker{running: make(map[string]workerapi.RunningTask)}
 		room := workerapi.Allocatable{CPU: 16000, MemoryMB: 65536}
-		list = append(list, workerapi.Instance{
+		r.list = append(r.list, workerapi.Instance{
 			ID: id, Backend: "farm", Address: id, State: workerapi.StateReady, Allocatable: room,
 			Labels: []string{"a", fmt.Sprint("rack-", i/12)},
 		})
 	}
-	r.sched.Listed(r.now, list)
+	r.sched.Listed(r.now, r.list)
 	r.drain()
 	return r
 }
 
+// elect puts a new head in the place of the last one.
+func (r *rush) elect() {
+	r.sched = New(Options{Token: r.sched.token + 1, Machine: r.machine, Bounds: nodesettings.DefaultBounds()}, r.now)
+	r.sched.WallClock(r.now, unixZeroMs+r.now.Milliseconds())
+	r.sched.Listed(r.now, r.list)
+	r.drain()
+}
+
+// tooLate takes a hold's cost into account, and tells whether its answer can't be taken in before its time is over.
+func (r *rush) tooLate(made *Call) bool {
+	r.busyUntil = max(r.busyUntil, r.now) + r.holdCosts
+	if r.busyUntil <= r.now+made.Timeout {
+		return false
+	}
+	sched := r.sched
+	r.after(made.Timeout, func() {
+		if r.sched == sched {
+			sched.CallEnded(r.now, CallResult{ID: made.ID})
+			r.drain()
+		}
+	})
+	return true
+}
+
 func (r *rush) after(span time.Duration, act func()) {
 	r.order++
 	heap.Push(&r.events, event{at: r.now + span, order: r.order, act: act})
@@ -91,6 +117,9 @@
 func (r *rush) call(made *Call) {
 	worker := r.workers[made.Worker.Instance]
 	if made.Kind == CallHold {
+		if r.tooLate(made) {
+			return
+		}
 		worker.asked++
 		worker.hold = made
 		asked := worker.asked
--- a/internal/system/scheduler/scheduler.go
+++ b/internal/system/scheduler/scheduler.go
@@ -28,6 +28,8 @@
 	Token uint64
 	// Machine is the replicated state, with everything applied that is committed.
 	Machine *state.Machine
+	// Calls is how many calls on workers may be out at once; 0: any number.
+	Calls int
 	// Bounds are the figures of the rules in force.
 	Bounds nodesettings.Bounds
 }
@@ -62,6 +64,8 @@
 	dues       dueQueue
 	calls      map[uint64]*call
 	answers    answerTimes
+	mostCalls  int
+	looks      firstLooks
 	lastCall   uint64
 	lastMark   uint64
 	superseded bool
@@ -84,6 +88,7 @@
 		machine:   options.Machine,
 		bounds:    options.Bounds,
 		started:   now,
+		mostCalls: options.Calls,
 		now:       now,
 		workers:   make(map[string]*worker),
 		services:  make(map[string]*service),
@@ -187,6 +192,9 @@
 	if result.Reply.Outcome == workerapi.RefusedFence {
 		s.superseded = true
 	}
+	if ended.first {
+		defer s.firstLookEnded()
+	}
 	if s.workers[ended.worker.life.Instance] != ended.worker {
 		return
 	}
