--- a/coord/chain/snapshot_test.go
+++ b/coord/chain/snapshot_test.go
@@ -188,3 +188,11 @@
 	head.Commit(head.now)
 	assert.Equal(t, uint64(10), head.Committed()-head.Log().Base(), "nobody needs it any more")
 }
+
+func TestALateChunkDoesNotReplaceAnOpenedLog(t *testing.T) {
+	r := follower(t, false, entriesOf(1)...)
+	r.starts(1, 1, 1, 0)
+	r.gets(headMember, &Body{Chunk: chunksFor(r.session, 10, state('a', 1))[0]})
+	assert.Zero(t, len(r.installed))
+	assert.Equal(t, uint64(1), r.Log().Last())
+}
