--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -57,6 +57,7 @@
 	appliedTo uint64
 	queue     []*proposal
 	flying    map[uint64]*proposal
+	reads     []waitingRead
 	wake      time.Duration
 	closed    bool
 	rewriting bool
@@ -130,7 +131,11 @@
 	for _, entry := range output.Committed {
 		e.apply(entry)
 	}
+	e.settleReads()
 	for _, event := range output.Events {
+		if _, changed := event.(replica.ViewChanged); changed {
+			e.refuseReads()
+		}
 		e.options.event(event)
 	}
 	e.wake = output.Wake
@@ -261,7 +266,7 @@
 	if err == nil {
 		for i, waiting := range batch {
 			waiting.epoch, waiting.at, waiting.data = epoch, now, nil
-			e.flying[first+uint64(i)] = waiting
+			e.fly(first+uint64(i), waiting)
 		}
 		e.queue = append([]*proposal(nil), e.queue[len(batch):]...)
 	}
@@ -269,6 +274,16 @@
 	return err == nil
 }
 
+// fly notes where a proposal was appended. One of an earlier epoch at that index was dropped from the log here; another replica may
+// still have it, and commit it if this head's epoch ends before that replica has heard of it.
+func (e *engine) fly(index uint64, appended *proposal) {
+	dropped := e.flying[index]
+	e.flying[index] = appended
+	if dropped != nil {
+		dropped.done(state.Result{}, fateInDoubt)
+	}
+}
+
 // refuseQueued ends all that was never appended.
 func (e *engine) refuseQueued() {
 	queued := e.queue
@@ -281,12 +296,6 @@
 // isHead tells whether this replica may act as the head now.
 func (e *engine) isHead() bool { return !e.closed && e.replica.IsHead(e.options.now()) }
 
-// mayRead tells whether the state may be shown to clients now: at the tail with its permission, or at the head with its lease.
-func (e *engine) mayRead() bool {
-	now := e.options.now()
-	return !e.closed && (e.replica.IsTail(now) || e.replica.IsHead(now))
-}
-
 // view is the newest view known here.
 func (e *engine) view() view.View { return e.replica.View() }
 
@@ -298,6 +307,7 @@
 	e.closed = true
 	e.disk.stop()
 	e.refuseQueued()
+	e.refuseReads()
 	for index, waiting := range e.flying {
 		delete(e.flying, index)
 		waiting.done(state.Result{}, fateInDoubt)
