Test calls between processes under endings at any byte and under faults

Over the simulated network: a connection that ends (reset, early end, silence) at each byte of two calls and of their answers; answers that come after their caller has gone on; the same sequence numbers on the connection that follows; an address that another process takes over; a peer that answers twice and under numbers that no call has. Each answer reached its caller alone, a call was carried out once at most, and never where it was told not sent. The contract of Call says now what it rests on: a zero reply, and one connection for each call.

No fault of the package was found.

--- /dev/null
+++ b/coord/transport/bytes_test.go
@@ -0,0 +1,280 @@
+package transport
+
+import (
+	"encoding/gob"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/simnet"
+)
+
+const (
+	callerHost = "10.0.0.1"
+	serverHost = "10.0.0.2"
+	serverAddr = serverHost + ":9000"
+	// patience is the time-out of calls over the simulated network.
+	patience = 500 * time.Millisecond
+)
+
+// Tally is a service that counts how often each number was added.
+type Tally struct {
+	name  string
+	mutex sync.Mutex
+	added map[int]int
+	// takes is how long a call with the number takes; nil: no time.
+	takes func(number int) time.Duration
+}
+
+// TallyReply tells which call it answers, and who answers. The number is one more than the call's: gob leaves a 0 out, and what was there
+// before would stay.
+type TallyReply struct {
+	Number int
+	By     string
+}
+
+func newTally(name string) *Tally { return &Tally{name: name, added: map[int]int{}} }
+
+// Add counts a number.
+func (t *Tally) Add(number int, reply *TallyReply) error {
+	t.mutex.Lock()
+	t.added[number]++
+	takes := t.takes
+	t.mutex.Unlock()
+	if takes != nil {
+		time.Sleep(takes(number))
+	}
+	*reply = TallyReply{Number: number + 1, By: t.name}
+	return nil
+}
+
+func (t *Tally) count(number int) int {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.added[number]
+}
+
+// wire is a server with a tally and a client, in a bubble and on a simulated network.
+type wire struct {
+	t       *testing.T
+	network *simnet.Network
+	tally   *Tally
+	client  *Client
+	server  *Server
+}
+
+func inWire(t *testing.T, seed uint64, body func(t *testing.T, w *wire)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &wire{t: t, network: simnet.New(seed), tally: newTally("first")}
+		w.client = NewClient(Options{Dial: w.network.Dialer(callerHost)})
+		w.server = w.serve(w.tally)
+		body(t, w)
+		w.settle()
+		require.NoError(t, w.client.Close())
+		_ = w.server.Close()
+		time.Sleep(time.Hour)
+	})
+}
+
+// serve has the service answered at the server's address.
+func (w *wire) serve(service *Tally) *Server {
+	listener, err := w.network.Listen(serverAddr)
+	require.NoError(w.t, err)
+	server := NewServer(listener)
+	require.NoError(w.t, server.Register("Tally", service))
+	go func() { _ = server.Serve() }()
+	return server
+}
+
+// settle lets everything that is under way come.
+func (w *wire) settle() {
+	w.network.HealAll()
+	w.network.Thaw(serverHost)
+	time.Sleep(time.Hour)
+	synctest.Wait()
+}
+
+// add makes a call; an answer must be that to it.
+func (w *wire) add(number int, timeout time.Duration) error {
+	reply := TallyReply{Number: -1}
+	err := w.client.Call(serverAddr, "Tally.Add", number, &reply, timeout)
+	if err == nil {
+		require.Equal(w.t, number+1, reply.Number, "another call's answer")
+	}
+	return err
+}
+
+// requireTrue requires that what a call's error says is what came of it.
+func (w *wire) requireTrue(number int, told error) {
+	w.t.Helper()
+	switch count := w.tally.count(number); {
+	case told == nil:
+		require.Equal(w.t, 1, count)
+	case errors.Is(told, ErrNotSent):
+		require.NotErrorIs(w.t, told, ErrUnknown)
+		require.Zero(w.t, count, "%v", told)
+	case errors.As(told, new(rpc.ServerError)): // net/rpc's own: it couldn't read the call
+		require.Zero(w.t, count, "%v", told)
+	default:
+		require.ErrorIs(w.t, told, ErrUnknown)
+		require.LessOrEqual(w.t, count, 1, "%v", told)
+	}
+}
+
+// measured are the bytes of so many calls, one after the other, and of their answers.
+func measured(t *testing.T, calls int) (request, answer int64) {
+	inWire(t, 1, func(t *testing.T, w *wire) {
+		for number := range calls {
+			require.NoError(t, w.add(number, patience))
+		}
+		conn := w.network.Conns()[0]
+		request, answer = conn.Sent(), conn.Peer().Sent()
+	})
+	return request, answer
+}
+
+// A connection that ends at any byte of a call or of its answer, on a fresh connection and on a kept one: each call is carried out once
+// at most, never where it was told not sent, and each answer reaches its caller.
+func TestACallOnAConnectionThatEndsAtAnyByteIsCarriedOutOnce(t *testing.T) {
+	const calls = 3
+	request, answer := measured(t, 2)
+	for _, ending := range []simnet.Ending{simnet.Reset, simnet.Finish, simnet.Silence} {
+		var fates []simnet.Fate
+		for at := range request + 1 {
+			fates = append(fates, simnet.Fate{Out: simnet.Limit{Bytes: at, Then: ending}})
+		}
+		for at := range answer + 1 {
+			fates = append(fates, simnet.Fate{Back: simnet.Limit{Bytes: at, Then: ending}})
+		}
+		for _, fate := range fates {
+			inWire(t, 1, func(t *testing.T, w *wire) {
+				w.network.SetPlan(func(_, _ string, nth int) simnet.Fate {
+					if nth == 0 {
+						return fate
+					}
+					return simnet.Fate{}
+				})
+				told := make([]error, calls)
+				for number := range told {
+					told[number] = w.add(number, patience)
+				}
+				w.settle()
+				require.NoError(t, w.add(calls, patience), "%+v: at last there is a new connection", fate)
+				for number, err := range told {
+					w.requireTrue(number, err)
+				}
+			})
+		}
+	}
+}
+
+// An answer that comes after its caller has gone on, over a connection that others use: it reaches nobody.
+func TestLateAnswersReachNobody(t *testing.T) {
+	inWire(t, 1, func(t *testing.T, w *wire) {
+		w.tally.takes = func(number int) time.Duration { return time.Duration(number%4) * patience / 2 }
+		var group sync.WaitGroup
+		told := make([]error, 40)
+		for number := range told {
+			group.Go(func() { told[number] = w.add(number, patience*9/10) })
+			time.Sleep(patience / 20)
+		}
+		group.Wait()
+		w.settle()
+		for number, err := range told {
+			w.requireTrue(number, err)
+			require.Equal(t, number%4 < 2, err == nil, "call %d: %v", number, err)
+		}
+	})
+}
+
+// The calls of a new connection have the same numbers on the wire as those of the one before.
+func TestAnAnswerOfAnEndedConnectionDoesNotReachTheNextOne(t *testing.T) {
+	inWire(t, 1, func(t *testing.T, w *wire) {
+		require.NoError(t, w.add(0, patience))
+		w.network.Cut(serverHost, callerHost)
+		told := w.add(1, patience)
+		require.ErrorIs(t, told, ErrUnknown)
+		require.Nil(t, w.client.kept(serverAddr), "nothing came on it: it has to go")
+		w.network.Heal(serverHost, callerHost)
+		require.NoError(t, w.add(2, patience))
+		require.NoError(t, w.add(3, patience))
+		w.requireTrue(1, told)
+	})
+}
+
+// Another process takes the address over: what was out stays in doubt, what comes after goes to the new one alone.
+func TestAnAddressThatIsTakenOver(t *testing.T) {
+	inWire(t, 1, func(t *testing.T, w *wire) {
+		w.tally.takes = func(int) time.Duration { return patience }
+		out := make(chan error)
+		go func() { out <- w.add(1, 4*patience) }()
+		time.Sleep(patience / 2)
+		w.network.Kill(serverHost)
+		second := newTally("second")
+		replacement := w.serve(second)
+		require.ErrorIs(t, <-out, ErrUnknown)
+		var reply TallyReply
+		require.NoError(t, w.client.Call(serverAddr, "Tally.Add", 2, &reply, patience))
+		require.Equal(t, TallyReply{Number: 3, By: "second"}, reply)
+		time.Sleep(time.Hour)
+		require.Equal(t, 1, w.tally.count(1))
+		require.Zero(t, w.tally.count(2))
+		require.Equal(t, map[int]int{2: 1}, second.added)
+		require.NoError(t, w.client.Close())
+		require.NoError(t, replacement.Close())
+	})
+}
+
+// A peer that answers twice, and under numbers that no call has, answers nobody else.
+func TestAnswersThatNobodyAskedForReachNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := simnet.New(1)
+		listener, err := network.Listen(serverAddr)
+		require.NoError(t, err)
+		go func() {
+			conn, err := listener.Accept()
+			if err == nil {
+				answerOddly(conn)
+			}
+		}()
+		client := NewClient(Options{Dial: network.Dialer(callerHost)})
+		var group sync.WaitGroup
+		for number := range 20 {
+			group.Go(func() {
+				var reply TallyReply
+				require.NoError(t, client.Call(serverAddr, "Tally.Add", number, &reply, patience))
+				require.Equal(t, number+1, reply.Number)
+			})
+		}
+		group.Wait()
+		require.NoError(t, client.Close())
+		require.NoError(t, listener.Close())
+		time.Sleep(time.Second)
+	})
+}
+
+// answerOddly answers each call three times: under a number that comes later, rightly, and again.
+func answerOddly(conn net.Conn) {
+	encoder, decoder := gob.NewEncoder(conn), gob.NewDecoder(conn)
+	answer := func(request *rpc.Request, sequence uint64, number int) {
+		_ = encoder.Encode(&rpc.Response{ServiceMethod: request.ServiceMethod, Seq: sequence})
+		_ = encoder.Encode(TallyReply{Number: number})
+	}
+	for {
+		var request rpc.Request
+		var number int
+		if decoder.Decode(&request) != nil || decoder.Decode(&number) != nil {
+			return
+		}
+		answer(&request, request.Seq+1000, -1)
+		answer(&request, request.Seq, number+1)
+		answer(&request, request.Seq, -2)
+	}
+}
--- a/coord/transport/client.go
+++ b/coord/transport/client.go
@@ -67,7 +67,9 @@
 
 // Call calls "Service.Method" at the address, as net/rpc does, and waits for the answer for the timeout at most. Its error
 // is ErrNotSent if the peer surely never got the call, ErrUnknown if it may have carried it out, or the rpc.ServerError
-// that the method returned. The reply is set only if there is no error, and isn't touched after Call has returned.
+// that the method returned, or net/rpc for a call that it has no method for or couldn't read. The reply is to be a zero value, since
+// gob leaves zero fields as they are; it counts only if there is no error, and isn't touched after Call has returned. A call is written
+// to one connection at most: it is tried again only if the kept one had ended before it took any of it.
 func (c *Client) Call(addr, method string, args, reply any, timeout time.Duration) error {
 	deadline := time.Now().Add(timeout)
 	err := c.callOnce(addr, method, args, reply, timeout)
