--- /dev/null
+++ b/internal/system/dataplane/bytes_test.go
@@ -0,0 +1,187 @@
+package dataplane
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/simnet"
+	"gaugeslip/internal/system/internalapi"
+	"gaugeslip/internal/system/jobspec"
+)
+
+const (
+	clientHost      = "10.0.0.1"
+	dispatcherHost  = "10.0.0.2"
+	dispatcherFront = dispatcherHost + ":80"
+)
+
+// wireClients is a front end on a simulated network, and clients.
+type wireClients struct {
+	network *simnet.Network
+	mutex   sync.Mutex
+	// taken counts the calls that handed a job in.
+	taken map[uint64]int
+}
+
+func inClientsWire(t *testing.T, body func(t *testing.T, w *wireClients)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &wireClients{network: simnet.New(9), taken: map[uint64]int{}}
+		listener, err := w.network.Listen(dispatcherFront)
+		require.NoError(t, err)
+		frontend := newFrontend(listener, NewDispatcher(w.core(t), knowing(t, "a"), noPoke, Options{}), 10, nil)
+		frontend.Serve(DefaultLimits())
+		body(t, w)
+		time.Sleep(time.Hour)
+		require.NoError(t, frontend.Shutdown(t.Context()))
+	})
+}
+
+// core takes jobs in, and tells of each job a state that names it; the later the smaller the number is.
+func (w *wireClients) core(t *testing.T) callerFunc {
+	return func(_, _ string, args, reply any, _ time.Duration) error {
+		made := reply.(*internalapi.JobReply)
+		made.Verdict = internalapi.Done
+		switch args := args.(type) {
+		case *internalapi.SubmitArgs:
+			assert.JSONEq(t, testBody, string(args.Body))
+			w.mutex.Lock()
+			w.taken[args.ID]++
+			w.mutex.Unlock()
+		case *internalapi.StatusArgs:
+			time.Sleep(time.Duration(100/args.ID) * time.Millisecond)
+			made.State = fmt.Sprint("state ", args.ID)
+		}
+		return nil
+	}
+}
+
+func (w *wireClients) dial(t *testing.T) *simnet.Conn {
+	conn, err := w.network.Dial(context.Background(), clientHost, dispatcherFront)
+	require.NoError(t, err)
+	return conn.(*simnet.Conn)
+}
+
+func handingIn(number uint64) string {
+	return fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\n%s",
+		testPrefix, jobspec.ID(number), testHost, len(testBody), testBody)
+}
+
+func asking(number uint64) string {
+	return fmt.Sprintf("GET %s%s HTTP/1.1\r\nHost: %s\r\n\r\n", testPrefix, jobspec.ID(number), testHost)
+}
+
+// answersOn reads answers until there are no more.
+func answersOn(from io.Reader) (statuses []int, bodies []string) {
+	reader := bufio.NewReader(from)
+	for {
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return statuses, bodies
+		}
+		body, err := io.ReadAll(response.Body)
+		if err != nil {
+			return statuses, bodies
+		}
+		statuses, bodies = append(statuses, response.StatusCode), append(bodies, string(body))
+	}
+}
+
+func TestARequestThatEndsAtAnyByteIsTakenWholeOrNotAtAll(t *testing.T) {
+	two := handingIn(1) + handingIn(2)
+	whole := int64(len(handingIn(1)))
+	for _, ending := range []simnet.Ending{simnet.Reset, simnet.Finish, simnet.Silence} {
+		for at := range int64(len(two)) + 1 {
+			inClientsWire(t, func(t *testing.T, w *wireClients) {
+				w.network.SetPlan(func(string, string, int) simnet.Fate {
+					return simnet.Fate{Out: simnet.Limit{Bytes: at, Then: ending}}
+				})
+				conn := w.dial(t)
+				_, _ = io.WriteString(conn, two)
+				require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+				statuses, _ := answersOn(conn)
+				w.mutex.Lock()
+				defer w.mutex.Unlock()
+				for index, status := range statuses {
+					require.Equal(t, status == http.StatusOK, w.taken[uint64(index+1)] == 1, "byte %d: %v, %v", at, statuses, w.taken)
+				}
+				require.LessOrEqual(t, w.taken[1], int(min(at/whole, 1)), "byte %d", at)
+				require.LessOrEqual(t, w.taken[2], int(at/(2*whole)), "byte %d", at)
+			})
+		}
+	}
+}
+
+func TestAnAnswerThatEndsAtAnyByteIsNotMadeAgain(t *testing.T) {
+	for _, ending := range []simnet.Ending{simnet.Reset, simnet.Finish, simnet.Silence} {
+		for at := range int64(100) {
+			inClientsWire(t, func(t *testing.T, w *wireClients) {
+				w.network.SetPlan(func(string, string, int) simnet.Fate {
+					return simnet.Fate{Back: simnet.Limit{Bytes: at, Then: ending}}
+				})
+				conn := w.dial(t)
+				_, _ = io.WriteString(conn, handingIn(1))
+				require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+				statuses, _ := answersOn(conn)
+				w.mutex.Lock()
+				defer w.mutex.Unlock()
+				require.LessOrEqual(t, w.taken[1], 1)
+				require.LessOrEqual(t, len(statuses), 1)
+				if len(statuses) == 1 {
+					require.Equal(t, http.StatusOK, statuses[0])
+				}
+			})
+		}
+	}
+}
+
+func TestAnswersOnOneConnectionComeInTurn(t *testing.T) {
+	inClientsWire(t, func(t *testing.T, w *wireClients) {
+		conn := w.dial(t)
+		var requests strings.Builder
+		for number := range uint64(9) {
+			requests.WriteString(asking(number + 1))
+		}
+		_, err := io.WriteString(conn, requests.String())
+		require.NoError(t, err)
+		require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+		_, bodies := answersOn(conn)
+		require.Len(t, bodies, 9)
+		for index, body := range bodies {
+			require.Equal(t, fmt.Sprintf(`{"state":"state %d"}`, index+1), body)
+		}
+	})
+}
+
+func TestAClientThatLeavesGivesItsAnswerToNobody(t *testing.T) {
+	inClientsWire(t, func(t *testing.T, w *wireClients) {
+		var group sync.WaitGroup
+		for number := range uint64(30) {
+			group.Go(func() {
+				conn := w.dial(t)
+				_, err := io.WriteString(conn, asking(number+1))
+				require.NoError(t, err)
+				if number%3 == 0 {
+					conn.Abort()
+					return
+				}
+				require.NoError(t, conn.SetReadDeadline(time.Now().Add(time.Minute)))
+				_, bodies := answersOn(conn)
+				require.Equal(t, []string{fmt.Sprintf(`{"state":"state %d"}`, number+1)}, bodies)
+				require.NoError(t, conn.Close())
+			})
+		}
+		group.Wait()
+	})
+}
