Test half-read answers, bytes behind an answer and an order that no connection took

A reply whose rest comes after its caller has gone on isn't touched any more; bytes behind an answer end the connection also once the next request is out; an order that its kept connection took nothing of and that finds no other is told as not sent. All three held before.

--- a/coord/transport/bytes_test.go
+++ b/coord/transport/bytes_test.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bytes"
 	"encoding/gob"
 	"errors"
 	"net"
@@ -278,3 +279,45 @@
 		answer(&request, request.Seq, -2)
 	}
 }
+
+// An answer whose rest comes after its caller has gone on: the reply that the caller was told not to use isn't touched any more.
+func TestAHalfReadAnswerDoesNotTouchTheReplyLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := simnet.New(1)
+		listener, err := network.Listen(serverAddr)
+		require.NoError(t, err)
+		go func() {
+			conn, err := listener.Accept()
+			if err == nil {
+				answerInHalves(conn, 2*patience)
+			}
+		}()
+		client := NewClient(Options{Dial: network.Dialer(callerHost)})
+		var reply TallyReply
+		require.ErrorIs(t, client.Call(serverAddr, "Tally.Add", 1, &reply, patience), ErrUnknown)
+		before := reply
+		time.Sleep(time.Minute)
+		require.Equal(t, before, reply)
+		require.NoError(t, client.Close())
+		require.NoError(t, listener.Close())
+		time.Sleep(time.Second)
+	})
+}
+
+// answerInHalves answers one call; the second half of the reply comes after the pause.
+func answerInHalves(conn net.Conn, pause time.Duration) {
+	decoder := gob.NewDecoder(conn)
+	var request rpc.Request
+	var number int
+	if decoder.Decode(&request) != nil || decoder.Decode(&number) != nil {
+		return
+	}
+	var text bytes.Buffer
+	encoder := gob.NewEncoder(&text)
+	_ = encoder.Encode(&rpc.Response{ServiceMethod: request.ServiceMethod, Seq: request.Seq})
+	_ = encoder.Encode(TallyReply{Number: number + 1, By: "late"})
+	half := text.Len() - 2
+	_, _ = conn.Write(text.Bytes()[:half])
+	time.Sleep(pause)
+	_, _ = conn.Write(text.Bytes()[half:])
+}
--- a/internal/system/workerapi/bytes_test.go
+++ b/internal/system/workerapi/bytes_test.go
@@ -319,3 +319,38 @@
 		})
 	}
 }
+
+// stuckConnection takes nothing more once it is stuck, and says nothing of its end.
+type stuckConnection struct {
+	net.Conn
+	stuck *atomic.Bool
+}
+
+func (c stuckConnection) Write(data []byte) (int, error) {
+	if c.stuck.Load() {
+		return 0, io.ErrClosedPipe
+	}
+	return c.Conn.Write(data)
+}
+
+// The transport looks for another connection where the kept one took nothing: if there is none to be had, surely nothing was sent.
+func TestAnOrderThatTheKeptConnectionDidNotTakeIsNotSent(t *testing.T) {
+	inWire(t, Options{}, func(t *testing.T, w *wireWorker, _ *Client) {
+		var stuck atomic.Bool
+		client := NewClient(Options{Dial: func(ctx context.Context, _, address string) (net.Conn, error) {
+			conn, err := w.network.Dial(ctx, callerHost, address)
+			if err != nil {
+				return nil, err
+			}
+			return stuckConnection{Conn: conn, stuck: &stuck}, nil
+		}})
+		require.Equal(t, Done, w.stop(client, 1))
+		stuck.Store(true)
+		w.network.Cut(callerHost, "10.0.0.2")
+		told := w.stop(client, 2)
+		require.Equal(t, NotSent, told)
+		w.network.HealAll()
+		w.requireOnce(2, told)
+		client.Close()
+	})
+}
--- a/internal/system/workerapi/framing_test.go
+++ b/internal/system/workerapi/framing_test.go
@@ -7,9 +7,12 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"gaugeslip/internal/simnet"
 )
 
 // answersWithEnds are whole answers of every kind that ends before its connection does.
@@ -91,3 +94,28 @@
 		require.Equal(t, text.Len(), feed(&f, text.String()+rest, rapid.IntRange(1, 400).Draw(t, "size")), fmt.Sprintf("%q", text.String()))
 	})
 }
+
+func TestBytesBehindAnAnswerEndTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := simnet.New(5)
+		listener, err := network.Listen(workerAddress)
+		require.NoError(t, err)
+		near, err := network.Dial(t.Context(), callerHost, workerAddress)
+		require.NoError(t, err)
+		far, err := listener.Accept()
+		require.NoError(t, err)
+		connection := &boundConnection{Conn: near, bound: newConnectionBound(1, nil)}
+		_, err = connection.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+		require.NoError(t, err)
+		_, err = far.Write([]byte(answerText(1) + answerText(99)))
+		require.NoError(t, err)
+		buffer := make([]byte, 1024)
+		count, err := connection.Read(buffer)
+		require.NoError(t, err)
+		require.Equal(t, answerText(1), string(buffer[:count]))
+		_, err = connection.Write([]byte("GET / HTTP/1.1\r\n\r\n"))
+		require.NoError(t, err)
+		_, err = connection.Read(buffer)
+		require.ErrorIs(t, err, errUnasked, "also once the next request is out")
+	})
+}
