Test that a worker's answer counts only for the scheduler that made the call

Every scheduler numbers its calls from 1. A replica that loses its office and takes it again has two of them after each other, and an answer to the first one's call must not be taken for that to the second one's. It held (Node.call compares the scheduler); no test saw it.

--- /dev/null
+++ b/internal/system/control/callsowner_test.go
@@ -0,0 +1,75 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/simnet"
+	"gaugeslip/internal/system/nodesettings"
+	"gaugeslip/internal/system/scheduler"
+	"gaugeslip/internal/system/state"
+	"gaugeslip/internal/system/workerapi"
+)
+
+const (
+	headHost       = "10.0.0.1"
+	ownedWorker    = "10.0.0.2:80"
+	lateAnswer     = time.Second
+	ownedCallLimit = 10 * time.Second
+)
+
+// newOwner is a scheduler with one worker, and its first call: of the same number in each scheduler.
+func newOwner(t *testing.T, token uint64) (*scheduler.Scheduler, scheduler.Call) {
+	s := scheduler.New(scheduler.Options{Token: token, Machine: state.New(), Bounds: nodesettings.DefaultBounds()}, 0)
+	s.Listed(0, []workerapi.Instance{{ID: "i-1", Address: ownedWorker, State: workerapi.StateReady}})
+	calls := s.Drain().Calls
+	require.NotEmpty(t, calls)
+	call := calls[0]
+	call.Timeout = ownedCallLimit
+	return s, call
+}
+
+// An answer to a call that a scheduler made before this replica lost its office and took it again isn't that to the call with the same
+// number of the one that acts now.
+func TestAnAnswerCountsOnlyForTheSchedulerThatMadeTheCall(t *testing.T) {
+	for _, taken := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			network := simnet.New(1)
+			listener, err := network.Listen(ownedWorker)
+			require.NoError(t, err)
+			server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				time.Sleep(lateAnswer)
+				w.WriteHeader(http.StatusConflict)
+				_, _ = w.Write([]byte(`{"clockMs":1,"reason":"fence"}`))
+			})}
+			go func() { _ = server.Serve(listener) }()
+			ctx, cancel := context.WithCancel(context.Background())
+			made := &orders{client: workerapi.NewClient(workerapi.Options{Dial: network.Dialer(headHost)}),
+				slots: make(chan struct{}, mostCalls), ctx: ctx, cancel: cancel}
+			n := &Node{loop: newLoop(), orders: made, started: time.Now()}
+			first, call := newOwner(t, 1)
+			n.scheduler = first
+			n.call(call)
+			acting := first
+			if taken {
+				second, next := newOwner(t, 2)
+				require.Equal(t, call.ID, next.ID)
+				acting, n.scheduler = second, second
+			}
+			time.Sleep(2 * lateAnswer)
+			synctest.Wait()
+			for _, work := range n.loop.take(nil) {
+				work()
+			}
+			require.Equal(t, !taken, acting.Drain().Superseded)
+			made.close()
+			require.NoError(t, server.Close())
+			time.Sleep(time.Second)
+		})
+	}
+}
