--- a/internal/system/dataplane/bytes_test.go
+++ b/internal/system/dataplane/bytes_test.go
@@ -40,7 +40,7 @@
 		w := &wireClients{network: simnet.New(9), taken: map[uint64]int{}}
 		listener, err := w.network.Listen(dispatcherFront)
 		require.NoError(t, err)
-		frontend := newFrontend(listener, NewDispatcher(w.core(t), knowing(t, "a"), noPoke, Options{}), 10, nil)
+		frontend := NewFrontend(listener, NewDispatcher(w.core(t), knowing(t, "a"), noPoke, Options{}), 10, nil)
 		frontend.Serve(DefaultLimits())
 		body(t, w)
 		time.Sleep(time.Hour)
