--- a/internal/system/simworld/process_test.go
+++ b/internal/system/simworld/process_test.go
@@ -20,12 +20,10 @@
 	host  string
 	ended atomic.Bool
 
-	mutex  sync.Mutex
-	moved  *sync.Cond
-	frozen bool
-	// freezeIn counts the readings of the clock down to a freeze; 0: none is planned.
-	freezeIn int
-	onFreeze func()
+	mutex    sync.Mutex
+	moved    *sync.Cond
+	frozen   bool
+	readings int // of the clock, down to a freeze; 0: none is planned
 }
 
 func newProcess(network *simnet.Network, host string) *process {
@@ -70,16 +68,23 @@
 }
 
 func (p *process) countDown() {
-	if p.freezeIn == 0 {
+	if p.readings == 0 {
 		return
 	}
-	p.freezeIn--
-	if p.freezeIn == 0 {
-		go p.onFreeze()
+	p.readings--
+	if p.readings == 0 {
 		p.frozen = true
+		p.net.Stop(p.host)
 	}
 }
 
+// freezeIn freezes the process at that reading of its clock from now on.
+func (p *process) freezeIn(readings int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.readings = readings
+}
+
 // freeze stops the process: what it sends and reads from the network waits, and so does whoever reads its clock.
 func (p *process) freeze() {
 	p.setFrozen(true)
@@ -95,6 +100,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.frozen = frozen
+	p.readings = 0
 	p.moved.Broadcast()
 }
 
--- a/internal/system/simworld/replica_test.go
+++ b/internal/system/simworld/replica_test.go
@@ -85,4 +85,7 @@
 
 func (r *replica) freeze() { r.process.freeze() }
 
+// freezeWithin freezes the process just before so many more readings of its clock.
+func (r *replica) freezeWithin(readings int) { r.process.freezeIn(readings) }
+
 func (r *replica) thaw() { r.process.thaw() }
--- a/internal/system/simworld/world_test.go
+++ b/internal/system/simworld/world_test.go
@@ -51,6 +51,7 @@
 	farm        *farm
 	console     *transport.Client // an operator's command line
 	history     history
+	clients     []*client
 	// endings are the ends of processes that were killed, and the servers of the farm.
 	endings sync.WaitGroup
 
@@ -101,6 +102,9 @@
 	for _, r := range w.replicas {
 		r.kill()
 	}
+	for _, c := range w.clients {
+		c.http.CloseIdleConnections()
+	}
 	w.farm.close()
 	_ = w.console.Close()
 	w.endings.Wait()
