--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -23,6 +23,9 @@
 	governAt   time.Duration
 	inherited  uint64 // last index at the start of the epoch
 
+	handingOver bool // no writes are taken any more
+	drainedBy   time.Duration
+
 	stuckIndex uint64 // the entry that is watched
 	stuckSince time.Duration
 
@@ -45,12 +48,29 @@
 	synced   uint64
 	acked    uint64
 	leaving  bool
+	broken   bool // its disk refuses
+	silent   bool // out of reach since it was the head's or a candidate's
 	gone     bool // its disk is lost, or it has moved
 }
 
+// learner is one that has asked to become a member, and how promptly it acknowledges.
 type learner struct {
-	member  view.Member
-	heardAt time.Duration
+	member      view.Member
+	heardAt     time.Duration
+	watched     uint64 // an index that it has to acknowledge
+	watchedAt   time.Duration
+	promptSince time.Duration
+	failedAt    time.Duration // writes were held back for it in vain; 0: never
+}
+
+// watch follows what a learner acknowledges.
+func (l *learner) watch(now time.Duration, acked uint64, ok bool, last uint64, most time.Duration) {
+	switch {
+	case ok && acked >= l.watched:
+		l.watched, l.watchedAt = last, now
+	case now-l.watchedAt > most:
+		l.promptSince = now
+	}
 }
 
 // penalty keeps a member out that stopped to acknowledge while it was in touch.
@@ -81,6 +101,7 @@
 			p.ackedAt = now
 		}
 		p.gone = false
+		p.silent = p.silent && r.position() == 0
 		p.echo, p.refused, p.received, p.synced, p.acked = 0, 0, 0, 0, 0
 	}
 	r.head = head
@@ -101,7 +122,10 @@
 	if now >= r.head.beatAt {
 		r.beat(now)
 	}
-	if !r.leading() || !r.IsHead(now) {
+	if r.leading() && !r.entered && r.ownDiskStalls(now) {
+		r.abdicate(now)
+	}
+	if !r.IsHead(now) {
 		return
 	}
 	if len(r.view.Chain) > r.cfg.Tolerance {
@@ -180,6 +204,7 @@
 	}
 	p := r.peer(from.ID, now)
 	p.heardAt, p.ackedAt = now, now
+	p.silent, p.broken = false, m.Broken
 	p.echo = max(p.echo, m.Sequence)
 	p.received, p.synced, p.acked = m.Received, m.Synced, m.Acked
 	if !m.Granted {
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -35,8 +35,10 @@
 	chainService = "Chain"
 	// restartPause is how long a replica whose disk refused waits before it tries again with what the disk holds.
 	restartPause = time.Second
-	// leavePatience bounds the planned transfer at the end.
+	// leavePatience bounds a planned transfer.
 	leavePatience = 1500 * time.Millisecond
+	// leaveReserve is what is left of the grace for the end itself.
+	leaveReserve = 2 * time.Second
 	// RoleName is how replicas call themselves among the peers.
 	RoleName = "replica"
 )
@@ -64,6 +66,7 @@
 	loop     *loop
 	engine   *engine
 	client   *transport.Client
+	forward  func(address, method string, args, reply any, timeout time.Duration) error // calls another replica
 	sender   *transport.Sender[*replica.Message]
 	server   *transport.Server
 	members  *membership.Node
@@ -86,8 +89,6 @@
 	housekeepingAt time.Duration
 	config         *clusterconfig.Config
 	configStale    bool // a newer one was committed since
-	configWaiting  []func()
-	configBusy     bool
 	leaving        bool
 	handover       *handover // a transfer that an operator has asked for
 	counts         counts
@@ -107,6 +108,7 @@
 	n.started = n.clock()
 	dial := network.DialOf(n.network)
 	n.client = transport.NewClient(transport.Options{Dial: dial})
+	n.forward = n.client.Call
 	n.sender = transport.NewSender[*replica.Message](n.client, chainService+".Receive", transport.SenderOptions{})
 	n.orders = newOrders(max(n.settings.Limits.MaxOpenFiles-reservedFiles, leastConnections), dial)
 	n.list = workerapi.NewListClient(dial)
@@ -146,16 +148,21 @@
 	})
 }
 
-// Leave hands over what this replica holds and ends it.
+// Leave hands over what this replica holds and ends it. While too few others have everything it stays, as long as its grace allows.
 func (n *Node) Leave() {
 	n.logger.Info("leaving")
 	n.loop.post(func() {
 		n.leaving = true
+		if n.engine.closed {
+			n.handedOver()
+			return
+		}
 		n.engine.step(replica.Leave{})
 	})
 	select {
 	case <-n.left:
-	case <-time.After(leavePatience):
+	case <-time.After(max(leavePatience, n.settings.Bounds.GracePeriod()-leaveReserve)):
+		n.logger.Warn("left without a handover")
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
