Let a dispatcher deny a queue only by a configuration that was just known to be the newest

A dispatcher that had started next to a stale replica counted as in touch with the core as soon as a serving replica had answered its look, before it had fetched the newer configuration that the answer told of, and also when that fetch failed or a client's call had reached the head: in that time it denied queues (404) by the old one and told the platform that it was ready.

The directory now notes when a serving replica last knew of nothing newer (Current, UpToDate): 404 needs that within 1.5 s, readiness that it was so once in the life of the process. TestALookThatDoesNotGetTheNewest got 404 before.

--- a/internal/system/dataplane/directory.go
+++ b/internal/system/dataplane/directory.go
@@ -35,6 +35,8 @@
 	started  time.Time
 	seen     atomic.Int64
 	headSeen atomic.Int64
+	// current is when a serving replica last knew of no configuration that isn't known here, like seen.
+	current atomic.Int64
 }
 
 // NewDirectory is a directory that knows nothing.
@@ -123,6 +125,21 @@
 // Reachable tells whether a replica that serves was heard of within that time.
 func (d *Directory) Reachable(within time.Duration) bool { return d.since(d.seen.Load()) < within }
 
+// Current takes note that a replica which serves has just answered that it knows no configuration newer than this version.
+func (d *Directory) Current(version uint64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if version <= d.ConfigVersion() || version == d.refused {
+		d.current.Store(d.now())
+	}
+}
+
+// UpToDate tells whether the configuration in force was the newest of a replica that serves, within that time.
+func (d *Directory) UpToDate(within time.Duration) bool { return d.since(d.current.Load()) < within }
+
+// everUpToDate tells whether it ever was in the life of this process.
+func (d *Directory) everUpToDate() bool { return d.current.Load() != 0 }
+
 // Answered takes note that the replica at the address has just answered.
 func (d *Directory) Answered(address string) {
 	if address == d.View().Head().Address {
--- a/internal/system/dataplane/dispatcher.go
+++ b/internal/system/dataplane/dispatcher.go
@@ -12,7 +12,7 @@
 	"gaugeslip/internal/system/jobspec"
 )
 
-// staleContact is how long after the last sign of the core an unknown route may be due to a configuration that we missed.
+// staleContact is how long after the configuration was last known to be the newest an unknown route may be due to one that we missed.
 const staleContact = 1500 * time.Millisecond
 
 // Dispatcher answers clients. It is an http.Handler, safe for concurrent use.
@@ -91,9 +91,9 @@
 	return wrongMethod
 }
 
-// noRoute answers for a route that isn't in the configuration; out of the core's reach, it may be in one that we missed.
+// noRoute answers for a route that isn't in the configuration; it may be in one that we missed.
 func (d *Dispatcher) noRoute() answer {
-	if !d.directory.Reachable(staleContact) {
+	if !d.directory.UpToDate(staleContact) {
 		return unavailable
 	}
 	return notFound
--- a/internal/system/dataplane/fake_test.go
+++ b/internal/system/dataplane/fake_test.go
@@ -69,6 +69,7 @@
 	require.NoError(t, err)
 	require.True(t, directory.LearnView(chainOf(1, chain...)))
 	directory.Contact()
+	directory.Current(1)
 	return directory
 }
 
--- a/internal/system/dataplane/figures_test.go
+++ b/internal/system/dataplane/figures_test.go
@@ -89,6 +89,8 @@
 	directory.Contact()
 	assert.Contains(t, readiness.notReadyFor(), "head")
 	directory.LearnView(chainOf(0, "127.0.0.1:1"))
+	assert.Contains(t, readiness.notReadyFor(), "newest")
+	directory.Current(1)
 	assert.Empty(t, readiness.notReadyFor())
 	ask(readiness, "GET", "/readyz", "")
 	readiness.Drain()
--- a/internal/system/dataplane/overview.go
+++ b/internal/system/dataplane/overview.go
@@ -67,6 +67,8 @@
 		return "it hears of no replica that serves"
 	case !r.directory.HeadReachable(r.options.HeadLife):
 		return "it can't reach the head"
+	case !r.directory.everUpToDate():
+		return "it hasn't heard yet which configuration is the newest"
 	}
 	return ""
 }
--- a/internal/system/dataplane/poller.go
+++ b/internal/system/dataplane/poller.go
@@ -121,6 +121,9 @@
 	if p.newer(&digest) {
 		p.fetch(address)
 	}
+	if digest.Serving {
+		p.directory.Current(digest.ConfigVersion)
+	}
 	return digest.Serving
 }
 
--- a/internal/system/dataplane/poller_test.go
+++ b/internal/system/dataplane/poller_test.go
@@ -197,3 +197,47 @@
 		running.Wait()
 	})
 }
+
+// A look that learns of a newer configuration and doesn't get it leaves what is known as not up to date: nothing is said to be
+// missing by it.
+func TestALookThatDoesNotGetTheNewest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		core := threeReplicas(true)
+		core.each["a"].version = 2
+		directory := NewDirectory()
+		_, err := directory.LearnConfig(1, configBody(1))
+		assert.NoError(t, err)
+		directory.LearnView(chainOf(0, "a", "b", "c"))
+		losing := callerFunc(func(address, method string, args, reply any, timeout time.Duration) error {
+			if method == internalapi.MethodFetch {
+				return transport.ErrUnknown
+			}
+			return core.Call(address, method, args, reply, timeout)
+		})
+		dispatcher := NewDispatcher(core, directory, noPoke, Options{})
+		NewPoller(losing, directory, []string{"a"}, failOn(t), Options{}).ask("a")
+		assert.True(t, directory.Reachable(time.Second))
+		assert.False(t, directory.UpToDate(time.Second))
+		assert.Equal(t, 503, ask(dispatcher, "GET", "/elsewhere/", "").Code)
+		NewPoller(core, directory, []string{"a"}, failOn(t), Options{}).ask("a")
+		assert.EqualValues(t, 2, directory.ConfigVersion())
+		assert.True(t, directory.UpToDate(time.Second))
+		assert.Equal(t, 404, ask(dispatcher, "GET", "/elsewhere/", "").Code)
+	})
+}
+
+// A configuration that can't be used is as new as it gets; a replica that doesn't serve can't tell.
+func TestWhoTellsWhatIsNewest(t *testing.T) {
+	directory := NewDirectory()
+	_, err := directory.LearnConfig(1, configBody(1))
+	assert.NoError(t, err)
+	_, err = directory.LearnConfig(2, []byte("{"))
+	assert.Error(t, err)
+	core := threeReplicas(false)
+	NewPoller(core, directory, []string{"a"}, failOn(t), Options{}).ask("a")
+	assert.False(t, directory.UpToDate(time.Minute))
+	directory.Current(3)
+	assert.False(t, directory.UpToDate(time.Minute))
+	directory.Current(2)
+	assert.True(t, directory.UpToDate(time.Minute))
+}
--- a/internal/system/dataplane/readiness.go
+++ b/internal/system/dataplane/readiness.go
@@ -5,8 +5,8 @@
 	"sync/atomic"
 )
 
-// Readiness tells the platform whether the dispatcher wants new connections: it has a configuration, hears of a core that
-// serves, reaches its head, and isn't being shut down. It is an http.Handler.
+// Readiness tells the platform whether the dispatcher wants new connections: it has a configuration that was the newest
+// at its time, hears of a core that serves, reaches its head, and isn't being shut down. It is an http.Handler.
 type Readiness struct {
 	directory *Directory
 	options   Options
--- a/internal/system/simworld/client_test.go
+++ b/internal/system/simworld/client_test.go
@@ -63,18 +63,21 @@
 		j.stage.Need.CPU, j.stage.Need.MemoryMB, j.stage.Work.Milliseconds(), j.stage.LongRunning)
 }
 
-// call sends one request to a dispatcher; without a whole answer the status is unclear.
+// call sends one request about a job to a dispatcher; without a whole answer the status is unclear.
 func (c *client) call(dispatcher int, method, id, body string) (status int, answer string) {
+	return c.request("http://"+frontendAddress(dispatcher)+"/barn/"+id, method, body)
+}
+
+func (c *client) request(location, method, body string) (status int, answer string) {
 	ctx, cancel := context.WithTimeout(context.Background(), clientPatience)
 	defer cancel()
-	location := "http://" + frontendAddress(dispatcher) + "/barn/" + id
 	made, _ := http.NewRequestWithContext(ctx, method, location, strings.NewReader(body))
 	made.Host = "farm.example"
 	made.GetBody = nil // a client that sends again does so itself
 	made.Header.Set("X-Gaugeslip-Deadline", fmt.Sprint(clientDeadline.Milliseconds()))
 	response, err := c.http.RoundTrip(made)
 	if err != nil {
-		c.world.note("client: %s %s at edge-%d: %v", method, id, dispatcher, err)
+		c.world.note("client: %s %s: %v", method, location, err)
 		return unclear, ""
 	}
 	defer response.Body.Close()
@@ -82,7 +85,7 @@
 	if err != nil {
 		return unclear, ""
 	}
-	c.world.note("client: %s %s at edge-%d: %d %s", method, id, dispatcher, response.StatusCode, read)
+	c.world.note("client: %s %s: %d %s", method, location, response.StatusCode, read)
 	return response.StatusCode, string(read)
 }
 
--- a/internal/system/simworld/operator_test.go
+++ b/internal/system/simworld/operator_test.go
@@ -20,7 +20,9 @@
 	tryPatience = time.Second
 	unclear     = 0
 	configText  = `{"version":%d,"routes":[{"name":"barn","host":"farm.example","pathPrefix":"/barn/","type":"idempotent",` +
-		`"timeoutMs":%d,"targetLatencyMs":500,"backend":"farm","maxRetries":40,"extension":2}],"services":[{"name":"farm"}]}`
+		`"timeoutMs":%d,"targetLatencyMs":500,"backend":"farm","maxRetries":40,"extension":2}%s],"services":[{"name":"farm"}]}`
+	moreRoute = `,{"name":%q,"host":"farm.example","pathPrefix":"/%s/","type":"idempotent","timeoutMs":2000,"targetLatencyMs":500,` +
+		`"backend":"farm","maxRetries":40,"extension":2}`
 )
 
 // order is what an operator asks for: a configuration, told from others of its number by its mark, on top of a base. A read has none.
@@ -28,10 +30,22 @@
 	read          bool
 	base, version uint64
 	mark          int
+	route         string // one more than the others have; empty: none
+}
+
+func (o order) withRoute(name string) order {
+	o.route = name
+	return o
 }
 
 // body is the configuration of the order; its mark is its route's time-out in milliseconds.
-func (o order) body() string { return fmt.Sprintf(configText, o.version, o.mark) }
+func (o order) body() string {
+	more := ""
+	if o.route != "" {
+		more = fmt.Sprintf(moreRoute, o.route, o.route)
+	}
+	return fmt.Sprintf(configText, o.version, o.mark, more)
+}
 
 // answered is what came back, with the version and the mark of a read. The status of no clear answer is unclear.
 type answered struct {
