Drop a member only after any permission to read that it may hold

A permission to read was waited out only for the present tail of this epoch, and not at all on the tail's own word or where a new disk had come to its address; either may be about an earlier life (late messages). The tail of the epoch before, with a permission of the head before, was kept out only by the numbers of the time-outs. Now whoever is dropped has to be past what this head gave and past half a grant since the view was learnt.

The head counted its permissions from when it gave them, and so renewed them for a tail that had fallen silent: with nothing to write a dead tail stayed a member until a write hung. It counts from the tail's last acknowledgement now, as the tail does.

A seed that loses its very first life before anything is on disk has the same identity again: it waits out its grants as well. A tail uses nine tenths of a permission, as a lease does of a grant, so that clocks may be a tenth apart.

--- /dev/null
+++ b/coord/replica/candidate_test.go
@@ -0,0 +1,136 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/coord/chain"
+	"gaugeslip/coord/view"
+)
+
+// candidate is b of a chain a, b, c that has stood for the head's place, and its ballot.
+func candidate(t *testing.T) (*stand, view.Ballot) {
+	s := settled(t, standConfig("b"), chain.Log{}, "a", "b", "c")
+	s.stand(standLength)
+	s.sync()
+	prepares := s.prepares()
+	require.NotEmpty(t, prepares)
+	return s, prepares[0].Ballot
+}
+
+// stand lets time pass in steps too short for a frozen process.
+func (s *stand) stand(length time.Duration) {
+	for end := s.now + length; s.now < end && !s.core.proposer.Active(); {
+		s.after(10 * time.Millisecond)
+	}
+}
+
+func (s *stand) promise(from view.ReplicaID, promise view.Promise) {
+	promise.OK = true
+	s.receive(from, &Message{Promise: &promise})
+}
+
+// The lease that a head takes along into the next epoch is over before anyone stands against it.
+func TestNobodyStandsWithinAGrant(t *testing.T) {
+	s := settled(t, standConfig("b"), chain.Log{}, "a", "b", "c")
+	learnt := s.now
+	s.stand(standLength)
+	require.True(t, s.core.proposer.Active())
+	require.GreaterOrEqual(t, s.now, learnt+DefaultGrant)
+
+	s = settled(t, standConfig("b"), chain.Log{}, "a", "b", "c")
+	s.stand(DefaultGrant / 2)
+	heard := s.now
+	s.beat("a", view.Heartbeat{Sequence: 1})
+	s.stand(standLength)
+	require.True(t, s.core.proposer.Active())
+	assert.GreaterOrEqual(t, s.now, heard+DefaultGrant)
+}
+
+func TestCandidateNeedsAMajority(t *testing.T) {
+	s, _ := candidate(t)
+	for range 20 {
+		s.after(10 * time.Millisecond)
+	}
+	assert.Empty(t, s.accepts(), "its own promise is no majority")
+}
+
+func TestOwnPromiseCountsOnceItIsOnDisk(t *testing.T) {
+	s := settled(t, standConfig("b"), chain.Log{}, "a", "b", "c")
+	s.stand(standLength)
+	ballot := s.prepares()[0].Ballot
+	s.promise("c", view.Promise{Ballot: ballot})
+	for range 20 {
+		s.after(10 * time.Millisecond)
+	}
+	require.Empty(t, s.accepts(), "c alone has promised for good")
+	s.sync()
+	s.after(10 * time.Millisecond)
+	assert.NotEmpty(t, s.accepts())
+}
+
+func TestCandidateTakesUpWhatMayBeDecided(t *testing.T) {
+	s, ballot := candidate(t)
+	found := standView(standEpoch+1, "c", "b")
+	s.promise("c", view.Promise{Ballot: ballot, Accepted: view.Ballot{Owner: "a"}, Value: &found})
+	accepts := s.accepts()
+	require.NotEmpty(t, accepts)
+	assert.True(t, accepts[0].Value.Equal(found))
+}
+
+func TestPromiseOfAnotherBallotDoesNotCount(t *testing.T) {
+	s, ballot := candidate(t)
+	ballot.Life++
+	s.promise("c", view.Promise{Ballot: ballot})
+	for range 20 {
+		s.after(10 * time.Millisecond)
+	}
+	assert.Empty(t, s.accepts())
+}
+
+func TestDoubledPromiseCountsOnce(t *testing.T) {
+	s := settled(t, standConfig("b"), chain.Log{}, "a", "b", "c")
+	s.stand(standLength)
+	ballot := s.prepares()[0].Ballot
+	s.promise("c", view.Promise{Ballot: ballot})
+	s.promise("c", view.Promise{Ballot: ballot})
+	for range 20 {
+		s.after(10 * time.Millisecond)
+	}
+	assert.Empty(t, s.accepts())
+}
+
+func TestViewNeedsAMajority(t *testing.T) {
+	s, ballot := candidate(t)
+	s.promise("c", view.Promise{Ballot: ballot})
+	s.after(2 * electionPatience)
+	require.NotEmpty(t, s.accepts())
+	s.sync() // its own vote
+	require.Equal(t, uint64(standEpoch), s.core.View().Epoch)
+	s.receive("c", &Message{Accepted: &view.Accepted{Ballot: view.Ballot{Owner: "b"}, OK: true}})
+	require.Equal(t, uint64(standEpoch), s.core.View().Epoch, "that was another ballot")
+	s.receive("c", &Message{Accepted: &view.Accepted{Ballot: ballot}})
+	require.Equal(t, uint64(standEpoch), s.core.View().Epoch, "it was refused")
+	s.receive("c", &Message{Accepted: &view.Accepted{Ballot: ballot, OK: true}})
+	assert.Equal(t, uint64(standEpoch+1), s.core.View().Epoch)
+}
+
+// A head that comes back may drop a tail only when the permission that its earlier life gave has run out.
+func TestRestartedHeadWaitsForTheTail(t *testing.T) {
+	s := resumed(t, standConfig("a"), Persisted{View: standView(standEpoch, "a", "b", "c")})
+	s.step(Tick{})
+	ballot := s.prepares()[0].Ballot
+	s.sync()
+	s.promise("b", view.Promise{Ballot: ballot})
+	for s.now < standStart+DefaultGrant/readPart-10*time.Millisecond {
+		s.after(10 * time.Millisecond)
+		require.Empty(t, s.accepts(), "c may answer reads")
+	}
+	s.after(10 * time.Millisecond)
+	accepts := s.accepts()
+	require.NotEmpty(t, accepts)
+	assert.False(t, accepts[0].Value.InChain("c"))
+}
--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -30,7 +30,8 @@
 	return r.proposeWithout(now, func(id view.ReplicaID) bool { return id == r.self.ID || r.lost(now, id, "") })
 }
 
-// governChain drops members that are gone.
+// governChain drops members that are gone. Nothing else is proposed while one of them may still answer reads: a newcomer
+// could take the vote of a disk that is in the chain yet.
 func (r *Replica) governChain(now time.Duration) bool {
 	culprit := r.culprit(now)
 	gone := func(id view.ReplicaID) bool { return r.lost(now, id, culprit) }
@@ -38,7 +39,7 @@
 		return false
 	}
 	if !r.proposeWithout(now, gone) {
-		return false
+		return true
 	}
 	if culprit != "" {
 		r.punish(now, culprit)
@@ -65,15 +66,25 @@
 	return true
 }
 
-// readsOver tells whether the present tail can't answer reads any more once the next view is decided: it is a
-// member still, has stopped by itself, or its permission has run out.
+// readsOver tells whether none of those that the next view drops can answer reads any more: a member's permission has
+// to run out, as neither its word nor another's says for sure that it has stopped.
 func (r *Replica) readsOver(now time.Duration, next view.View) bool {
-	tail := r.view.Tail()
-	if next.InChain(tail.ID) || tail.ID == r.self.ID || now >= r.head.readsUntil {
-		return true
+	for _, member := range r.view.Chain {
+		if member.ID != r.self.ID && !next.InChain(member.ID) && now < r.readsUntil(member.ID) {
+			return false
+		}
+	}
+	return true
+}
+
+// readsUntil is when a member's permission to read has run out, by the clock here. An earlier head may have given one, or
+// this one in an earlier epoch or life, till the view was learnt.
+func (r *Replica) readsUntil(id view.ReplicaID) time.Duration {
+	earlier := r.learned + r.cfg.Grant/readPart
+	if id != r.view.Tail().ID {
+		return earlier
 	}
-	p := r.peer(tail.ID, now)
-	return p.leaving || p.gone
+	return max(earlier, r.head.readsUntil)
 }
 
 func (r *Replica) punish(now time.Duration, id view.ReplicaID) {
--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -153,13 +153,14 @@
 	r.send(voter, m)
 }
 
-// permitReads gives the tail's permission. It ends before the lease does.
+// permitReads gives the tail's permission. It ends before the lease does, and counts at the tail from when it acknowledged
+// the echoed heartbeat, which was before word of that came here.
 func (r *Replica) permitReads(now time.Duration, tail *peer) (echo uint64, readFor time.Duration) {
 	if tail.echo == 0 || tail.leaving || !r.IsHead(now) || now-r.head.stuckSince > stuckNoReads {
 		return 0, 0
 	}
 	readFor = min(r.head.leaseUntil-now, r.cfg.Grant/readPart)
-	r.head.readsUntil = max(r.head.readsUntil, now+readFor)
+	r.head.readsUntil = max(r.head.readsUntil, tail.ackedAt+readFor)
 	return tail.echo, readFor
 }
 
--- a/coord/replica/receive.go
+++ b/coord/replica/receive.go
@@ -14,9 +14,9 @@
 	readUntil time.Duration
 }
 
-// Parts of ReadFor that a tail uses, so that clocks may drift.
+// The part of ReadFor that a tail uses, so that clocks may drift apart by a tenth.
 const (
-	readMargin  = 95
+	readMargin  = 90
 	readMargins = 100
 )
 
@@ -154,7 +154,7 @@
 	if r.position() == 0 {
 		return r.IsHead(now)
 	}
-	return now < r.tail.readUntil && !r.leaving
+	return now < r.tail.readUntil
 }
 
 // ReadIndex gives the index that has to be applied before a read that came now is answered, so that it shows all
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -20,7 +20,7 @@
 	cfg     Config
 	self    view.Member
 	random  *rand.Rand
-	fresh   bool // the disk was empty: no earlier life
+	fresh   bool // no earlier life can have had this identity
 	started time.Duration
 	stepped time.Duration
 
@@ -89,8 +89,8 @@
 	r.chain = chain.New(keep, (*environment)(r), restored.Log)
 	r.numbering = life >> sequenceBits << sequenceBits
 	r.head.lease = view.NewLease(cfg.Grant, r.numbering)
-	r.fresh = restored.Identity == ""
-	if r.fresh {
+	r.fresh = restored.Identity == "" && cfg.Genesis == nil
+	if restored.Identity == "" {
 		r.begin(now)
 	} else {
 		r.resume(now, restored)
@@ -98,7 +98,7 @@
 	return r
 }
 
-// begin starts on an empty disk.
+// begin starts on an empty disk. With a genesis an earlier life may have granted under this identity before it was on disk.
 func (r *Replica) begin(now time.Duration) {
 	r.store(encodeIdentity(r.self.ID))
 	if r.cfg.Genesis != nil {
@@ -109,7 +109,6 @@
 // resume goes on from what the disk holds. What was granted before isn't known any more.
 func (r *Replica) resume(now time.Duration, restored Persisted) {
 	r.grant = now + r.cfg.Grant
-	r.head.readsUntil = now + r.cfg.Grant/readPart
 	if !restored.View.Known() {
 		return
 	}
