--- a/internal/system/control/reads_test.go
+++ b/internal/system/control/reads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -27,11 +28,13 @@
 }
 
 // replace puts the next configuration in force, wherever there is a head, and notes it once it is acknowledged.
-func (w *readWorld) replace() {
+func (w *readWorld) replace() { w.replaceAt(w.replicas) }
+
+func (w *readWorld) replaceAt(replicas []*shareReplica) {
 	next := w.acknowledged + 1
 	args := internalapi.ReplaceArgs{Base: w.acknowledged, Body: fmt.Appendf(nil, `{"version":%d}`, next)}
 	for attempt := 0; ; attempt++ {
-		reply := w.replicas[attempt%shareReplicas].replaceHere(args, operatorPatience)
+		reply := replicas[attempt%len(replicas)].replaceHere(args, operatorPatience)
 		if reply.Verdict == internalapi.Done {
 			w.acknowledged = next
 			return
@@ -176,3 +179,34 @@
 		assert.Equal(t, mostWaitingReads+2, refused)
 	})
 }
+
+// A head that stood still while another took its place neither takes nor refuses nor answers what had come meanwhile: by what it
+// knows, an order on top of the newest version would be refused.
+func TestFrozenHeadDecidesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := startReadWorld(t, 4)
+		defer w.stop()
+		frozen := w.head()
+		const length = 20 * time.Second
+		reads, orders := make(chan internalapi.ReadReply, 1), make(chan internalapi.ReplaceReply, 1)
+		args := make(chan internalapi.ReplaceArgs, 1)
+		frozen.loop.post(func() { time.Sleep(length) })
+		frozen.loop.post(func() {
+			sent := <-args
+			frozen.replace(&sent, func(reply internalapi.ReplaceReply) { orders <- reply })
+		})
+		frozen.loop.post(func() { frozen.engine.read(func(current bool) { reads <- frozen.readReply(current) }) })
+		time.Sleep(3 * time.Second)
+		w.replicas = slices.DeleteFunc(slices.Clone(w.replicas), func(r *shareReplica) bool { return r == frozen })
+		for range 5 {
+			w.replaceAt(w.replicas)
+		}
+		args <- internalapi.ReplaceArgs{Base: w.acknowledged, Body: fmt.Appendf(nil, `{"version":%d}`, w.acknowledged+1)}
+		time.Sleep(length)
+		assert.Equal(t, internalapi.NotHead, (<-orders).Verdict)
+		assert.Equal(t, internalapi.NotHead, (<-reads).Verdict)
+		time.Sleep(time.Second)
+		w.replicas = append(w.replicas, frozen)
+		w.checkReads()
+	})
+}
