--- a/internal/system/control/operatorsworld_test.go
+++ b/internal/system/control/operatorsworld_test.go
@@ -220,38 +220,6 @@
 	return low + time.Duration(w.draw()%uint64(high-low+1))
 }
 
-// lost tells whether what goes from one machine to another now gets lost.
-func (w *operatorsWorld) lost(from, to int) bool {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.cut[[2]int{from, to}] || w.random.Float64() < w.lossy
-}
-
-// latency is how long something is on its way.
-func (w *operatorsWorld) latency() time.Duration {
-	return w.between(time.Millisecond, 3*time.Millisecond)
-}
-
-// isolate cuts a machine off or joins it again; in and out say which ways.
-func (w *operatorsWorld) isolate(m *operatorsMachine, cut, in, out bool) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	for _, other := range w.machines {
-		if out {
-			w.cut[[2]int{m.number, other.number}] = cut && other != m
-		}
-		if in {
-			w.cut[[2]int{other.number, m.number}] = cut && other != m
-		}
-	}
-}
-
-func (w *operatorsWorld) setLossy(part float64) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.lossy = part
-}
-
 // heal ends all faults and starts what is down.
 func (w *operatorsWorld) heal() {
 	w.mutex.Lock()
@@ -270,69 +238,6 @@
 	time.Sleep(2 * operatorPatience) // of the bubble: all calls have ended
 }
 
-func (w *operatorsWorld) at(address string) *operatorsMachine {
-	for _, m := range w.machines {
-		if m.settings.InternalAddress() == address {
-			return m
-		}
-	}
-	return nil
-}
-
-func (p *operatorsProcess) send(to string, message *replica.Message) {
-	w, target := p.machine.world, p.machine.world.at(to)
-	if target == nil || !p.alive() || w.lost(p.machine.number, target.number) {
-		return
-	}
-	time.AfterFunc(w.latency(), func() {
-		if other := target.running(); other != nil {
-			other.loop.post(func() { other.engine.step(replica.Receive{Message: message}) })
-		}
-	})
-}
-
-// callPeer is a call of another replica's service: refused where nothing runs, else its outcome isn't known if the call or its answer
-// gets lost.
-func (p *operatorsProcess) callPeer(address, method string, args, reply any, timeout time.Duration) error {
-	w, target := p.machine.world, p.machine.world.at(address)
-	expired := time.After(timeout)
-	if w.lost(p.machine.number, target.number) {
-		<-expired
-		return transport.ErrUnknown
-	}
-	time.Sleep(w.latency())
-	other := target.running()
-	if other == nil {
-		return transport.ErrNotSent
-	}
-	answers := make(chan any, 1)
-	go func() { answers <- serve(&Service{node: other.Node}, method, args) }()
-	select {
-	case answer := <-answers:
-		time.Sleep(w.latency())
-		if !other.alive() || !p.alive() || w.lost(target.number, p.machine.number) {
-			<-expired
-			return transport.ErrUnknown
-		}
-		put(reply, answer)
-		return nil
-	case <-expired:
-		return transport.ErrUnknown
-	}
-}
-
-// serve carries a call out as the replica's server does.
-func serve(service *Service, method string, args any) any {
-	if method == internalapi.MethodReplace {
-		var reply internalapi.ReplaceReply
-		_ = service.Replace(args.(internalapi.ReplaceArgs), &reply)
-		return reply
-	}
-	var reply internalapi.ReadReply
-	_ = service.Read(args.(internalapi.ReadArgs), &reply)
-	return reply
-}
-
 func put(reply, answer any) {
 	switch reply := reply.(type) {
 	case *internalapi.ReplaceReply:
