--- a/internal/system/control/config.go
+++ b/internal/system/control/config.go
@@ -95,20 +95,22 @@
 	return nil
 }
 
-// readHere gives the configuration that is committed. Only the head has it for sure: the others learn of a commit later, when its order
-// may have been answered already.
+// readHere gives the newest configuration that was acknowledged when it was asked for, if this replica can know it.
 func (n *Node) readHere() internalapi.ReadReply {
 	refused := internalapi.ReadReply{Verdict: internalapi.NotHead}
 	return ask(n, time.Second, refused, func(answer func(internalapi.ReadReply)) {
-		if !n.acting() {
-			answer(internalapi.ReadReply{Verdict: internalapi.NotHead, View: n.engine.view()})
-			return
-		}
-		current := n.engine.machine.Config()
-		answer(internalapi.ReadReply{Verdict: internalapi.Done, Version: current.Version, Body: current.Body})
+		n.engine.read(func(current bool) { answer(n.readReply(current)) })
 	})
 }
 
+func (n *Node) readReply(current bool) internalapi.ReadReply {
+	if !current {
+		return internalapi.ReadReply{Verdict: internalapi.NotHead, View: n.engine.view()}
+	}
+	newest := n.engine.machine.Config()
+	return internalapi.ReadReply{Verdict: internalapi.Done, Version: newest.Version, Body: newest.Body}
+}
+
 // replaceAnywhere decides an order here or passes it on to the head, until it is decided or the patience is over.
 func (n *Node) replaceAnywhere(args internalapi.ReplaceArgs, patience time.Duration) internalapi.ReplaceReply {
 	deadline := time.Now().Add(patience)
@@ -163,17 +165,21 @@
 	})
 }
 
-// readAnywhere gives the newest configuration from here or, if this replica isn't the head, from there.
+// readAnywhere gives the newest configuration from here or, if this replica can't know it, from the chain's tail or head.
 func (n *Node) readAnywhere(patience time.Duration) internalapi.ReadReply {
 	deadline := time.Now().Add(patience)
 	for {
 		reply := n.readHere()
-		if reply.Verdict == internalapi.NotHead {
-			reply = n.readAtHead(deadline)
-		}
 		if reply.Verdict == internalapi.Done {
 			return reply
 		}
+		for _, address := range n.readers() {
+			reply = internalapi.ReadReply{}
+			err := n.forward(address, internalapi.MethodRead, internalapi.ReadArgs{}, &reply, min(forwardFirst, time.Until(deadline)))
+			if err == nil && reply.Verdict == internalapi.Done {
+				return reply
+			}
+		}
 		if time.Until(deadline) < 2*forwardPause {
 			return internalapi.ReadReply{Verdict: internalapi.NotHead, Text: errNoHead.Error()}
 		}
@@ -181,15 +187,13 @@
 	}
 }
 
-func (n *Node) readAtHead(deadline time.Time) internalapi.ReadReply {
-	refused := internalapi.ReadReply{Verdict: internalapi.NotHead}
-	head := n.headAddress()
-	if head == "" {
-		return refused
-	}
-	var reply internalapi.ReadReply
-	if n.forward(head, internalapi.MethodRead, internalapi.ReadArgs{}, &reply, min(forwardFirst, time.Until(deadline))) != nil {
-		return refused
-	}
-	return reply
+func (n *Node) readers() []string {
+	return ask(n, time.Second, nil, func(answer func([]string)) {
+		newest := n.engine.view()
+		if !newest.Known() || len(newest.Chain) == 0 {
+			answer(nil)
+			return
+		}
+		answer([]string{newest.Tail().Address, newest.Head().Address})
+	})
 }
--- a/internal/system/control/operator.go
+++ b/internal/system/control/operator.go
@@ -46,6 +46,7 @@
 	}
 	if err != nil {
 		// An answer without a status would be a 200, which a caller that has only closed its own direction still reads.
+		writer.Header().Set("Connection", "close")
 		http.Error(writer, "the body can't be read in full: "+err.Error(), http.StatusBadRequest)
 		return
 	}
--- a/internal/system/control/orders.go
+++ b/internal/system/control/orders.go
@@ -17,6 +17,11 @@
 	leastConnections = 256
 )
 
+// workerConnections is how many connections to workers there may be.
+func (n *Node) workerConnections() int {
+	return max(n.settings.Limits.MaxOpenFiles-reservedFiles, leastConnections)
+}
+
 // connectionsPerWorker bounds the connections to one worker: two holds, and orders beside them of which some get no answer.
 const connectionsPerWorker = 8
 
@@ -28,9 +33,9 @@
 	ctx    context.Context
 }
 
-func newOrders(connections int) *orders {
+func newOrders(connections int, dial workerapi.Dial) *orders {
 	ctx, cancel := context.WithCancel(context.Background())
-	client := workerapi.NewClient(workerapi.Options{Connections: connections, ConnectionsPerWorker: connectionsPerWorker})
+	client := workerapi.NewClient(workerapi.Options{Connections: connections, ConnectionsPerWorker: connectionsPerWorker, Dial: dial})
 	return &orders{client: client, slots: make(chan struct{}, mostCalls), ctx: ctx, cancel: cancel}
 }
 
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -29,6 +29,8 @@
 	select {
 	case answer := <-answers:
 		return answer
+	case <-n.loop.stopped:
+		return expired
 	case <-timer.C:
 		return expired
 	}
@@ -38,8 +40,10 @@
 func (s *Service) Digest(_ internalapi.DigestArgs, reply *internalapi.DigestReply) error {
 	*reply = ask(s.node, time.Second, internalapi.DigestReply{}, func(answer func(internalapi.DigestReply)) {
 		e := s.node.engine
-		answer(internalapi.DigestReply{Epoch: e.view().Epoch, ConfigVersion: e.machine.Config().Version, Serving: e.mayRead(),
-			UnixMs: time.Now().UnixMilli()})
+		e.read(func(current bool) {
+			answer(internalapi.DigestReply{Epoch: e.view().Epoch, ConfigVersion: e.machine.Config().Version, Serving: current,
+				UnixMs: s.node.clock().UnixMilli()})
+		})
 	})
 	return nil
 }
@@ -173,10 +177,12 @@
 func (s *Service) read(look func(*state.Machine) internalapi.JobReply) internalapi.JobReply {
 	refused := internalapi.JobReply{Verdict: internalapi.NotHead}
 	return ask(s.node, time.Second, refused, func(answer func(internalapi.JobReply)) {
-		if !s.node.engine.mayRead() {
-			answer(s.node.notHead())
-			return
-		}
-		answer(look(s.node.engine.machine))
+		s.node.engine.read(func(current bool) {
+			if !current {
+				answer(s.node.notHead())
+				return
+			}
+			answer(look(s.node.engine.machine))
+		})
 	})
 }
