--- a/internal/system/control/operatorsworld_test.go
+++ b/internal/system/control/operatorsworld_test.go
@@ -39,6 +39,8 @@
 	random *rand.Rand
 	cut    map[[2]int]bool // from, to
 	lossy  float64         // part of the messages and calls that get lost, and of the answers
+	// confirmed is the highest version that an operator had a 200 for.
+	confirmed uint64
 }
 
 // operatorsMachine is a machine; its process may be down.
@@ -55,6 +57,7 @@
 type operatorsProcess struct {
 	*Node
 	machine *operatorsMachine
+	frozen  time.Duration // for how long it stands still next
 }
 
 func newOperatorsWorld(t testing.TB, seed uint64, replicas int) *operatorsWorld {
@@ -132,10 +135,11 @@
 	})
 }
 
-// freeze lets the process stand still for a while; its clock goes on.
+// freeze lets the process stand still for a while, after it has looked at its clock and before it takes what has come in. Its clock
+// goes on.
 func (m *operatorsMachine) freeze(length time.Duration) {
 	if p := m.running(); p != nil {
-		p.loop.post(func() { time.Sleep(length) })
+		p.loop.post(func() { p.frozen = length })
 	}
 }
 
@@ -176,53 +180,44 @@
 		p.engine.step(replica.Tick{})
 	}
 	p.takeConfig()
+	p.checkState()
 	for p.engine.flush() {
 	}
-	return max(p.engine.wake-p.now(), time.Millisecond)
+	wake := max(p.engine.wake-p.now(), time.Millisecond)
+	time.Sleep(p.frozen)
+	p.frozen = 0
+	return wake
 }
 
-func (w *operatorsWorld) draw() uint64 {
+// checkState holds that whoever may decide and show the configuration has all that was confirmed to anybody.
+func (p *operatorsProcess) checkState() {
+	if !p.alive() || !p.acting() {
+		return
+	}
+	w := p.machine.world
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.random.Uint64()
-}
-
-func (w *operatorsWorld) intn(n int) int { return int(w.draw() % uint64(n)) }
-
-func (w *operatorsWorld) between(low, high time.Duration) time.Duration {
-	return low + time.Duration(w.draw()%uint64(high-low+1))
+	if version := p.engine.machine.Config().Version; version < w.confirmed {
+		w.t.Errorf("machine %d acts as the head on version %d, confirmed is %d", p.machine.number, version, w.confirmed)
+	}
 }
 
-// lost tells whether what goes from one machine to another now gets lost.
-func (w *operatorsWorld) lost(from, to int) bool {
+func (w *operatorsWorld) confirm(version uint64) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.cut[[2]int{from, to}] || w.random.Float64() < w.lossy
+	w.confirmed = max(w.confirmed, version)
 }
 
-// latency is how long something is on its way.
-func (w *operatorsWorld) latency() time.Duration {
-	return w.between(time.Millisecond, 3*time.Millisecond)
-}
-
-// isolate cuts a machine off or joins it again; in and out say which ways.
-func (w *operatorsWorld) isolate(m *operatorsMachine, cut, in, out bool) {
+func (w *operatorsWorld) draw() uint64 {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	for _, other := range w.machines {
-		if out {
-			w.cut[[2]int{m.number, other.number}] = cut && other != m
-		}
-		if in {
-			w.cut[[2]int{other.number, m.number}] = cut && other != m
-		}
-	}
+	return w.random.Uint64()
 }
 
-func (w *operatorsWorld) setLossy(part float64) {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	w.lossy = part
+func (w *operatorsWorld) intn(n int) int { return int(w.draw() % uint64(n)) }
+
+func (w *operatorsWorld) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.draw()%uint64(high-low+1))
 }
 
 // heal ends all faults and starts what is down.
@@ -243,69 +238,6 @@
 	time.Sleep(2 * operatorPatience) // of the bubble: all calls have ended
 }
 
-func (w *operatorsWorld) at(address string) *operatorsMachine {
-	for _, m := range w.machines {
-		if m.settings.InternalAddress() == address {
-			return m
-		}
-	}
-	return nil
-}
-
-func (p *operatorsProcess) send(to string, message *replica.Message) {
-	w, target := p.machine.world, p.machine.world.at(to)
-	if target == nil || !p.alive() || w.lost(p.machine.number, target.number) {
-		return
-	}
-	time.AfterFunc(w.latency(), func() {
-		if other := target.running(); other != nil {
-			other.loop.post(func() { other.engine.step(replica.Receive{Message: message}) })
-		}
-	})
-}
-
-// callPeer is a call of another replica's service: refused where nothing runs, else its outcome isn't known if the call or its answer
-// gets lost.
-func (p *operatorsProcess) callPeer(address, method string, args, reply any, timeout time.Duration) error {
-	w, target := p.machine.world, p.machine.world.at(address)
-	expired := time.After(timeout)
-	if w.lost(p.machine.number, target.number) {
-		<-expired
-		return transport.ErrUnknown
-	}
-	time.Sleep(w.latency())
-	other := target.running()
-	if other == nil {
-		return transport.ErrNotSent
-	}
-	answers := make(chan any, 1)
-	go func() { answers <- serve(&Service{node: other.Node}, method, args) }()
-	select {
-	case answer := <-answers:
-		time.Sleep(w.latency())
-		if !other.alive() || !p.alive() || w.lost(target.number, p.machine.number) {
-			<-expired
-			return transport.ErrUnknown
-		}
-		put(reply, answer)
-		return nil
-	case <-expired:
-		return transport.ErrUnknown
-	}
-}
-
-// serve carries a call out as the replica's server does.
-func serve(service *Service, method string, args any) any {
-	if method == internalapi.MethodReplace {
-		var reply internalapi.ReplaceReply
-		_ = service.Replace(args.(internalapi.ReplaceArgs), &reply)
-		return reply
-	}
-	var reply internalapi.ReadReply
-	_ = service.Read(args.(internalapi.ReadArgs), &reply)
-	return reply
-}
-
 func put(reply, answer any) {
 	switch reply := reply.(type) {
 	case *internalapi.ReplaceReply:
@@ -321,17 +253,25 @@
 	return ask(p.Node, time.Second, none, func(answer func(T)) { answer(question(p.Node)) })
 }
 
+// wholeHead is the machine that acts as the head of a chain of all machines, nil if there is none now.
+func (w *operatorsWorld) wholeHead() *operatorsMachine {
+	for _, m := range w.machines {
+		p := m.running()
+		if p == nil {
+			continue
+		}
+		if peek(p, func(n *Node) bool { return n.acting() && len(n.engine.view().Chain) == len(w.machines) }) {
+			return m
+		}
+	}
+	return nil
+}
+
 // head waits until a machine acts as the head and the chain has all machines, or gives up.
 func (w *operatorsWorld) head() *operatorsMachine {
 	for range 400 {
-		for _, m := range w.machines {
-			p := m.running()
-			if p == nil {
-				continue
-			}
-			if peek(p, func(n *Node) bool { return n.acting() && len(n.engine.view().Chain) == len(w.machines) }) {
-				return m
-			}
+		if m := w.wholeHead(); m != nil {
+			return m
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
@@ -340,6 +280,7 @@
 			w.t.Logf("machine %d: %+v", m.number, peek(p, func(n *Node) replica.Status { return n.engine.replica.Status(n.now()) }))
 		}
 	}
+	w.stop() // what is left of a bubble would hide why
 	w.t.Fatal("no head with a whole chain")
 	return nil
 }
