--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -60,16 +60,14 @@
 	return r.proposeChain(now, next, "", r.leaveCause(now))
 }
 
-// governChain drops members that are lost, or want to leave and can be spared. Nothing else is proposed while one of them may still
-// answer reads: a newcomer could take the vote of a disk that is in the chain yet.
+// governChain drops members that are lost, or want to leave and can be spared.
 func (r *Replica) governChain(now time.Duration) bool {
 	culprit := r.culprit(now)
 	next := r.remaining(now, culprit, 0)
 	if len(next) == len(r.view.Chain) {
 		return false
 	}
-	r.proposeChain(now, next, culprit, r.dropCause(now, culprit, next))
-	return true
+	return r.proposeChain(now, next, culprit, r.dropCause(now, culprit, next))
 }
 
 // remaining is what stays of the chain if so many newcomers, who have everything, are added. It has no more lost members where f+1
