--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -7,9 +7,10 @@
 	"gaugeslip/coord/view"
 )
 
-// govern proposes the view that the state of the members asks for, if it isn't the present one.
+// govern proposes the view that the state of the members asks for, if it isn't the present one. A head that hears no
+// majority proposes nothing: it would be the only member that it hears, and the others, whom it may reach, might take that up.
 func (r *Replica) govern(now time.Duration) {
-	if r.proposer.Active() {
+	if r.proposer.Active() || !r.hearsMajority(now) {
 		return
 	}
 	if r.governLeave(now) || r.governChain(now) || r.governAdmission(now) {
@@ -18,6 +19,18 @@
 	r.governVoters(now)
 }
 
+// hearsMajority tells whether a majority of the voters, itself among them, has been heard within the time after which members
+// are dropped, two heartbeats at least.
+func (r *Replica) hearsMajority(now time.Duration) bool {
+	heard := 0
+	for _, voter := range r.view.Voters {
+		if voter.ID == r.self.ID || now-r.peer(voter.ID, now).heardAt <= max(r.cfg.DropAfter, 2*r.cfg.HeartbeatEvery) {
+			heard++
+		}
+	}
+	return heard >= r.view.Majority()
+}
+
 // governLeave hands the head's place over where this replica has to go.
 func (r *Replica) governLeave(now time.Duration) bool {
 	if !r.leaving && !r.ownDiskStalls(now) {
--- a/coord/replica/leader_test.go
+++ b/coord/replica/leader_test.go
@@ -378,3 +378,17 @@
 	s.after(DefaultHeartbeatEvery)
 	assert.NotZero(t, s.lastBeat("c").Echo)
 }
+
+// A head that hears nobody, but may be heard, must not make itself the only member.
+func TestHeadThatHearsNobodyProposesNothing(t *testing.T) {
+	s := leader(t)
+	s.ack("c")
+	heard := s.now
+	for s.now < heard+DefaultDropAfter {
+		s.after(10 * time.Millisecond)
+	}
+	s.core.head.governAt = s.now // it looks while it still has the lease
+	s.after(10 * time.Millisecond)
+	require.True(t, s.isHead())
+	assert.Empty(t, s.accepts())
+}
