--- a/internal/system/control/operator.go
+++ b/internal/system/control/operator.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		// An answer without a status would be a 200, which a caller that has only closed its own direction still reads.
 		writer.Header().Set("Connection", "close")
-		http.Error(writer, "the body can't be read in full: "+err.Error(), http.StatusBadRequest)
+		http.Error(writer, "the body can't be read in full: "+err.Error(), unreadStatus(err))
 		return
 	}
 	reply := o.replace(internalapi.ReplaceArgs{Base: base, Body: body}, operatorPatience)
@@ -58,6 +58,15 @@
 	http.Error(writer, reply.Text, reply.Status)
 }
 
+// unreadStatus is the answer to an order whose body can't be read in full. One that broke off on its way may be whole at the caller, and
+// taken before: it isn't refused.
+func unreadStatus(err error) int {
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadRequest
+}
+
 // parseBase reads the version on which a configuration builds; absent means the first.
 func parseBase(text string) (uint64, error) {
 	if text == "" {
