--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -61,6 +61,7 @@
 	wake      time.Duration
 	closed    bool
 	rewriting bool
+	capturing capturing
 	compactAt int64
 }
 
@@ -140,7 +141,7 @@
 	}
 	e.wake = output.Wake
 	if output.NeedSnapshot {
-		e.step(replica.SnapshotReady{Index: e.appliedTo, Data: e.machine.Snapshot()})
+		e.capture(forLearners)
 	}
 }
 
@@ -175,11 +176,17 @@
 	if e.rewriting || e.disk.bytes() < e.compactAt {
 		return
 	}
-	records := e.replica.Compact(e.machine.Snapshot(), e.appliedTo)
+	e.rewriting = true
+	e.capture(forLog)
+}
+
+// rewrite replaces the log by a snapshot and what follows it.
+func (e *engine) rewrite(index uint64, snapshot []byte) {
+	records := e.replica.Compact(snapshot, index)
 	if records == nil {
+		e.rewriting = false
 		return
 	}
-	e.rewriting = true
 	began := e.options.now()
 	e.disk.submit(diskJob{records: toLog(records), rewrite: true, done: func(err error) {
 		e.options.post(func() { e.compacted(err, e.options.now()-began) })
@@ -207,6 +214,7 @@
 		return false
 	}
 	e.appliedTo = snapshot.Index
+	e.dropCapture()
 	for index, waiting := range e.flying {
 		if index <= snapshot.Index {
 			delete(e.flying, index)
--- a/internal/system/state/machine.go
+++ b/internal/system/state/machine.go
@@ -18,6 +18,7 @@
 	workers map[string]*Worker
 	pending map[string]int // jobs that aren't over, by route
 	quotas  *quota.Ledger
+	capture *Capture // under way, nil if there is none
 }
 
 // Worker is what is replicated of one life of a worker.
@@ -88,6 +89,7 @@
 // Apply carries out one command of the chain.
 func (m *Machine) Apply(command Command) Result {
 	result := Result{Command: command}
+	m.capture.before(&command)
 	switch command.Kind {
 	case KindConfigReplaced:
 		result.Outcome = m.replaceConfig(command.ConfigReplaced)
--- a/internal/system/state/snapshot.go
+++ b/internal/system/state/snapshot.go
@@ -24,6 +24,16 @@
 func (m *Machine) Snapshot() []byte {
 	w := &writer{data: make([]byte, 0, 1<<16)}
 	format := m.snapshotFormat()
+	m.writeStart(w, format)
+	for _, id := range slices.SortedFunc(maps.Keys(m.jobs), cmp.Compare[JobID]) {
+		m.writeJob(w, m.jobs[id], format)
+	}
+	m.writeEnd(w)
+	return w.data
+}
+
+// writeStart writes what comes before the jobs.
+func (m *Machine) writeStart(w *writer, format byte) {
 	w.byte(format)
 	w.uint(m.config.Version)
 	w.bytes(m.config.Body)
@@ -33,18 +43,22 @@
 		w.fixed(before.sum)
 	}
 	w.uint(uint64(len(m.jobs)))
-	for _, id := range slices.SortedFunc(maps.Keys(m.jobs), cmp.Compare[JobID]) {
-		w.job(m.jobs[id])
-		if format == tenantSnapshotFormat {
-			w.string(m.jobs[id].Tenant)
-		}
+}
+
+func (m *Machine) writeJob(w *writer, job *Job, format byte) {
+	w.job(job)
+	if format == tenantSnapshotFormat {
+		w.string(job.Tenant)
 	}
+}
+
+// writeEnd writes what comes after the jobs.
+func (m *Machine) writeEnd(w *writer) {
 	w.uint(uint64(len(m.workers)))
 	for _, instance := range slices.Sorted(maps.Keys(m.workers)) {
 		w.string(instance)
 		w.uint(m.workers[instance].LastSeen)
 	}
-	return w.data
 }
 
 func (m *Machine) snapshotFormat() byte {
