--- a/internal/system/control/headship.go
+++ b/internal/system/control/headship.go
@@ -38,7 +38,8 @@
 	if event.Continued && n.scheduler != nil {
 		return
 	}
-	n.scheduler = scheduler.New(scheduler.Options{Token: event.Epoch, Machine: n.engine.machine, Bounds: n.settings.Bounds}, n.now())
+	options := scheduler.Options{Token: event.Epoch, Machine: n.engine.machine, Bounds: n.settings.Bounds, Calls: n.workerConnections()}
+	n.scheduler = scheduler.New(options, n.now())
 	n.schedulerEpoch = event.Epoch
 	n.listAt, n.listing = 0, false
 	if n.config != nil {
