Let a member back once its disk has proven well, and never punish one that stopped

Only members that answered a heartbeat in the last two intervals are punished now. And a penalty ends, whatever the chain's length, once the member has been prompt for half its length, 2 s at most.

The log in memory held 2,000 entries, 2.2 s of full writing, so that a machine that came back with its disk read a state of 50 MB and was then sent another. It holds 20,000 entries now, and 8 MB at most.

--- a/coord/replica/config.go
+++ b/coord/replica/config.go
@@ -13,8 +13,8 @@
 	DefaultGrant          = 800 * time.Millisecond
 	DefaultHeartbeatEvery = 150 * time.Millisecond
 	DefaultDropAfter      = 700 * time.Millisecond
-	DefaultKeepEntries    = 2000
-	DefaultKeepBytes      = 4 << 20
+	DefaultKeepEntries    = 20_000
+	DefaultKeepBytes      = 8 << 20
 )
 
 // Timings that follow from nothing else.
@@ -41,11 +41,14 @@
 	penaltyFirst      = 2 * time.Second
 	penaltyMost       = 16 * time.Second
 	penaltyForgiven   = time.Minute
-	penaltyProven     = time.Second            // of prompt acknowledgements
+	penaltyProof      = 2 * time.Second        // of prompt acknowledgements, at most
 	promptAgain       = 500 * time.Millisecond // before writes are held back for a learner once more
 	learnerHeardSince = 400 * time.Millisecond
 )
 
+// inTouch is how many heartbeats' time after an answer a member counts as in touch.
+const inTouch = 2
+
 // earlyKept bounds the messages kept for the chain while a view is on its way to disk.
 const earlyKept = 256
 
--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -177,7 +177,12 @@
 	return max(earlier, r.head.readsUntil)
 }
 
+// punish keeps a member out that was dropped for its disk: it answered heartbeats and didn't acknowledge. One that didn't answer either
+// has stopped or is cut off, and may come back at any time.
 func (r *Replica) punish(now time.Duration, id view.ReplicaID) {
+	if now-r.peer(id, now).heardAt > inTouch*r.cfg.HeartbeatEvery {
+		return
+	}
 	length := penaltyFirst
 	if before, ok := r.head.penalties[id]; ok && now-before.last < penaltyForgiven {
 		length = min(2*(before.until-before.last), penaltyMost)
@@ -259,15 +264,15 @@
 	return !r.penalised(now, id)
 }
 
-// penalised tells whether a member that was dropped for its disk has to stay out yet. Where the chain has no f members to spare, it is
-// back as soon as it has been prompt for a while: it counts as well then, and the next loss may come.
+// penalised tells whether a member that was dropped for its disk has to stay out yet: it is back once it has been prompt for a while,
+// which grows with the length of its penalty. A machine that is well counts again after a time, and the next loss may come then.
 func (r *Replica) penalised(now time.Duration, id view.ReplicaID) bool {
 	p := r.head.penalties[id]
 	if now >= p.until || r.short(now) {
 		return false
 	}
-	proven := now-p.last >= penaltyFirst && now-r.head.learners[id].promptSince >= penaltyProven
-	return !proven || len(r.view.Chain) > 2*r.cfg.Tolerance
+	proof := min((p.until-p.last)/2, penaltyProof)
+	return now-p.last < penaltyFirst || now-r.head.learners[id].promptSince < proof
 }
 
 // viewWith is the next view with a new member at the chain's end, and without those that can be spared then.
--- a/coord/replica/weight_test.go
+++ b/coord/replica/weight_test.go
@@ -81,3 +81,36 @@
 	w.arrival[link] = arrival
 	return arrival - now
 }
+
+// captureSlice is how long one slice of a snapshot takes.
+const captureSlice = 2 * time.Millisecond
+
+// capture makes a snapshot of this moment in slices, between which the process does other work, and hands it to all that want one
+// meanwhile.
+func (m *machine) capture(taker func(index uint64, snapshot []byte)) {
+	m.takers = append(m.takers, taker)
+	if len(m.takers) > 1 {
+		return
+	}
+	life, index, data := m.life, m.applied, m.snapshot()
+	left := m.world.weight.making()
+	var slice func()
+	slice = func() {
+		switch {
+		case m.life != life:
+		case m.frozen > m.world.now:
+			m.world.after(m.frozen-m.world.now, slice)
+		case left > 0:
+			left -= captureSlice
+			m.freeze(captureSlice)
+			m.world.after(captureSlice+100*time.Microsecond, slice)
+		default:
+			takers := m.takers
+			m.takers = nil
+			for _, taker := range takers {
+				taker(index, data)
+			}
+		}
+	}
+	slice()
+}
