--- a/coord/replica/admission_test.go
+++ b/coord/replica/admission_test.go
@@ -113,3 +113,90 @@
 		require.NoError(t, w.failure, "seed %d", seed)
 	}
 }
+
+// A member that was kept out, however long its penalty, is let in as soon as the chain is too short without it.
+func TestPenaltyIsWaivedForAShortChain(t *testing.T) {
+	eachSeed(t, func(t *testing.T, w *world) {
+		others := w.others()
+		kept, lost := others[0], others[1]
+		kept.stalled = w.now + 1200*time.Millisecond
+		w.run(w.now + 1100*time.Millisecond)
+		w.head().process.head.penalties[kept.member().ID] = penalty{last: w.head().clock(), until: w.head().clock() + penaltyMost}
+		lost.losePower()
+		w.run(w.now + 30*time.Millisecond) // what was under way before
+		assert.Less(t, w.untilCommitted(5*time.Second), 1500*time.Millisecond, "seed %d", w.seed)
+		assert.True(t, w.head().process.View().InChain(kept.member().ID), "seed %d", w.seed)
+	})
+}
+
+// Writes that are held back for a learner whose disk stalls go on soon.
+func TestHoldEnds(t *testing.T) {
+	eachSeed(t, func(t *testing.T, w *world) {
+		m := w.newMachine()
+		m.start()
+		w.bar(time.Second)
+		m.stalled = w.now + 10*time.Second
+		w.bar(50 * time.Millisecond)
+		for w.now < time.Minute && (w.head() == nil || w.head().process.head.admitting == "") {
+			w.run(w.now + 100*time.Microsecond)
+		}
+		assert.Less(t, w.untilCommitted(5*time.Second), holdAtMost+100*time.Millisecond, "seed %d", w.seed)
+		w.run(w.now + time.Second)
+		require.NotNil(t, w.head(), "seed %d", w.seed)
+		assert.Len(t, w.head().process.View().Chain, 3, "seed %d", w.seed)
+	})
+}
+
+// Under writing that never rests a learner always lacks something: holding writes back lets it in.
+func TestHoldLetsALearnerIn(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newWorld(seed, 3, 0, 1)
+		w.write(2 * time.Millisecond)
+		w.run(warmUp)
+		m := w.newMachine()
+		m.start()
+		assert.Less(t, w.untilIn(m, 3*time.Second), 1200*time.Millisecond, "seed %d", seed)
+		require.NoError(t, w.failure, "seed %d", seed)
+	}
+}
+
+// A learner that had everything and then stopped isn't let in, also where nothing is written meanwhile.
+func TestDeadLearnerStaysOut(t *testing.T) {
+	for seed := range uint64(deploymentSeeds) {
+		w := newWorld(seed, 3, 0, 1)
+		w.run(warmUp)
+		m := w.newMachine()
+		m.start()
+		w.bar(time.Second)
+		acked, _, ok := w.head().process.chain.Learner(m.member().ID)
+		require.True(t, ok && acked == w.head().process.LastIndex(), "seed %d", seed)
+		m.end()
+		w.bar(600 * time.Millisecond)
+		epoch := w.head().process.View().Epoch
+		w.run(w.now + 3*time.Second)
+		assert.Equal(t, epoch, w.head().process.View().Epoch, "seed %d", seed)
+	}
+}
+
+// A silent member is dropped also where nothing is written.
+func TestSilentMemberIsDroppedAtRest(t *testing.T) {
+	for seed := range uint64(deploymentSeeds) {
+		w := newWorld(seed, 3, 0, 1)
+		w.run(warmUp)
+		w.others()[1].losePower()
+		w.run(w.now + 2*DefaultDropAfter)
+		assert.Len(t, w.head().process.View().Chain, 2, "seed %d", seed)
+	}
+}
+
+// With one machine at first, nothing is committed before f+1 have it.
+func TestOneSeedWaitsForOthers(t *testing.T) {
+	for seed := range uint64(deploymentSeeds) {
+		w := newWorld(seed, 1, 2, 1)
+		w.write(10 * time.Millisecond)
+		w.run(warmUp)
+		require.NoError(t, w.failure, "seed %d", seed)
+		assert.NotEmpty(t, w.oracle.entries, "seed %d", seed)
+		assert.Len(t, w.head().process.View().Chain, 3, "seed %d", seed)
+	}
+}
--- a/coord/replica/departure_test.go
+++ b/coord/replica/departure_test.go
@@ -139,6 +139,17 @@
 		}
 		require.Same(t, others[0], w.head(), "seed %d", w.seed)
 		assert.Len(t, w.head().process.View().Chain, 2, "seed %d", w.seed)
+		if w.seed%2 == 0 { // the voter takes the old head's place in one view
+			epoch := w.head().process.View().Epoch
+			assert.Less(t, w.untilIn(others[1], 5*time.Second), time.Second, "seed %d", w.seed)
+			assert.Len(t, w.head().process.View().Chain, 2, "seed %d", w.seed)
+			assert.Equal(t, epoch+1, w.head().process.View().Epoch, "seed %d", w.seed)
+			return
+		}
+		w.cut(others[0], others[1], time.Minute) // or the old head comes back and goes on in its place
+		w.cut(head, others[1], time.Minute)
+		head.start()
+		assert.Less(t, w.untilCommitted(5*time.Second), time.Second, "seed %d", w.seed)
 	})
 }
 
@@ -163,3 +174,78 @@
 		})
 	}
 }
+
+// A member whose disk refuses counts as lost at once, also where it has to stay in the chain; back from its disk, it goes on in its place.
+func TestBrokenDiskMakesAChainShort(t *testing.T) {
+	for seed := range uint64(deploymentSeeds) {
+		w := calm(t, seed, 3, 0, 2)
+		m, head := w.others()[0], w.head()
+		m.forgetPending()
+		m.writing = 1
+		m.input(DiskFailed{})
+		w.run(w.now + 50*time.Millisecond)
+		assert.ErrorIs(t, head.process.CanPropose(head.clock()), ErrShort, "seed %d", seed)
+		w.run(w.now + 50*time.Millisecond)
+		m.writing = 0
+		m.losePower()
+		w.run(w.now + 100*time.Millisecond)
+		m.start()
+		w.run(w.now + 200*time.Millisecond)
+		assert.NoError(t, head.process.CanPropose(head.clock()), "seed %d", seed)
+		assert.Less(t, w.untilCommitted(5*time.Second), 500*time.Millisecond, "seed %d", seed)
+		require.NoError(t, w.failure, "seed %d", seed)
+	}
+}
+
+// A head that leaves takes no writes once it can go.
+func TestLeavingHeadRefusesWrites(t *testing.T) {
+	eachSeed(t, func(t *testing.T, w *world) {
+		head := w.head()
+		head.input(Leave{})
+		assert.ErrorIs(t, head.process.CanPropose(head.clock()), ErrNotHead, "seed %d", w.seed)
+	})
+}
+
+// The leaver's notice is repeated where it gets lost; who isn't in the chain has left at once; and who left may come back and stay.
+func TestLeaversComeAndGo(t *testing.T) {
+	eachSeed(t, func(t *testing.T, w *world) {
+		leaver := w.others()[0]
+		w.cut(leaver, w.head(), 80*time.Millisecond)
+		leaver.input(Leave{})
+		assert.Less(t, w.leaves(leaver, 5*time.Second), 400*time.Millisecond, "seed %d", w.seed)
+		leaver.end()
+		leaver.start()
+		assert.Less(t, w.untilIn(leaver, 5*time.Second), time.Second, "seed %d", w.seed)
+		w.run(w.now + time.Second)
+		assert.Len(t, w.head().process.View().Chain, 3, "seed %d", w.seed)
+		learner := w.newMachine()
+		learner.start()
+		learner.input(Leave{})
+		assert.True(t, learner.left, "seed %d", w.seed)
+	})
+}
+
+// A head whose disk stalls gives the place to the only other member while a third can't reach it.
+func TestStalledHeadThatCantBeSpared(t *testing.T) {
+	eachSeed(t, func(t *testing.T, w *world) {
+		head, others := w.head(), w.others()
+		w.cut(head, others[1], time.Minute)
+		w.cut(others[0], others[1], time.Second)
+		w.run(w.now + 2*time.Second)
+		require.Len(t, head.process.View().Chain, 2, "seed %d", w.seed)
+		head.stalled = w.now + 10*time.Second
+		w.run(w.now + 30*time.Millisecond)
+		assert.Less(t, w.untilCommitted(5*time.Second), 2500*time.Millisecond, "seed %d", w.seed)
+		assert.NotSame(t, head, w.head(), "seed %d", w.seed)
+	})
+}
+
+// A candidate waits a moment for all that run.
+func TestElectionWaitsForAll(t *testing.T) {
+	for seed := range uint64(deploymentSeeds) {
+		w := calm(t, seed, 3, 2, 1)
+		w.head().losePower()
+		w.untilCommitted(5 * time.Second)
+		assert.Len(t, w.head().process.View().Chain, 4, "seed %d", seed)
+	}
+}
--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -53,7 +53,7 @@
 		return false
 	}
 	for _, member := range r.view.Chain {
-		if !slices.Contains(next, member) && !r.peer(member.ID, now).gone {
+		if !slices.Contains(next, member) {
 			next = append(next, member)
 		}
 	}
@@ -74,12 +74,11 @@
 
 // remaining is what stays of the chain if so many newcomers, who have everything, are added. It has no more lost members where f+1
 // others are left; till then they stay: nothing commits either way, and one that comes back with its disk has everything and may lead.
-// A disk that is lost for good is of no use. Of those that want to leave as many go as can be spared.
+// Of those that want to leave as many go as can be spared.
 func (r *Replica) remaining(now time.Duration, culprit view.ReplicaID, newcomers int) []view.Member {
-	chain := view.Without(r.view.Chain, func(id view.ReplicaID) bool { return id != r.self.ID && r.peer(id, now).gone })
-	found := view.Without(chain, func(id view.ReplicaID) bool { return r.lost(now, id, culprit) })
+	found := view.Without(r.view.Chain, func(id view.ReplicaID) bool { return r.lost(now, id, culprit) })
 	if len(found)+newcomers <= r.cfg.Tolerance {
-		return chain
+		return slices.Clone(r.view.Chain)
 	}
 	spare := len(found) + newcomers - r.cfg.Tolerance - 1
 	return view.Without(found, func(id view.ReplicaID) bool {
@@ -217,7 +216,7 @@
 }
 
 func (r *Replica) chooseLearner(now time.Duration) {
-	if now < r.head.heldAgain || r.head.handingOver {
+	if now < r.head.heldAgain {
 		return
 	}
 	best := view.ReplicaID("")
@@ -254,7 +253,7 @@
 	if !ok || now-heard > learnerHeardSince && acked < r.LastIndex() || acked+holdWithin < r.LastIndex() {
 		return false
 	}
-	if now-r.head.learners[id].heardAt > learnerHeardSince || r.peer(id, now).leaving {
+	if now-r.head.learners[id].heardAt > learnerHeardSince {
 		return false
 	}
 	l := r.head.learners[id]
