--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -66,7 +66,7 @@
 		return false
 	}
 	for _, member := range r.view.Chain {
-		if !slices.Contains(next, member) && !r.peer(member.ID, now).gone {
+		if !slices.Contains(next, member) {
 			next = append(next, member)
 		}
 	}
@@ -85,12 +85,11 @@
 
 // remaining is what stays of the chain if so many newcomers, who have everything, are added. It has no more lost members where f+1
 // others are left; till then they stay: nothing commits either way, and one that comes back with its disk has everything and may lead.
-// A disk that is lost for good is of no use. Of those that want to leave as many go as can be spared.
+// Of those that want to leave as many go as can be spared.
 func (r *Replica) remaining(now time.Duration, culprit view.ReplicaID, newcomers int) []view.Member {
-	chain := view.Without(r.view.Chain, func(id view.ReplicaID) bool { return id != r.self.ID && r.peer(id, now).gone })
-	found := view.Without(chain, func(id view.ReplicaID) bool { return r.lost(now, id, culprit) })
+	found := view.Without(r.view.Chain, func(id view.ReplicaID) bool { return r.lost(now, id, culprit) })
 	if len(found)+newcomers <= r.cfg.Tolerance {
-		return chain
+		return slices.Clone(r.view.Chain)
 	}
 	spare := len(found) + newcomers - r.cfg.Tolerance - 1
 	return view.Without(found, func(id view.ReplicaID) bool {
@@ -188,7 +187,12 @@
 	return max(earlier, r.head.readsUntil)
 }
 
+// punish keeps a member out that was dropped for its disk: it answered heartbeats and didn't acknowledge. One that didn't answer either
+// has stopped or is cut off, and may come back at any time.
 func (r *Replica) punish(now time.Duration, id view.ReplicaID) {
+	if now-r.peer(id, now).heardAt > inTouch*r.cfg.HeartbeatEvery {
+		return
+	}
 	length := penaltyFirst
 	if before, ok := r.head.penalties[id]; ok && now-before.last < penaltyForgiven {
 		length = min(2*(before.until-before.last), penaltyMost)
@@ -223,7 +227,7 @@
 }
 
 func (r *Replica) chooseLearner(now time.Duration) {
-	if now < r.head.heldAgain || r.head.handingOver {
+	if now < r.head.heldAgain {
 		return
 	}
 	best := view.ReplicaID("")
@@ -260,7 +264,7 @@
 	if !ok || now-heard > learnerHeardSince && acked < r.LastIndex() || acked+holdWithin < r.LastIndex() {
 		return false
 	}
-	if now-r.head.learners[id].heardAt > learnerHeardSince || r.peer(id, now).leaving {
+	if now-r.head.learners[id].heardAt > learnerHeardSince {
 		return false
 	}
 	l := r.head.learners[id]
@@ -270,15 +274,15 @@
 	return !r.penalised(now, id)
 }
 
-// penalised tells whether a member that was dropped for its disk has to stay out yet. Where the chain has no f members to spare, it is
-// back as soon as it has been prompt for a while: it counts as well then, and the next loss may come.
+// penalised tells whether a member that was dropped for its disk has to stay out yet: it is back once it has been prompt for a while,
+// which grows with the length of its penalty. A machine that is well counts again after a time, and the next loss may come then.
 func (r *Replica) penalised(now time.Duration, id view.ReplicaID) bool {
 	p := r.head.penalties[id]
 	if now >= p.until || r.short(now) {
 		return false
 	}
-	proven := now-p.last >= penaltyFirst && now-r.head.learners[id].promptSince >= penaltyProven
-	return !proven || len(r.view.Chain) > 2*r.cfg.Tolerance
+	proof := min((p.until-p.last)/2, penaltyProof)
+	return now-p.last < penaltyFirst || now-r.head.learners[id].promptSince < proof
 }
 
 // viewWith is the next view with a new member at the chain's end, and without those that can be spared then.
