Compare the replicas' states and stop one that differs

Nothing compared what the same entries came to at different replicas: a bit that turned in one's memory, or a command that doesn't always come to the same, stayed there, was answered to readers at the tail and became the state of all with that replica as the head.

Members now tell the digests of their state with their answers to heartbeats. The head takes what more than half of the chain have for agreed, or its own where there is no such half, and tells a member that differs; it stops itself where it is the odd one out. Such a replica at once neither leads, answers reads nor says anything; it marks its disk as unfit, and ends with ErrStateDiverged, the index and both digests once the mark is synced. One member stops at a time, and only while a majority of the voters is there without it, as its identity is lost with its disk.

Where there are no digests nothing is compared; older replicas send none.

--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -34,6 +34,9 @@
 	heldSince time.Duration
 	heldAgain time.Duration
 	penalties map[view.ReplicaID]penalty
+
+	condemned   view.ReplicaID // told last that its state differs
+	condemnedAt time.Duration  // or when the epoch began
 }
 
 // peer is what is known of another replica.
@@ -51,6 +54,7 @@
 	broken   bool // its disk refuses
 	silent   bool // out of reach since it was the head's or a candidate's
 	gone     bool // its disk is lost, or it has moved
+	digests  []view.Digest
 }
 
 // learner is one that has asked to become a member, and how promptly it acknowledges.
@@ -82,7 +86,7 @@
 func (r *Replica) resetHead(now time.Duration) {
 	h := &r.head
 	head := headState{lease: view.NewLease(r.cfg.Grant, r.numbering), allowed: true, beatAt: now, governAt: now, stuckSince: now,
-		learners: h.learners, penalties: h.penalties}
+		learners: h.learners, penalties: h.penalties, condemnedAt: now}
 	if r.position() == 0 {
 		head.announced, head.announcedE, head.leaseUntil = h.announced, h.announcedE, h.leaseUntil
 	} else {
@@ -207,6 +211,8 @@
 	p.silent, p.broken = false, m.Broken
 	p.echo = max(p.echo, m.Sequence)
 	p.received, p.synced, p.acked = m.Received, m.Synced, m.Acked
+	p.digests = m.Digests
+	r.judge(now)
 	if !m.Granted {
 		if p.refused == 0 {
 			p.refused = now
--- a/coord/replica/inspect.go
+++ b/coord/replica/inspect.go
@@ -99,6 +99,7 @@
 	View     *view.View
 	Acceptor *view.Acceptor
 	Identity view.ReplicaID
+	Unfit    string
 }
 
 // Inspect reads one record by itself. The error wraps view.ErrCorrupt.
@@ -118,7 +119,7 @@
 	if err := alone.apply(record); err != nil {
 		return found, err
 	}
-	found.Snapshot, found.Identity = alone.Snapshot, alone.Identity
+	found.Snapshot, found.Identity, found.Unfit = alone.Snapshot, alone.Identity, alone.Unfit
 	switch record.Kind {
 	case KindView:
 		found.View = &alone.View
--- a/coord/replica/machine_test.go
+++ b/coord/replica/machine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"time"
 
@@ -25,6 +26,8 @@
 	sum     uint64
 	left    bool
 	removed bool
+	wrong   uint64 // what is wrong with the state, 0: nothing
+	ended   []error
 	keep    int
 	compact int // records after which the log is rewritten
 	tick    uint64
@@ -74,6 +77,12 @@
 		w.fail("%s restores: %v", m.address, err)
 		return
 	}
+	if restored.Unfit != "" {
+		m.records = Blank(view.ReplicaID(fmt.Sprintf("%x", w.random.Uint64())))
+		restored, _ = Restore(m.records)
+		m.durable = restored
+	}
+	m.wrong = 0
 	m.genesis = nil
 	m.applied, m.sum = restored.Log.Base(), 0
 	if restored.Snapshot != nil {
@@ -133,7 +142,7 @@
 func (m *machine) carryOut(out Output) {
 	w := m.world
 	if out.Fault != nil {
-		w.fail("%s: %v", m.address, out.Fault)
+		m.fault(out.Fault)
 		return
 	}
 	if len(out.Persist) > 0 {
@@ -148,6 +157,7 @@
 	}
 	for _, e := range out.Committed {
 		w.applied(m, e)
+		m.audit()
 	}
 	for _, e := range out.Events {
 		m.observe(e)
@@ -165,6 +175,34 @@
 	})
 }
 
+// auditEvery is after how many entries a machine sums up its state.
+const auditEvery = 16
+
+// audit hands in the digest of the state where one is due.
+func (m *machine) audit() {
+	if m.applied%auditEvery != 0 {
+		return
+	}
+	life, digest := m.life, view.Digest{Index: m.applied, Format: 1, Sum: m.sum ^ m.wrong}
+	m.world.after(0, func() {
+		if m.life == life {
+			m.input(Audited{digest})
+		}
+	})
+}
+
+// fault ends the process; a state that was made wrong is told, everything else is a failure.
+func (m *machine) fault(err error) {
+	if m.wrong == 0 || !errors.Is(err, ErrStateDiverged) {
+		m.world.fail("%s: %v", m.address, err)
+		return
+	}
+	m.world.trace("%v %s: %v", m.world.now, m.address, err)
+	m.ended = append(m.ended, err)
+	m.end()
+	m.world.after(m.world.between(100*time.Millisecond, time.Second), m.start)
+}
+
 func (m *machine) observe(e Event) {
 	w := m.world
 	w.trace("%v %s %T %v", w.now, m.address, e, e)
--- a/coord/replica/message.go
+++ b/coord/replica/message.go
@@ -23,6 +23,7 @@
 	Join         *view.Join
 	Leave        *view.LeaveNotice
 	Request      *view.Request
+	Differs      *view.Digest // from the head: what is agreed, where the receiver's state differs
 	Chain        *chain.Body
 }
 
@@ -59,6 +60,10 @@
 	Data  []byte
 }
 
+// Audited gives the digest of the state after all delivered entries up to its index.
+type Audited struct{ Digest view.Digest }
+
+func (Audited) input()       {}
 func (Receive) input()       {}
 func (Tick) input()          {}
 func (Synced) input()        {}
--- a/coord/replica/persist.go
+++ b/coord/replica/persist.go
@@ -19,6 +19,7 @@
 	KindView
 	KindAcceptor
 	KindIdentity
+	KindUnfit // the state that comes of this disk is wrong: it must not be used again
 )
 
 // Record is one record of a replica's log on disk.
@@ -34,6 +35,7 @@
 	Acceptor view.Acceptor
 	Snapshot *chain.Snapshot // to be installed before anything is delivered
 	Log      chain.Log
+	Unfit    string // why the disk must not be used again, see Blank; empty: it may
 }
 
 // Restore reads records in the order in which they were written. They all have to be safe on disk before.
@@ -63,6 +65,8 @@
 		p.Acceptor, err = view.DecodeAcceptor(record.Data)
 	case KindIdentity:
 		p.Identity = view.ReplicaID(record.Data)
+	case KindUnfit:
+		p.Unfit = string(record.Data)
 	default:
 		err = fmt.Errorf("unknown kind: %w", view.ErrCorrupt)
 	}
@@ -135,6 +139,14 @@
 	return Record{Kind: KindIdentity, Data: []byte(id)}
 }
 
+func encodeUnfit(err error) Record {
+	return Record{Kind: KindUnfit, Data: []byte(err.Error())}
+}
+
+// Blank gives the records of a disk that holds nothing but a new identity. They take the place of those of a disk that is unfit. The
+// identity must never have been used.
+func Blank(id view.ReplicaID) []Record { return []Record{encodeIdentity(id)} }
+
 func uvarint(data []byte) (uint64, []byte, error) {
 	value, n := binary.Uvarint(data)
 	if n <= 0 {
--- a/coord/replica/receive.go
+++ b/coord/replica/receive.go
@@ -97,6 +97,8 @@
 		r.onLeave(now, m.From.ID, m.Leave)
 	case m.Request != nil:
 		r.news(now, m.From)
+	case m.Differs != nil:
+		r.onDiffers(now, m.From, *m.Differs)
 	}
 }
 
@@ -120,7 +122,7 @@
 		r.proposer.Phase = view.Idle
 	}
 	ack := &view.HeartbeatAck{Sequence: m.Heartbeat.Sequence, Received: r.LastIndex(), Synced: r.chain.Synced(), Broken: r.broken}
-	ack.Acked = r.chain.Acked()
+	ack.Acked, ack.Digests = r.chain.Acked(), r.audit.own
 	if r.view.IsVoter(r.self.ID) && !r.acceptor.PromisedAway(m.From.ID) {
 		r.grant = max(r.grant, now+r.cfg.Grant)
 		ack.Granted = true
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -39,6 +39,7 @@
 
 	head      headState
 	tail      tailState
+	audit     audit
 	peers     map[view.ReplicaID]*peer
 	leaving   bool
 	left      bool
@@ -126,6 +127,9 @@
 
 // Step takes one input.
 func (r *Replica) Step(now time.Duration, in Input) Output {
+	if r.audit.fault != nil {
+		return r.ending(now, in)
+	}
 	r.awake(now)
 	switch in := in.(type) {
 	case Receive:
@@ -141,6 +145,8 @@
 		r.contacts = in.Addresses
 	case SnapshotReady:
 		r.chain.Offer(now, in.Index, in.Data)
+	case Audited:
+		r.onAudited(now, in.Digest)
 	}
 	return r.finish(now)
 }
@@ -149,6 +155,9 @@
 // Output.Committed with the epoch that View had here; another epoch at such an index means that they are lost. The
 // data must not be changed any more.
 func (r *Replica) Propose(now time.Duration, data [][]byte) (first uint64, out Output, err error) {
+	if r.audit.fault != nil {
+		return 0, r.end(now), ErrNotHead
+	}
 	r.awake(now)
 	if err = r.CanPropose(now); err == nil {
 		first = r.chain.Append(now, data)
@@ -199,6 +208,9 @@
 		r.work(now)
 	}
 	r.announce(now)
+	if r.audit.fault != nil {
+		return r.end(now)
+	}
 	r.out.NeedSnapshot = r.chain.WantsSnapshot()
 	if len(r.out.Persist) > 0 {
 		r.token++
--- a/coord/view/messages.go
+++ b/coord/view/messages.go
@@ -35,6 +35,13 @@
 	ReadFor  time.Duration // to the tail: how long it may answer reads, counted from when it acknowledged Echo
 }
 
+// Digest sums up a replica's state after all entries up to Index. Those of one Format are the same at all replicas whose state is.
+type Digest struct {
+	Index  uint64
+	Format uint32
+	Sum    uint64
+}
+
 // HeartbeatAck answers Heartbeat, with the state of the member's part of the chain.
 type HeartbeatAck struct {
 	Sequence uint64
@@ -42,7 +49,9 @@
 	Received uint64 // last index held
 	Synced   uint64 // last index on disk
 	Acked    uint64 // last index on disk here and at all successors
-	Broken   bool   // the disk refuses
+	// Digests are the last few of the member's state.
+	Digests []Digest
+	Broken  bool // the disk refuses
 }
 
 // Join asks the head to become a member; the sender's data stand in the message.
--- a/internal/system/logfile/logfile.go
+++ b/internal/system/logfile/logfile.go
@@ -34,6 +34,7 @@
 var recordNames = map[replica.RecordKind]string{
 	replica.KindEntry: "entry", replica.KindTruncate: "truncate", replica.KindSnapshot: "snapshot", replica.KindView: "view",
 	replica.KindAcceptor: "acceptor", replica.KindIdentity: "identity",
+	replica.KindUnfit: "unfit",
 }
 
 // Read reads the log of that name in a folder.
@@ -97,6 +98,8 @@
 		line.Index, line.Summary = found.Truncate, "entries after the index dropped"
 	case found.Kind == replica.KindIdentity:
 		line.Summary = string(found.Identity)
+	case found.Kind == replica.KindUnfit:
+		line.Summary = "not to be used again: " + found.Unfit
 	}
 }
 
