Sum up the state after every 64 entries, and give up the disk of a replica whose state differs

A disk that was marked as unfit is given up at the next start: its records are kept in the log 'unfit' beside it, a new identity takes their place in one rewrite, and the replica joins as one that knows nothing.

--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -55,6 +55,8 @@
 	machine   *state.Machine
 	disk      *disk
 	appliedTo uint64
+	audit     *state.Audit
+	digests   []view.Digest // not yet handed to the core
 	queue     []*proposal
 	flying    map[uint64]*proposal
 	reads     []waitingRead
@@ -86,6 +88,7 @@
 		}
 		e.appliedTo = persisted.Snapshot.Index
 	}
+	e.audit = state.NewAudit(e.appliedTo)
 	e.replica = replica.New(options.config, persisted, options.now())
 	return e, nil
 }
@@ -142,6 +145,7 @@
 	if output.NeedSnapshot {
 		e.step(replica.SnapshotReady{Index: e.appliedTo, Data: e.machine.Snapshot()})
 	}
+	e.tellDigests()
 }
 
 func (e *engine) persist(records []replica.Record, token uint64) {
@@ -207,6 +211,7 @@
 		return false
 	}
 	e.appliedTo = snapshot.Index
+	e.audit = state.NewAudit(e.appliedTo)
 	for index, waiting := range e.flying {
 		if index <= snapshot.Index {
 			delete(e.flying, index)
@@ -223,14 +228,32 @@
 	}
 	e.appliedTo = entry.Index
 	if len(entry.Data) == 0 {
+		e.audited(entry, nil)
 		e.settle(entry, state.Result{})
 		return
 	}
 	result := e.machine.ApplyBytes(entry.Data)
+	e.audited(entry, &result)
 	e.options.applied(result)
 	e.settle(entry, result)
 }
 
+// audited sums up what an entry came to.
+func (e *engine) audited(entry chain.Entry, result *state.Result) {
+	if sum, due := e.audit.Applied(entry.Index, entry.Data, result, e.machine); due {
+		e.digests = append(e.digests, view.Digest{Index: entry.Index, Format: state.AuditFormat, Sum: sum})
+	}
+}
+
+// tellDigests hands the digests that have come up to the core, which compares them with those of the others.
+func (e *engine) tellDigests() {
+	for len(e.digests) > 0 {
+		digest := e.digests[0]
+		e.digests = e.digests[1:]
+		e.step(replica.Audited{Digest: digest})
+	}
+}
+
 // settle tells a proposal what became of it.
 func (e *engine) settle(entry chain.Entry, result state.Result) {
 	waiting := e.flying[entry.Index]
--- a/internal/system/control/restart.go
+++ b/internal/system/control/restart.go
@@ -22,6 +22,9 @@
 	if err != nil {
 		return fmt.Errorf("open log: %w", err)
 	}
+	if records, err = n.fitRecords(folder, file, records); err != nil {
+		return fmt.Errorf("give up an unfit disk: %w", err)
+	}
 	engine, err := newEngine(engineOptions{config: n.replicaConfig(), log: file, records: records, now: n.now, post: n.loop.post,
 		send: n.sender.Send, applied: n.applied, committed: n.counts.latency.Observe, installed: n.installed, event: n.event,
 		failed: n.engineFailed, fault: n.fail, rewritten: n.logRewritten})
--- /dev/null
+++ b/internal/system/control/restartworld_test.go
@@ -0,0 +1,350 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"hash/crc64"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/coord/replica"
+	"gaugeslip/coord/wal"
+	"gaugeslip/coord/wal/simdisk"
+	"gaugeslip/internal/system/nodesettings"
+	"gaugeslip/internal/system/state"
+)
+
+const (
+	restartReplicas = 3
+	// restartKeep is how many entries replicas keep for those that come back: few, so that these get snapshots.
+	restartKeep       = 20
+	restartCompaction = 16 << 10
+	// restartCompare is after how many entries the whole states are compared.
+	restartCompare = 16
+)
+
+var restartSums = crc64.MakeTable(crc64.ECMA)
+
+// restartWorld is a few machines whose replicas are the program's own but for sockets and scheduler, inside a synctest bubble. Writes go
+// on whatever happens; an oracle compares the states of all replicas with each other and with a reference.
+type restartWorld struct {
+	t        testing.TB
+	machines []*restartMachine
+	trace    func(format string, args ...any)
+
+	mutex     sync.Mutex
+	random    *rand.Rand
+	cut       map[[2]int]bool // from, to
+	committed uint64          // the highest index that any replica has applied
+	commands  map[uint64][]byte
+	sums      map[uint64]uint64 // of the whole state, at some indexes
+	snapshots int
+	unfit     int
+	heads     int
+}
+
+// restartMachine is a machine; its process may be down.
+type restartMachine struct {
+	world    *restartWorld
+	number   int
+	settings *nodesettings.Settings
+	disk     *simdisk.Disk
+	mutex    sync.Mutex
+	process  *restartProcess
+	wrong    bool // its state has been made wrong: it may differ until it has stopped
+}
+
+// restartProcess is one life of a replica.
+type restartProcess struct {
+	*Node
+	machine *restartMachine
+}
+
+func newRestartWorld(t testing.TB, seed uint64) *restartWorld {
+	w := &restartWorld{t: t, random: rand.New(rand.NewPCG(seed, 4)), cut: map[[2]int]bool{}, commands: map[uint64][]byte{},
+		sums: map[uint64]uint64{}, trace: func(string, ...any) {}}
+	var seeds []string
+	for i := range restartReplicas {
+		seeds = append(seeds, loopback(i)+":9000")
+	}
+	for i := range restartReplicas {
+		settings := nodesettings.Default()
+		settings.NodeName, settings.IP, settings.Bind.ControlPlane = fmt.Sprint("core-", i), loopback(i), seeds[i]
+		settings.EphemeralPorts = []int{9001, 9001}
+		settings.SeedNodes, settings.Bootstrap, settings.FaultTolerance.Machines = seeds, true, 1
+		w.machines = append(w.machines, &restartMachine{world: w, number: i, settings: settings, disk: simdisk.New(seed<<8 + uint64(i))})
+	}
+	for _, m := range w.machines {
+		m.start()
+		m.settings.Bootstrap = false
+	}
+	return w
+}
+
+// start brings the machine's process up, if it is down.
+func (m *restartMachine) start() {
+	if m.running() != nil {
+		return
+	}
+	w := m.world
+	p := &restartProcess{machine: m, Node: &Node{settings: m.settings, logger: log.New(io.Discard), clock: time.Now,
+		started: time.Now().Add(-time.Second), loop: newLoop(), wall: newWallClock(), left: make(chan struct{})}}
+	file, records, err := wal.Open(m.disk, logName)
+	require.NoError(w.t, err)
+	records, err = p.fitRecords(m.disk, file, records)
+	require.NoError(w.t, err)
+	config := p.replicaConfig()
+	config.KeepEntries, config.Seed = restartKeep, w.draw()
+	p.engine, err = newEngine(engineOptions{config: config, log: file, records: records, now: p.now, post: p.loop.post, send: p.send,
+		applied: p.applied, committed: func(time.Duration) {}, installed: p.installed, event: p.event, failed: p.failed, fault: p.broken,
+		rewritten: func(int64, time.Duration) {}})
+	require.NoError(w.t, err)
+	p.engine.compactAt = restartCompaction
+	w.trace("%d starts at %d as %s", m.number, p.engine.appliedTo, p.engine.replica.Self().ID)
+	m.put(p)
+	p.loop.post(p.engine.begin)
+	p.loop.post(func() { p.engine.step(replica.Contacts{Addresses: p.settings.SeedInternalAddresses()}) })
+	go p.loop.run(p.flush)
+}
+
+func (m *restartMachine) running() *restartProcess {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.process
+}
+
+func (m *restartMachine) put(p *restartProcess) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.process = p
+}
+
+// kill ends the machine's process at once; end says what becomes of its disk.
+func (m *restartMachine) kill(end func(*simdisk.Disk)) {
+	p := m.running()
+	if p == nil {
+		return
+	}
+	m.put(nil)
+	end(m.disk)
+	p.loop.post(func() {
+		p.engine.close()
+		p.loop.stop()
+	})
+}
+
+// alive tells whether this is still the machine's process.
+func (p *restartProcess) alive() bool { return p.machine.running() == p }
+
+func (p *restartProcess) failed(err error) {
+	if p.alive() {
+		p.machine.world.t.Errorf("machine %d: %v", p.machine.number, err)
+	}
+}
+
+// broken ends the process as the program does; only a state that was made wrong may be the reason.
+func (p *restartProcess) broken(err error) {
+	m, w := p.machine, p.machine.world
+	if !p.alive() {
+		return
+	}
+	if !m.wrong || !errors.Is(err, replica.ErrStateDiverged) {
+		w.t.Errorf("machine %d: %v", m.number, err)
+		return
+	}
+	w.trace("%d stops: %v", m.number, err)
+	w.mutex.Lock()
+	w.unfit++
+	w.mutex.Unlock()
+	m.wrong = false
+	m.kill((*simdisk.Disk).PowerLoss)
+	time.AfterFunc(w.between(100*time.Millisecond, time.Second), m.start)
+}
+
+func (p *restartProcess) installed() {
+	w := p.machine.world
+	w.mutex.Lock()
+	w.snapshots++
+	w.mutex.Unlock()
+	w.trace("%d has a snapshot at %d", p.machine.number, p.engine.appliedTo)
+	p.compare()
+}
+
+// event holds that a head has all that any replica has applied.
+func (p *restartProcess) event(event replica.Event) {
+	became, ok := event.(replica.BecameHead)
+	if !ok || !p.alive() {
+		return
+	}
+	w := p.machine.world
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.heads++
+	w.trace("%d is the head of epoch %d at %d", p.machine.number, became.Epoch, p.engine.appliedTo)
+	if p.engine.appliedTo < w.committed {
+		w.t.Errorf("machine %d is the head of epoch %d with %d, committed is %d", p.machine.number, became.Epoch, p.engine.appliedTo,
+			w.committed)
+	}
+}
+
+// applied holds that all replicas apply the same commands, and that they come to the same.
+func (p *restartProcess) applied(result state.Result) {
+	w, index, data := p.machine.world, p.engine.appliedTo, result.Command.Encode()
+	w.mutex.Lock()
+	w.committed = max(w.committed, index)
+	known, ok := w.commands[index]
+	w.commands[index] = data
+	w.mutex.Unlock()
+	if ok && !slices.Equal(known, data) {
+		w.t.Errorf("machine %d applies another command at %d", p.machine.number, index)
+	}
+	if index%restartCompare == 0 {
+		p.compare()
+	}
+}
+
+// compare compares the whole state with that of whoever came to the index first.
+func (p *restartProcess) compare() {
+	w, index := p.machine.world, p.engine.appliedTo
+	if p.machine.wrong {
+		return
+	}
+	sum := crc64.Checksum(p.engine.machine.Snapshot(), restartSums)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if known, ok := w.sums[index]; ok && known != sum {
+		w.t.Errorf("machine %d has another state at %d", p.machine.number, index)
+	}
+	w.sums[index] = sum
+}
+
+func (p *restartProcess) flush() time.Duration {
+	if p.engine.closed {
+		return time.Hour
+	}
+	if p.now() >= p.engine.wake {
+		p.engine.step(replica.Tick{})
+	}
+	for p.engine.flush() {
+	}
+	return max(p.engine.wake-p.now(), time.Millisecond)
+}
+
+func (p *restartProcess) send(to string, message *replica.Message) {
+	w := p.machine.world
+	for _, target := range w.machines {
+		if target.settings.InternalAddress() != to || !p.alive() || w.separated(p.machine.number, target.number) {
+			continue
+		}
+		time.AfterFunc(w.between(time.Millisecond, 3*time.Millisecond), func() {
+			if other := target.running(); other != nil {
+				other.loop.post(func() { other.engine.step(replica.Receive{Message: message}) })
+			}
+		})
+	}
+}
+
+func (w *restartWorld) draw() uint64 {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.random.Uint64()
+}
+
+func (w *restartWorld) intn(n int) int { return int(w.draw() % uint64(n)) }
+
+func (w *restartWorld) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(w.draw()%uint64(high-low+1))
+}
+
+func (w *restartWorld) separated(from, to int) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.cut[[2]int{from, to}]
+}
+
+// isolate cuts a machine off from all others, or joins it again.
+func (w *restartWorld) isolate(m *restartMachine, cut bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, other := range w.machines {
+		w.cut[[2]int{m.number, other.number}] = cut && other != m
+		w.cut[[2]int{other.number, m.number}] = cut && other != m
+	}
+}
+
+// onLoop asks a process on its loop; without an answer in time it gives the zero value.
+func onLoop[T any](p *restartProcess, question func() T) T {
+	answers := make(chan T, 1)
+	p.loop.post(func() { answers <- question() })
+	select {
+	case answer := <-answers:
+		return answer
+	case <-time.After(time.Second):
+		var none T
+		return none
+	}
+}
+
+// head is the machine that acts as the head, if any.
+func (w *restartWorld) head() *restartMachine {
+	for _, m := range w.machines {
+		if p := m.running(); p != nil && onLoop(p, p.engine.isHead) {
+			return m
+		}
+	}
+	return nil
+}
+
+// whole tells whether all machines are in the chain and at the same index, that of all commits.
+func (w *restartWorld) whole() bool {
+	head := w.head()
+	if head == nil {
+		return false
+	}
+	for _, m := range w.machines {
+		p := m.running()
+		if p == nil {
+			return false
+		}
+		in := onLoop(p, func() bool {
+			view := p.engine.view()
+			return len(view.Chain) == restartReplicas && view.InChain(p.engine.replica.Self().ID) && p.engine.appliedTo >= w.highest()
+		})
+		if !in {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *restartWorld) highest() uint64 {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.committed
+}
+
+// reference is the state that all commands come to, one after the other.
+func (w *restartWorld) reference() []byte {
+	machine := state.New()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, index := range slices.Sorted(maps.Keys(w.commands)) {
+		machine.ApplyBytes(w.commands[index])
+	}
+	return machine.Snapshot()
+}
+
+func (w *restartWorld) stop() {
+	for _, m := range w.machines {
+		m.kill((*simdisk.Disk).Restart)
+	}
+	time.Sleep(2 * time.Second) // of the bubble: all loops have gone round
+}
--- /dev/null
+++ b/internal/system/control/unfit.go
@@ -0,0 +1,49 @@
+package control
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+
+	"gaugeslip/coord/replica"
+	"gaugeslip/coord/view"
+	"gaugeslip/coord/wal"
+)
+
+// UnfitName is the name of the log that keeps what a replica held whose state was found to be wrong, for whoever looks into it.
+const UnfitName = "unfit"
+
+// fitRecords gives what a replica may start from. A disk that was marked as unfit, as its state differs from the chain's, is given up: its
+// records are kept under another name and a new identity takes their place, so that the replica comes back as one that knows nothing.
+func (n *Node) fitRecords(folder wal.Disk, file *wal.Log, records []wal.Record) ([]wal.Record, error) {
+	reason, unfit := unfitReason(records)
+	if !unfit {
+		return records, nil
+	}
+	kept := keepUnfit(folder, records)
+	id := view.ReplicaID(fmt.Sprintf("%s#%016x", n.self().Address, rand.Uint64()))
+	blank := toLog(replica.Blank(id))
+	if err := file.Rewrite(blank); err != nil {
+		return nil, errors.Join(err, file.Close())
+	}
+	n.logger.Error("disk was unfit, joining as a new replica", "why", reason, "id", id, "kept", kept == nil, "error", kept)
+	return blank, nil
+}
+
+// unfitReason tells why a disk must not be used again, if it mustn't.
+func unfitReason(records []wal.Record) (string, bool) {
+	if len(records) == 0 || records[len(records)-1].Kind != replica.KindUnfit {
+		return "", false
+	}
+	return string(records[len(records)-1].Data), true
+}
+
+// keepUnfit writes the records to a log of another name, in the place of what it held. Where there is no room the replica comes back all
+// the same.
+func keepUnfit(folder wal.Disk, records []wal.Record) error {
+	kept, _, err := wal.Open(folder, UnfitName)
+	if err != nil {
+		return err
+	}
+	return errors.Join(kept.Rewrite(records), kept.Close())
+}
