--- a/internal/system/control/headship.go
+++ b/internal/system/control/headship.go
@@ -14,9 +14,9 @@
 		n.becameHead(event)
 	case replica.LostHead:
 		n.schedulerActive = false
-		n.logger.Info("head's lease lost", "epoch", event.Epoch)
+		n.logger.Info("head's lease lost", append([]any{"epoch", event.Epoch}, figuresOf(event.Cause)...)...)
 	case replica.ViewChanged:
-		n.viewChanged(event.View)
+		n.viewChanged(event.View, event.Cause)
 	case replica.Left:
 		n.handedOver()
 	}
@@ -38,7 +38,8 @@
 	if event.Continued && n.scheduler != nil {
 		return
 	}
-	n.scheduler = scheduler.New(scheduler.Options{Token: event.Epoch, Machine: n.engine.machine, Bounds: n.settings.Bounds}, n.now())
+	options := scheduler.Options{Token: event.Epoch, Machine: n.engine.machine, Bounds: n.settings.Bounds, Calls: n.workerConnections()}
+	n.scheduler = scheduler.New(options, n.now())
 	n.schedulerEpoch = event.Epoch
 	n.listAt, n.listing = 0, false
 	if n.config != nil {
@@ -51,9 +52,9 @@
 	n.scheduler, n.schedulerActive = nil, false
 }
 
-func (n *Node) viewChanged(newest view.View) {
+func (n *Node) viewChanged(newest view.View, cause replica.Cause) {
 	n.counts.views++
-	n.tellOfView(newest)
+	n.tellOfView(newest, cause)
 	if newest.Head().ID != n.engine.replica.Self().ID {
 		n.dropScheduler()
 		n.engine.refuseQueued()
