--- a/coord/replica/audit.go
+++ b/coord/replica/audit.go
@@ -145,7 +145,7 @@
 	}
 	r.audit.fault = &StateError{Index: own.Index, Own: own.Sum, Agreed: agreed.Sum}
 	if r.head.announced {
-		r.out.Events = append(r.out.Events, LostHead{r.head.announcedE})
+		r.out.Events = append(r.out.Events, LostHead{Epoch: r.head.announcedE, Cause: Cause{Kind: CauseState}})
 	}
 	r.abdicate(now)
 	r.chain.Leave()
--- a/coord/replica/cause.go
+++ b/coord/replica/cause.go
@@ -44,6 +44,8 @@
 	CausePromise CauseKind = "promise"
 	// CauseLease: the head's lease ended; no view by itself.
 	CauseLease CauseKind = "lease"
+	// CauseState: the head's state differs from what is agreed, and it stops; no view by itself.
+	CauseState CauseKind = "state"
 )
 
 // Cause is why a view was wished for, or a lease lost, with the figures that decided it. What doesn't belong to the kind is
