--- a/coord/replica/effects.go
+++ b/coord/replica/effects.go
@@ -23,7 +23,9 @@
 func (e *environment) StoreTruncate(index uint64) { (*Replica)(e).store(encodeTruncate(index)) }
 
 func (e *environment) StoreSnapshot(snapshot chain.Snapshot) {
-	(*Replica)(e).store(encodeSnapshot(snapshot))
+	for _, record := range encodeSnapshot(snapshot) {
+		(*Replica)(e).store(record)
+	}
 }
 
 func (e *environment) Deliver(entries []chain.Entry) {
@@ -135,7 +137,7 @@
 	if r.view.Known() {
 		records = append(records, encodeView(r.view), encodeAcceptor(r.acceptor))
 	}
-	records = append(records, encodeSnapshot(chain.Snapshot{Index: index, Epoch: epoch, Data: snapshot}))
+	records = append(records, encodeSnapshot(chain.Snapshot{Index: index, Epoch: epoch, Data: snapshot})...)
 	rest, _ := log.Slice(index+1, int(^uint(0)>>1))
 	for _, entry := range rest {
 		records = append(records, encodeEntry(entry))
--- a/coord/replica/inspect.go
+++ b/coord/replica/inspect.go
@@ -94,8 +94,8 @@
 type Inspected struct {
 	Kind     RecordKind
 	Entry    *chain.Entry
-	Truncate uint64 // all after this index is dropped
-	Snapshot *chain.Snapshot
+	Truncate uint64          // all after this index is dropped
+	Snapshot *chain.Snapshot // of KindSnapshotPart: what this part holds
 	View     *view.View
 	Acceptor *view.Acceptor
 	Identity view.ReplicaID
@@ -116,6 +116,11 @@
 		found.Truncate = index
 		return found, err
 	}
+	if record.Kind == KindSnapshotPart {
+		part, err := decodePart(record.Data)
+		found.Snapshot = &chain.Snapshot{Index: part.index, Epoch: part.epoch, Data: part.data}
+		return found, err
+	}
 	if err := alone.apply(record); err != nil {
 		return found, err
 	}
--- a/coord/replica/persist.go
+++ b/coord/replica/persist.go
@@ -19,9 +19,13 @@
 	KindView
 	KindAcceptor
 	KindIdentity
-	KindUnfit // the state that comes of this disk is wrong: it must not be used again
+	KindUnfit        // the state that comes of this disk is wrong: it must not be used again
+	KindSnapshotPart // of a snapshot that is too long for one record
 )
 
+// snapshotPartBytes bounds the data of one record of a snapshot; a log takes records of twice that.
+const snapshotPartBytes = 32 << 20
+
 // Record is one record of a replica's log on disk.
 type Record struct {
 	Kind RecordKind
@@ -36,6 +40,14 @@
 	Snapshot *chain.Snapshot // to be installed before anything is delivered
 	Log      chain.Log
 	Unfit    string // why the disk must not be used again, see Blank; empty: it may
+	parts    *snapshotPart
+}
+
+// snapshotPart is a record of a snapshot that is too long for one: the parts follow each other, and count once the last is there.
+type snapshotPart struct {
+	index, epoch  uint64
+	total, offset uint64
+	data          []byte
 }
 
 // Restore reads records in the order in which they were written. They all have to be safe on disk before.
@@ -50,6 +62,9 @@
 }
 
 func (p *Persisted) apply(record Record) (err error) {
+	if record.Kind != KindSnapshotPart {
+		p.parts = nil // the rest of a snapshot was never written
+	}
 	switch record.Kind {
 	case KindEntry:
 		return p.applyEntry(record.Data)
@@ -59,6 +74,8 @@
 		p.Log.Truncate(index)
 	case KindSnapshot:
 		return p.applySnapshot(record.Data)
+	case KindSnapshotPart:
+		return p.applyPart(record.Data)
 	case KindView:
 		p.View, err = view.DecodeView(record.Data)
 	case KindAcceptor:
@@ -95,8 +112,34 @@
 	if err != nil {
 		return err
 	}
-	p.Snapshot = &chain.Snapshot{Index: index, Epoch: epoch, Data: rest}
-	p.Log.Reset(index, epoch)
+	p.install(chain.Snapshot{Index: index, Epoch: epoch, Data: rest})
+	return nil
+}
+
+func (p *Persisted) install(snapshot chain.Snapshot) {
+	p.Snapshot = &snapshot
+	p.Log.Reset(snapshot.Index, snapshot.Epoch)
+}
+
+// applyPart takes the next part of a snapshot. The log before it counts until the last part is there.
+func (p *Persisted) applyPart(data []byte) error {
+	part, err := decodePart(data)
+	if err != nil {
+		return err
+	}
+	if part.offset == 0 {
+		p.parts = &snapshotPart{index: part.index, epoch: part.epoch, total: part.total}
+	}
+	whole := p.parts
+	if whole == nil || whole.index != part.index || whole.epoch != part.epoch || whole.total != part.total ||
+		uint64(len(whole.data)) != part.offset {
+		return fmt.Errorf("part at %d of the snapshot at %d follows nothing: %w", part.offset, part.index, view.ErrCorrupt)
+	}
+	whole.data = append(whole.data, part.data...)
+	if uint64(len(whole.data)) == whole.total {
+		p.install(chain.Snapshot{Index: whole.index, Epoch: whole.epoch, Data: whole.data})
+		p.parts = nil
+	}
 	return nil
 }
 
@@ -120,7 +163,34 @@
 	return Record{Kind: KindTruncate, Data: binary.AppendUvarint(nil, index)}
 }
 
-func encodeSnapshot(s chain.Snapshot) Record {
+// encodeSnapshot gives one record, or the parts of a long snapshot.
+func encodeSnapshot(s chain.Snapshot) []Record {
+	if len(s.Data) <= snapshotPartBytes {
+		return []Record{encodeWhole(s)}
+	}
+	var records []Record
+	for from := 0; from < len(s.Data); from += snapshotPartBytes {
+		part := s.Data[from:min(from+snapshotPartBytes, len(s.Data))]
+		data := make([]byte, 0, len(part)+4*binary.MaxVarintLen64)
+		for _, number := range []uint64{s.Index, s.Epoch, uint64(len(s.Data)), uint64(from)} {
+			data = binary.AppendUvarint(data, number)
+		}
+		records = append(records, Record{Kind: KindSnapshotPart, Data: append(data, part...)})
+	}
+	return records
+}
+
+func decodePart(data []byte) (part snapshotPart, err error) {
+	for _, number := range []*uint64{&part.index, &part.epoch, &part.total, &part.offset} {
+		if *number, data, err = uvarint(data); err != nil {
+			return snapshotPart{}, err
+		}
+	}
+	part.data = data
+	return part, nil
+}
+
+func encodeWhole(s chain.Snapshot) Record {
 	data := make([]byte, 0, len(s.Data)+2*binary.MaxVarintLen64)
 	data = binary.AppendUvarint(data, s.Index)
 	data = binary.AppendUvarint(data, s.Epoch)
--- a/coord/replica/replica_test.go
+++ b/coord/replica/replica_test.go
@@ -60,7 +60,7 @@
 	assert.ErrorIs(t, err, view.ErrCorrupt)
 	_, err = Restore([]Record{{Kind: 99}})
 	assert.ErrorIs(t, err, view.ErrCorrupt)
-	_, err = Restore([]Record{encodeSnapshot(chain.Snapshot{Index: 7, Epoch: 2, Data: []byte("s")}), entry(8, 2)})
+	_, err = Restore([]Record{encodeWhole(chain.Snapshot{Index: 7, Epoch: 2, Data: []byte("s")}), entry(8, 2)})
 	assert.NoError(t, err)
 }
 
--- a/coord/wal/log_test.go
+++ b/coord/wal/log_test.go
@@ -217,3 +217,22 @@
 	_, found := reopened(t, disk)
 	require.Len(t, found, writers*each)
 }
+
+func TestARemovedLogIsEmptyAndOthersStay(t *testing.T) {
+	disk := simdisk.New(1)
+	for _, name := range []string{"test", "other"} {
+		log, _, err := wal.Open(disk, name)
+		require.NoError(t, err)
+		require.NoError(t, log.Rewrite([]wal.Record{record(name)}))
+		require.NoError(t, log.Close())
+	}
+	require.NoError(t, wal.Remove(disk, "test"))
+	_, found := reopened(t, disk)
+	require.Empty(t, found)
+	_, records, err := wal.Open(disk, "other")
+	require.NoError(t, err)
+	require.Equal(t, []string{"other"}, texts(records))
+	disk.StopAfter(1)
+	require.ErrorIs(t, wal.Remove(disk, "other"), simdisk.ErrNoPower)
+	require.ErrorIs(t, wal.Remove(disk, "other"), simdisk.ErrNoPower)
+}
--- a/internal/system/control/engine_test.go
+++ b/internal/system/control/engine_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"io"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -13,6 +15,7 @@
 	"gaugeslip/coord/view"
 	"gaugeslip/coord/wal"
 	"gaugeslip/coord/wal/simdisk"
+	"gaugeslip/internal/system/nodesettings"
 	"gaugeslip/internal/system/state"
 )
 
@@ -126,3 +129,203 @@
 	persisted := r.onDisk()
 	assert.Equal(t, last, persisted.Log.Last())
 }
+
+func workerLost(name string) state.Command {
+	return state.Command{Kind: state.KindWorkerLost, WorkerLost: name}
+}
+
+// put proposes a command and gives where its fate will stand.
+func (r *engineRig) put(command state.Command) *[]fate {
+	fates := &[]fate{}
+	r.propose(command, func(_ state.Result, f fate) { *fates = append(*fates, f) })
+	r.flush()
+	return fates
+}
+
+func TestAnEntryIsAppliedOnce(t *testing.T) {
+	r := newEngineRig(t, simdisk.New(1))
+	r.lead()
+	r.put(workerLost("a"))
+	r.work()
+	require.Len(t, r.results, 1)
+	at := r.appliedTo
+	r.carryOut(replica.Output{Committed: []chain.Entry{{Index: at, Epoch: 1, Data: workerLost("b").Encode()}}})
+	assert.Len(t, r.results, 1)
+	assert.Equal(t, at, r.appliedTo)
+}
+
+// Another head's entry may stand where a proposal was put: then the proposal never will be.
+func TestAProposalWhosePlaceIsTakenIsRefused(t *testing.T) {
+	r := newEngineRig(t, simdisk.New(1))
+	r.lead()
+	fates := r.put(workerLost("a"))
+	require.Empty(t, *fates)
+	index, epoch := r.replica.LastIndex(), r.view().Epoch
+	r.carryOut(replica.Output{Committed: []chain.Entry{{Index: index, Epoch: epoch + 1, Data: workerLost("b").Encode()}}})
+	assert.Equal(t, []fate{fateRefused}, *fates)
+}
+
+// Whether a proposal is in a snapshot that takes the place of the state isn't known.
+func TestASnapshotLeavesProposalsInDoubt(t *testing.T) {
+	r := newEngineRig(t, simdisk.New(1))
+	r.lead()
+	first, second := r.put(workerLost("a")), r.put(workerLost("b"))
+	at := r.replica.LastIndex() - 1
+	r.carryOut(replica.Output{Install: &chain.Snapshot{Index: at, Epoch: 9, Data: state.New().Snapshot()}})
+	assert.Equal(t, []fate{fateInDoubt}, *first)
+	assert.Empty(t, *second)
+	assert.Equal(t, at, r.appliedTo)
+	r.close()
+	assert.Equal(t, []fate{fateInDoubt}, *second)
+}
+
+// What is told as committed outlasts a loss of power, whatever the disk loses.
+func TestACommitIsToldOnceItIsSynced(t *testing.T) {
+	for seed := range uint64(20) {
+		r := newEngineRig(t, simdisk.New(seed))
+		r.lead()
+		fates := r.put(workerLost("a"))
+		assert.Empty(t, *fates)
+		r.work()
+		require.Equal(t, []fate{fateCommitted}, *fates)
+		index := r.appliedTo
+		persisted := r.onDisk()
+		require.GreaterOrEqual(t, persisted.Log.Last(), index, "seed %d", seed)
+	}
+}
+
+func TestADiskThatRefusesIsTold(t *testing.T) {
+	for _, rewrite := range []bool{false, true} {
+		r := newEngineRig(t, simdisk.New(1))
+		r.lead()
+		if rewrite {
+			r.compactAt = 0
+			r.put(workerLost("a"))
+			r.disk.work(r.disk.take())
+			r.folder.SetFaults(simdisk.Faults{Sync: 1})
+		} else {
+			r.folder.SetFaults(simdisk.Faults{Sync: 1})
+			r.put(workerLost("a"))
+		}
+		r.work()
+		assert.Len(t, r.failures, 1, "rewrite %v", rewrite)
+		assert.Zero(t, r.rewritten)
+	}
+}
+
+// A closed engine takes no word any more, not even from its own disk.
+func TestAClosedEngineIsSilent(t *testing.T) {
+	r := newEngineRig(t, simdisk.New(1))
+	r.lead()
+	fates := r.put(workerLost("a"))
+	jobs := r.disk.take()
+	r.close()
+	assert.Equal(t, []fate{fateInDoubt}, *fates)
+	r.sent, r.events = nil, nil
+	r.disk.work(jobs)
+	r.work()
+	r.step(replica.Tick{})
+	assert.Empty(t, r.results)
+	assert.Empty(t, r.sent)
+	assert.Empty(t, r.failures)
+	assert.False(t, r.isHead())
+}
+
+// A rewritten log holds the state and all that came after it, and a restart goes on from there.
+func TestARewrittenLogIsStartedFrom(t *testing.T) {
+	for seed := range uint64(10) {
+		r := newEngineRig(t, simdisk.New(seed))
+		r.lead()
+		accepted := state.Command{Kind: state.KindJobAccepted, JobAccepted: &state.JobAccepted{ID: 7, Route: "r", Body: []byte(testJob)}}
+		r.put(accepted)
+		r.work()
+		r.compactAt = 0
+		r.put(workerLost("a"))
+		r.work()
+		require.Equal(t, 1, r.rewritten)
+		require.Equal(t, int64(leastCompaction), r.compactAt)
+		fates := r.put(state.Command{Kind: state.KindJobCancelled, JobCancelled: &state.JobCancelled{ID: 7}})
+		r.work()
+		require.Equal(t, []fate{fateCommitted}, *fates)
+		want, at := r.machine.Snapshot(), r.appliedTo
+		r.folder.PowerLoss()
+		r = newEngineRig(t, r.folder)
+		assert.Positive(t, r.appliedTo, "it starts from the snapshot")
+		r.lead()
+		assert.Equal(t, want, r.machine.Snapshot(), "seed %d", seed)
+		assert.GreaterOrEqual(t, r.appliedTo, at)
+	}
+}
+
+func TestTheDiskWorksInOrder(t *testing.T) {
+	folder := simdisk.New(1)
+	file, _, err := wal.Open(folder, logName)
+	require.NoError(t, err)
+	d := newDisk(file)
+	var order []string
+	job := func(name string, rewrite bool) diskJob {
+		return diskJob{records: []wal.Record{{Kind: 1, Data: []byte(name)}}, rewrite: rewrite, done: func(err error) {
+			require.NoError(t, err)
+			order = append(order, name)
+		}}
+	}
+	d.work([]diskJob{job("a", false), job("b", false), job("c", true), job("d", false), job("e", false)})
+	assert.Equal(t, []string{"a", "b", "c", "d", "e"}, order)
+	assert.Equal(t, file.Size(), d.bytes())
+	folder.PowerLoss()
+	_, records, err := wal.Open(folder, logName)
+	require.NoError(t, err)
+	var found []string
+	for _, record := range records {
+		found = append(found, string(record.Data))
+	}
+	assert.Equal(t, []string{"c", "d", "e"}, found)
+}
+
+// A disk that was marked as unfit comes back with another identity and nothing else, and what it held is kept beside.
+func TestAnUnfitDiskIsGivenUp(t *testing.T) {
+	for seed := range uint64(10) {
+		folder := simdisk.New(seed)
+		file, _, err := wal.Open(folder, logName)
+		require.NoError(t, err)
+		held := append(toLog(replica.Blank("old")), wal.Record{Kind: replica.KindUnfit, Data: []byte("why")})
+		require.NoError(t, file.Append(held...))
+		require.NoError(t, file.Sync())
+		node := testNode()
+		records, err := node.fitRecords(folder, file, held)
+		require.NoError(t, err)
+		persisted, err := restore(records)
+		require.NoError(t, err)
+		assert.NotEqual(t, view.ReplicaID("old"), persisted.Identity)
+		assert.Empty(t, persisted.Unfit)
+		folder.PowerLoss()
+		_, again, err := wal.Open(folder, logName)
+		require.NoError(t, err)
+		assert.Equal(t, records, again, "the same identity at the next start")
+		kept, err := wal.Read(folder, UnfitName)
+		require.NoError(t, err)
+		assert.Equal(t, held, kept.Records)
+		same, err := node.fitRecords(folder, file, again)
+		require.NoError(t, err)
+		assert.Equal(t, again, same, "a disk that is fit stays")
+	}
+}
+
+// A full disk has no room for what is kept; the replica comes back all the same.
+func TestAnUnfitDiskThatIsFullIsGivenUp(t *testing.T) {
+	folder := simdisk.New(1)
+	file, _, err := wal.Open(folder, logName)
+	require.NoError(t, err)
+	held := []wal.Record{{Kind: replica.KindEntry, Data: make([]byte, 4000)}, {Kind: replica.KindUnfit, Data: []byte("why")}}
+	require.NoError(t, file.Append(held...))
+	folder.SetCapacity(int(file.Size()) + 300)
+	records, err := testNode().fitRecords(folder, file, held)
+	require.NoError(t, err)
+	assert.Len(t, records, 1)
+}
+
+func testNode() *Node {
+	settings := nodesettings.Default()
+	settings.IP, settings.EphemeralPorts = loopback(0), []int{9001, 9001}
+	return &Node{settings: settings, logger: log.New(io.Discard)}
+}
--- a/internal/system/control/unfit.go
+++ b/internal/system/control/unfit.go
@@ -43,7 +43,10 @@
 func keepUnfit(folder wal.Disk, records []wal.Record) error {
 	kept, _, err := wal.Open(folder, UnfitName)
 	if err != nil {
-		return err
+		return errors.Join(err, wal.Remove(folder, UnfitName))
 	}
-	return errors.Join(kept.Rewrite(records), kept.Close())
+	if err := errors.Join(kept.Rewrite(records), kept.Close()); err != nil {
+		return errors.Join(err, wal.Remove(folder, UnfitName))
+	}
+	return nil
 }
--- a/internal/system/logfile/logfile.go
+++ b/internal/system/logfile/logfile.go
@@ -34,7 +34,7 @@
 var recordNames = map[replica.RecordKind]string{
 	replica.KindEntry: "entry", replica.KindTruncate: "truncate", replica.KindSnapshot: "snapshot", replica.KindView: "view",
 	replica.KindAcceptor: "acceptor", replica.KindIdentity: "identity",
-	replica.KindUnfit: "unfit",
+	replica.KindUnfit: "unfit", replica.KindSnapshotPart: "snapshot-part",
 }
 
 // Read reads the log of that name in a folder.
