--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -60,14 +60,16 @@
 	return r.proposeChain(now, next, "", r.leaveCause(now))
 }
 
-// governChain drops members that are lost, or want to leave and can be spared.
+// governChain drops members that are lost, or want to leave and can be spared. Nothing else is proposed while one of them may still
+// answer reads: a newcomer could take the vote of a disk that is in the chain yet.
 func (r *Replica) governChain(now time.Duration) bool {
 	culprit := r.culprit(now)
 	next := r.remaining(now, culprit, 0)
 	if len(next) == len(r.view.Chain) {
 		return false
 	}
-	return r.proposeChain(now, next, culprit, r.dropCause(now, culprit, next))
+	r.proposeChain(now, next, culprit, r.dropCause(now, culprit, next))
+	return true
 }
 
 // remaining is what stays of the chain if so many newcomers, who have everything, are added. It has no more lost members where f+1
@@ -154,15 +156,25 @@
 	}
 }
 
-// readsOver tells whether the present tail can't answer reads any more once the next view is decided: it is a
-// member still, has stopped by itself, or its permission has run out.
+// readsOver tells whether none of those that the next view drops can answer reads any more: a member's permission has
+// to run out, as neither its word nor another's says for sure that it has stopped.
 func (r *Replica) readsOver(now time.Duration, next view.View) bool {
-	tail := r.view.Tail()
-	if next.InChain(tail.ID) || tail.ID == r.self.ID || now >= r.head.readsUntil {
-		return true
+	for _, member := range r.view.Chain {
+		if member.ID != r.self.ID && !next.InChain(member.ID) && now < r.readsUntil(member.ID) {
+			return false
+		}
 	}
-	p := r.peer(tail.ID, now)
-	return p.leaving || p.gone
+	return true
+}
+
+// readsUntil is when a member's permission to read has run out, by the clock here. An earlier head may have given one, or
+// this one in an earlier epoch or life, till the view was learnt.
+func (r *Replica) readsUntil(id view.ReplicaID) time.Duration {
+	earlier := r.learned + r.cfg.Grant/readPart
+	if id != r.view.Tail().ID {
+		return earlier
+	}
+	return max(earlier, r.head.readsUntil)
 }
 
 func (r *Replica) punish(now time.Duration, id view.ReplicaID) {
