--- a/internal/system/control/restart_test.go
+++ b/internal/system/control/restart_test.go
@@ -70,7 +70,7 @@
 	worker := fmt.Sprint("w", r.jobs%7)
 	run := state.Run{Task: state.TaskName{Job: id}, Attempt: 1}
 	r.write(state.Command{Kind: state.KindJobAccepted, JobAccepted: &state.JobAccepted{ID: id, Route: fmt.Sprint("r", r.jobs%3), MaxRetries: 2,
-		Body: fmt.Appendf(nil, `{"spec":"x%d","stages":[{"count":2,"cpu":100}]}`, r.jobs)}})
+		Body: fmt.Appendf(nil, `{"spec":"x%d","note":"%0*d","stages":[{"count":2,"cpu":100}]}`, r.jobs, r.world.note, 0)}})
 	r.write(state.Command{Kind: state.KindTasksStarting, TasksStarting: []state.Start{{Run: run, Worker: worker}}})
 	if r.jobs > 5 {
 		old := r.jobs - 5
@@ -94,7 +94,7 @@
 		m = head
 	}
 	length := w.between(50*time.Millisecond, 4*time.Second)
-	kind := w.intn(8)
+	kind := w.intn(9)
 	w.trace("trouble %d at %d for %v, committed %d", kind, m.number, length, w.highest())
 	switch kind {
 	case 0:
@@ -115,6 +115,11 @@
 		time.Sleep(length)
 		return
 	case 7:
+		m.refuse()
+		time.Sleep(length)
+		m.obey()
+		return
+	case 8:
 		for _, one := range w.machines {
 			one.kill((*simdisk.Disk).PowerLoss)
 		}
@@ -158,6 +163,7 @@
 			for range w.intn(4) {
 				r.work()
 			}
+			time.Sleep(w.between(0, 500*time.Millisecond))
 		}
 	}()
 	for done := false; !done; {
@@ -184,7 +190,8 @@
 			assert.Equal(t, reference, onLoop(p, p.engine.machine.Snapshot), "seed %d: machine %d", seed, m.number)
 		}
 	}
-	t.Logf("seed %d: %d changes, %d jobs, %d entries, %d snapshots, %d heads", seed, r.changes, r.jobs, w.highest(), w.snapshots, w.heads)
+	t.Logf("seed %d: %d changes, %d jobs, %d entries, %d snapshots, %d heads, %d refusals", seed, r.changes, r.jobs, w.highest(), w.snapshots,
+		w.heads, w.refusals)
 	w.stop()
 }
 
--- a/internal/system/control/restartworld_test.go
+++ b/internal/system/control/restartworld_test.go
@@ -26,7 +26,9 @@
 	restartReplicas = 3
 	// restartKeep is how many entries replicas keep for those that come back: few, so that these get snapshots.
 	restartKeep       = 20
-	restartCompaction = 16 << 10
+	restartCompaction = 64 << 10
+	// restartNote is how many bytes a job has in worlds of a large state, so that a snapshot takes several chunks.
+	restartNote = 6000
 	// restartCompare is after how many entries the whole states are compared.
 	restartCompare = 16
 )
@@ -49,6 +51,8 @@
 	snapshots int
 	unfit     int
 	heads     int
+	refusals  int // of disks
+	note      int // bytes besides of each job
 }
 
 // restartMachine is a machine; its process may be down.
@@ -60,6 +64,7 @@
 	mutex    sync.Mutex
 	process  *restartProcess
 	wrong    bool // its state has been made wrong: it may differ until it has stopped
+	refuses  bool // its disk may refuse
 }
 
 // restartProcess is one life of a replica.
@@ -82,6 +87,9 @@
 		settings.SeedNodes, settings.Bootstrap, settings.FaultTolerance.Machines = seeds, true, 1
 		w.machines = append(w.machines, &restartMachine{world: w, number: i, settings: settings, disk: simdisk.New(seed<<8 + uint64(i))})
 	}
+	if seed%2 == 1 {
+		w.note = restartNote
+	}
 	for _, m := range w.machines {
 		m.start()
 		m.settings.Bootstrap = false
@@ -145,9 +153,40 @@
 func (p *restartProcess) alive() bool { return p.machine.running() == p }
 
 func (p *restartProcess) failed(err error) {
-	if p.alive() {
-		p.machine.world.t.Errorf("machine %d: %v", p.machine.number, err)
+	m, w := p.machine, p.machine.world
+	if !p.alive() {
+		return
 	}
+	if !m.refuses {
+		w.t.Errorf("machine %d: %v", m.number, err)
+		return
+	}
+	w.trace("%d: %v", m.number, err)
+	w.mutex.Lock()
+	w.refusals++
+	w.mutex.Unlock()
+	m.kill((*simdisk.Disk).Restart)
+}
+
+// refuse lets the machine's disk refuse from some moment on: it is full, or its syncs fail.
+func (m *restartMachine) refuse() {
+	m.refuses = true
+	if m.world.intn(2) == 0 {
+		m.disk.SetCapacity(m.world.intn(1 << 17))
+		return
+	}
+	m.disk.SetFaults(simdisk.Faults{Write: 0.02, Sync: 0.1, Folder: 0.1})
+}
+
+// obey ends that.
+func (m *restartMachine) obey() {
+	m.disk.SetCapacity(-1)
+	m.disk.SetFaults(simdisk.Faults{})
+	if m.running() != nil { // what it has refused may not have come up yet
+		m.kill((*simdisk.Disk).PowerLoss)
+	}
+	m.refuses = false
+	m.start()
 }
 
 // broken ends the process as the program does; only a state that was made wrong may be the reason.
@@ -244,7 +283,11 @@
 		if target.settings.InternalAddress() != to || !p.alive() || w.separated(p.machine.number, target.number) {
 			continue
 		}
-		time.AfterFunc(w.between(time.Millisecond, 3*time.Millisecond), func() {
+		delay := w.between(time.Millisecond, 3*time.Millisecond)
+		if message.Chain != nil && (message.Chain.Chunk != nil || message.Chain.ChunkAck != nil) {
+			delay *= 30 // so that a transfer takes a while
+		}
+		time.AfterFunc(delay, func() {
 			if other := target.running(); other != nil {
 				other.loop.post(func() { other.engine.step(replica.Receive{Message: message}) })
 			}
