--- a/coord/chain/timers.go
+++ b/coord/chain/timers.go
@@ -11,7 +11,9 @@
 // never is a time that doesn't come.
 const never = time.Duration(math.MaxInt64)
 
-const learnerSilence = 3 * time.Second
+// learnerSilence is after which silence a learner is forgotten. Reading a large snapshot takes a learner seconds, in which it says nothing
+// and still needs the log kept.
+const learnerSilence = 10 * time.Second
 
 // Receive takes a message of the present epoch.
 func (c *Chain) Receive(now time.Duration, from view.Member, body *Body) {
--- a/internal/system/state/machine.go
+++ b/internal/system/state/machine.go
@@ -18,6 +18,8 @@
 	workers map[string]*Worker
 	pending map[string]int // jobs that aren't over, by route
 	quotas  *quota.Ledger
+
+	snapshotBytes int // length of the last snapshot, to make room for the next at once
 }
 
 // Worker is what is replicated of one life of a worker.
--- a/internal/system/state/snapshot.go
+++ b/internal/system/state/snapshot.go
@@ -16,13 +16,19 @@
 	tenantSnapshotFormat = 2 // each job is followed by its tenant
 )
 
+const (
+	leastSnapshot = 1 << 16
+	// snapshotGrowth: room is made for a snapshot that is longer by this part than the one before.
+	snapshotGrowth = 8
+)
+
 var sumTable = crc64.MakeTable(crc64.ECMA)
 
 func checksum(body []byte) uint64 { return crc64.Checksum(body, sumTable) }
 
 // Snapshot gives the whole state, the same bytes for the same state.
 func (m *Machine) Snapshot() []byte {
-	w := &writer{data: make([]byte, 0, 1<<16)}
+	w := &writer{data: make([]byte, 0, max(leastSnapshot, m.snapshotBytes+m.snapshotBytes/snapshotGrowth))}
 	format := m.snapshotFormat()
 	w.byte(format)
 	w.uint(m.config.Version)
@@ -44,6 +50,7 @@
 		w.string(instance)
 		w.uint(m.workers[instance].LastSeen)
 	}
+	m.snapshotBytes = len(w.data)
 	return w.data
 }
 
@@ -111,6 +118,7 @@
 		return fmt.Errorf("snapshot: %w", err)
 	}
 	next.promise()
+	next.snapshotBytes = len(snapshot)
 	*m = *next
 	return nil
 }
