Give a replica whose state differs one guard against leading and reading

It left its place by three means of which each was enough, so that the loss of any went unseen; r.entered is the one that head, tail and proposals all go by. Tests for the tail, for a later view and for a disk that refuses.

--- a/coord/replica/audit.go
+++ b/coord/replica/audit.go
@@ -112,7 +112,7 @@
 	}
 	r.head.condemned, r.head.condemnedAt = member.ID, now
 	if member.ID == r.self.ID {
-		r.compare(now, agreed)
+		r.compare(agreed)
 		return
 	}
 	r.send(member, &Message{Differs: &agreed})
@@ -131,26 +131,25 @@
 }
 
 // onDiffers takes the head's word that the state here differs from what is agreed.
-func (r *Replica) onDiffers(now time.Duration, from view.Member, agreed view.Digest) {
+func (r *Replica) onDiffers(from view.Member, agreed view.Digest) {
 	if from.ID == r.view.Head().ID {
-		r.compare(now, agreed)
+		r.compare(agreed)
 	}
 }
 
 // compare stops this replica where its own digest isn't the agreed one: from now on it neither leads, answers reads nor says anything.
-func (r *Replica) compare(now time.Duration, agreed view.Digest) {
+func (r *Replica) compare(agreed view.Digest) {
 	own, ok := find(r.audit.own, agreed)
 	if !ok || own.Sum == agreed.Sum {
 		return
 	}
 	r.audit.fault = &StateError{Index: own.Index, Own: own.Sum, Agreed: agreed.Sum}
 	if r.head.announced {
+		r.head.announced = false
 		r.out.Events = append(r.out.Events, LostHead{Epoch: r.head.announcedE, Cause: Cause{Kind: CauseState}})
 	}
-	r.abdicate(now)
+	r.entered = false // so that this is neither head nor tail
 	r.chain.Leave()
-	r.entered = false
-	r.tail = tailState{}
 }
 
 // ending takes the inputs of a replica whose state differs: only the word that its disk is marked counts.
--- a/coord/replica/audit_test.go
+++ b/coord/replica/audit_test.go
@@ -194,9 +194,27 @@
 func stopping(t *testing.T) (*Replica, Output) {
 	r := auditing(t)
 	r.peers["b"].digests, r.peers["c"].digests = []view.Digest{digest(64, 1)}, []view.Digest{digest(64, 1)}
+	r.head.leaseUntil = time.Hour
+	require.True(t, r.IsHead(0))
 	return r, r.Step(0, Audited{digest(64, 2)})
 }
 
+// A tail that was permitted to answer reads must not do so from a state that differs.
+func TestATailThatDiffersAnswersNoReads(t *testing.T) {
+	r := auditing(t)
+	v := r.view.Next()
+	v.Chain = []view.Member{v.Chain[1], v.Chain[2], v.Chain[0]}
+	out := r.Step(0, Receive{&Message{From: v.Chain[0], To: "a", Epoch: v.Epoch, View: &v}})
+	r.Step(0, Synced{Token: out.Token})
+	r.tail.readUntil = time.Hour
+	require.True(t, r.IsTail(0))
+	r.Step(0, Audited{digest(64, 2)})
+	agreed := digest(64, 1)
+	r.Step(0, Receive{&Message{From: v.Chain[0], To: "a", Epoch: v.Epoch, Differs: &agreed}})
+	require.NotNil(t, r.audit.fault)
+	assert.False(t, r.IsTail(0))
+}
+
 func TestAReplicaThatDiffersDoesNothingButMarkItsDisk(t *testing.T) {
 	r, out := stopping(t)
 	require.Len(t, out.Persist, 1)
@@ -206,7 +224,9 @@
 	assert.False(t, r.IsHead(0) || r.IsTail(0))
 
 	heartbeat := &Message{From: r.view.Chain[1], Epoch: r.view.Epoch, Request: &view.Request{Sequence: 1}}
-	for _, in := range []Input{Tick{}, Receive{heartbeat}, Leave{}, Synced{Token: out.Token - 1}} {
+	newer := r.view.Next()
+	news := &Message{From: r.view.Chain[1], Epoch: newer.Epoch, View: &newer}
+	for _, in := range []Input{Tick{}, Receive{heartbeat}, Leave{}, Synced{Token: out.Token - 1}, Receive{news}} {
 		next := r.Step(time.Second, in)
 		assert.Empty(t, next.Send)
 		assert.Empty(t, next.Persist)
@@ -217,6 +237,7 @@
 	assert.Empty(t, next.Persist)
 	next = r.Step(time.Second, Synced{Token: out.Token})
 	assert.ErrorIs(t, next.Fault, ErrStateDiverged)
+	assert.False(t, r.entered, "it takes no place in a later view either")
 }
 
 func TestAReplicaThatDiffersEndsAlsoWhereItsDiskRefuses(t *testing.T) {
--- a/coord/replica/persist_test.go
+++ b/coord/replica/persist_test.go
@@ -150,6 +150,7 @@
 // A broken disk keeps nothing, so that nothing that depends on it is said.
 func TestABrokenDiskPromisesNothing(t *testing.T) {
 	r := committedReplica(t)
+	r.Step(0, Synced{Token: 1000})
 	r.Step(0, DiskFailed{})
 	r.store(encodeTruncate(9))
 	r.sendStored(view.Member{ID: "b", Address: "b"}, &Message{Promise: &view.Promise{}})
--- a/coord/replica/receive.go
+++ b/coord/replica/receive.go
@@ -98,7 +98,7 @@
 	case m.Request != nil:
 		r.news(now, m.From)
 	case m.Differs != nil:
-		r.onDiffers(now, m.From, *m.Differs)
+		r.onDiffers(m.From, *m.Differs)
 	}
 }
 
