--- a/coord/replica/audit_test.go
+++ b/coord/replica/audit_test.go
@@ -237,6 +237,7 @@
 	assert.Empty(t, next.Persist)
 	next = r.Step(time.Second, Synced{Token: out.Token})
 	assert.ErrorIs(t, next.Fault, ErrStateDiverged)
+	r.Step(time.Second, Synced{Token: out.Token + 5})
 	assert.False(t, r.entered, "it takes no place in a later view either")
 }
 
