--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -20,7 +20,7 @@
 	cfg     Config
 	self    view.Member
 	random  *rand.Rand
-	fresh   bool // the disk was empty: no earlier life
+	fresh   bool // no earlier life can have had this identity
 	started time.Duration
 	stepped time.Duration
 
@@ -33,9 +33,12 @@
 	repeatAt time.Duration // of the ballot
 	outbidAt time.Duration // when to begin a higher one; 0: not
 	electAt  time.Duration
-	chain    *chain.Chain
-	entered  bool // the view is on disk and the chain goes by it
-	enterAt  uint64
+	// expectedAt is since when the head's next heartbeat is waited for.
+	expectedAt time.Duration
+	cause      Cause // of the last own wish for a view
+	chain      *chain.Chain
+	entered    bool // the view is on disk and the chain goes by it
+	enterAt    uint64
 
 	head      headState
 	tail      tailState
@@ -88,8 +91,8 @@
 	r.chain = chain.New(keep, (*environment)(r), restored.Log)
 	r.numbering = life >> sequenceBits << sequenceBits
 	r.head.lease = view.NewLease(cfg.Grant, r.numbering)
-	r.fresh = restored.Identity == ""
-	if r.fresh {
+	r.fresh = restored.Identity == "" && cfg.Genesis == nil
+	if restored.Identity == "" {
 		r.begin(now)
 	} else {
 		r.resume(now, restored)
@@ -97,18 +100,17 @@
 	return r
 }
 
-// begin starts on an empty disk.
+// begin starts on an empty disk. With a genesis an earlier life may have granted under this identity before it was on disk.
 func (r *Replica) begin(now time.Duration) {
 	r.store(encodeIdentity(r.self.ID))
 	if r.cfg.Genesis != nil {
-		r.learn(now, *r.cfg.Genesis)
+		r.learn(now, *r.cfg.Genesis, "")
 	}
 }
 
 // resume goes on from what the disk holds. What was granted before isn't known any more.
 func (r *Replica) resume(now time.Duration, restored Persisted) {
 	r.grant = now + r.cfg.Grant
-	r.head.readsUntil = now + r.cfg.Grant/readPart
 	if !restored.View.Known() {
 		return
 	}
@@ -120,7 +122,8 @@
 	r.enter(now)
 	r.expectHead(now)
 	if r.position() == 0 {
-		r.electAt = now
+		r.electAt, r.expectedAt = now, now
+		r.because(now, Cause{Kind: CauseRestart, Member: r.self.ID})
 	}
 }
 
@@ -241,14 +244,15 @@
 	return max(at, now+time.Millisecond)
 }
 
-// learn goes to a newer view.
-func (r *Replica) learn(now time.Duration, v view.View) {
+// learn goes to a newer view, of which a replica told; none told of the very first.
+func (r *Replica) learn(now time.Duration, v view.View, from view.ReplicaID) {
 	if r.view.Known() && v.Epoch <= r.view.Epoch {
 		if v.Epoch == r.view.Epoch && !v.Equal(r.view) {
 			r.fail(fmt.Errorf("two views of epoch %d: %w", v.Epoch, chain.ErrDiverged))
 		}
 		return
 	}
+	cause := r.causeOf(v, from)
 	r.setView(now, v)
 	r.store(encodeView(v))
 	r.acceptor.Reset(v.Epoch + 1)
@@ -266,7 +270,7 @@
 	r.enterAt = r.pendingToken()
 	r.joinAt = now
 	r.expectHead(now)
-	r.out.Events = append(r.out.Events, ViewChanged{v})
+	r.out.Events = append(r.out.Events, ViewChanged{View: v, Cause: cause})
 	if r.leaving && !r.left && r.position() < 0 {
 		r.left = true
 		r.out.Events = append(r.out.Events, Left{})
