Have the scheduler look whether anything waits that could start

Once a second the scheduler now goes over all tasks whose turn came over 3 s ago and of which no run is known to be there, and finds what each waits for: no room, its tenant's share, a pause after starts that were refused (and how the last one was), a run that is proposed, ordered, in doubt, inherited or ended without a commit, and on which worker. What waits without a reason that holds, in two audits in turn, is mended on the spot and logged as a warning: a task beside room is tried on all workers again, one that is neither held nor run is held, steps and jobs that aren't known are opened, workers that nobody asks are asked.

--- a/internal/system/control/events.go
+++ b/internal/system/control/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"gaugeslip/coord/view"
+	"gaugeslip/internal/system/scheduler"
 	"gaugeslip/internal/system/state"
 )
 
@@ -91,3 +92,20 @@
 	}
 	n.logger.Info("log read", "records", records, "bytes", bytes, "applied", n.engine.appliedTo)
 }
+
+// tellOfWaits logs, at the head, tasks that have waited for long, and for what: loudly what was found forgotten, quietly those that are
+// held for a reason.
+func (n *Node) tellOfWaits(findings []scheduler.Finding) {
+	for i := range findings {
+		found := &findings[i]
+		fields := []any{"task", found.Task, "waited", found.Waited.Round(time.Millisecond), "reason", found.Reason, "worker", found.Worker}
+		switch {
+		case found.Mended:
+			n.logger.Warn("forgotten, tried again", fields...)
+		case found.Worker != "" || found.Refused:
+			n.logger.Info("task waits", fields...)
+		default:
+			n.logger.Debug("task waits", fields...)
+		}
+	}
+}
--- a/internal/system/control/events_test.go
+++ b/internal/system/control/events_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gaugeslip/coord/view"
+	"gaugeslip/internal/system/scheduler"
 	"gaugeslip/internal/system/state"
 )
 
@@ -93,3 +94,19 @@
 	commits.note(1740 * time.Millisecond)
 	assert.Equal(t, 20*time.Millisecond, commits.quiet(1760*time.Millisecond))
 }
+
+func TestWhatWasForgottenIsToldOfLoudly(t *testing.T) {
+	var out bytes.Buffer
+	node := &Node{logger: log.New(&out)}
+	task := state.TaskName{Job: 7}
+	node.tellOfWaits([]scheduler.Finding{{Task: task, Waited: 3 * time.Second, Reason: "no room"}})
+	assert.Empty(t, out.String(), "a wait for room is no news")
+	node.tellOfWaits([]scheduler.Finding{{Task: task, Waited: 3 * time.Second, Reason: "its run is doubtful", Worker: "w-1"}})
+	assert.Contains(t, out.String(), `INFO task waits task=0000000000000007.0.0.0 waited=3s reason="its run is doubtful" worker=w-1`)
+	out.Reset()
+	node.tellOfWaits([]scheduler.Finding{{Task: task, Waited: 3 * time.Second, Reason: "it pauses", Refused: true}})
+	assert.Contains(t, out.String(), "INFO task waits")
+	out.Reset()
+	node.tellOfWaits([]scheduler.Finding{{Task: task, Waited: 3 * time.Second, Reason: "there is room", Mended: true}})
+	assert.Contains(t, out.String(), "WARN forgotten, tried again")
+}
--- a/internal/system/control/roles.go
+++ b/internal/system/control/roles.go
@@ -89,6 +89,7 @@
 		n.schedulerActive = false
 		return false
 	}
+	n.tellOfWaits(output.Findings)
 	for _, command := range output.Commands {
 		n.engine.propose(command, func(state.Result, fate) {})
 	}
--- a/internal/system/scheduler/desk_test.go
+++ b/internal/system/scheduler/desk_test.go
@@ -21,6 +21,7 @@
 	jobs     uint64
 	commands []state.Command
 	calls    []Call
+	findings []Finding
 }
 
 func newDesk(t *testing.T) *desk {
@@ -47,6 +48,7 @@
 	require.NoError(d, d.sched.Check())
 	d.commands = append(d.commands, output.Commands...)
 	d.calls = append(d.calls, output.Calls...)
+	d.findings = append(d.findings, output.Findings...)
 }
 
 // pass lets time go by.
--- a/internal/system/scheduler/gangs.go
+++ b/internal/system/scheduler/gangs.go
@@ -65,10 +65,12 @@
 	pause := time.Duration(0)
 	for i := range st.tasks {
 		st.tasks[i].state = taskWaiting
+		s.waits(&st.tasks[i])
 		pause = max(pause, st.tasks[i].pause())
 	}
 	if pause > 0 {
 		st.gang = gangPaused
+		st.tasks[0].pausedUntil = s.now + pause
 		s.at(s.now+pause, func() { s.gangPauseOver(st) })
 		return
 	}
--- a/internal/system/scheduler/runs.go
+++ b/internal/system/scheduler/runs.go
@@ -16,7 +16,7 @@
 	r.presentAt = s.now
 	r.percentAt = s.now
 	if t := r.task(); t != nil {
-		t.refusals = 0
+		t.refusals, t.since = 0, 0
 	}
 }
 
@@ -69,6 +69,7 @@
 	if t == nil {
 		return
 	}
+	s.waits(t)
 	t.saw(r.name.Attempt, end.Checkpoint)
 	t.avoid = nil
 	if end.How == state.Failed && !r.step.stage.LongRunning || r.moved {
--- a/internal/system/scheduler/scheduler.go
+++ b/internal/system/scheduler/scheduler.go
@@ -44,6 +44,8 @@
 	Wake time.Duration
 	// Superseded tells that a worker has seen a higher token: this scheduler orders nothing any more.
 	Superseded bool
+	// Findings tell of tasks that have waited for long.
+	Findings []Finding
 }
 
 // Scheduler is the scheduler role. Make one with New.
@@ -78,6 +80,7 @@
 	voiding  map[state.Run]*run
 	ordered  []*run
 	shares   shares
+	auditing auditing
 	scratch  scratch
 }
 
@@ -99,6 +102,7 @@
 		shares:    newShares(options.Machine.Quotas()),
 	}
 	s.rebuild()
+	s.planAudit()
 	return s
 }
 
@@ -222,8 +226,8 @@
 	s.proposeVoids()
 	s.dispatch()
 	s.proposeStarts()
-	output := Output{Commands: s.commands, Calls: s.out, Wake: s.nextWake()}
-	s.commands, s.out = nil, nil
+	output := Output{Commands: s.commands, Calls: s.out, Wake: s.nextWake(), Findings: s.auditing.findings}
+	s.commands, s.out, s.auditing.findings = nil, nil, nil
 	return output
 }
 
--- a/internal/system/scheduler/starts.go
+++ b/internal/system/scheduler/starts.go
@@ -220,6 +220,9 @@
 		s.unwait(r.step, name.Task.Index)
 	}
 	s.add(r)
+	if t := r.task(); t != nil {
+		s.waits(t)
+	}
 	if j == nil {
 		s.wantStop(r)
 	}
@@ -301,22 +304,22 @@
 	case workerapi.RefusedFence:
 	case workerapi.RefusedRoom:
 		s.full(w, r.need)
-		s.startRefused(r)
+		s.startRefused(r, reply.Outcome)
 	case workerapi.Busy:
 		s.busy(w)
-		s.startRefused(r)
+		s.startRefused(r, reply.Outcome)
 	default:
-		s.startRefused(r)
+		s.startRefused(r, reply.Outcome)
 	}
 }
 
 // startRefused takes note that one sending of a start was surely not carried out; another may have been.
-func (s *Scheduler) startRefused(r *run) {
+func (s *Scheduler) startRefused(r *run, outcome workerapi.Outcome) {
 	if r.startsOut > 0 || r.startInDoubt {
 		s.doubt(r)
 		return
 	}
-	s.refused(r)
+	s.refused(r, outcome)
 }
 
 // doubt takes note that a start has no clear answer, unless another sending of it still may have one.
@@ -340,9 +343,10 @@
 }
 
 // refused gives up a run that the worker surely hasn't started and won't.
-func (s *Scheduler) refused(r *run) {
+func (s *Scheduler) refused(r *run, outcome workerapi.Outcome) {
 	if t := r.task(); t != nil {
 		t.refusals++
+		t.refusal = outcome
 		t.avoid = r.worker
 	}
 	s.spoilGang(r)
--- a/internal/system/scheduler/steps.go
+++ b/internal/system/scheduler/steps.go
@@ -6,6 +6,7 @@
 
 	"gaugeslip/internal/system/jobspec"
 	"gaugeslip/internal/system/state"
+	"gaugeslip/internal/system/workerapi"
 	"gaugeslip/policy/sizing"
 )
 
@@ -64,6 +65,12 @@
 	failures   uint32
 	moves      int // from workers on which it stood still or fell behind
 	copies     int // that were asked for
+	// since is when its turn came, or when its last run was there; 0 while one is.
+	since       time.Duration
+	toldAt      time.Duration // when the audit told of it last
+	doubted     bool          // the last audit has found no reason for its wait
+	pausedUntil time.Duration
+	refusal     workerapi.Outcome // the last one in turn
 	// carefulUntil is until when a task that has failed before waits for a proven worker.
 	carefulUntil time.Duration
 }
@@ -149,17 +156,26 @@
 func (s *Scheduler) awaitRoom(st *step, index uint32) {
 	t := &st.tasks[index]
 	if pause := t.pause(); pause > 0 {
-		t.state = taskPaused
+		t.state, t.pausedUntil = taskPaused, s.now+pause
+		s.waits(t)
 		s.at(s.now+pause, func() { s.pauseOver(st, index) })
 		return
 	}
 	s.wait(st, index)
 }
 
+// waits takes note that no run of a task is known to be there.
+func (s *Scheduler) waits(t *task) {
+	if t.since == 0 {
+		t.since = max(s.now, 1)
+	}
+}
+
 // wait has a task wait for room from now on.
 func (s *Scheduler) wait(st *step, index uint32) {
 	t := &st.tasks[index]
 	t.state = taskWaiting
+	s.waits(t)
 	st.waiting = append(st.waiting, index)
 	s.enqueue(st)
 	if record := st.record(index); record != nil {
--- a/internal/system/scheduler/world_test.go
+++ b/internal/system/scheduler/world_test.go
@@ -172,6 +172,11 @@
 		w.violated("STATE", "%v", err)
 	}
 	w.sched.checkIdle(w)
+	for _, found := range output.Findings {
+		if found.Mended {
+			w.violated("FORGOTTEN", "%v after %v: %s", found.Task, found.Waited, found.Reason)
+		}
+	}
 	for _, command := range output.Commands {
 		w.propose(command)
 	}
