Play starts that can't be sent in a cluster of 3,000 workers, and beside holds that wait

In the scheduler's world of 3,000 workers no start is sent for 8 s: the audit tells of the refusals, mends nothing, and all 480 tasks have started 1.2 s after the outage.

--- a/internal/system/scheduler/audit_test.go
+++ b/internal/system/scheduler/audit_test.go
@@ -153,3 +153,28 @@
 	told := fmt.Sprint(d.findings)
 	require.Contains(t, told, "refused, the last: not sent")
 }
+
+// While no start can be sent nothing is lost: in a cluster of 3,000 workers all that waits starts soon after, and the log has told why.
+func TestStartsThatCannotBeSentAreMadeUpForInALargeCluster(t *testing.T) {
+	const workers, jobs, tasks = 3000, 60, 8
+	r := newRush(workers, tasks, 4*time.Second)
+	r.run(r.now + time.Second)
+	r.unsentUntil = r.now + 8*time.Second
+	for range jobs {
+		r.submit()
+		r.run(r.now + 50*time.Millisecond)
+	}
+	for r.now+50*time.Millisecond < r.unsentUntil {
+		r.run(r.now + 50*time.Millisecond)
+	}
+	require.Zero(t, r.started)
+	require.Contains(t, fmt.Sprint(r.findings), "refused, the last: not sent")
+	for range 24 { // the longest pause, and what is left of the outage
+		r.run(r.now + 50*time.Millisecond)
+	}
+	require.Equal(t, jobs*tasks, r.started)
+	for _, found := range r.findings {
+		require.False(t, found.Mended, "%+v", found)
+	}
+	require.NoError(t, r.sched.Check())
+}
--- a/internal/system/scheduler/load_test.go
+++ b/internal/system/scheduler/load_test.go
@@ -26,6 +26,8 @@
 	list    []workerapi.Instance
 	// holdCosts is how long the head is busy with each hold, 0 for no time; busyUntil is when it has dealt with all that are out.
 	holdCosts, busyUntil time.Duration
+	unsentUntil          time.Duration // no start is sent before
+	findings             []Finding
 }
 
 type rushWorker struct {
@@ -102,6 +104,7 @@
 func (r *rush) drain() {
 	for {
 		output := r.sched.Drain()
+		r.findings = append(r.findings, output.Findings...)
 		if len(output.Commands)+len(output.Calls) == 0 {
 			return
 		}
@@ -131,6 +134,10 @@
 		})
 		return
 	}
+	if r.now < r.unsentUntil {
+		r.sched.CallEnded(r.now, CallResult{ID: made.ID, Reply: workerapi.HoldReply{Outcome: workerapi.NotSent}})
+		return
+	}
 	r.started++
 	order := made.Start
 	worker.running[order.Task] = workerapi.RunningTask{Task: order.Task, Attempt: order.Attempt}
--- a/internal/system/workerapi/client_test.go
+++ b/internal/system/workerapi/client_test.go
@@ -213,6 +213,37 @@
 	bench.world.AwaitWaiting(1) // the one in use stays
 }
 
+// Holds that wait use nearly all connections, as in a cluster that is as large as the bound allows: a start on each worker in turn is sent.
+func TestStartsAreSentBesideHoldsThatWait(t *testing.T) {
+	const workers, spare = 40, 4
+	bench := newBench(t)
+	client := NewClient(Options{Connections: workers + spare, ConnectionsPerWorker: 8})
+	t.Cleanup(client.Close)
+	var targets []Worker
+	ended := make(chan struct{}, workers)
+	for range workers {
+		worker := bench.world.NewWorker(hollow.WorkerSettings{Backend: testBackend, Allocatable: hollow.Resources{CPU: 2000}})
+		require.NoError(t, worker.Listen())
+		t.Cleanup(worker.Close)
+		targets = append(targets, Worker{Instance: worker.Instance(), Address: worker.Address()})
+		target := targets[len(targets)-1]
+		go func() {
+			_, _ = client.Hold(t.Context(), target, HoldOrder{FenceToken: 1, WaitMs: 2000})
+			ended <- struct{}{}
+		}()
+	}
+	bench.world.AwaitWaiting(workers)
+	for index, target := range targets {
+		reply, err := client.Start(t.Context(), target, order(0, index%9))
+		require.NoError(t, err, "start %d", index)
+		require.NotEqual(t, NotSent, reply.Outcome)
+	}
+	bench.clock.Advance(3 * time.Second)
+	for range workers {
+		<-ended
+	}
+}
+
 // startUnanswered sends a start and gives it up once the worker has it.
 func (bench *bench) startUnanswered() (Reply, error) {
 	ctx, cancel := context.WithCancel(bench.t.Context())
