Give a worker back the room that a refusal cost once nothing runs there

After a refusal for want of room a worker counts as fuller than what is known to run there, and each clean finish gives a part of that back; all of it was to come back when nothing runs. But that was looked at while the run that ended was still in the list, so never: a worker whose other runs were stopped or failed kept a part of its room unused, a worker of accelerators possibly all of it.

--- a/internal/system/scheduler/rules_test.go
+++ b/internal/system/scheduler/rules_test.go
@@ -207,6 +207,26 @@
 	require.Equal(t, 2, d.must(CallStart, "w").Start.Attempt)
 }
 
+// A worker that holds nothing any more has all of its room, however its runs ended.
+func TestRoomThatARefusalCostIsBackOnceNothingRuns(t *testing.T) {
+	d := newDesk(t)
+	d.list(entry("w1", 4000))
+	cancelled := d.submit(stage(1, 1000, time.Second))
+	d.commit()
+	first := d.start("w1")
+	d.submit(stage(1, 3000, time.Second))
+	d.commit()
+	d.answer(d.must(CallStart, "w1"), workerapi.RefusedRoom)
+	d.commit()
+	require.Zero(t, d.count(CallStart), "its room is withheld")
+	d.cancel(cancelled)
+	d.hold("w1", nil, finished(1, first, workerapi.HowStopped))
+	d.commit()
+	d.pass(carefulFor)
+	d.commit()
+	d.must(CallStart, "w1")
+}
+
 func TestHigherTokenEndsTheScheduler(t *testing.T) {
 	d := newDesk(t)
 	d.list(entry("w", 4000))
--- a/internal/system/scheduler/starts.go
+++ b/internal/system/scheduler/starts.go
@@ -118,6 +118,9 @@
 	}
 	delete(w.runs, r.name)
 	w.unlist(r)
+	if len(w.runs) == 0 { // whatever took the room that a refusal has shown to be missing is gone
+		w.withheld = w.withheld[:0]
+	}
 	s.roomFreed(w)
 	if r.step == nil || r.foreign {
 		return
--- a/internal/system/scheduler/workers.go
+++ b/internal/system/scheduler/workers.go
@@ -197,11 +197,8 @@
 	}
 }
 
-// regain gives back one lane after a clean finish, and all when nothing runs.
+// regain gives back one lane after a clean finish.
 func (w *worker) regain() {
-	if len(w.runs) == 0 {
-		w.withheld = w.withheld[:0]
-	}
 	if n := len(w.withheld); n > 0 {
 		w.withheld = w.withheld[:n-1]
 	}
