--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -23,6 +23,9 @@
 	governAt   time.Duration
 	inherited  uint64 // last index at the start of the epoch
 
+	handingOver bool // no writes are taken any more
+	drainedBy   time.Duration
+
 	stuckIndex uint64 // the entry that is watched
 	stuckSince time.Duration
 
@@ -45,12 +48,29 @@
 	synced   uint64
 	acked    uint64
 	leaving  bool
+	broken   bool // its disk refuses
+	silent   bool // out of reach since it was the head's or a candidate's
 	gone     bool // its disk is lost, or it has moved
 }
 
+// learner is one that has asked to become a member, and how promptly it acknowledges.
 type learner struct {
-	member  view.Member
-	heardAt time.Duration
+	member      view.Member
+	heardAt     time.Duration
+	watched     uint64 // an index that it has to acknowledge
+	watchedAt   time.Duration
+	promptSince time.Duration
+	failedAt    time.Duration // writes were held back for it in vain; 0: never
+}
+
+// watch follows what a learner acknowledges.
+func (l *learner) watch(now time.Duration, acked uint64, ok bool, last uint64, most time.Duration) {
+	switch {
+	case ok && acked >= l.watched:
+		l.watched, l.watchedAt = last, now
+	case now-l.watchedAt > most:
+		l.promptSince = now
+	}
 }
 
 // penalty keeps a member out that stopped to acknowledge while it was in touch.
@@ -69,7 +89,7 @@
 		head.learners, head.penalties = nil, nil
 	}
 	if h.announced && !head.announced {
-		r.out.Events = append(r.out.Events, LostHead{h.announcedE})
+		r.out.Events = append(r.out.Events, LostHead{Epoch: h.announcedE, Cause: r.leaseCause(now)})
 	}
 	if head.learners == nil {
 		head.learners = make(map[view.ReplicaID]*learner)
@@ -81,6 +101,7 @@
 			p.ackedAt = now
 		}
 		p.gone = false
+		p.silent = p.silent && r.position() == 0
 		p.echo, p.refused, p.received, p.synced, p.acked = 0, 0, 0, 0, 0
 	}
 	r.head = head
@@ -101,7 +122,10 @@
 	if now >= r.head.beatAt {
 		r.beat(now)
 	}
-	if !r.leading() || !r.IsHead(now) {
+	if r.leading() && !r.entered && r.ownDiskStalls(now) {
+		r.abdicate(now)
+	}
+	if !r.IsHead(now) {
 		return
 	}
 	if len(r.view.Chain) > r.cfg.Tolerance {
@@ -121,6 +145,7 @@
 		since = r.learned
 	}
 	if now-since > r.cfg.Grant && !r.alone() {
+		r.because(now, Cause{Kind: CauseMajorityLost, Member: r.self.ID, Silence: now - since, Patience: r.cfg.Grant})
 		r.abdicate(now)
 		r.electAt = now + r.jitter(r.cfg.Grant/2) + r.cfg.Grant/8
 		return
@@ -153,13 +178,14 @@
 	r.send(voter, m)
 }
 
-// permitReads gives the tail's permission. It ends before the lease does.
+// permitReads gives the tail's permission. It ends before the lease does, and counts at the tail from when it acknowledged
+// the echoed heartbeat, which was before word of that came here.
 func (r *Replica) permitReads(now time.Duration, tail *peer) (echo uint64, readFor time.Duration) {
 	if tail.echo == 0 || tail.leaving || !r.IsHead(now) || now-r.head.stuckSince > stuckNoReads {
 		return 0, 0
 	}
 	readFor = min(r.head.leaseUntil-now, r.cfg.Grant/readPart)
-	r.head.readsUntil = max(r.head.readsUntil, now+readFor)
+	r.head.readsUntil = max(r.head.readsUntil, tail.ackedAt+readFor)
 	return tail.echo, readFor
 }
 
@@ -180,6 +206,7 @@
 	}
 	p := r.peer(from.ID, now)
 	p.heardAt, p.ackedAt = now, now
+	p.silent, p.broken = false, m.Broken
 	p.echo = max(p.echo, m.Sequence)
 	p.received, p.synced, p.acked = m.Received, m.Synced, m.Acked
 	if !m.Granted {
@@ -231,7 +258,7 @@
 	switch {
 	case h.announced && now >= h.leaseUntil:
 		h.announced = false
-		r.out.Events = append(r.out.Events, LostHead{h.announcedE})
+		r.out.Events = append(r.out.Events, LostHead{Epoch: h.announcedE, Cause: r.leaseCause(now)})
 	case r.IsHead(now) && r.Committed() >= h.inherited && (!h.announced || h.announcedE != r.view.Epoch):
 		r.out.Events = append(r.out.Events, BecameHead{Epoch: r.view.Epoch, Continued: h.announced})
 		h.announced, h.announcedE = true, r.view.Epoch
