Change the view for others' faults only: own pauses and slow disks don't count

Causes, as logged: with a shared slow disk each new head handed over for its own disk's sake as soon as one sync took over 250 ms, though no other disk was faster; heartbeats and their answers queued behind the work of the loop and behind pauses of the process; a lease that lapsed for a moment had the scheduler read all workers anew.

A replica now sums up by how much its steps came later than asked for and takes that off every silence that it judges, a grant at most for short pauses. Others are judged only at a Tick, which the loop gives when all that had arrived is handed in; peers' messages and word of the disk go before other work, also in the midst of a batch. A head hands over for its disk only while another disk is ahead; a member's disk is granted what the own one took lately, and time after a short silence. Patience grows with the members that fell out in the last minute: with stalls from the second on, up to 2 s, with silence from the fifth on, up to a second grant. A head that regains its lease goes on with its scheduler.

--- a/coord/replica/cause.go
+++ b/coord/replica/cause.go
@@ -114,7 +114,8 @@
 
 // headSilence is the cause of standing for the place of a head that is silent.
 func (r *Replica) headSilence(now time.Duration) Cause {
-	return Cause{Kind: CauseHeadSilent, Member: r.view.Head().ID, Silence: now - r.expectedAt, Patience: r.electAt - r.expectedAt}
+	return Cause{Kind: CauseHeadSilent, Member: r.view.Head().ID, Silence: now - r.expectedAt,
+		Paused: r.electExcused, Patience: r.electAt - r.expectedAt - r.electExcused}
 }
 
 // dropCause is why the head drops members: the first of them that is to go tells.
@@ -122,25 +123,26 @@
 	at := slices.IndexFunc(r.view.Chain, func(m view.Member) bool { return gone(m.ID) })
 	id := r.view.Chain[at].ID
 	p := r.peer(id, now)
-	cause := Cause{Member: id, Silence: now - p.heardAt}
+	cause := Cause{Member: id, Silence: now - p.heard.at, Paused: r.pausedSince(p.heard)}
 	switch {
 	case p.gone:
 		cause.Kind = CauseDiskLost
 	case p.leaving:
 		cause.Kind = CauseLeaver
 	case id == culprit:
-		cause.Kind, cause.Patience = CauseStuck, r.cfg.StallAfter
+		cause.Kind, cause.Patience = CauseStuck, r.memberPatience(now)
+		cause.Paused = r.pausedSince(r.head.blame.stuck)
 		cause.Index, cause.Stuck = r.head.stuckIndex, now-r.head.stuckSince
 	default:
-		cause.Kind, cause.Patience = CauseSilent, r.cfg.DropAfter
+		cause.Kind, cause.Patience = CauseSilent, r.cfg.DropAfter+r.silencePatience(now)
 	}
 	return cause
 }
 
 // leaveCause is why the head hands over.
-func (r *Replica) leaveCause(now time.Duration) Cause {
-	if r.ownDiskStalls(now) {
-		return Cause{Kind: CauseOwnDisk, Member: r.self.ID, Patience: r.cfg.StallAfter}
+func (r *Replica) leaveCause(now time.Duration, hindered bool) Cause {
+	if hindered {
+		return Cause{Kind: CauseOwnDisk, Member: r.self.ID, Patience: r.stallPatience(now), Index: r.chain.Synced()}
 	}
 	return Cause{Kind: CauseHandover, Member: r.self.ID}
 }
--- a/coord/replica/config.go
+++ b/coord/replica/config.go
@@ -36,14 +36,23 @@
 	refusedRefresh    = time.Second
 	newsAtMostEvery   = 10 * time.Millisecond
 	frozenAfter       = 350 * time.Millisecond // between two steps
-	frozenPatience    = 100 * time.Millisecond
-	wakeAtLeastEvery  = 200 * time.Millisecond
+	frozenPatience    = 200 * time.Millisecond
+	leastPause        = 3 * time.Millisecond  // that a step may come late without being held up
+	wakeAtLeastEvery  = 50 * time.Millisecond // the finer, the less of a pause goes unnoticed
 	penaltyFirst      = 2 * time.Second
 	penaltyMost       = 16 * time.Second
 	penaltyForgiven   = time.Minute
 	learnerHeardSince = 400 * time.Millisecond
 )
 
+// How a head tells whether its own disk is slower than others'.
+const (
+	aheadPart  = 2                // others have to be ahead for this part of StallAfter
+	backAfter  = 2                // heartbeats without an answer after which a member is back again
+	paceKept   = 10 * time.Second // for which a slow sync here is granted to others as well
+	enterParts = 2                // times StallAfter for which a head may wait for its view to be on disk
+)
+
 // earlyKept bounds the messages kept for the chain while a view is on its way to disk.
 const earlyKept = 256
 
--- a/coord/replica/effects.go
+++ b/coord/replica/effects.go
@@ -96,7 +96,8 @@
 	if r.broken || token <= r.synced {
 		return
 	}
-	r.synced = token
+	r.pace.note(now, r.diskIdle(now))
+	r.synced, r.syncedAt = token, now
 	r.releaseWrites(token)
 	r.releaseHeld(token)
 	r.chain.SyncedTo(now, token)
--- a/coord/replica/election.go
+++ b/coord/replica/election.go
@@ -8,18 +8,18 @@
 
 // expectHead sets when to stand for the head's place if nothing is heard from the head till then.
 func (r *Replica) expectHead(now time.Duration) {
-	r.expectedAt = now
+	r.expectedAt, r.electExcused = now, 0
 	at := r.position()
 	if at < 0 || r.leading() {
 		r.electAt = never
 		return
 	}
-	r.electAt = now + r.cfg.Grant + r.cfg.Grant/20 + time.Duration(max(at-1, 0))*electionStagger + r.jitter(electionJitter)
+	r.electAt = now + r.cfg.Grant + r.cfg.Grant/20 + r.silencePatience(now) + time.Duration(max(at-1, 0))*electionStagger + r.jitter(electionJitter)
 }
 
 // elect stands for the head's place when it is time.
 func (r *Replica) elect(now time.Duration) {
-	if now < r.electAt || r.proposer.Active() || r.position() < 0 || r.leaving || r.ownDiskStalls(now) {
+	if !r.judging || now < r.electAt || r.proposer.Active() || r.position() < 0 || r.leaving || r.ownDiskStalls(now) {
 		return
 	}
 	if !r.stands(now) {
@@ -30,7 +30,7 @@
 
 // stands tells whether the cause to stand is known already.
 func (r *Replica) stands(now time.Duration) bool {
-	return r.position() == 0 && (r.cause.Kind == CauseMajorityLost || r.cause.Kind == CauseRestart)
+	return r.position() == 0 && (r.cause.Kind == CauseMajorityLost || r.cause.Kind == CauseRestart || r.cause.Kind == CauseOwnDisk)
 }
 
 // propose begins with a wish of the head's. Nothing is appended in this epoch any more.
--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -20,20 +20,24 @@
 
 // governLeave hands the head's place over where this replica has to go.
 func (r *Replica) governLeave(now time.Duration) bool {
-	if !r.leaving && !r.ownDiskStalls(now) {
+	hindered := r.ownDiskHinders(now)
+	if !r.leaving && !hindered {
 		return false
 	}
 	drained := r.Committed() >= r.LastIndex() || now-r.leaveAt > drainAtMost
-	if !drained && !r.ownDiskStalls(now) {
+	if !drained && !hindered {
 		return true
 	}
 	out := func(id view.ReplicaID) bool { return id == r.self.ID || r.lost(now, id, "") }
-	return r.proposeWithout(now, out, r.leaveCause(now))
+	return r.proposeWithout(now, out, r.leaveCause(now, hindered))
 }
 
 // governChain drops members that are gone.
 func (r *Replica) governChain(now time.Duration) bool {
-	culprit := r.culprit(now)
+	culprit := view.ReplicaID("")
+	if r.judging {
+		culprit = r.culprit(now)
+	}
 	gone := func(id view.ReplicaID) bool { return r.lost(now, id, culprit) }
 	if !slices.ContainsFunc(r.view.Chain, func(m view.Member) bool { return gone(m.ID) }) {
 		return false
@@ -53,7 +57,10 @@
 		return false
 	}
 	p := r.peer(id, now)
-	return id == culprit || p.gone || p.leaving || now-p.heardAt > r.cfg.DropAfter
+	if id == culprit || p.gone || p.leaving {
+		return true
+	}
+	return r.judging && r.since(now, p.heard) > r.cfg.DropAfter+r.silencePatience(now)
 }
 
 func (r *Replica) proposeWithout(now time.Duration, gone func(view.ReplicaID) bool, cause Cause) bool {
--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -20,11 +20,15 @@
 	readsUntil time.Duration // the tail's permission, by the clock here
 	announced  bool
 	announcedE uint64 // the epoch of BecameHead
-	governAt   time.Duration
-	inherited  uint64 // last index at the start of the epoch
+	// served is one more than the epoch up to which this replica has been the head since BecameHead, with no other in between.
+	served    uint64
+	governAt  time.Duration
+	inherited uint64 // last index at the start of the epoch
 
 	stuckIndex uint64 // the entry that is watched
 	stuckSince time.Duration
+	blame      blameState
+	majority   mark // when the lease was renewed last
 
 	learners  map[view.ReplicaID]*learner
 	admitting view.ReplicaID // writes are held back for it
@@ -35,7 +39,7 @@
 
 // peer is what is known of another replica.
 type peer struct {
-	heardAt  time.Duration // last acknowledgement, or the start of the epoch
+	heard    mark          // last acknowledgement, or the start of the epoch
 	ackedAt  time.Duration // last acknowledgement, or the start of this replica's time as head
 	epoch    uint64        // of the newest view that it has shown to know
 	knows    bool
@@ -62,9 +66,12 @@
 func (r *Replica) resetHead(now time.Duration) {
 	h := &r.head
 	head := headState{lease: view.NewLease(r.cfg.Grant, r.numbering), allowed: true, beatAt: now, governAt: now, stuckSince: now,
-		learners: h.learners, penalties: h.penalties}
+		majority: r.mark(now), blame: blameState{stuck: r.mark(now)}, learners: h.learners, penalties: h.penalties}
 	if r.position() == 0 {
 		head.announced, head.announcedE, head.leaseUntil = h.announced, h.announcedE, h.leaseUntil
+		if h.served != 0 && h.served == r.view.Epoch {
+			head.served = h.served + 1
+		}
 	} else {
 		head.learners, head.penalties = nil, nil
 	}
@@ -76,7 +83,7 @@
 		head.penalties = make(map[view.ReplicaID]penalty)
 	}
 	for _, p := range r.peers {
-		p.heardAt = max(p.heardAt, now)
+		p.heard = r.mark(now)
 		if !head.announced {
 			p.ackedAt = now
 		}
@@ -98,40 +105,33 @@
 
 // lead does a head's work.
 func (r *Replica) lead(now time.Duration) {
+	if r.judging && r.resigns(now) {
+		return
+	}
 	if now >= r.head.beatAt {
 		r.beat(now)
 	}
-	if !r.leading() || !r.IsHead(now) {
+	if !r.IsHead(now) {
 		return
 	}
 	if len(r.view.Chain) > r.cfg.Tolerance {
 		r.chain.Commit(now)
 	}
 	r.watchStuck(now)
-	if r.leaving || r.head.admitting != "" || now >= r.head.governAt {
+	if r.judging || r.leaving || r.head.admitting != "" || now >= r.head.governAt {
 		r.head.governAt = now + governEvery
 		r.govern(now)
 	}
 }
 
-// beat sends heartbeats, unless a majority hasn't been heard for a grant: others must be able to take over then.
+// beat sends heartbeats.
 func (r *Replica) beat(now time.Duration) {
-	since, ok := r.head.lease.MajoritySince(r.view)
-	if !ok {
-		since = r.learned
-	}
-	if now-since > r.cfg.Grant && !r.alone() {
-		r.because(now, Cause{Kind: CauseMajorityLost, Member: r.self.ID, Silence: now - since, Patience: r.cfg.Grant})
-		r.abdicate(now)
-		r.electAt = now + r.jitter(r.cfg.Grant/2) + r.cfg.Grant/8
-		return
-	}
 	sequence := r.head.lease.Sent(now)
 	r.head.beatAt = now + r.cfg.HeartbeatEvery
 	if r.view.IsVoter(r.self.ID) && !r.acceptor.PromisedAway(r.self.ID) {
 		r.grant = max(r.grant, now+r.cfg.Grant)
 		r.head.lease.Granted(r.self.ID, sequence)
-		r.renewLease()
+		r.renewLease(now)
 	}
 	for _, voter := range r.view.Voters {
 		if voter.ID != r.self.ID {
@@ -164,8 +164,11 @@
 	return tail.echo, readFor
 }
 
-func (r *Replica) renewLease() {
-	r.head.leaseUntil = max(r.head.leaseUntil, r.head.lease.Until(r.view))
+func (r *Replica) renewLease(now time.Duration) {
+	if until := r.head.lease.Until(r.view); until > r.head.leaseUntil {
+		r.head.leaseUntil = until
+		r.head.majority = r.mark(now)
+	}
 }
 
 // abdicate ends this replica's part as the head of the present epoch.
@@ -180,7 +183,8 @@
 		return
 	}
 	p := r.peer(from.ID, now)
-	p.heardAt, p.ackedAt = now, now
+	r.backAgain(now, p)
+	p.heard, p.ackedAt = r.mark(now), now
 	p.echo = max(p.echo, m.Sequence)
 	p.received, p.synced, p.acked = m.Received, m.Synced, m.Acked
 	if !m.Granted {
@@ -191,39 +195,7 @@
 	}
 	p.refused = 0
 	r.head.lease.Granted(from.ID, m.Sequence)
-	r.renewLease()
-}
-
-// watchStuck follows one entry after the other to its commitment.
-func (r *Replica) watchStuck(now time.Duration) {
-	last := r.LastIndex()
-	if r.Committed() >= r.head.stuckIndex || len(r.view.Chain) <= r.cfg.Tolerance {
-		r.head.stuckIndex, r.head.stuckSince = last, now
-	}
-}
-
-// culprit is the member because of which nothing has been committed for too long, if any.
-func (r *Replica) culprit(now time.Duration) view.ReplicaID {
-	stuck := r.head.stuckIndex
-	if now-r.head.stuckSince <= r.cfg.StallAfter || r.Committed() >= stuck {
-		return ""
-	}
-	for _, member := range r.view.Chain[1:] {
-		if p := r.peers[member.ID]; p != nil && p.synced < stuck {
-			return member.ID
-		}
-	}
-	for _, member := range r.view.Chain[1:] {
-		if p := r.peers[member.ID]; p != nil && p.acked >= stuck {
-			return member.ID
-		}
-	}
-	return ""
-}
-
-// ownDiskStalls tells whether the disk here has taken too long.
-func (r *Replica) ownDiskStalls(now time.Duration) bool {
-	return r.broken || len(r.writes) > 0 && now-r.writes[0].at > r.cfg.StallAfter
+	r.renewLease(now)
 }
 
 // announce tells of the head's place won or lost.
@@ -234,15 +206,15 @@
 		h.announced = false
 		r.out.Events = append(r.out.Events, LostHead{Epoch: h.announcedE, Cause: r.leaseCause(now)})
 	case r.IsHead(now) && r.Committed() >= h.inherited && (!h.announced || h.announcedE != r.view.Epoch):
-		r.out.Events = append(r.out.Events, BecameHead{Epoch: r.view.Epoch, Continued: h.announced})
-		h.announced, h.announcedE = true, r.view.Epoch
+		r.out.Events = append(r.out.Events, BecameHead{Epoch: r.view.Epoch, Continued: h.announced || h.served == r.view.Epoch+1})
+		h.announced, h.announcedE, h.served = true, r.view.Epoch, r.view.Epoch+1
 	}
 }
 
 func (r *Replica) peer(id view.ReplicaID, now time.Duration) *peer {
 	p := r.peers[id]
 	if p == nil {
-		p = &peer{heardAt: now, ackedAt: now}
+		p = &peer{heard: r.mark(now), ackedAt: now}
 		r.peers[id] = p
 	}
 	return p
--- a/coord/replica/inspect.go
+++ b/coord/replica/inspect.go
@@ -83,7 +83,7 @@
 		status.Heard = 0
 		status.Received, status.Synced, status.Acked = r.LastIndex(), r.chain.Synced(), r.chain.Acked()
 	case known != nil && r.leading():
-		status.Heard = now - known.heardAt
+		status.Heard = now - known.heard.at
 		status.Received, status.Synced, status.Acked = known.received, known.synced, known.acked
 		status.Leaving, status.Gone = known.leaving, known.gone
 	}
--- a/coord/replica/machine_test.go
+++ b/coord/replica/machine_test.go
@@ -69,6 +69,9 @@
 	} else {
 		cfg.Genesis = m.genesis
 	}
+	if w.configure != nil {
+		w.configure(&cfg)
+	}
 	restored, err := Restore(m.records)
 	if err != nil {
 		w.fail("%s restores: %v", m.address, err)
--- /dev/null
+++ b/coord/replica/pauses_test.go
@@ -0,0 +1,192 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// The program's timing.
+const (
+	quickGrant     = 450 * time.Millisecond
+	quickHeartbeat = 90 * time.Millisecond
+	quickDrop      = 400 * time.Millisecond
+	quickStall     = 250 * time.Millisecond
+)
+
+// quick is a deployment of three with the program's timing that has started, with writes.
+func quick(t *testing.T, seed uint64) *world {
+	w := newWorld(seed, 3, 0, 1)
+	w.configure = func(c *Config) {
+		c.Grant, c.HeartbeatEvery, c.DropAfter, c.StallAfter = quickGrant, quickHeartbeat, quickDrop, quickStall
+	}
+	w.write(20 * time.Millisecond)
+	w.run(warmUp)
+	require.NoError(t, w.failure)
+	require.NotNil(t, w.head())
+	return w
+}
+
+// hold holds a machine up again and again, each time for a length between the bounds, with rests between them.
+func (w *world) hold(m *machine, low, high, restLow, restHigh time.Duration) {
+	length := w.between(low, high)
+	m.freeze(length)
+	w.after(length+w.between(restLow, restHigh), func() { w.hold(m, low, high, restLow, restHigh) })
+}
+
+// slowSyncs has a machine's disk take a time between the bounds for each sync.
+func (w *world) slowSyncs(m *machine, low, high time.Duration) {
+	m.sync = w.between(low, high) * 4 / 5 // a sync takes up to half as much again
+	w.after(m.sync, func() { w.slowSyncs(m, low, high) })
+}
+
+const (
+	pausedSeeds = 10
+	pausedFor   = 30 * time.Second
+)
+
+// changesWhile counts the changes of view on all seeds while something goes on that calls for none.
+func changesWhile(t *testing.T, trouble func(w *world)) int {
+	count := 0
+	for seed := range uint64(pausedSeeds) {
+		w := quick(t, seed)
+		before := w.head().process.View().Epoch
+		c := observeCauses(w)
+		trouble(w)
+		w.run(w.now + pausedFor)
+		require.NoError(t, w.failure, "seed %d", seed)
+		newest := before
+		for _, m := range w.machines {
+			newest = max(newest, m.process.View().Epoch)
+		}
+		count += int(newest - before)
+		for _, cause := range c.seen {
+			t.Logf("seed %d: %+v", seed, cause)
+		}
+	}
+	t.Logf("%d changes in %v", count, pausedSeeds*pausedFor)
+	return count
+}
+
+func TestShortPausesChangeTheViewRarely(t *testing.T) {
+	changes := changesWhile(t, func(w *world) {
+		for _, m := range w.machines {
+			w.hold(m, 100*time.Millisecond, 300*time.Millisecond, 200*time.Millisecond, 800*time.Millisecond)
+		}
+	})
+	assert.LessOrEqual(t, changes, pausedSeeds)
+}
+
+func TestOnePausingReplicaChangesTheViewRarely(t *testing.T) {
+	changes := changesWhile(t, func(w *world) {
+		w.hold(w.machines[w.seed%3], 100*time.Millisecond, 300*time.Millisecond, 100*time.Millisecond, 400*time.Millisecond)
+	})
+	assert.LessOrEqual(t, changes, pausedSeeds)
+}
+
+func TestDisksThatAreSlowEverywhereChangeTheViewRarely(t *testing.T) {
+	changes := changesWhile(t, func(w *world) {
+		for _, m := range w.machines {
+			w.slowSyncs(m, 100*time.Millisecond, 300*time.Millisecond)
+		}
+	})
+	// Two members fall out and come back on a seed; then patience has grown past the longest sync.
+	assert.LessOrEqual(t, changes, 5*pausedSeeds)
+}
+
+func TestADeadHeadIsReplacedInTimeAmongPauses(t *testing.T) {
+	for seed := range uint64(deploymentSeeds) {
+		w := quick(t, seed)
+		head := w.head()
+		for _, m := range w.machines {
+			w.hold(m, 100*time.Millisecond, 300*time.Millisecond, 200*time.Millisecond, 800*time.Millisecond)
+		}
+		w.run(w.now + 2*time.Second)
+		head.losePower()
+		assert.Less(t, w.untilCommitted(5*time.Second), 3*quickGrant, "seed %d", seed)
+		require.NoError(t, w.failure, "seed %d", seed)
+	}
+}
+
+func TestADeadHeadIsReplacedAfterAboutAGrant(t *testing.T) {
+	for seed := range uint64(deploymentSeeds) {
+		w := quick(t, seed)
+		w.head().losePower()
+		assert.Less(t, w.untilCommitted(5*time.Second), quickGrant*3/2, "seed %d", seed)
+		require.NoError(t, w.failure, "seed %d", seed)
+	}
+}
+
+func TestAHeadWhoseDiskAloneStallsIsReplacedInTime(t *testing.T) {
+	for seed := range uint64(deploymentSeeds) {
+		w := quick(t, seed)
+		head := w.head()
+		head.stalled = w.now + time.Hour
+		w.run(w.now + 20*time.Millisecond)
+		assert.Less(t, w.untilCommitted(5*time.Second), 2*quickStall, "seed %d", seed)
+		require.NoError(t, w.failure, "seed %d", seed)
+	}
+}
+
+// A head whose disk stalls before its view is on it would else keep its place with its heartbeats, and nobody commits.
+func TestAHeadThatCannotStoreItsViewGivesUpItsPlace(t *testing.T) {
+	for seed := range uint64(deploymentSeeds) {
+		w := quick(t, seed)
+		head, successor := w.head(), w.member(1)
+		head.losePower()
+		w.after(time.Second, head.start)
+		for w.now < time.Minute && successor.process.position() != 0 {
+			w.run(w.now + time.Millisecond)
+		}
+		require.False(t, successor.process.entered)
+		successor.stalled = w.now + time.Hour
+		assert.Less(t, w.untilCommitted(8*time.Second), 4*time.Second, "seed %d", seed)
+		require.NoError(t, w.failure, "seed %d", seed)
+	}
+}
+
+func TestAHeadThatRegainsItsLeaseGoesOn(t *testing.T) {
+	for seed := range uint64(deploymentSeeds) {
+		w := quick(t, seed)
+		head := w.head()
+		epoch := head.process.View().Epoch
+		var regained []BecameHead
+		w.trace = func(_ string, args ...any) {
+			for _, arg := range args {
+				if event, ok := arg.(BecameHead); ok && event.Epoch == epoch {
+					regained = append(regained, event)
+				}
+			}
+		}
+		for _, m := range w.machines {
+			w.cuts[[2]string{m.address, head.address}] = w.now + quickGrant
+		}
+		w.run(w.now + time.Second)
+		require.NoError(t, w.failure, "seed %d", seed)
+		for _, event := range regained {
+			assert.True(t, event.Continued, "seed %d", seed)
+		}
+	}
+}
+
+func TestPatienceGrowsWithUpsetsAndIsBounded(t *testing.T) {
+	w := quick(t, 1)
+	r := w.head().process
+	now := w.head().clock()
+	require.Empty(t, r.upsets)
+	assert.Equal(t, quickStall, r.stallPatience(now))
+	r.upsets = []time.Duration{now}
+	assert.Equal(t, quickStall, r.stallPatience(now), "the first is met at once")
+	r.upsets = append(r.upsets, now, now)
+	assert.Equal(t, 4*quickStall, r.stallPatience(now))
+	assert.Zero(t, r.silencePatience(now))
+	for range 20 {
+		r.upsets = append(r.upsets, now)
+	}
+	assert.Equal(t, 8*quickStall, r.stallPatience(now))
+	assert.Equal(t, quickGrant, r.silencePatience(now))
+	assert.Equal(t, quickStall, r.stallPatience(now+upsetFor))
+	assert.Zero(t, r.silencePatience(now+upsetFor))
+}
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -23,6 +23,9 @@
 	fresh   bool // the disk was empty: no earlier life
 	started time.Duration
 	stepped time.Duration
+	pauses  pauses
+	judging bool            // all that had arrived before this step has been handed in
+	upsets  []time.Duration // when members fell out of the chain
 
 	view     view.View
 	place    int           // in the chain, -1 without one
@@ -33,6 +36,8 @@
 	repeatAt time.Duration // of the ballot
 	outbidAt time.Duration // when to begin a higher one; 0: not
 	electAt  time.Duration
+	// electExcused is by how much own pauses have put electAt off.
+	electExcused time.Duration
 	// expectedAt is since when the head's next heartbeat is waited for.
 	expectedAt time.Duration
 	cause      Cause // of the last own wish for a view
@@ -56,11 +61,14 @@
 
 	token  uint64 // last given out
 	synced uint64
-	writes []write // on their way to disk
-	held   []heldMessage
-	early  []*Message // for the chain, before the view is on disk
-	local  []*Message // to this replica itself
-	out    Output
+	// syncedAt is when a sync ended last.
+	syncedAt time.Duration
+	pace     diskPace
+	writes   []write // on their way to disk
+	held     []heldMessage
+	early    []*Message // for the chain, before the view is on disk
+	local    []*Message // to this replica itself
+	out      Output
 }
 
 // write is a batch of records on its way to disk.
@@ -129,9 +137,10 @@
 	}
 }
 
-// Step takes one input.
+// Step takes one input. Others are judged for their silence at a Tick only.
 func (r *Replica) Step(now time.Duration, in Input) Output {
 	r.awake(now)
+	_, r.judging = in.(Tick)
 	switch in := in.(type) {
 	case Receive:
 		r.receive(now, in.Message)
@@ -155,6 +164,7 @@
 // data must not be changed any more.
 func (r *Replica) Propose(now time.Duration, data [][]byte) (first uint64, out Output, err error) {
 	r.awake(now)
+	r.judging = false
 	if err = r.CanPropose(now); err == nil {
 		first = r.chain.Append(now, data)
 	}
@@ -176,24 +186,6 @@
 	return nil
 }
 
-// awake notices where this process stood still: what others did meanwhile hasn't been looked at yet.
-func (r *Replica) awake(now time.Duration) {
-	if gap := now - r.stepped; gap > frozenAfter {
-		for _, p := range r.peers {
-			p.heardAt += gap
-			p.ackedAt += gap
-		}
-		for i := range r.writes {
-			r.writes[i].at += gap
-		}
-		r.head.stuckSince += gap
-		if r.electAt != never {
-			r.electAt = max(r.electAt, now+frozenPatience)
-		}
-	}
-	r.stepped = now
-}
-
 // finish does what is due and hands out what has come up.
 func (r *Replica) finish(now time.Duration) Output {
 	r.work(now)
@@ -212,6 +204,7 @@
 		r.writes = append(r.writes, write{r.token, now})
 	}
 	r.out.Wake = r.wake(now)
+	r.pauses.due = r.out.Wake
 	out := r.out
 	r.out = Output{}
 	return out
@@ -234,6 +227,9 @@
 	at := min(now+wakeAtLeastEvery, r.chain.Wake())
 	if r.leading() {
 		at = min(at, r.head.beatAt)
+		if r.IsHead(now) {
+			at = min(at, r.head.governAt)
+		}
 	} else {
 		at = min(at, r.electAt)
 	}
@@ -255,6 +251,7 @@
 		return
 	}
 	cause := r.causeOf(v, from)
+	r.noteUpset(now, r.view, v)
 	r.setView(now, v)
 	r.store(encodeView(v))
 	r.acceptor.Reset(v.Epoch + 1)
--- /dev/null
+++ b/coord/replica/resign.go
@@ -0,0 +1,43 @@
+package replica
+
+import "time"
+
+// resigns ends this replica's part as the head where its heartbeats would only keep others from taking over: it hasn't heard a
+// majority for a grant, or its view doesn't get on its disk.
+func (r *Replica) resigns(now time.Duration) bool {
+	switch {
+	case r.lostMajority(now):
+		r.abdicate(now)
+		r.electAt = now + r.jitter(r.cfg.Grant/2) + r.cfg.Grant/8
+	case r.cannotEnter(now):
+		r.abdicate(now)
+		r.electAt = now + r.cfg.Grant + r.jitter(r.cfg.Grant/2)
+	default:
+		return false
+	}
+	return true
+}
+
+// lostMajority tells whether no majority has granted a heartbeat for a grant, own pauses taken off.
+func (r *Replica) lostMajority(now time.Duration) bool {
+	since, ok := r.head.lease.MajoritySince(r.view)
+	if !ok {
+		since = r.learned
+	}
+	paused := r.pausedSince(r.head.majority)
+	if now-since-paused <= r.cfg.Grant || r.alone() {
+		return false
+	}
+	r.because(now, Cause{Kind: CauseMajorityLost, Member: r.self.ID, Silence: now - since, Paused: paused, Patience: r.cfg.Grant})
+	return true
+}
+
+// cannotEnter tells whether the disk here takes too long over the view that made this replica the head.
+func (r *Replica) cannotEnter(now time.Duration) bool {
+	patience := enterParts * r.stallPatience(now)
+	if r.entered || r.diskIdle(now) <= patience || r.alone() {
+		return false
+	}
+	r.because(now, Cause{Kind: CauseOwnDisk, Member: r.self.ID, Patience: patience})
+	return true
+}
--- a/coord/replica/simulation_test.go
+++ b/coord/replica/simulation_test.go
@@ -31,6 +31,7 @@
 	trace     func(format string, args ...any)
 	written   int
 	hasty     bool // members are dropped much too early
+	configure func(*Config)
 }
 
 type event struct {
--- a/internal/system/control/loop.go
+++ b/internal/system/control/loop.go
@@ -6,13 +6,18 @@
 )
 
 // loop runs functions one after the other on one goroutine: the owner of all cores of a replica. What comes in while it is busy
-// is taken as one batch, and the end of each batch is where the cores' output is collected.
+// is taken as one batch, and the end of each batch is where the cores' output is collected. What the replica core waits for, its
+// peers' messages and word of its disk, goes before all else, also in the midst of a batch: heartbeats don't queue behind work.
 type loop struct {
 	mutex   sync.Mutex
+	urgent  []func()
 	queue   []func()
 	wake    chan struct{}
 	stopped chan struct{}
 	once    sync.Once
+	// between, if set, runs before each function of a batch and after it, once nothing urgent waits.
+	between func()
+	spare   []func()
 }
 
 func newLoop() *loop {
@@ -24,13 +29,25 @@
 	l.mutex.Lock()
 	l.queue = append(l.queue, work)
 	l.mutex.Unlock()
+	l.rouse()
+}
+
+// postUrgent hands in a function that goes before those of post. Urgent ones run in the order in which they came.
+func (l *loop) postUrgent(work func()) {
+	l.mutex.Lock()
+	l.urgent = append(l.urgent, work)
+	l.mutex.Unlock()
+	l.rouse()
+}
+
+func (l *loop) rouse() {
 	select {
 	case l.wake <- struct{}{}:
 	default:
 	}
 }
 
-// take gives all that waits.
+// take gives all that waits and isn't urgent.
 func (l *loop) take(reuse []func()) []func() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -39,6 +56,28 @@
 	return batch
 }
 
+// takeUrgent gives all urgent ones that wait.
+func (l *loop) takeUrgent(reuse []func()) []func() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	batch := l.urgent
+	l.urgent = reuse[:0]
+	return batch
+}
+
+// attend runs what is urgent and had come in before, and then between.
+func (l *loop) attend() {
+	batch := l.takeUrgent(l.spare)
+	for i, work := range batch {
+		work()
+		batch[i] = nil
+	}
+	l.spare = batch
+	if l.between != nil {
+		l.between()
+	}
+}
+
 // run works until stop; after each batch flush collects output and gives the moment at which the loop has to wake by itself, as a
 // duration from now.
 func (l *loop) run(flush func() time.Duration) {
@@ -46,10 +85,12 @@
 	defer timer.Stop()
 	var batch []func()
 	for {
+		l.attend()
 		batch = l.take(batch)
 		for i, work := range batch {
 			work()
 			batch[i] = nil
+			l.attend()
 		}
 		timer.Reset(max(flush(), 0))
 		select {
--- /dev/null
+++ b/internal/system/control/loop_test.go
@@ -0,0 +1,28 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestWhatIsUrgentGoesFirstInTheMidstOfABatchToo(t *testing.T) {
+	l := newLoop()
+	var order []string
+	note := func(what string) func() { return func() { order = append(order, what) } }
+	l.post(func() {
+		order = append(order, "first")
+		l.post(note("third"))
+		l.postUrgent(note("message"))
+	})
+	l.post(note("second"))
+	l.postUrgent(note("before"))
+	l.between = note("tick")
+	l.post(func() { l.post(l.stop) })
+	l.run(func() time.Duration { return 0 })
+	require.GreaterOrEqual(t, len(order), 10)
+	// After "third" the end may wait for another round.
+	assert.Equal(t, []string{"before", "tick", "first", "message", "tick", "second", "tick", "tick", "tick", "third"}, order[:10])
+}
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -79,6 +79,7 @@
 	listAt          time.Duration
 	listFailures    int
 	clockAt         time.Duration
+	tickedAt        time.Duration
 	// overSince is when this replica, as the head, first saw each job over; forgetAt is when it looks next.
 	overSince      map[state.JobID]time.Duration
 	forgetAt       time.Duration
@@ -111,6 +112,7 @@
 		return nil, err
 	}
 	n.members.Start()
+	n.loop.between = n.tickCore
 	go func() { _ = n.server.Serve() }()
 	n.logger.Info("replica started", "address", n.self().Address, "id", n.engine.replica.Self().ID, "epoch", n.engine.view().Epoch)
 	go n.loop.run(n.flush)
@@ -159,7 +161,7 @@
 }
 
 func (n *Node) received(messages []*replica.Message) {
-	n.loop.post(func() {
+	n.loop.postUrgent(func() {
 		for _, message := range messages {
 			n.engine.step(replica.Receive{Message: message})
 		}
@@ -179,7 +181,7 @@
 	if err != nil {
 		return fmt.Errorf("open log: %w", err)
 	}
-	engine, err := newEngine(engineOptions{config: n.replicaConfig(), log: file, records: records, now: n.now, post: n.loop.post,
+	engine, err := newEngine(engineOptions{config: n.replicaConfig(), log: file, records: records, now: n.now, post: n.loop.postUrgent,
 		send: n.sender.Send, applied: n.applied, committed: n.counts.latency.Observe, installed: n.installed, event: n.event,
 		failed: n.engineFailed, fault: n.fail, rewritten: n.logRewritten})
 	if err != nil {
--- a/internal/system/control/roles.go
+++ b/internal/system/control/roles.go
@@ -21,18 +21,18 @@
 	listRetryMost     = 2 * time.Second
 	forgetAtMost      = 8192
 	forgetEvery       = 10 * time.Second
+	// tickEvery is how often the core is told to judge at least, while there is anything to do: each of its steps may put its wake off.
+	tickEvery = 10 * time.Millisecond
 )
 
 // flush collects what the cores want done after a batch of inputs, until nothing more comes up, and gives the time to the next wake.
 func (n *Node) flush() time.Duration {
-	now := n.now()
-	if !n.engine.closed && now >= n.engine.wake {
-		n.engine.step(replica.Tick{})
-	}
+	n.loop.attend()
 	n.takeConfig()
-	n.periodic(now)
+	n.periodic(n.now())
 	for range 8 {
 		ordered := n.runScheduler()
+		n.loop.attend()
 		if !n.engine.flush() && !ordered {
 			break
 		}
@@ -40,6 +40,15 @@
 	return n.nextWake()
 }
 
+// tickCore lets the replica core judge, beat and stand for election as soon as that is due, also in the midst of a batch: just then
+// all that had come in for it has been handed to it.
+func (n *Node) tickCore() {
+	if now := n.now(); !n.engine.closed && (now >= n.engine.wake || now-n.tickedAt >= tickEvery) {
+		n.tickedAt = now
+		n.engine.step(replica.Tick{})
+	}
+}
+
 func (n *Node) nextWake() time.Duration {
 	now := n.now()
 	wake := min(n.clockAt, n.housekeepingAt)
