--- a/coord/replica/blame.go
+++ b/coord/replica/blame.go
@@ -45,12 +45,22 @@
 
 // culprit is the member because of which nothing has been committed for too long, if any.
 func (r *Replica) culprit(now time.Duration) view.ReplicaID {
+	id := r.holder(now)
+	if id == "" || r.since(now, r.head.blame.stuck) <= r.memberPatience(now, id) {
+		return ""
+	}
+	return id
+}
+
+// holder is the member that holds the watched entry up, if any does: the first that hasn't got it on disk, or is silent, so that what
+// it has can't get on or back.
+func (r *Replica) holder(now time.Duration) view.ReplicaID {
 	stuck := r.head.stuckIndex
-	if r.since(now, r.head.blame.stuck) <= r.memberPatience(now) || r.Committed() >= stuck {
+	if r.Committed() >= stuck {
 		return ""
 	}
 	for _, member := range r.view.Chain[1:] {
-		if p := r.peers[member.ID]; p != nil && p.synced < stuck {
+		if p := r.peers[member.ID]; p != nil && (p.synced < stuck || r.quiet(now, p)) {
 			return member.ID
 		}
 	}
@@ -62,6 +72,11 @@
 	return ""
 }
 
+// quiet tells whether a member has let heartbeats go without an answer.
+func (r *Replica) quiet(now time.Duration, p *peer) bool {
+	return r.since(now, p.heard) > backAfter*r.cfg.HeartbeatEvery
+}
+
 // backAgain gives a member that was silent for a while, but shorter than it may be, the time to make up for it: its disk can't be
 // blamed for what it hadn't been told yet.
 func (r *Replica) backAgain(now time.Duration, p *peer) {
@@ -72,7 +87,7 @@
 
 // ownDiskStalls tells whether the disk here has done nothing for too long.
 func (r *Replica) ownDiskStalls(now time.Duration) bool {
-	return r.broken || r.diskIdle(now) > r.stallPatience(now)
+	return r.broken || r.diskIdle(now) > r.stallPatience(now, r.self.ID)
 }
 
 // diskIdle is for how long writes have waited without any of them ending.
@@ -94,8 +109,8 @@
 }
 
 // memberPatience is how long an entry may wait for one member: what the own disk took lately is granted to others' as well.
-func (r *Replica) memberPatience(now time.Duration) time.Duration {
-	return r.stallPatience(now) + min(r.pace.recent(now), r.cfg.StallAfter)
+func (r *Replica) memberPatience(now time.Duration, id view.ReplicaID) time.Duration {
+	return r.stallPatience(now, id) + min(r.pace.recent(now), r.cfg.StallAfter)
 }
 
 // diskPace keeps the longest sync of late.
--- a/coord/replica/cause.go
+++ b/coord/replica/cause.go
@@ -28,6 +28,8 @@
 	CauseStuck CauseKind = "stuck"
 	// CauseOwnDisk: the head handed over, as its own disk hadn't synced for longer than Patience, or refuses.
 	CauseOwnDisk CauseKind = "own-disk"
+	// CauseDiskRefuses: the head dropped a member that had told that its disk refuses or stalls.
+	CauseDiskRefuses CauseKind = "disk-refuses"
 	// CauseHandover: the head was asked to leave.
 	CauseHandover CauseKind = "handover"
 	// CauseLeaver: a member asked to leave.
@@ -118,31 +120,43 @@
 		Paused: r.electExcused, Patience: r.electAt - r.expectedAt - r.electExcused}
 }
 
-// dropCause is why the head drops members: the first of them that is to go tells.
-func (r *Replica) dropCause(now time.Duration, culprit view.ReplicaID, gone func(view.ReplicaID) bool) Cause {
-	at := slices.IndexFunc(r.view.Chain, func(m view.Member) bool { return gone(m.ID) })
+// dropCause is why the head drops the members that aren't in the chain that is left: the first of them tells.
+func (r *Replica) dropCause(now time.Duration, culprit view.ReplicaID, left []view.Member) Cause {
+	at := slices.IndexFunc(r.view.Chain, func(m view.Member) bool { return !slices.Contains(left, m) })
 	id := r.view.Chain[at].ID
 	p := r.peer(id, now)
 	cause := Cause{Member: id, Silence: now - p.heard.at, Paused: r.pausedSince(p.heard)}
 	switch {
 	case p.gone:
 		cause.Kind = CauseDiskLost
+	case p.broken:
+		cause.Kind = CauseDiskRefuses
 	case p.leaving:
 		cause.Kind = CauseLeaver
 	case id == culprit:
-		cause.Kind, cause.Patience = CauseStuck, r.memberPatience(now)
+		cause.Kind, cause.Patience = CauseStuck, r.memberPatience(now, id)
 		cause.Paused = r.pausedSince(r.head.blame.stuck)
 		cause.Index, cause.Stuck = r.head.stuckIndex, now-r.head.stuckSince
 	default:
-		cause.Kind, cause.Patience = CauseSilent, r.cfg.DropAfter+r.silencePatience(now)
+		cause.Kind, cause.Patience = CauseSilent, r.cfg.DropAfter+r.silencePatience(now, id)
 	}
 	return cause
 }
 
+// seatCause is why a voter that isn't among the next ones loses its seat.
+func (r *Replica) seatCause(now time.Duration, next view.View) Cause {
+	at := slices.IndexFunc(r.view.Voters, func(m view.Member) bool { return !next.IsVoter(m.ID) })
+	if at < 0 {
+		return Cause{Kind: CauseSeat}
+	}
+	id := r.view.Voters[at].ID
+	return Cause{Kind: CauseSeat, Member: id, Silence: now - r.peer(id, now).ackedAt, Patience: voterGoneAfter}
+}
+
 // leaveCause is why the head hands over.
 func (r *Replica) leaveCause(now time.Duration, hindered bool) Cause {
 	if hindered {
-		return Cause{Kind: CauseOwnDisk, Member: r.self.ID, Patience: r.stallPatience(now), Index: r.chain.Synced()}
+		return Cause{Kind: CauseOwnDisk, Member: r.self.ID, Patience: r.stallPatience(now, r.self.ID), Index: r.chain.Synced()}
 	}
 	return Cause{Kind: CauseHandover, Member: r.self.ID}
 }
--- a/coord/replica/cause_test.go
+++ b/coord/replica/cause_test.go
@@ -107,6 +107,7 @@
 	w.run(w.now + time.Second)
 	assert.Equal(t, CauseLeaver, c.first(t).Kind)
 	assert.Equal(t, leaver.process.Self().ID, c.first(t).Member)
+	w = calm(t, 5, 3, 0, 1) // with one gone no other can be spared
 	c = observeCauses(w)
 	w.head().input(Leave{})
 	w.run(w.now + time.Second)
--- a/coord/replica/config.go
+++ b/coord/replica/config.go
@@ -25,6 +25,7 @@
 	electionUnheard   = 150 * time.Millisecond
 	ballotRepeat      = 60 * time.Millisecond
 	governEvery       = 40 * time.Millisecond
+	governSoon        = 5 * time.Millisecond // while a change is on its way
 	joinEvery         = 200 * time.Millisecond
 	leaveNoticeEvery  = 100 * time.Millisecond
 	drainAtMost       = 150 * time.Millisecond
@@ -42,15 +43,16 @@
 	penaltyFirst      = 2 * time.Second
 	penaltyMost       = 16 * time.Second
 	penaltyForgiven   = time.Minute
+	penaltyProven     = time.Second            // of prompt acknowledgements
+	promptAgain       = 500 * time.Millisecond // before writes are held back for a learner once more
 	learnerHeardSince = 400 * time.Millisecond
 )
 
 // How a head tells whether its own disk is slower than others'.
 const (
-	aheadPart  = 2                // others have to be ahead for this part of StallAfter
-	backAfter  = 2                // heartbeats without an answer after which a member is back again
-	paceKept   = 10 * time.Second // for which a slow sync here is granted to others as well
-	enterParts = 2                // times StallAfter for which a head may wait for its view to be on disk
+	aheadPart = 2                // others have to be ahead for this part of StallAfter
+	backAfter = 2                // heartbeats without an answer after which a member is back again
+	paceKept  = 10 * time.Second // for which a slow sync here is granted to others as well
 )
 
 // earlyKept bounds the messages kept for the chain while a view is on its way to disk.
--- a/coord/replica/receive.go
+++ b/coord/replica/receive.go
@@ -94,8 +94,7 @@
 	case m.Accepted != nil:
 		r.onAccepted(now, m.From, m.Accepted)
 	case m.Leave != nil:
-		r.peer(m.From.ID, now).leaving = true
-		r.head.governAt = now
+		r.onLeave(now, m.From.ID, m.Leave)
 	case m.Request != nil:
 		r.news(now, m.From)
 	}
@@ -120,8 +119,10 @@
 	if r.proposer.Phase == view.Preparing {
 		r.proposer.Phase = view.Idle
 	}
-	ack := &view.HeartbeatAck{Sequence: m.Heartbeat.Sequence, Received: r.LastIndex(), Synced: r.chain.Synced()}
-	ack.Acked = r.chain.Acked()
+	ack := &view.HeartbeatAck{Sequence: m.Heartbeat.Sequence, Broken: r.broken}
+	if r.position() < 0 || r.chain.InStep() { // else the log may hold what an earlier epoch never committed
+		ack.Received, ack.Synced, ack.Acked = r.LastIndex(), r.chain.Synced(), r.chain.Acked()
+	}
 	if r.view.IsVoter(r.self.ID) && !r.acceptor.PromisedAway(m.From.ID) {
 		r.grant = max(r.grant, now+r.cfg.Grant)
 		ack.Granted = true
@@ -157,9 +158,12 @@
 	return now < r.tail.readUntil && !r.leaving
 }
 
-// ReadIndex gives the index that has to be committed before a read that came now is answered, so that it shows all
-// that had been acknowledged. Only the tail has it.
+// ReadIndex gives the index that has to be applied before a read that came now is answered, so that it shows all
+// that had been acknowledged. The tail has it with its permission, the head with its lease.
 func (r *Replica) ReadIndex(now time.Duration) (uint64, bool) {
+	if r.IsHead(now) {
+		return max(r.Committed(), r.head.inherited), true
+	}
 	if !r.IsTail(now) || !r.chain.InStep() {
 		return 0, false
 	}
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -24,8 +24,8 @@
 	started time.Duration
 	stepped time.Duration
 	pauses  pauses
-	judging bool            // all that had arrived before this step has been handed in
-	upsets  []time.Duration // when members fell out of the chain
+	judging bool    // all that had arrived before this step has been handed in
+	upsets  []upset // when members fell out of the chain
 
 	view     view.View
 	place    int           // in the chain, -1 without one
@@ -50,7 +50,6 @@
 	peers     map[view.ReplicaID]*peer
 	leaving   bool
 	left      bool
-	leaveAt   time.Duration
 	joinAt    time.Duration
 	broken    bool // the disk refuses
 	numbers   uint64
@@ -174,13 +173,13 @@
 // CanPropose tells why Propose would refuse, nil if it wouldn't.
 func (r *Replica) CanPropose(now time.Duration) error {
 	switch {
-	case r.head.announced && r.proposer.Active() && !r.leaving:
+	case r.head.announced && r.proposer.Active() && !r.head.handingOver:
 		return ErrHeld
-	case !r.IsHead(now) || r.leaving:
+	case !r.IsHead(now) || r.head.handingOver:
 		return ErrNotHead
 	case r.head.admitting != "":
 		return ErrHeld
-	case len(r.view.Chain) <= r.cfg.Tolerance:
+	case r.short(now):
 		return ErrShort
 	}
 	return nil
--- a/coord/replica/resign.go
+++ b/coord/replica/resign.go
@@ -34,7 +34,7 @@
 
 // cannotEnter tells whether the disk here takes too long over the view that made this replica the head.
 func (r *Replica) cannotEnter(now time.Duration) bool {
-	patience := enterParts * r.stallPatience(now)
+	patience := r.cfg.StallAfter + min(r.pace.recent(now), r.cfg.StallAfter)
 	if r.entered || r.diskIdle(now) <= patience || r.alone() {
 		return false
 	}
--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"gaugeslip/coord/chain"
@@ -56,6 +57,7 @@
 	appliedTo uint64
 	queue     []*proposal
 	flying    map[uint64]*proposal
+	reads     []waitingRead
 	wake      time.Duration
 	closed    bool
 	rewriting bool
@@ -110,28 +112,33 @@
 	e.carryOut(e.replica.Step(e.options.now(), input))
 }
 
-// carryOut does what the core asks for.
+// carryOut does what the core asks for. After a fault it does nothing of it, and a snapshot that can't be read is not stored: the disk
+// stays as it was.
 func (e *engine) carryOut(output replica.Output) {
+	if output.Fault != nil {
+		e.options.fault(output.Fault)
+		return
+	}
+	if output.Install != nil && !e.install(output.Install) {
+		return
+	}
 	for _, envelope := range output.Send {
 		e.options.send(envelope.To, envelope.Message)
 	}
 	if len(output.Persist) > 0 {
 		e.persist(output.Persist, output.Token)
 	}
-	if output.Install != nil {
-		e.install(output.Install)
-	}
 	for _, entry := range output.Committed {
 		e.apply(entry)
 	}
+	e.settleReads()
 	for _, event := range output.Events {
+		if _, changed := event.(replica.ViewChanged); changed {
+			e.refuseReads()
+		}
 		e.options.event(event)
 	}
 	e.wake = output.Wake
-	if output.Fault != nil {
-		e.options.fault(output.Fault)
-		return
-	}
 	if output.NeedSnapshot {
 		e.step(replica.SnapshotReady{Index: e.appliedTo, Data: e.machine.Snapshot()})
 	}
@@ -192,11 +199,12 @@
 	e.options.rewritten(e.disk.bytes(), took)
 }
 
-// install puts a snapshot in the place of the state; what was proposed and isn't known to be committed is in doubt.
-func (e *engine) install(snapshot *chain.Snapshot) {
+// install puts a snapshot in the place of the state and tells whether it could be read; what was proposed and isn't known to be
+// committed is in doubt.
+func (e *engine) install(snapshot *chain.Snapshot) bool {
 	if err := e.machine.Restore(snapshot.Data); err != nil {
-		e.options.failed(err)
-		return
+		e.options.failed(fmt.Errorf("snapshot at %d: %w", snapshot.Index, err))
+		return false
 	}
 	e.appliedTo = snapshot.Index
 	for index, waiting := range e.flying {
@@ -206,6 +214,7 @@
 		}
 	}
 	e.options.installed()
+	return true
 }
 
 func (e *engine) apply(entry chain.Entry) {
@@ -257,7 +266,7 @@
 	if err == nil {
 		for i, waiting := range batch {
 			waiting.epoch, waiting.at, waiting.data = epoch, now, nil
-			e.flying[first+uint64(i)] = waiting
+			e.fly(first+uint64(i), waiting)
 		}
 		e.queue = append([]*proposal(nil), e.queue[len(batch):]...)
 	}
@@ -265,6 +274,16 @@
 	return err == nil
 }
 
+// fly notes where a proposal was appended. One of an earlier epoch at that index was dropped from the log here; another replica may
+// still have it, and commit it if this head's epoch ends before that replica has heard of it.
+func (e *engine) fly(index uint64, appended *proposal) {
+	dropped := e.flying[index]
+	e.flying[index] = appended
+	if dropped != nil {
+		dropped.done(state.Result{}, fateInDoubt)
+	}
+}
+
 // refuseQueued ends all that was never appended.
 func (e *engine) refuseQueued() {
 	queued := e.queue
@@ -277,12 +296,6 @@
 // isHead tells whether this replica may act as the head now.
 func (e *engine) isHead() bool { return !e.closed && e.replica.IsHead(e.options.now()) }
 
-// mayRead tells whether the state may be shown to clients now: at the tail with its permission, or at the head with its lease.
-func (e *engine) mayRead() bool {
-	now := e.options.now()
-	return !e.closed && (e.replica.IsTail(now) || e.replica.IsHead(now))
-}
-
 // view is the newest view known here.
 func (e *engine) view() view.View { return e.replica.View() }
 
@@ -294,6 +307,7 @@
 	e.closed = true
 	e.disk.stop()
 	e.refuseQueued()
+	e.refuseReads()
 	for index, waiting := range e.flying {
 		delete(e.flying, index)
 		waiting.done(state.Result{}, fateInDoubt)
--- a/internal/system/control/loop.go
+++ b/internal/system/control/loop.go
@@ -14,6 +14,7 @@
 	queue   []func()
 	wake    chan struct{}
 	stopped chan struct{}
+	ended   chan struct{} // closed at the end of run
 	once    sync.Once
 	// between, if set, runs before each function of a batch and after it, once nothing urgent waits.
 	between func()
@@ -21,7 +22,7 @@
 }
 
 func newLoop() *loop {
-	return &loop{wake: make(chan struct{}, 1), stopped: make(chan struct{})}
+	return &loop{wake: make(chan struct{}, 1), stopped: make(chan struct{}), ended: make(chan struct{})}
 }
 
 // post hands in a function; it never blocks. What is posted after stop isn't run.
@@ -81,6 +82,7 @@
 // run works until stop; after each batch flush collects output and gives the moment at which the loop has to wake by itself, as a
 // duration from now.
 func (l *loop) run(flush func() time.Duration) {
+	defer close(l.ended)
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
 	var batch []func()
