--- a/coord/replica/pauses_test.go
+++ b/coord/replica/pauses_test.go
@@ -160,11 +160,14 @@
 				}
 			}
 		}
+		cfg := &head.process.cfg
+		cfg.Grant, cfg.DropAfter, cfg.StallAfter = time.Hour, time.Hour, time.Hour // the lease goes by its own
 		for _, m := range w.machines {
-			w.cuts[[2]string{m.address, head.address}] = w.now + quickGrant
+			w.cuts[[2]string{m.address, head.address}] = w.now + 2*quickGrant
 		}
-		w.run(w.now + time.Second)
+		w.run(w.now + 2*time.Second)
 		require.NoError(t, w.failure, "seed %d", seed)
+		require.NotEmpty(t, regained, "seed %d", seed)
 		for _, event := range regained {
 			assert.True(t, event.Continued, "seed %d", seed)
 		}
