Tell how long the own disk stood still, and all of the own pause before an election

The cause of a handover for the own disk's sake gave the age of its oldest write beside a bound that holds for the time without a sync; an election after a long own pause told that as patience.

--- a/coord/replica/cause.go
+++ b/coord/replica/cause.go
@@ -58,7 +58,7 @@
 	Paused time.Duration
 	// Patience is the bound that was passed.
 	Patience time.Duration
-	// Index waited to be committed, for Stuck.
+	// Index waited to be committed, for Stuck; where the own disk is the cause, Index is the last one on it, and no sync ended for Stuck.
 	Index uint64
 	Stuck time.Duration
 	// Sync is the age of the judge's oldest write on the way to its disk.
@@ -117,7 +117,7 @@
 // headSilence is the cause of standing for the place of a head that is silent.
 func (r *Replica) headSilence(now time.Duration) Cause {
 	return Cause{Kind: CauseHeadSilent, Member: r.view.Head().ID, Silence: now - r.expectedAt,
-		Paused: r.electExcused, Patience: r.electAt - r.expectedAt - r.electExcused}
+		Paused: r.electPaused, Patience: r.electAt - r.expectedAt - r.electPaused}
 }
 
 // dropCause is why the head drops the members that aren't in the chain that is left: the first of them tells.
@@ -156,7 +156,8 @@
 // leaveCause is why the head hands over.
 func (r *Replica) leaveCause(now time.Duration, hindered bool) Cause {
 	if hindered {
-		return Cause{Kind: CauseOwnDisk, Member: r.self.ID, Patience: r.stallPatience(now, r.self.ID), Index: r.chain.Synced()}
+		return Cause{Kind: CauseOwnDisk, Member: r.self.ID, Stuck: r.diskIdle(now), Patience: r.stallPatience(now, r.self.ID),
+			Index: r.chain.Synced()}
 	}
 	return Cause{Kind: CauseHandover, Member: r.self.ID}
 }
--- a/coord/replica/cause_test.go
+++ b/coord/replica/cause_test.go
@@ -96,7 +96,8 @@
 	w.run(w.now + 2*time.Second)
 	cause := c.first(t)
 	assert.Equal(t, CauseOwnDisk, cause.Kind)
-	assert.Greater(t, cause.Sync, cause.Patience)
+	assert.Greater(t, cause.Stuck, cause.Patience)
+	assert.GreaterOrEqual(t, cause.Sync, cause.Stuck)
 }
 
 func TestALeaverAndAHandoverAreTold(t *testing.T) {
--- a/coord/replica/election.go
+++ b/coord/replica/election.go
@@ -8,7 +8,7 @@
 
 // expectHead sets when to stand for the head's place if nothing is heard from the head till then.
 func (r *Replica) expectHead(now time.Duration) {
-	r.expectedAt, r.electExcused = now, 0
+	r.expectedAt, r.electPaused, r.electExcused = now, 0, 0
 	at := r.position()
 	if at < 0 || r.leading() {
 		r.electAt = never
--- a/coord/replica/pauses.go
+++ b/coord/replica/pauses.go
@@ -40,7 +40,9 @@
 		r.pauses.long += gap
 		r.excuse(gap)
 		if r.electAt != never {
-			r.electAt = max(r.electAt, now+frozenPatience)
+			later := max(r.electAt, now+frozenPatience)
+			r.electPaused += later - r.electAt
+			r.electAt = later
 		}
 		return
 	}
@@ -52,6 +54,7 @@
 	if r.electAt != never {
 		late = min(late, r.cfg.Grant-r.electExcused)
 		r.electExcused += late
+		r.electPaused += late
 		r.electAt += late
 	}
 }
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -36,8 +36,8 @@
 	repeatAt time.Duration // of the ballot
 	outbidAt time.Duration // when to begin a higher one; 0: not
 	electAt  time.Duration
-	// electExcused is by how much own pauses have put electAt off.
-	electExcused time.Duration
+	// electPaused is by how much own pauses have put electAt off, electExcused the short ones' part.
+	electPaused, electExcused time.Duration
 	// expectedAt is since when the head's next heartbeat is waited for.
 	expectedAt time.Duration
 	cause      Cause // of the last own wish for a view
--- a/coord/replica/resign.go
+++ b/coord/replica/resign.go
@@ -38,6 +38,6 @@
 	if r.entered || r.diskIdle(now) <= patience || r.alone() {
 		return false
 	}
-	r.because(now, Cause{Kind: CauseOwnDisk, Member: r.self.ID, Patience: patience})
+	r.because(now, Cause{Kind: CauseOwnDisk, Member: r.self.ID, Stuck: r.diskIdle(now), Patience: patience})
 	return true
 }
