--- a/coord/replica/cause.go
+++ b/coord/replica/cause.go
@@ -60,7 +60,7 @@
 	Paused time.Duration
 	// Patience is the bound that was passed.
 	Patience time.Duration
-	// Index waited to be committed, for Stuck.
+	// Index waited to be committed, for Stuck; where the own disk is the cause, Index is the last one on it, and no sync ended for Stuck.
 	Index uint64
 	Stuck time.Duration
 	// Sync is the age of the judge's oldest write on the way to its disk.
@@ -118,7 +118,8 @@
 
 // headSilence is the cause of standing for the place of a head that is silent.
 func (r *Replica) headSilence(now time.Duration) Cause {
-	return Cause{Kind: CauseHeadSilent, Member: r.view.Head().ID, Silence: now - r.expectedAt, Patience: r.electAt - r.expectedAt}
+	return Cause{Kind: CauseHeadSilent, Member: r.view.Head().ID, Silence: now - r.expectedAt,
+		Paused: r.electPaused, Patience: r.electAt - r.expectedAt - r.electPaused}
 }
 
 // dropCause is why the head drops the members that aren't in the chain that is left: the first of them tells.
@@ -126,7 +127,7 @@
 	at := slices.IndexFunc(r.view.Chain, func(m view.Member) bool { return !slices.Contains(left, m) })
 	id := r.view.Chain[at].ID
 	p := r.peer(id, now)
-	cause := Cause{Member: id, Silence: now - p.heardAt}
+	cause := Cause{Member: id, Silence: now - p.heard.at, Paused: r.pausedSince(p.heard)}
 	switch {
 	case p.gone:
 		cause.Kind = CauseDiskLost
@@ -135,10 +136,11 @@
 	case p.leaving:
 		cause.Kind = CauseLeaver
 	case id == culprit:
-		cause.Kind, cause.Patience = CauseStuck, r.cfg.StallAfter
+		cause.Kind, cause.Patience = CauseStuck, r.memberPatience(now, id)
+		cause.Paused = r.pausedSince(r.head.blame.stuck)
 		cause.Index, cause.Stuck = r.head.stuckIndex, now-r.head.stuckSince
 	default:
-		cause.Kind, cause.Patience = CauseSilent, r.cfg.DropAfter
+		cause.Kind, cause.Patience = CauseSilent, r.cfg.DropAfter+r.silencePatience(now, id)
 	}
 	return cause
 }
@@ -154,9 +156,10 @@
 }
 
 // leaveCause is why the head hands over.
-func (r *Replica) leaveCause(now time.Duration) Cause {
-	if r.ownDiskStalls(now) {
-		return Cause{Kind: CauseOwnDisk, Member: r.self.ID, Patience: r.cfg.StallAfter}
+func (r *Replica) leaveCause(now time.Duration, hindered bool) Cause {
+	if hindered {
+		return Cause{Kind: CauseOwnDisk, Member: r.self.ID, Stuck: r.diskIdle(now), Patience: r.stallPatience(now, r.self.ID),
+			Index: r.chain.Synced()}
 	}
 	return Cause{Kind: CauseHandover, Member: r.self.ID}
 }
--- a/coord/replica/departure_test.go
+++ b/coord/replica/departure_test.go
@@ -202,6 +202,7 @@
 	eachSeed(t, func(t *testing.T, w *world) {
 		head := w.head()
 		head.input(Leave{})
+		head.input(Tick{}) // the embedder's, once all that had come in is handed in
 		assert.ErrorIs(t, head.process.CanPropose(head.clock()), ErrNotHead, "seed %d", w.seed)
 	})
 }
--- a/coord/replica/leader_test.go
+++ b/coord/replica/leader_test.go
@@ -273,6 +273,7 @@
 		s.after(DefaultHeartbeatEvery)
 	}
 	heard := s.now
+	s.ack("b")
 	s.ack("c")
 	s.after(DefaultHeartbeatEvery)
 	until := heard + s.lastBeat("c").ReadFor
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -83,6 +83,7 @@
 	listAt          time.Duration
 	listFailures    int
 	clockAt         time.Duration
+	tickedAt        time.Duration
 	// overSince is when this replica, as the head, first saw each job over; forgetAt is when it looks next.
 	overSince      map[state.JobID]time.Duration
 	forgetAt       time.Duration
@@ -119,6 +120,7 @@
 		return nil, err
 	}
 	n.members.Start()
+	n.loop.between = n.tickCore
 	go func() { _ = n.server.Serve() }()
 	n.logger.Info("replica started", "address", n.self().Address, "id", n.engine.replica.Self().ID, "epoch", n.engine.view().Epoch)
 	go n.loop.run(n.flush)
