Let a leaving head wait until it is known that those who stay run

A head that left within DropAfter of a member's death handed over to a chain with the dead one: drained by time after 150 ms, or at once where nothing was written. It waits now until all who stay have answered within two heartbeats and have everything, or the dead one is known as lost; then it stays for want of f+1 others.

--- a/coord/replica/admission_test.go
+++ b/coord/replica/admission_test.go
@@ -200,3 +200,54 @@
 		assert.Len(t, w.head().process.View().Chain, 3, "seed %d", seed)
 	}
 }
+
+// The tolerance is raised by one: what is under way isn't committed on as few disks as before.
+func TestHigherToleranceHoldsCommitsBack(t *testing.T) {
+	eachSeed(t, func(t *testing.T, w *world) {
+		w.others()[1].losePower()
+		w.run(w.now + 2*time.Second)
+		require.Len(t, w.head().process.View().Chain, 2, "seed %d", w.seed)
+		w.tolerance = 2
+		w.head().process.cfg.Tolerance = 2
+		before := len(w.oracle.entries)
+		w.run(w.now + time.Second)
+		require.NoError(t, w.failure, "seed %d", w.seed)
+		assert.Len(t, w.oracle.entries, before, "seed %d", w.seed)
+	})
+}
+
+// A learner whose disk is slower than the members' gets in with everything, or not at all.
+func TestSlowerLearnerHasEverything(t *testing.T) {
+	for seed := range uint64(5) {
+		w := newWorld(seed, 3, 0, 1)
+		w.write(2 * time.Millisecond)
+		w.run(warmUp)
+		m := w.newMachine()
+		m.sync = 60 * time.Millisecond
+		m.start()
+		assert.Less(t, w.untilIn(m, 5*time.Second), 2*time.Second, "seed %d", seed)
+		require.NoError(t, w.failure, "seed %d", seed)
+	}
+}
+
+// An admission is one view: a member that doesn't hear of it in time, and whose vote it didn't need, isn't taken for lost.
+func TestAdmissionDropsNobody(t *testing.T) {
+	for seed := range uint64(deploymentSeeds) {
+		w := calm(t, seed, 3, 2, 1)
+		epoch := w.head().process.View().Epoch
+		m := w.newMachine()
+		m.start()
+		for w.now < time.Minute && (w.head() == nil || w.head().process.head.admitting == "") {
+			w.run(w.now + 100*time.Microsecond)
+		}
+		head, unheard := w.head(), w.others()[1]
+		w.cut(head, unheard, 250*time.Millisecond)
+		for w.now < time.Minute && head.process.View().Epoch == epoch {
+			w.run(w.now + 100*time.Microsecond)
+		}
+		assert.False(t, head.process.lost(head.clock(), unheard.member().ID, ""), "seed %d", seed)
+		w.run(w.now + time.Second)
+		require.NotNil(t, w.head(), "seed %d", seed)
+		assert.Len(t, w.head().process.View().Chain, 6, "seed %d", seed)
+	}
+}
--- a/coord/replica/config.go
+++ b/coord/replica/config.go
@@ -46,8 +46,8 @@
 	learnerHeardSince = 400 * time.Millisecond
 )
 
-// inTouch is how many heartbeats' time after an answer a member counts as in touch.
-const inTouch = 2
+// inTouchFor is how many heartbeats' time after an answer a member counts as in touch.
+const inTouchFor = 2
 
 // earlyKept bounds the messages kept for the chain while a view is on its way to disk.
 const earlyKept = 256
--- a/coord/replica/departure_test.go
+++ b/coord/replica/departure_test.go
@@ -105,16 +105,16 @@
 	eachSeed(t, func(t *testing.T, w *world) {
 		head, others := w.head(), w.others()
 		member, outside := others[0], others[1]
-		w.cut(head, outside, time.Minute)
+		w.cut(head, outside, time.Second)
 		w.cut(member, outside, time.Second)
-		w.run(w.now + 2*time.Second)
+		w.run(w.now + time.Second)
+		w.bar(500 * time.Millisecond)
 		require.False(t, head.process.View().InChain(outside.process.Self().ID), "seed %d", w.seed)
 		member.end()
-		w.run(w.now + time.Second)
+		w.bar(time.Second)
 		head.loseDisk()
 		member.start()
-		w.run(w.now + 2*time.Second)
-		w.cuts = map[[2]string]time.Duration{}
+		w.run(w.now + 30*time.Millisecond)
 		assert.Less(t, w.untilCommitted(5*time.Second), 2*time.Second, "seed %d", w.seed)
 	})
 }
@@ -249,3 +249,24 @@
 		assert.Len(t, w.head().process.View().Chain, 4, "seed %d", seed)
 	}
 }
+
+// A head that leaves waits until it is known whether the others run, and stays where one of them doesn't, at rest and under writing.
+func TestHeadDoesNotLeaveToADeadMember(t *testing.T) {
+	for _, writes := range []bool{false, true} {
+		for seed := range uint64(deploymentSeeds) {
+			w := newWorld(seed, 3, 0, 1)
+			if writes {
+				w.write(10 * time.Millisecond)
+			}
+			w.run(warmUp)
+			head := w.head()
+			w.others()[1].losePower()
+			w.run(w.now + w.between(300*time.Millisecond, 600*time.Millisecond))
+			head.input(Leave{})
+			w.run(w.now + 3*time.Second)
+			require.NoError(t, w.failure, "seed %d", seed)
+			assert.False(t, head.left, "seed %d", seed)
+			assert.True(t, head == w.head(), "seed %d", seed)
+		}
+	}
+}
--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -33,14 +33,25 @@
 		return stalls && r.yield(now)
 	}
 	if !r.head.handingOver {
-		r.head.handingOver, r.head.drainedBy = true, now+drainAtMost
+		r.head.handingOver, r.head.drainedBy = true, now+r.cfg.DropAfter+drainAtMost
 	}
-	if r.Committed() < r.LastIndex() && now < r.head.drainedBy && !stalls {
+	if !stalls && now < r.head.drainedBy && !r.drained(now, rest) {
 		return true
 	}
 	return r.proposeChain(now, rest, "", r.leaveCause(now))
 }
 
+// drained tells whether those who stay have everything, and are there. Where one of them isn't, that shows within DropAfter.
+func (r *Replica) drained(now time.Duration, rest []view.Member) bool {
+	away := func(m view.Member) bool { return !r.inTouch(now, m.ID) }
+	return r.Committed() >= r.LastIndex() && !slices.ContainsFunc(rest, away)
+}
+
+// inTouch tells whether a member has answered of late.
+func (r *Replica) inTouch(now time.Duration, id view.ReplicaID) bool {
+	return now-r.peer(id, now).heardAt <= inTouchFor*r.cfg.HeartbeatEvery
+}
+
 // without is the chain without one member and without the lost ones.
 func (r *Replica) without(now time.Duration, id view.ReplicaID) []view.Member {
 	return view.Without(r.view.Chain, func(other view.ReplicaID) bool { return other == id || r.lost(now, other, "") })
@@ -177,7 +188,7 @@
 // punish keeps a member out that was dropped for its disk: it answered heartbeats and didn't acknowledge. One that didn't answer either
 // has stopped or is cut off, and may come back at any time.
 func (r *Replica) punish(now time.Duration, id view.ReplicaID) {
-	if now-r.peer(id, now).heardAt > inTouch*r.cfg.HeartbeatEvery {
+	if !r.inTouch(now, id) {
 		return
 	}
 	length := penaltyFirst
--- a/coord/replica/seats_test.go
+++ b/coord/replica/seats_test.go
@@ -53,7 +53,7 @@
 		w.run(w.now + 100*time.Millisecond)
 		m.address = "10.0.1.1:8146"
 		m.start()
-		w.run(w.now + 1500*time.Millisecond)
+		w.run(w.now + 500*time.Millisecond)
 		v := w.head().process.View()
 		assert.Len(t, v.Voters, 3, "seed %d", w.seed)
 		assert.Contains(t, v.Voters, m.member(), "seed %d", w.seed)
@@ -69,10 +69,11 @@
 		old.losePower()
 		old.removed = true
 		w.run(w.now + 2500*time.Millisecond)
+		epoch := w.head().process.View().Epoch
 		other := w.newMachine()
 		other.start()
 		assert.Less(t, w.untilIn(other, 5*time.Second), time.Second, "seed %d", w.seed)
-		w.run(w.now + 50*time.Millisecond)
+		assert.Equal(t, epoch+1, w.head().process.View().Epoch, "seed %d", w.seed)
 		assert.Len(t, w.head().process.View().Voters, 3, "seed %d", w.seed)
 		assert.False(t, w.head().process.View().IsVoter(id), "seed %d", w.seed)
 	})
