--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -47,14 +47,20 @@
 		return stalls && r.yield(now)
 	}
 	if !r.head.handingOver {
-		r.head.handingOver, r.head.drainedBy = true, now+drainAtMost
+		r.head.handingOver, r.head.drainedBy = true, now+r.cfg.DropAfter+drainAtMost
 	}
-	if r.Committed() < r.LastIndex() && now < r.head.drainedBy && !stalls {
+	if !stalls && now < r.head.drainedBy && !r.drained(now, rest) {
 		return true
 	}
 	return r.proposeChain(now, rest, "", r.leaveCause(now, stalls))
 }
 
+// drained tells whether those who stay have everything, and are there. Where one of them isn't, that shows within DropAfter.
+func (r *Replica) drained(now time.Duration, rest []view.Member) bool {
+	away := func(m view.Member) bool { return r.quiet(now, r.peer(m.ID, now)) }
+	return r.Committed() >= r.LastIndex() && !slices.ContainsFunc(rest, away)
+}
+
 // without is the chain without one member and without the lost ones.
 func (r *Replica) without(now time.Duration, id view.ReplicaID) []view.Member {
 	return view.Without(r.view.Chain, func(other view.ReplicaID) bool { return other == id || r.lost(now, other, "") })
