--- a/coord/replica/cutoff_test.go
+++ b/coord/replica/cutoff_test.go
@@ -142,7 +142,12 @@
 	} else {
 		m.end()
 	}
-	c.after(c.between(0, 300*time.Millisecond), m.start)
+	c.after(c.between(0, 300*time.Millisecond), func() {
+		m.start()
+		if m == c.victim {
+			m.compact = 1 << 20 // it learns of no commit, and would rewrite a log that doesn't get shorter after every sync
+		}
+	})
 }
 
 // askEvery hands orders and reads to the machine, till a while after its return. What it was told before the cut counts for
--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -114,13 +114,9 @@
 	}
 }
 
-// beat sends heartbeats, unless a majority hasn't been heard for a grant: others must be able to take over then.
+// beat sends heartbeats, unless others must be able to take over.
 func (r *Replica) beat(now time.Duration) {
-	since, ok := r.head.lease.MajoritySince(r.view)
-	if !ok {
-		since = r.learned
-	}
-	if now-since > r.cfg.Grant && !r.alone() {
+	if r.useless(now) && !r.alone() {
 		r.abdicate(now)
 		r.electAt = now + r.jitter(r.cfg.Grant/2) + r.cfg.Grant/8
 		return
@@ -139,6 +135,16 @@
 	}
 }
 
+// useless tells whether this head can't do its part: a majority hasn't been heard for a grant, or the disk hangs before it has
+// the view, so that it can neither commit nor propose another one.
+func (r *Replica) useless(now time.Duration) bool {
+	since, ok := r.head.lease.MajoritySince(r.view)
+	if !ok {
+		since = r.learned
+	}
+	return now-since > r.cfg.Grant || !r.entered && r.ownDiskStalls(now)
+}
+
 func (r *Replica) alone() bool { return len(r.view.Voters) == 1 }
 
 func (r *Replica) beatTo(now time.Duration, voter view.Member, sequence uint64) {
--- a/coord/replica/leader_test.go
+++ b/coord/replica/leader_test.go
@@ -392,3 +392,20 @@
 	require.True(t, s.isHead())
 	assert.Empty(t, s.accepts())
 }
+
+// A head whose disk hangs before it has the view can't propose another one: it must not keep the others from it.
+func TestHeadWhoseDiskHangsStepsDown(t *testing.T) {
+	s := leader(t)
+	s.learn(standView(standEpoch+1, "a", "b", "c"))
+	for range 5 {
+		s.ack("b")
+		s.ack("c")
+		s.after(DefaultHeartbeatEvery)
+	}
+	require.Less(t, s.core.learned+DefaultDropAfter, s.now)
+	s.drain()
+	for range 20 {
+		s.after(DefaultHeartbeatEvery)
+	}
+	assert.Empty(t, s.drain(), "it neither beats nor stands")
+}
