--- a/coord/replica/election.go
+++ b/coord/replica/election.go
@@ -8,6 +8,7 @@
 
 // expectHead sets when to stand for the head's place if nothing is heard from the head till then.
 func (r *Replica) expectHead(now time.Duration) {
+	r.expectedAt = now
 	at := r.position()
 	if at < 0 || r.leading() {
 		r.electAt = never
@@ -21,11 +22,20 @@
 	if now < r.electAt || r.proposer.Active() || r.position() < 0 || r.leaving || r.ownDiskStalls(now) {
 		return
 	}
+	if !r.stands(now) {
+		r.because(now, r.headSilence(now))
+	}
 	r.prepare(now, nil)
 }
 
+// stands tells whether the cause to stand is known already.
+func (r *Replica) stands(now time.Duration) bool {
+	return r.position() == 0 && (r.cause.Kind == CauseMajorityLost || r.cause.Kind == CauseRestart)
+}
+
 // propose begins with a wish of the head's. Nothing is appended in this epoch any more.
-func (r *Replica) propose(now time.Duration, next view.View) {
+func (r *Replica) propose(now time.Duration, next view.View, cause Cause) {
+	r.because(now, cause)
 	r.abdicate(now)
 	r.outbidAt = 0
 	r.proposer.AcceptAtOnce(now, &next)
@@ -102,22 +112,29 @@
 	r.repeat(now)
 }
 
-// successor is the view with all members that have answered, or nil while it is worth waiting for more.
+// successor is the view with all members that have answered, or nil while it is worth waiting for more. Those that want to leave and
+// those that haven't answered stay at the chain's end as far as f+1 are needed: they have everything and may lead yet.
 func (r *Replica) successor(now time.Duration) *view.View {
 	next := r.view.Next()
-	head := r.view.Head().ID
+	var members, leaving, silent []view.Member
 	missing := false
-	next.Chain = view.Without(next.Chain, func(id view.ReplicaID) bool {
-		if id == r.self.ID {
-			return r.leaving && len(r.view.Chain) > 1
+	for i, member := range next.Chain {
+		switch {
+		case member.ID != r.self.ID && !r.proposer.Answered(member.ID):
+			missing = missing || i > 0
+			silent = append(silent, member)
+		case member.ID == r.self.ID && r.leaving || r.proposer.Leaving(member.ID):
+			leaving = append(leaving, member)
+		default:
+			members = append(members, member)
 		}
-		answered := r.proposer.Answered(id)
-		missing = missing || !answered && id != head
-		return !answered || r.proposer.Leaving(id)
-	})
-	if missing && now-r.proposer.Majority < electionPatience || len(next.Chain) == 0 {
+	}
+	if missing && now-r.proposer.Majority < electionPatience {
 		return nil
 	}
+	spared := append(leaving, silent...)
+	need := min(max(r.cfg.Tolerance+1-len(members), 0), len(spared))
+	next.Chain = append(members, spared[:need]...)
 	return &next
 }
 
@@ -188,7 +205,11 @@
 	before := r.view
 	next := *r.proposer.Value
 	unheard := !r.proposer.Answered(next.Head().ID)
-	r.learn(now, next)
+	silent := r.silentOf(next)
+	r.learn(now, next, r.self.ID)
+	for _, id := range silent {
+		r.peer(id, now).silent = r.position() == 0
+	}
 	if unheard && r.position() > 0 {
 		r.electAt = now + electionUnheard + r.jitter(electionJitter)
 	}
@@ -202,3 +223,14 @@
 		}
 	}
 }
+
+// silentOf are the members of the next chain that haven't answered a candidate.
+func (r *Replica) silentOf(next view.View) []view.ReplicaID {
+	var silent []view.ReplicaID
+	for _, member := range next.Chain {
+		if r.proposer.Ballot.Round > 0 && member.ID != r.self.ID && !r.proposer.Answered(member.ID) {
+			silent = append(silent, member.ID)
+		}
+	}
+	return silent
+}
--- a/coord/replica/leader_test.go
+++ b/coord/replica/leader_test.go
@@ -194,7 +194,7 @@
 	require.Contains(t, s.events, Event(BecameHead{Epoch: standEpoch}))
 	s.now += standLease
 	s.step(Tick{})
-	assert.Contains(t, s.events, Event(LostHead{Epoch: standEpoch}))
+	assert.Contains(t, s.events, Event(LostHead{Epoch: standEpoch, Cause: Cause{Kind: CauseLease, Silence: standLease}}))
 }
 
 func TestHeadReadsWhatItHasCommitted(t *testing.T) {
@@ -379,13 +379,16 @@
 	assert.NotZero(t, s.lastBeat("c").Echo)
 }
 
-// A head that hears nobody, but may be heard, must not make itself the only member.
-func TestHeadThatHearsNobodyProposesNothing(t *testing.T) {
-	s := leader(t)
-	s.ack("c")
+// A head that hears one other of four, but may be heard by all, must not make itself and that one the only members.
+func TestHeadThatHearsNoMajorityProposesNothing(t *testing.T) {
+	s := settled(t, standConfig("a"), chain.Log{}, "a", "b", "c", "d", "e")
+	for _, id := range []view.ReplicaID{"b", "c", "d", "e"} {
+		s.ack(id)
+	}
 	heard := s.now
 	for s.now < heard+DefaultDropAfter {
 		s.after(10 * time.Millisecond)
+		s.ackOf("b", s.lastBeat("b").Sequence)
 	}
 	s.core.head.governAt = s.now // it looks while it still has the lease
 	s.after(10 * time.Millisecond)
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -33,16 +33,18 @@
 	repeatAt time.Duration // of the ballot
 	outbidAt time.Duration // when to begin a higher one; 0: not
 	electAt  time.Duration
-	chain    *chain.Chain
-	entered  bool // the view is on disk and the chain goes by it
-	enterAt  uint64
+	// expectedAt is since when the head's next heartbeat is waited for.
+	expectedAt time.Duration
+	cause      Cause // of the last own wish for a view
+	chain      *chain.Chain
+	entered    bool // the view is on disk and the chain goes by it
+	enterAt    uint64
 
 	head      headState
 	tail      tailState
 	peers     map[view.ReplicaID]*peer
 	leaving   bool
 	left      bool
-	leaveAt   time.Duration
 	joinAt    time.Duration
 	broken    bool // the disk refuses
 	numbers   uint64
@@ -102,7 +104,7 @@
 func (r *Replica) begin(now time.Duration) {
 	r.store(encodeIdentity(r.self.ID))
 	if r.cfg.Genesis != nil {
-		r.learn(now, *r.cfg.Genesis)
+		r.learn(now, *r.cfg.Genesis, "")
 	}
 }
 
@@ -120,7 +122,8 @@
 	r.enter(now)
 	r.expectHead(now)
 	if r.position() == 0 {
-		r.electAt = now
+		r.electAt, r.expectedAt = now, now
+		r.because(now, Cause{Kind: CauseRestart, Member: r.self.ID})
 	}
 }
 
@@ -159,13 +162,13 @@
 // CanPropose tells why Propose would refuse, nil if it wouldn't.
 func (r *Replica) CanPropose(now time.Duration) error {
 	switch {
-	case r.head.announced && r.proposer.Active() && !r.leaving:
+	case r.head.announced && r.proposer.Active() && !r.head.handingOver:
 		return ErrHeld
-	case !r.IsHead(now) || r.leaving:
+	case !r.IsHead(now) || r.head.handingOver:
 		return ErrNotHead
 	case r.head.admitting != "":
 		return ErrHeld
-	case len(r.view.Chain) <= r.cfg.Tolerance:
+	case r.short(now):
 		return ErrShort
 	}
 	return nil
@@ -241,14 +244,15 @@
 	return max(at, now+time.Millisecond)
 }
 
-// learn goes to a newer view.
-func (r *Replica) learn(now time.Duration, v view.View) {
+// learn goes to a newer view, of which a replica told; none told of the very first.
+func (r *Replica) learn(now time.Duration, v view.View, from view.ReplicaID) {
 	if r.view.Known() && v.Epoch <= r.view.Epoch {
 		if v.Epoch == r.view.Epoch && !v.Equal(r.view) {
 			r.fail(fmt.Errorf("two views of epoch %d: %w", v.Epoch, chain.ErrDiverged))
 		}
 		return
 	}
+	cause := r.causeOf(v, from)
 	r.setView(now, v)
 	r.store(encodeView(v))
 	r.acceptor.Reset(v.Epoch + 1)
@@ -266,7 +270,7 @@
 	r.enterAt = r.pendingToken()
 	r.joinAt = now
 	r.expectHead(now)
-	r.out.Events = append(r.out.Events, ViewChanged{v})
+	r.out.Events = append(r.out.Events, ViewChanged{View: v, Cause: cause})
 	if r.leaving && !r.left && r.position() < 0 {
 		r.left = true
 		r.out.Events = append(r.out.Events, Left{})
--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"fmt"
 	"time"
 
 	"gaugeslip/coord/chain"
@@ -60,6 +61,7 @@
 	wake      time.Duration
 	closed    bool
 	rewriting bool
+	capturing capturing
 	compactAt int64
 }
 
@@ -111,17 +113,22 @@
 	e.carryOut(e.replica.Step(e.options.now(), input))
 }
 
-// carryOut does what the core asks for.
+// carryOut does what the core asks for. After a fault it does nothing of it, and a snapshot that can't be read is not stored: the disk
+// stays as it was.
 func (e *engine) carryOut(output replica.Output) {
+	if output.Fault != nil {
+		e.options.fault(output.Fault)
+		return
+	}
+	if output.Install != nil && !e.install(output.Install) {
+		return
+	}
 	for _, envelope := range output.Send {
 		e.options.send(envelope.To, envelope.Message)
 	}
 	if len(output.Persist) > 0 {
 		e.persist(output.Persist, output.Token)
 	}
-	if output.Install != nil {
-		e.install(output.Install)
-	}
 	for _, entry := range output.Committed {
 		e.apply(entry)
 	}
@@ -133,12 +140,8 @@
 		e.options.event(event)
 	}
 	e.wake = output.Wake
-	if output.Fault != nil {
-		e.options.fault(output.Fault)
-		return
-	}
 	if output.NeedSnapshot {
-		e.step(replica.SnapshotReady{Index: e.appliedTo, Data: e.machine.Snapshot()})
+		e.capture(forLearners)
 	}
 }
 
@@ -173,11 +176,17 @@
 	if e.rewriting || e.disk.bytes() < e.compactAt {
 		return
 	}
-	records := e.replica.Compact(e.machine.Snapshot(), e.appliedTo)
+	e.rewriting = true
+	e.capture(forLog)
+}
+
+// rewrite replaces the log by a snapshot and what follows it.
+func (e *engine) rewrite(index uint64, snapshot []byte) {
+	records := e.replica.Compact(snapshot, index)
 	if records == nil {
+		e.rewriting = false
 		return
 	}
-	e.rewriting = true
 	began := e.options.now()
 	e.disk.submit(diskJob{records: toLog(records), rewrite: true, done: func(err error) {
 		e.options.post(func() { e.compacted(err, e.options.now()-began) })
@@ -197,13 +206,15 @@
 	e.options.rewritten(e.disk.bytes(), took)
 }
 
-// install puts a snapshot in the place of the state; what was proposed and isn't known to be committed is in doubt.
-func (e *engine) install(snapshot *chain.Snapshot) {
+// install puts a snapshot in the place of the state and tells whether it could be read; what was proposed and isn't known to be
+// committed is in doubt.
+func (e *engine) install(snapshot *chain.Snapshot) bool {
 	if err := e.machine.Restore(snapshot.Data); err != nil {
-		e.options.failed(err)
-		return
+		e.options.failed(fmt.Errorf("snapshot at %d: %w", snapshot.Index, err))
+		return false
 	}
 	e.appliedTo = snapshot.Index
+	e.dropCapture()
 	for index, waiting := range e.flying {
 		if index <= snapshot.Index {
 			delete(e.flying, index)
@@ -211,6 +222,7 @@
 		}
 	}
 	e.options.installed()
+	return true
 }
 
 func (e *engine) apply(entry chain.Entry) {
@@ -262,7 +274,7 @@
 	if err == nil {
 		for i, waiting := range batch {
 			waiting.epoch, waiting.at, waiting.data = epoch, now, nil
-			e.flying[first+uint64(i)] = waiting
+			e.fly(first+uint64(i), waiting)
 		}
 		e.queue = append([]*proposal(nil), e.queue[len(batch):]...)
 	}
@@ -270,6 +282,16 @@
 	return err == nil
 }
 
+// fly notes where a proposal was appended. One of an earlier epoch at that index was dropped from the log here; another replica may
+// still have it, and commit it if this head's epoch ends before that replica has heard of it.
+func (e *engine) fly(index uint64, appended *proposal) {
+	dropped := e.flying[index]
+	e.flying[index] = appended
+	if dropped != nil {
+		dropped.done(state.Result{}, fateInDoubt)
+	}
+}
+
 // refuseQueued ends all that was never appended.
 func (e *engine) refuseQueued() {
 	queued := e.queue
