--- a/internal/system/state/machine.go
+++ b/internal/system/state/machine.go
@@ -19,6 +19,8 @@
 	pending map[string]int // jobs that aren't over, by route
 	quotas  *quota.Ledger
 	capture *Capture // under way, nil if there is none
+
+	snapshotBytes int // length of the last snapshot, to make room for the next at once
 }
 
 // Worker is what is replicated of one life of a worker.
