Send operators away at once from a control replica that is cut off

It looked for a head until the operator's patience of 3 s was over. A replica that for 2 s has neither heard its view's head nor held a lease answers 503 at once now, so that the caller goes on elsewhere. A change of head takes about one second, so nobody is sent away during one.

--- a/internal/system/control/config.go
+++ b/internal/system/control/config.go
@@ -117,6 +117,9 @@
 	inDoubt := false
 	for {
 		reply := n.replaceHere(args, time.Until(deadline))
+		if reply.Verdict == internalapi.NotHead && n.outOfTouch() {
+			return undecided(inDoubt)
+		}
 		if reply.Verdict == internalapi.NotHead {
 			var err error
 			reply, err = n.replaceAtHead(args, deadline)
@@ -173,6 +176,9 @@
 		if reply.Verdict == internalapi.Done {
 			return reply
 		}
+		if n.outOfTouch() {
+			return internalapi.ReadReply{Verdict: internalapi.NotHead, Text: errNoHead.Error()}
+		}
 		for _, address := range n.readers() {
 			reply = internalapi.ReadReply{}
 			err := n.forward(address, internalapi.MethodRead, internalapi.ReadArgs{}, &reply, min(forwardFirst, time.Until(deadline)))
--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -60,6 +60,7 @@
 	queue     []*proposal
 	flying    map[uint64]*proposal
 	reads     []waitingRead
+	contactAt time.Duration // last word from the head, or the last own lease that was seen
 	wake      time.Duration
 	closed    bool
 	rewriting bool
@@ -91,6 +92,7 @@
 	}
 	e.audit = state.NewAudit(e.appliedTo)
 	e.replica = replica.New(options.config, persisted, options.now())
+	e.contactAt = options.now()
 	return e, nil
 }
 
@@ -114,6 +116,7 @@
 		return
 	}
 	e.carryOut(e.replica.Step(e.options.now(), input))
+	e.noteContact(input)
 }
 
 // carryOut does what the core asks for. After a fault it does nothing of it, and a snapshot that can't be read is not stored: the disk
--- a/internal/system/control/reads_test.go
+++ b/internal/system/control/reads_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -209,3 +210,31 @@
 		w.checkReads()
 	})
 }
+
+// An operator at a replica that is cut off is sent away at once, and not only when its patience is over.
+func TestCutOffReplicaSendsOperatorsAway(t *testing.T) {
+	for place := range shareReplicas {
+		synctest.Test(t, func(t *testing.T) {
+			w := startReadWorld(t, uint64(20+place))
+			defer w.stop()
+			r := w.replicas[place]
+			time.Sleep(2 * contactPatience)
+			w.checkInTouch(r, true)
+			w.setCut(r.number, true)
+			time.Sleep(contactPatience + time.Second)
+			w.checkInTouch(r, false)
+			asked := time.Now()
+			order := r.replaceAnywhere(internalapi.ReplaceArgs{Base: w.acknowledged, Body: []byte(`{"version":1000}`)}, operatorPatience)
+			assert.Equal(t, http.StatusServiceUnavailable, order.Status)
+			assert.Equal(t, internalapi.NotHead, r.readAnywhere(operatorPatience).Verdict)
+			assert.Less(t, time.Since(asked), 10*time.Millisecond)
+			w.setCut(r.number, false)
+			time.Sleep(time.Second)
+			w.checkInTouch(r, true)
+		})
+	}
+}
+
+func (w *readWorld) checkInTouch(r *shareReplica, want bool) {
+	assert.Equal(w.t, want, !r.outOfTouch(), "replica %d", r.number)
+}
