--- a/internal/system/control/engine_test.go
+++ b/internal/system/control/engine_test.go
@@ -222,6 +222,7 @@
 	r.close()
 	assert.Equal(t, []fate{fateInDoubt}, *fates)
 	r.sent, r.events = nil, nil
+	r.folder.SetFaults(simdisk.Faults{Sync: 1})
 	r.disk.work(jobs)
 	r.work()
 	r.step(replica.Tick{})
--- a/internal/system/control/restart_test.go
+++ b/internal/system/control/restart_test.go
@@ -128,10 +128,10 @@
 	for _, one := range w.machines {
 		one.start()
 	}
-	if w.intn(2) == 0 { // cut off in the midst of coming back
+	if w.intn(2) == 0 { // cut off in the midst of coming back, at times for so long that the head forgets it
 		time.Sleep(w.between(time.Millisecond, 400*time.Millisecond))
 		w.isolate(m, true)
-		time.Sleep(w.between(time.Millisecond, 4*time.Second))
+		time.Sleep(w.between(time.Millisecond, 4*time.Second) * time.Duration(1+w.intn(4)))
 		w.isolate(m, false)
 	}
 }
