--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -67,19 +67,8 @@
 	compactAt int64
 }
 
-// leastCompaction is the length at which the log is rewritten, and again at each multiple of its compacted length.
-const (
-	leastCompaction   = 8 << 20
-	compactionGrowth  = 3
-	mostProposalBatch = 512
-)
-
-// apart gives a length up to a half longer, as a replica's seed has it. Nothing is synced while a log is rewritten, and the logs of all replicas
-// grow alike: they should not be rewritten all at once.
-func apart(length int64, seed uint64) int64 {
-	const steps = 64
-	return length + length/2*int64(seed%steps)/steps
-}
+// mostProposalBatch bounds the commands that are appended at once.
+const mostProposalBatch = 512
 
 // newEngine reads what the disk holds; begin sets it going.
 func newEngine(options engineOptions) (*engine, error) {
@@ -182,41 +171,6 @@
 	e.compact()
 }
 
-// compact rewrites the log once it has grown long.
-func (e *engine) compact() {
-	if e.rewriting || e.disk.bytes() < e.compactAt {
-		return
-	}
-	e.rewriting = true
-	e.capture(forLog)
-}
-
-// rewrite replaces the log by a snapshot and what follows it.
-func (e *engine) rewrite(index uint64, snapshot []byte) {
-	records := e.replica.Compact(snapshot, index)
-	if records == nil {
-		e.rewriting = false
-		return
-	}
-	began := e.options.now()
-	e.disk.submit(diskJob{records: toLog(records), rewrite: true, done: func(err error) {
-		e.options.post(func() { e.compacted(err, e.options.now()-began) })
-	}})
-}
-
-func (e *engine) compacted(err error, took time.Duration) {
-	if e.closed {
-		return
-	}
-	e.rewriting = false
-	if err != nil {
-		e.options.failed(err)
-		return
-	}
-	e.compactAt = apart(max(leastCompaction, compactionGrowth*e.disk.bytes()), e.options.config.Seed)
-	e.options.rewritten(e.disk.bytes(), took)
-}
-
 // install puts a snapshot in the place of the state and tells whether it could be read; what was proposed and isn't known to be
 // committed is in doubt.
 func (e *engine) install(snapshot *chain.Snapshot) bool {
@@ -253,22 +207,6 @@
 	e.settle(entry, result)
 }
 
-// audited sums up what an entry came to.
-func (e *engine) audited(entry chain.Entry, result *state.Result) {
-	if sum, due := e.audit.Applied(entry.Index, entry.Data, result, e.machine); due {
-		e.digests = append(e.digests, view.Digest{Index: entry.Index, Format: state.AuditFormat, Sum: sum})
-	}
-}
-
-// tellDigests hands the digests that have come up to the core, which compares them with those of the others.
-func (e *engine) tellDigests() {
-	for len(e.digests) > 0 {
-		digest := e.digests[0]
-		e.digests = e.digests[1:]
-		e.step(replica.Audited{Digest: digest})
-	}
-}
-
 // settle tells a proposal what became of it.
 func (e *engine) settle(entry chain.Entry, result state.Result) {
 	waiting := e.flying[entry.Index]
