--- a/coord/transport/bytes_test.go
+++ b/coord/transport/bytes_test.go
@@ -76,11 +76,13 @@
 		w := &wire{t: t, network: simnet.New(seed), tally: newTally("first")}
 		w.client = NewClient(Options{Dial: w.network.Dialer(callerHost)})
 		w.server = w.serve(w.tally)
+		t.Cleanup(func() { // also where the body fails
+			w.settle()
+			require.NoError(t, w.client.Close())
+			_ = w.server.Close()
+			time.Sleep(time.Hour)
+		})
 		body(t, w)
-		w.settle()
-		require.NoError(t, w.client.Close())
-		_ = w.server.Close()
-		time.Sleep(time.Hour)
 	})
 }
 
--- a/internal/system/control/callsowner_test.go
+++ b/internal/system/control/callsowner_test.go
@@ -51,7 +51,7 @@
 			ctx, cancel := context.WithCancel(context.Background())
 			made := &orders{client: workerapi.NewClient(workerapi.Options{Dial: network.Dialer(headHost)}),
 				slots: make(chan struct{}, mostCalls), ctx: ctx, cancel: cancel}
-			n := &Node{loop: newLoop(), orders: made, started: time.Now()}
+			n := &Node{loop: newLoop(), orders: made, clock: time.Now, started: time.Now()}
 			first, call := newOwner(t, 1)
 			n.scheduler = first
 			n.call(call)
--- a/internal/system/dataplane/bytes_test.go
+++ b/internal/system/dataplane/bytes_test.go
@@ -42,9 +42,13 @@
 		require.NoError(t, err)
 		frontend := NewFrontend(listener, NewDispatcher(w.core(t), knowing(t, "a"), noPoke, Options{}), 10, nil)
 		frontend.Serve(DefaultLimits())
+		t.Cleanup(func() { // also where the body fails
+			time.Sleep(time.Hour)
+			bounded, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			require.NoError(t, frontend.Shutdown(bounded), "a request is still out")
+		})
 		body(t, w)
-		time.Sleep(time.Hour)
-		require.NoError(t, frontend.Shutdown(t.Context()))
 	})
 }
 
--- a/internal/system/state/machine_test.go
+++ b/internal/system/state/machine_test.go
@@ -167,3 +167,16 @@
 	machine.Apply(Command{Kind: KindJobAccepted, JobAccepted: &JobAccepted{ID: 1, Route: "r", MaxRetries: 2, Body: body}})
 	require.True(t, machine.Job(1).StepReady(0, 1))
 }
+
+// The same ID is sent again after a lost answer, to any dispatcher and by any head: it remains one job, as it first came.
+func TestAJobThatIsHandedInAgainRemainsOne(t *testing.T) {
+	machine := New()
+	first := []byte(`{"spec":"x","stages":[{"count":1,"cpu":100}]}`)
+	other := []byte(`{"spec":"y","stages":[{"count":2,"cpu":100}]}`)
+	for at, body := range [][]byte{first, first, other} {
+		result := machine.Apply(Command{Kind: KindJobAccepted, JobAccepted: &JobAccepted{ID: 1, Route: "r", Body: body}})
+		require.Equal(t, at > 0, result.Outcome == Repeated)
+		require.Equal(t, "x", machine.Job(1).Spec.Text)
+		require.Equal(t, 1, machine.PendingCount("r"))
+	}
+}
--- a/internal/system/workerapi/bytes_test.go
+++ b/internal/system/workerapi/bytes_test.go
@@ -354,3 +354,19 @@
 		client.Close()
 	})
 }
+
+func TestCallsHaveABound(t *testing.T) {
+	inWire(t, Options{}, func(t *testing.T, w *wireWorker, client *Client) {
+		w.late.Store(int64(10 * time.Minute))
+		start := time.Now()
+		reply, err := client.Stop(context.Background(), Worker{"i-1", workerAddress}, StopOrder{Task: "t", FenceToken: 1})
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		require.Equal(t, Unknown, reply.Outcome)
+		require.Equal(t, defaultAnswerTimeout, time.Since(start))
+		start = time.Now()
+		_, err = client.Hold(context.Background(), Worker{"i-1", workerAddress}, HoldOrder{FenceToken: 1, WaitMs: 1000})
+		require.ErrorIs(t, err, context.DeadlineExceeded)
+		require.Equal(t, defaultAnswerTimeout+time.Second, time.Since(start))
+		require.Zero(t, client.OpenConnections(), "no answer is waited for on a kept connection")
+	})
+}
