--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -38,7 +38,7 @@
 	if r.Committed() < r.LastIndex() && now < r.head.drainedBy && !stalls {
 		return true
 	}
-	return r.proposeChain(now, rest, "")
+	return r.proposeChain(now, rest, "", r.leaveCause(now))
 }
 
 // without is the chain without one member and without the lost ones.
@@ -57,14 +57,17 @@
 			next = append(next, member)
 		}
 	}
-	return r.proposeChain(now, next, "")
+	return r.proposeChain(now, next, "", r.leaveCause(now))
 }
 
 // governChain drops members that are lost, or want to leave and can be spared.
 func (r *Replica) governChain(now time.Duration) bool {
 	culprit := r.culprit(now)
 	next := r.remaining(now, culprit, 0)
-	return len(next) < len(r.view.Chain) && r.proposeChain(now, next, culprit)
+	if len(next) == len(r.view.Chain) {
+		return false
+	}
+	return r.proposeChain(now, next, culprit, r.dropCause(now, culprit, next))
 }
 
 // remaining is what stays of the chain if so many newcomers, who have everything, are added. It has no more lost members where f+1
@@ -103,23 +106,23 @@
 }
 
 // proposeChain proposes the view with another chain. Voters that go and aren't needed lose their seats with it.
-func (r *Replica) proposeChain(now time.Duration, members []view.Member, culprit view.ReplicaID) bool {
+func (r *Replica) proposeChain(now time.Duration, members []view.Member, culprit view.ReplicaID, cause Cause) bool {
 	next := r.view.Next()
 	next.Chain = members
 	r.passSeats(now, &next)
 	r.dropSeats(now, &next)
-	return r.proposeView(now, next, culprit)
+	return r.proposeView(now, next, culprit, cause)
 }
 
 // proposeView proposes a view whose chain may lack the culprit.
-func (r *Replica) proposeView(now time.Duration, next view.View, culprit view.ReplicaID) bool {
+func (r *Replica) proposeView(now time.Duration, next view.View, culprit view.ReplicaID, cause Cause) bool {
 	if len(next.Chain) == 0 || !r.readsOver(now, next) {
 		return false
 	}
 	if culprit != "" && !next.InChain(culprit) {
 		r.punish(now, culprit)
 	}
-	r.propose(now, next)
+	r.propose(now, next, cause)
 	return true
 }
 
@@ -151,15 +154,25 @@
 	}
 }
 
-// readsOver tells whether the present tail can't answer reads any more once the next view is decided: it is a
-// member still, has stopped by itself, or its permission has run out.
+// readsOver tells whether none of those that the next view drops can answer reads any more: a member's permission has
+// to run out, as neither its word nor another's says for sure that it has stopped.
 func (r *Replica) readsOver(now time.Duration, next view.View) bool {
-	tail := r.view.Tail()
-	if next.InChain(tail.ID) || tail.ID == r.self.ID || now >= r.head.readsUntil {
-		return true
+	for _, member := range r.view.Chain {
+		if member.ID != r.self.ID && !next.InChain(member.ID) && now < r.readsUntil(member.ID) {
+			return false
+		}
 	}
-	p := r.peer(tail.ID, now)
-	return p.leaving || p.gone
+	return true
+}
+
+// readsUntil is when a member's permission to read has run out, by the clock here. An earlier head may have given one, or
+// this one in an earlier epoch or life, till the view was learnt.
+func (r *Replica) readsUntil(id view.ReplicaID) time.Duration {
+	earlier := r.learned + r.cfg.Grant/readPart
+	if id != r.view.Tail().ID {
+		return earlier
+	}
+	return max(earlier, r.head.readsUntil)
 }
 
 func (r *Replica) punish(now time.Duration, id view.ReplicaID) {
@@ -192,7 +205,8 @@
 		return true
 	}
 	culprit := r.culprit(now)
-	return r.proposeView(now, r.viewWith(now, l.member, culprit), culprit)
+	cause := Cause{Kind: CauseLearner, Member: l.member.ID, Index: acked}
+	return r.proposeView(now, r.viewWith(now, l.member, culprit), culprit, cause)
 }
 
 func (r *Replica) chooseLearner(now time.Duration) {
@@ -293,20 +307,20 @@
 func (r *Replica) governVoters(now time.Duration) {
 	next := r.view.Next()
 	if r.passSeats(now, &next) {
-		r.propose(now, next)
+		r.propose(now, next, r.seatCause(now, next))
 		return
 	}
 	if len(next.Voters) > 2*r.cfg.Tolerance+1 {
 		gone := slices.IndexFunc(next.Voters, func(m view.Member) bool { return r.voterGone(now, m.ID) })
 		if gone >= 0 {
 			next.Voters = slices.Delete(next.Voters, gone, gone+1)
-			r.propose(now, next)
+			r.propose(now, next, r.seatCause(now, next))
 			return
 		}
 	}
 	for _, member := range r.view.Chain {
 		if p := r.peers[member.ID]; p != nil && p.refused != 0 && now-p.refused > refusedRefresh {
-			r.propose(now, next)
+			r.propose(now, next, Cause{Kind: CausePromise, Member: member.ID, Silence: now - p.refused, Patience: refusedRefresh})
 			return
 		}
 	}
--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -89,7 +89,7 @@
 		head.learners, head.penalties = nil, nil
 	}
 	if h.announced && !head.announced {
-		r.out.Events = append(r.out.Events, LostHead{h.announcedE})
+		r.out.Events = append(r.out.Events, LostHead{Epoch: h.announcedE, Cause: r.leaseCause(now)})
 	}
 	if head.learners == nil {
 		head.learners = make(map[view.ReplicaID]*learner)
@@ -145,6 +145,7 @@
 		since = r.learned
 	}
 	if now-since > r.cfg.Grant && !r.alone() {
+		r.because(now, Cause{Kind: CauseMajorityLost, Member: r.self.ID, Silence: now - since, Patience: r.cfg.Grant})
 		r.abdicate(now)
 		r.electAt = now + r.jitter(r.cfg.Grant/2) + r.cfg.Grant/8
 		return
@@ -177,13 +178,14 @@
 	r.send(voter, m)
 }
 
-// permitReads gives the tail's permission. It ends before the lease does.
+// permitReads gives the tail's permission. It ends before the lease does, and counts at the tail from when it acknowledged
+// the echoed heartbeat, which was before word of that came here.
 func (r *Replica) permitReads(now time.Duration, tail *peer) (echo uint64, readFor time.Duration) {
 	if tail.echo == 0 || tail.leaving || !r.IsHead(now) || now-r.head.stuckSince > stuckNoReads {
 		return 0, 0
 	}
 	readFor = min(r.head.leaseUntil-now, r.cfg.Grant/readPart)
-	r.head.readsUntil = max(r.head.readsUntil, now+readFor)
+	r.head.readsUntil = max(r.head.readsUntil, tail.ackedAt+readFor)
 	return tail.echo, readFor
 }
 
@@ -256,7 +258,7 @@
 	switch {
 	case h.announced && now >= h.leaseUntil:
 		h.announced = false
-		r.out.Events = append(r.out.Events, LostHead{h.announcedE})
+		r.out.Events = append(r.out.Events, LostHead{Epoch: h.announcedE, Cause: r.leaseCause(now)})
 	case r.IsHead(now) && r.Committed() >= h.inherited && (!h.announced || h.announcedE != r.view.Epoch):
 		r.out.Events = append(r.out.Events, BecameHead{Epoch: r.view.Epoch, Continued: h.announced})
 		h.announced, h.announcedE = true, r.view.Epoch
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -110,7 +110,7 @@
 	n.client = transport.NewClient(transport.Options{Dial: dial})
 	n.forward = n.client.Call
 	n.sender = transport.NewSender[*replica.Message](n.client, chainService+".Receive", transport.SenderOptions{})
-	n.orders = newOrders(max(n.settings.Limits.MaxOpenFiles-reservedFiles, leastConnections), dial)
+	n.orders = newOrders(n.workerConnections(), dial)
 	n.list = workerapi.NewListClient(dial)
 	if err := n.listen(); err != nil {
 		return nil, err
--- a/internal/system/workerapi/transport.go
+++ b/internal/system/workerapi/transport.go
@@ -30,11 +30,13 @@
 // Dial makes a connection, as net.Dialer's DialContext does.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// connectionBound counts the open connections of one client and refuses to dial beyond its limit.
+// connectionBound counts the open connections of one client and refuses to dial beyond its limit. Connections that no call uses don't
+// stand in the way of one that a call needs: at the limit they are closed first.
 type connectionBound struct {
-	dial  Dial
-	limit int64
-	open  atomic.Int64
+	dial      Dial
+	limit     int64
+	open      atomic.Int64
+	closeIdle func()
 }
 
 // newConnectionBound returns a bound of connections that dial makes; nil stands for the operating system's sockets.
@@ -71,8 +73,7 @@
 }
 
 func (bound *connectionBound) connect(ctx context.Context, network, address string) (net.Conn, error) {
-	if bound.open.Add(1) > bound.limit {
-		bound.open.Add(-1)
+	if !bound.take() {
 		return nil, fmt.Errorf("%w: %w", errNotDialled, ErrTooManyConnections)
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
@@ -85,6 +86,23 @@
 	return &boundConnection{Conn: connection, bound: bound}, nil
 }
 
+// take counts one more connection, if need be in the place of those that no call uses.
+func (bound *connectionBound) take() bool {
+	if bound.tryTake() {
+		return true
+	}
+	bound.closeIdle()
+	return bound.tryTake()
+}
+
+func (bound *connectionBound) tryTake() bool {
+	if bound.open.Add(1) <= bound.limit {
+		return true
+	}
+	bound.open.Add(-1)
+	return false
+}
+
 // boundConnection gives its place back when it is closed, and ends with errUnasked once more has come than the answers that were asked
 // for.
 type boundConnection struct {
@@ -131,7 +149,7 @@
 func newTransport(bound *connectionBound, connectionsPerHost int) *http.Transport {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	return &http.Transport{
+	transport := &http.Transport{
 		DialContext:            bound.connect,
 		Protocols:              protocols,
 		DisableCompression:     true,
@@ -143,4 +161,6 @@
 		WriteBufferSize:        bufferBytes,
 		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
+	bound.closeIdle = transport.CloseIdleConnections
+	return transport
 }
