--- a/coord/transport/errors.go
+++ b/coord/transport/errors.go
@@ -24,6 +24,7 @@
 	errNoAnswer   = errors.New("no answer in time")
 	errNoTime     = errors.New("no time left")
 	errPeerClosed = errors.New("peer closed the connection")
+	errStale      = errors.New("bytes have waited too long to be written")
 )
 
 // unsentOnStale tells whether a call failed only because its kept connection had ended before.
--- a/coord/transport/link.go
+++ b/coord/transport/link.go
@@ -11,6 +11,9 @@
 	maxPendingBytes = 16 << 20
 	maxKeptBytes    = 256 << 10
 	writeTimeout    = 5 * time.Second
+	// mostPendingTime is how long bytes may wait to be written: behind one write that takes all its time, and no longer. Whatever waits
+	// longer was held up with its whole process, and its callers have long gone.
+	mostPendingTime = writeTimeout + time.Second
 )
 
 // linkState is what a link still does.
@@ -32,7 +35,9 @@
 	state   linkState
 	cause   error
 	pending []byte
-	spare   []byte
+	// since is when the oldest of the pending bytes came.
+	since time.Time
+	spare []byte
 }
 
 // newLink returns a link whose goroutine is still to be started, with run.
@@ -65,6 +70,9 @@
 	if len(l.pending) > maxPendingBytes {
 		return 0, errBacklog
 	}
+	if len(l.pending) == 0 {
+		l.since = time.Now()
+	}
 	l.pending = append(l.pending, data...)
 	return len(data), nil
 }
@@ -115,12 +123,12 @@
 // run writes what is pending until the link is closed.
 func (l *link) run() {
 	for {
-		data, state := l.take()
+		data, since, state := l.take()
 		if state == linkClosed {
 			return
 		}
 		if len(data) > 0 {
-			l.write(data)
+			l.writeUnlessStale(data, since)
 			continue
 		}
 		if state == linkFinishing {
@@ -132,13 +140,23 @@
 }
 
 // take swaps the two buffers.
-func (l *link) take() ([]byte, linkState) {
+func (l *link) take() (data []byte, since time.Time, state linkState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	data := l.pending
+	data = l.pending
 	l.pending = l.spare[:0]
 	l.spare = nil
-	return data, l.state
+	return data, l.since, l.state
+}
+
+// writeUnlessStale writes, but for bytes that have waited through a freeze: a call isn't carried out long after its caller was told that
+// its outcome is unknown.
+func (l *link) writeUnlessStale(data []byte, since time.Time) {
+	if time.Since(since) > mostPendingTime {
+		l.close(errStale)
+		return
+	}
+	l.write(data)
 }
 
 func (l *link) write(data []byte) {
--- /dev/null
+++ b/coord/transport/link_test.go
@@ -0,0 +1,70 @@
+package transport
+
+import (
+	"context"
+	"io"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/simnet"
+)
+
+// linkOver returns a link that isn't run yet, and the other end of its connection.
+func linkOver(t *testing.T) (*link, *simnet.Conn) {
+	network := simnet.New(1)
+	_, err := network.Listen(serverAddr)
+	require.NoError(t, err)
+	conn, err := network.Dial(context.Background(), callerHost, serverAddr)
+	require.NoError(t, err)
+	return newLink(conn), conn.(*simnet.Conn).Peer()
+}
+
+// A process that was frozen with a call half on its way doesn't send it once it goes on: its caller was told long ago that nobody knows.
+func TestBytesThatWaitedThroughAFreezeAreNotWritten(t *testing.T) {
+	for _, frozen := range []time.Duration{mostPendingTime, mostPendingTime + time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			l, far := linkOver(t)
+			_, err := l.Write([]byte("call"))
+			require.NoError(t, err)
+			time.Sleep(frozen)
+			go l.run()
+			l.flush()
+			synctest.Wait()
+			if frozen == mostPendingTime {
+				require.NoError(t, l.broken())
+				got := make([]byte, 4)
+				_, err := io.ReadFull(far, got)
+				require.NoError(t, err)
+				l.close(ErrClosed)
+				return
+			}
+			require.ErrorIs(t, l.broken(), errStale)
+			require.NoError(t, far.SetReadDeadline(time.Now().Add(time.Minute)))
+			count, err := far.Read(make([]byte, 4))
+			require.Zero(t, count)
+			require.NotErrorIs(t, err, os.ErrDeadlineExceeded)
+		})
+	}
+}
+
+// The time counts anew for bytes that come after others were written.
+func TestBytesThatComeLaterWaitFromThen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l, far := linkOver(t)
+		go l.run()
+		for range 3 {
+			time.Sleep(2 * mostPendingTime)
+			_, err := l.Write([]byte("call"))
+			require.NoError(t, err)
+			l.flush()
+			_, err = io.ReadFull(far, make([]byte, 4))
+			require.NoError(t, err)
+		}
+		require.NoError(t, l.broken())
+		l.close(ErrClosed)
+	})
+}
