Begin nothing for a call that has no time left

A caller whose time was over, such as a dispatcher's last try or a forwarded order, still began a dial, which could only fail: the address's other calls and the chain's messages were then held off for the 100 ms of back-off. On a kept connection the call was sent and its outcome unknown. acquire tells it now as surely not sent. TestACallWithoutTimeBeginsNothing fails without the change.

--- a/coord/transport/faults_test.go
+++ b/coord/transport/faults_test.go
@@ -152,3 +152,14 @@
 		})
 	}
 }
+
+// A call that has no time left is told so, sends nothing, and holds no other call to the address off.
+func TestACallWithoutTimeBeginsNothing(t *testing.T) {
+	inWire(t, 1, func(t *testing.T, w *wire) {
+		require.ErrorIs(t, w.add(1, 0), ErrNotSent)
+		require.NoError(t, w.add(2, patience), "no back-off for a dial that had no time")
+		require.ErrorIs(t, w.add(3, -time.Second), ErrNotSent, "also on a kept connection")
+		w.settle()
+		require.Zero(t, w.tally.count(1)+w.tally.count(3))
+	})
+}
--- a/coord/transport/peers.go
+++ b/coord/transport/peers.go
@@ -32,8 +32,12 @@
 	err        error
 }
 
-// acquire returns the address's connection, for use until release, and dials it if need be.
+// acquire returns the address's connection, for use until release, and dials it if need be. Without time nothing is begun: a dial that can
+// only fail would hold the address's other calls off.
 func (c *Client) acquire(addr string, timeout time.Duration) (*connection, error) {
+	if timeout <= 0 {
+		return nil, notSent(addr, errNoTime)
+	}
 	found, attempt, mine, err := c.lookUp(addr)
 	if err != nil {
 		return nil, notSent(addr, err)
@@ -125,9 +129,6 @@
 }
 
 func (c *Client) dialTCP(addr string, timeout time.Duration) (net.Conn, error) {
-	if timeout <= 0 {
-		return nil, errNoTime
-	}
 	bounded, cancel := context.WithTimeout(c.context, timeout)
 	defer cancel()
 	return c.options.Dial(bounded, "tcp", addr)
