--- a/coord/replica/inspect.go
+++ b/coord/replica/inspect.go
@@ -94,11 +94,12 @@
 type Inspected struct {
 	Kind     RecordKind
 	Entry    *chain.Entry
-	Truncate uint64 // all after this index is dropped
-	Snapshot *chain.Snapshot
+	Truncate uint64          // all after this index is dropped
+	Snapshot *chain.Snapshot // of KindSnapshotPart: what this part holds
 	View     *view.View
 	Acceptor *view.Acceptor
 	Identity view.ReplicaID
+	Unfit    string
 }
 
 // Inspect reads one record by itself. The error wraps view.ErrCorrupt.
@@ -115,10 +116,15 @@
 		found.Truncate = index
 		return found, err
 	}
+	if record.Kind == KindSnapshotPart {
+		part, err := decodePart(record.Data)
+		found.Snapshot = &chain.Snapshot{Index: part.index, Epoch: part.epoch, Data: part.data}
+		return found, err
+	}
 	if err := alone.apply(record); err != nil {
 		return found, err
 	}
-	found.Snapshot, found.Identity = alone.Snapshot, alone.Identity
+	found.Snapshot, found.Identity, found.Unfit = alone.Snapshot, alone.Identity, alone.Unfit
 	switch record.Kind {
 	case KindView:
 		found.View = &alone.View
--- a/internal/system/state/snapshot.go
+++ b/internal/system/state/snapshot.go
@@ -16,14 +16,31 @@
 	tenantSnapshotFormat = 2 // each job is followed by its tenant
 )
 
+const (
+	leastSnapshot = 1 << 16
+	// snapshotGrowth: room is made for a snapshot that is longer by this part than the one before.
+	snapshotGrowth = 8
+)
+
 var sumTable = crc64.MakeTable(crc64.ECMA)
 
 func checksum(body []byte) uint64 { return crc64.Checksum(body, sumTable) }
 
 // Snapshot gives the whole state, the same bytes for the same state.
 func (m *Machine) Snapshot() []byte {
-	w := &writer{data: make([]byte, 0, 1<<16)}
+	w := &writer{data: make([]byte, 0, max(leastSnapshot, m.snapshotBytes+m.snapshotBytes/snapshotGrowth))}
 	format := m.snapshotFormat()
+	m.writeStart(w, format)
+	for _, id := range slices.SortedFunc(maps.Keys(m.jobs), cmp.Compare[JobID]) {
+		m.writeJob(w, m.jobs[id], format)
+	}
+	m.writeEnd(w)
+	m.snapshotBytes = len(w.data)
+	return w.data
+}
+
+// writeStart writes what comes before the jobs.
+func (m *Machine) writeStart(w *writer, format byte) {
 	w.byte(format)
 	w.uint(m.config.Version)
 	w.bytes(m.config.Body)
@@ -33,18 +50,22 @@
 		w.fixed(before.sum)
 	}
 	w.uint(uint64(len(m.jobs)))
-	for _, id := range slices.SortedFunc(maps.Keys(m.jobs), cmp.Compare[JobID]) {
-		w.job(m.jobs[id])
-		if format == tenantSnapshotFormat {
-			w.string(m.jobs[id].Tenant)
-		}
+}
+
+func (m *Machine) writeJob(w *writer, job *Job, format byte) {
+	w.job(job)
+	if format == tenantSnapshotFormat {
+		w.string(job.Tenant)
 	}
+}
+
+// writeEnd writes what comes after the jobs.
+func (m *Machine) writeEnd(w *writer) {
 	w.uint(uint64(len(m.workers)))
 	for _, instance := range slices.Sorted(maps.Keys(m.workers)) {
 		w.string(instance)
 		w.uint(m.workers[instance].LastSeen)
 	}
-	return w.data
 }
 
 func (m *Machine) snapshotFormat() byte {
@@ -111,6 +132,7 @@
 		return fmt.Errorf("snapshot: %w", err)
 	}
 	next.promise()
+	next.snapshotBytes = len(snapshot)
 	*m = *next
 	return nil
 }
