--- a/internal/system/dataplane/poller_test.go
+++ b/internal/system/dataplane/poller_test.go
@@ -235,6 +235,7 @@
 	assert.Error(t, err)
 	core := threeReplicas(false)
 	NewPoller(core, directory, []string{"a"}, failOn(t), Options{}).ask("a")
+	assert.False(t, directory.Reachable(time.Minute), "it is no sign of the core")
 	assert.False(t, directory.UpToDate(time.Minute))
 	directory.Current(3)
 	assert.False(t, directory.UpToDate(time.Minute))
