--- a/coord/replica/bound_test.go
+++ b/coord/replica/bound_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"slices"
@@ -54,7 +55,6 @@
 	lostUntil map[*machine]time.Duration
 	back      []*machine // in the order of their returns
 	losses    int
-	wiped     int // disks that are lost, their successors not yet back
 	returns   []returned
 }
 
@@ -62,6 +62,7 @@
 type returned struct {
 	kind int
 	took time.Duration
+	seed uint64
 }
 
 // fullWriting is 200 batches a second of 1 to 8 commands of 400 bytes: 900 commands a second.
@@ -99,9 +100,9 @@
 	return t
 }
 
-// checkChain holds that every chain has f+1 members that have everything, but for those whose disks are lost.
+// checkChain holds that every chain has f+1 members: each has everything.
 func (t *boundTrial) checkChain(v view.View) {
-	if len(v.Chain)+t.wiped <= t.tolerance {
+	if len(v.Chain) <= t.tolerance {
 		t.fail("the chain of epoch %d has %d members", v.Epoch, len(v.Chain))
 	}
 }
@@ -211,8 +212,6 @@
 		t.comesBack(kind, m, length)
 	case lossDisk:
 		m.loseDisk()
-		t.wiped++
-		t.after(length+t.shape.bound, func() { t.wiped-- })
 		t.comesBack(kind, m, length)
 	case lossMachine:
 		m.losePower()
@@ -312,7 +311,7 @@
 	head := t.head()
 	id := m.process.Self().ID
 	if head != nil && head.process.View().InChain(id) && head.process.View().IsVoter(id) && m.process.View().InChain(id) && m.frozen <= t.now {
-		t.returns = append(t.returns, returned{kind, t.now - began})
+		t.returns = append(t.returns, returned{kind, t.now - began, t.seed})
 		t.back = append(t.back, m)
 		return
 	}
@@ -354,27 +353,27 @@
 	if n, err := strconv.Atoi(os.Getenv("GAUGESLIP_BOUNDS")); err == nil {
 		count, losses = n, boundLosses
 	}
-	var returns [lossKinds][]time.Duration
+	var returns [lossKinds][]returned
 	for seed := range uint64(count) {
 		trial, err := boundTrialOf(seed, losses, boundBytes, nil)
 		assert.NoError(t, err, "replay with GAUGESLIP_BOUND=%d go test -v -run TestLossesAtTheBound ./coord/replica", seed)
 		for _, back := range trial.returns {
-			returns[back.kind] = append(returns[back.kind], back.took)
+			returns[back.kind] = append(returns[back.kind], back)
 		}
 	}
 	t.Log(distribution(returns))
 }
 
-// distribution tells how long the returns took, by kind.
-func distribution(returns [lossKinds][]time.Duration) string {
-	text := fmt.Sprintf("\n%-14s %5s %7s %7s %7s\n", "loss", "n", "p50", "p90", "max")
-	for kind, took := range returns {
-		if len(took) == 0 {
+// distribution tells how long the returns took, by kind, and of which seed the longest is.
+func distribution(returns [lossKinds][]returned) string {
+	text := fmt.Sprintf("\n%-14s %5s %7s %7s %7s %5s\n", "loss", "n", "p50", "p90", "max", "seed")
+	for kind, all := range returns {
+		if len(all) == 0 {
 			continue
 		}
-		slices.Sort(took)
-		at := func(part int) time.Duration { return took[(len(took)-1)*part/100].Round(10 * time.Millisecond) }
-		text += fmt.Sprintf("%-14s %5d %7v %7v %7v\n", lossNames[kind], len(took), at(50), at(90), at(100))
+		slices.SortFunc(all, func(a, b returned) int { return cmp.Compare(a.took, b.took) })
+		at := func(part int) time.Duration { return all[(len(all)-1)*part/100].took.Round(10 * time.Millisecond) }
+		text += fmt.Sprintf("%-14s %5d %7v %7v %7v %5d\n", lossNames[kind], len(all), at(50), at(90), at(100), all[len(all)-1].seed)
 	}
 	return text
 }
--- a/coord/replica/replica_test.go
+++ b/coord/replica/replica_test.go
@@ -22,7 +22,8 @@
 		{From: from, Accept: &view.Accept{Value: *v}},
 		{From: from, Accepted: &view.Accepted{}},
 		{From: from, Heartbeat: &view.Heartbeat{}},
-		{From: from, HeartbeatAck: &view.HeartbeatAck{}},
+		{From: from, HeartbeatAck: &view.HeartbeatAck{Digests: []view.Digest{{Index: 64, Format: 1, Sum: 9}}}},
+		{From: from, Differs: &view.Digest{Index: 64, Format: 1, Sum: 9}},
 		{From: from, Join: &view.Join{}, Viewless: true},
 		{From: from, Leave: &view.LeaveNotice{}},
 		{From: from, Request: &view.Request{}},
@@ -59,7 +60,7 @@
 	assert.ErrorIs(t, err, view.ErrCorrupt)
 	_, err = Restore([]Record{{Kind: 99}})
 	assert.ErrorIs(t, err, view.ErrCorrupt)
-	_, err = Restore([]Record{encodeSnapshot(chain.Snapshot{Index: 7, Epoch: 2, Data: []byte("s")}), entry(8, 2)})
+	_, err = Restore([]Record{encodeWhole(chain.Snapshot{Index: 7, Epoch: 2, Data: []byte("s")}), entry(8, 2)})
 	assert.NoError(t, err)
 }
 
--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -55,12 +55,15 @@
 	machine   *state.Machine
 	disk      *disk
 	appliedTo uint64
+	audit     *state.Audit
+	digests   []view.Digest // not yet handed to the core
 	queue     []*proposal
 	flying    map[uint64]*proposal
 	reads     []waitingRead
 	wake      time.Duration
 	closed    bool
 	rewriting bool
+	capturing capturing
 	compactAt int64
 }
 
@@ -86,6 +89,7 @@
 		}
 		e.appliedTo = persisted.Snapshot.Index
 	}
+	e.audit = state.NewAudit(e.appliedTo)
 	e.replica = replica.New(options.config, persisted, options.now())
 	return e, nil
 }
@@ -140,8 +144,9 @@
 	}
 	e.wake = output.Wake
 	if output.NeedSnapshot {
-		e.step(replica.SnapshotReady{Index: e.appliedTo, Data: e.machine.Snapshot()})
+		e.capture(forLearners)
 	}
+	e.tellDigests()
 }
 
 func (e *engine) persist(records []replica.Record, token uint64) {
@@ -175,11 +180,17 @@
 	if e.rewriting || e.disk.bytes() < e.compactAt {
 		return
 	}
-	records := e.replica.Compact(e.machine.Snapshot(), e.appliedTo)
+	e.rewriting = true
+	e.capture(forLog)
+}
+
+// rewrite replaces the log by a snapshot and what follows it.
+func (e *engine) rewrite(index uint64, snapshot []byte) {
+	records := e.replica.Compact(snapshot, index)
 	if records == nil {
+		e.rewriting = false
 		return
 	}
-	e.rewriting = true
 	began := e.options.now()
 	e.disk.submit(diskJob{records: toLog(records), rewrite: true, done: func(err error) {
 		e.options.post(func() { e.compacted(err, e.options.now()-began) })
@@ -207,6 +218,8 @@
 		return false
 	}
 	e.appliedTo = snapshot.Index
+	e.dropCapture()
+	e.audit = state.NewAudit(e.appliedTo)
 	for index, waiting := range e.flying {
 		if index <= snapshot.Index {
 			delete(e.flying, index)
@@ -223,14 +236,32 @@
 	}
 	e.appliedTo = entry.Index
 	if len(entry.Data) == 0 {
+		e.audited(entry, nil)
 		e.settle(entry, state.Result{})
 		return
 	}
 	result := e.machine.ApplyBytes(entry.Data)
+	e.audited(entry, &result)
 	e.options.applied(result)
 	e.settle(entry, result)
 }
 
+// audited sums up what an entry came to.
+func (e *engine) audited(entry chain.Entry, result *state.Result) {
+	if sum, due := e.audit.Applied(entry.Index, entry.Data, result, e.machine); due {
+		e.digests = append(e.digests, view.Digest{Index: entry.Index, Format: state.AuditFormat, Sum: sum})
+	}
+}
+
+// tellDigests hands the digests that have come up to the core, which compares them with those of the others.
+func (e *engine) tellDigests() {
+	for len(e.digests) > 0 {
+		digest := e.digests[0]
+		e.digests = e.digests[1:]
+		e.step(replica.Audited{Digest: digest})
+	}
+}
+
 // settle tells a proposal what became of it.
 func (e *engine) settle(entry chain.Entry, result state.Result) {
 	waiting := e.flying[entry.Index]
