Let handlers that wait out their patience end before a simulated world does

A run that ended while a replica still worked for an operator who had gone left its goroutine in the bubble, which ends the test with a deadlock.

--- a/internal/system/simworld/world_test.go
+++ b/internal/system/simworld/world_test.go
@@ -107,6 +107,7 @@
 	}
 	w.farm.close()
 	_ = w.console.Close()
+	time.Sleep(callPatience) // until handlers that nobody waits for have ended
 	w.endings.Wait()
 	if path := os.Getenv(logVariable); path != "" && w.t.Failed() {
 		require.NoError(w.t, os.WriteFile(path, w.logs.Bytes(), 0o600))
