Tell operators within a second that a core machine can't reach whoever decides

A core machine that is cut off tried for 3 s to reach the head before its 503 or 504, and operators go on elsewhere after 1 s.

--- a/internal/system/control/config.go
+++ b/internal/system/control/config.go
@@ -12,7 +12,10 @@
 )
 
 const (
-	forwardFirst = 900 * time.Millisecond
+	// forwardMost bounds one call to the replica that may answer, and retryFor the time in which another is begun: a replica that can't
+	// reach it says so soon, and its operator goes on to another.
+	forwardMost  = 500 * time.Millisecond
+	retryFor     = 400 * time.Millisecond
 	forwardPause = 60 * time.Millisecond
 )
 
@@ -98,7 +101,7 @@
 // readHere gives the newest configuration that was acknowledged when it was asked for, if this replica can know it.
 func (n *Node) readHere() internalapi.ReadReply {
 	refused := internalapi.ReadReply{Verdict: internalapi.NotHead}
-	return ask(n, time.Second, refused, func(answer func(internalapi.ReadReply)) {
+	return ask(n, forwardMost, refused, func(answer func(internalapi.ReadReply)) {
 		n.engine.read(func(current bool) { answer(n.readReply(current)) })
 	})
 }
@@ -113,7 +116,7 @@
 
 // replaceAnywhere decides an order here or passes it on to the head, until it is decided or the patience is over.
 func (n *Node) replaceAnywhere(args internalapi.ReplaceArgs, patience time.Duration) internalapi.ReplaceReply {
-	deadline := time.Now().Add(patience)
+	deadline, retryUntil := time.Now().Add(patience), time.Now().Add(retryFor)
 	inDoubt := false
 	for {
 		reply := n.replaceHere(args, time.Until(deadline))
@@ -126,7 +129,7 @@
 		if reply.Verdict != internalapi.NotHead && !(inDoubt && reply.Status == http.StatusPreconditionFailed) {
 			return reply
 		}
-		if time.Until(deadline) < 2*forwardPause {
+		if time.Until(retryUntil) < 2*forwardPause {
 			return undecided(inDoubt)
 		}
 		time.Sleep(forwardPause)
@@ -146,7 +149,7 @@
 	if head == "" {
 		return reply, transport.ErrNotSent
 	}
-	err := n.forward(head, internalapi.MethodReplace, args, &reply, min(forwardFirst, time.Until(deadline)))
+	err := n.forward(head, internalapi.MethodReplace, args, &reply, min(forwardMost, time.Until(deadline)))
 	if err != nil {
 		reply = internalapi.ReplaceReply{Verdict: internalapi.NotHead}
 	}
@@ -167,7 +170,7 @@
 
 // readAnywhere gives the newest configuration from here or, if this replica can't know it, from the chain's tail or head.
 func (n *Node) readAnywhere(patience time.Duration) internalapi.ReadReply {
-	deadline := time.Now().Add(patience)
+	deadline, retryUntil := time.Now().Add(patience), time.Now().Add(retryFor)
 	for {
 		reply := n.readHere()
 		if reply.Verdict == internalapi.Done {
@@ -175,12 +178,12 @@
 		}
 		for _, address := range n.readers() {
 			reply = internalapi.ReadReply{}
-			err := n.forward(address, internalapi.MethodRead, internalapi.ReadArgs{}, &reply, min(forwardFirst, time.Until(deadline)))
+			err := n.forward(address, internalapi.MethodRead, internalapi.ReadArgs{}, &reply, min(forwardMost, time.Until(deadline)))
 			if err == nil && reply.Verdict == internalapi.Done {
 				return reply
 			}
 		}
-		if time.Until(deadline) < 2*forwardPause {
+		if time.Until(retryUntil) < 2*forwardPause {
 			return internalapi.ReadReply{Verdict: internalapi.NotHead, Text: errNoHead.Error()}
 		}
 		time.Sleep(forwardPause)
--- a/internal/system/control/operator.go
+++ b/internal/system/control/operator.go
@@ -12,8 +12,9 @@
 
 const (
 	baseVersionHeader = "X-Gaugeslip-Base-Version"
-	// operatorPatience is how long an order may take before it is left without a clear answer.
-	operatorPatience = 3 * time.Second
+	// operatorPatience is how long an order may take before it is left without a clear answer: less than the second after which an
+	// operator goes on to another machine.
+	operatorPatience = 900 * time.Millisecond
 	mostConfigBytes  = 8 << 20
 )
 
