--- a/internal/system/scheduler/simjobs_test.go
+++ b/internal/system/scheduler/simjobs_test.go
@@ -1,7 +1,6 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
 
 	"gaugeslip/internal/system/jobspec"
@@ -120,42 +119,6 @@
 	}
 }
 
-func (w *world) checkCompleted(j *simJob) {
-	for name, task := range j.tasks {
-		if !task.done {
-			w.violated("MIXED", "%v isn't done", name)
-		}
-	}
-}
-
-// checkFailed tells whether a job was shown as failed without cause.
-func (w *world) checkFailed(j *simJob) {
-	for _, task := range j.tasks {
-		failed := 0
-		for _, end := range task.ends {
-			if end.how == workerapi.HowFailed {
-				failed++
-			}
-		}
-		if failed >= j.accepted.MaxRetries || task.stage.spec.Gang && task.step.failed >= j.accepted.MaxRetries {
-			return
-		}
-	}
-	w.violated("LOST", "job %v failed without cause", j.id)
-}
-
-// checkStopped tells whether anything of a cancelled job still runs where nothing goes wrong.
-func (w *world) checkStopped(j *simJob) {
-	if !w.calm {
-		return
-	}
-	for name, task := range j.tasks {
-		if len(task.present) > 0 {
-			w.violated("UNASKED", "%v still runs", name)
-		}
-	}
-}
-
 // endListed takes note of an end where it happens.
 func (w *world) endListed(end *simEnd, r *simRun) {
 	task := end.task
@@ -194,98 +157,6 @@
 	}
 }
 
-// checkBudget looks for a start after as many failures as are allowed.
-func (w *world) checkBudget(task *simTask) {
-	var noted []time.Duration
-	for _, end := range task.ends {
-		if end.how == workerapi.HowFailed && end.noted && !end.lapsed {
-			noted = append(noted, end.at)
-		}
-	}
-	slices.Sort(noted)
-	limit := task.job.accepted.MaxRetries
-	if len(noted) < limit {
-		return
-	}
-	for _, at := range task.starts {
-		if at > noted[limit-1] {
-			w.violated("BUDGET", "%v was started after %d failures", task.name, limit)
-		}
-	}
-}
-
-// checkStart checks what a start must hold by itself.
-func (w *world) checkStart(r *simRun, order *workerapi.StartOrder) {
-	task, j := r.task, r.task.job
-	stage := task.stage.spec
-	if order.Spec != j.spec.Text {
-		w.violated("UNASKED", "%v carries another spec", r.name)
-	}
-	if _, known := task.saved[order.Checkpoint]; order.Checkpoint != "" && !known {
-		w.violated("UNASKED", "%v carries a checkpoint that isn't its own: %q", r.name, order.Checkpoint)
-	}
-	if j.cancelledAt > 0 && w.now > j.cancelledAt+w.bounds.Cancel() {
-		w.violated("UNASKED", "%v was cancelled at %v", r.name, j.cancelledAt)
-	}
-	w.checkOrder(r)
-	if len(task.present) > 0 && !stage.Speculative {
-		w.violated("TWICE", "%v runs on %s, %v on %s", r.name, r.worker.instance, task.present[0].name, task.present[0].worker.instance)
-	}
-	task.starts = append(task.starts, w.now)
-	for _, end := range task.ends {
-		if end.how == workerapi.HowDone && end.noted && !end.lapsed && !stage.LongRunning && !stage.Speculative {
-			w.violated("TWICE", "%v has ended done before", r.name)
-		}
-	}
-	if !stage.LongRunning && !stage.Gang {
-		w.checkBudget(task)
-	}
-	if r.worker.drainSince > 0 && w.now > r.worker.drainSince+w.bounds.DrainTimeout() {
-		w.violated("DRAIN", "%v", r.name)
-	}
-}
-
-func (w *world) checkOrder(r *simRun) {
-	j := r.task.job
-	for _, earlier := range r.task.stage.spec.DependsOn {
-		for i := range j.spec.Stages[earlier].Count {
-			name := state.TaskName{Job: j.id, Time: r.name.Task.Time, Step: uint32(earlier), Index: uint32(i)}
-			if !j.tasks[name].done {
-				w.violated("ORDER", "%v before %v", r.name, name)
-			}
-		}
-	}
-	if j.spec.Timed() && w.unixMs()+int64(w.bounds.EarlyMs) < j.spec.DueAt(r.name.Task.Time).Milliseconds() {
-		w.violated("ORDER", "%v is too early", r.name)
-	}
-}
-
-// checkPlace checks a start against its worker.
-func (w *world) checkPlace(r *simRun) {
-	worker, stage := r.worker, r.task.stage.spec
-	if worker.backend != r.task.job.accepted.Service {
-		w.violated("ROUTE", "%v on a worker of %s", r.name, worker.backend)
-	}
-	for _, label := range stage.Requirements {
-		if !slices.Contains(worker.labels, label) {
-			w.violated("ROUTE", "%v without %s", r.name, label)
-		}
-	}
-	if !worker.used().fitsInto(worker.room) {
-		w.violated("LIMIT", "%v on %s: %v of %v", r.name, worker.instance, worker.used(), worker.room)
-	}
-	w.checkShare(r)
-	held := 0
-	for name := range worker.runs {
-		if name.Task.Job == r.name.Task.Job && name.Task.Time == r.name.Task.Time && name.Task.Step == r.name.Task.Step {
-			held++
-		}
-	}
-	if stage.AntiAffinity > 0 && held > stage.AntiAffinity {
-		w.violated("ROUTE", "%v: %d on %s", r.name, held, worker.instance)
-	}
-}
-
 func (w *world) savedProgress(task *simTask, text string) time.Duration { return task.saved[text] }
 
 // noteSaved takes note of progress that was saved.
