Look for urgent work in the midst of a batch after 5 ms at the earliest

Taking peers' messages before each function split batches up, and the head woke each 40 ms to judge though nothing was stuck. Messages now go before other work once that has gone on for 5 ms, and the head wakes to judge only while an entry is under way.

--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -226,7 +226,7 @@
 	at := min(now+wakeAtLeastEvery, r.chain.Wake())
 	if r.leading() {
 		at = min(at, r.head.beatAt)
-		if r.IsHead(now) {
+		if r.IsHead(now) && (r.leaving || r.head.admitting != "" || r.Committed() < r.head.stuckIndex) {
 			at = min(at, r.head.governAt)
 		}
 	} else {
--- a/internal/system/control/loop.go
+++ b/internal/system/control/loop.go
@@ -19,10 +19,16 @@
 	// between, if set, runs before each function of a batch and after it, once nothing urgent waits.
 	between func()
 	spare   []func()
+	// attendEvery is how long other work may go on before what is urgent is looked for in its midst.
+	attendEvery time.Duration
+	attendedAt  time.Time
 }
 
+// attendEvery is far below a heartbeat's interval, and long enough that work in batches stays in batches.
+const attendEvery = 5 * time.Millisecond
+
 func newLoop() *loop {
-	return &loop{wake: make(chan struct{}, 1), stopped: make(chan struct{}), ended: make(chan struct{})}
+	return &loop{wake: make(chan struct{}, 1), stopped: make(chan struct{}), ended: make(chan struct{}), attendEvery: attendEvery}
 }
 
 // post hands in a function; it never blocks. What is posted after stop isn't run.
@@ -74,11 +80,19 @@
 		batch[i] = nil
 	}
 	l.spare = batch
+	l.attendedAt = time.Now()
 	if l.between != nil {
 		l.between()
 	}
 }
 
+// attendWhenDue attends if other work has gone on for a while.
+func (l *loop) attendWhenDue() {
+	if time.Since(l.attendedAt) >= l.attendEvery {
+		l.attend()
+	}
+}
+
 // run works until stop; after each batch flush collects output and gives the moment at which the loop has to wake by itself, as a
 // duration from now.
 func (l *loop) run(flush func() time.Duration) {
@@ -92,7 +106,7 @@
 		for i, work := range batch {
 			work()
 			batch[i] = nil
-			l.attend()
+			l.attendWhenDue()
 		}
 		timer.Reset(max(flush(), 0))
 		select {
--- a/internal/system/control/loop_test.go
+++ b/internal/system/control/loop_test.go
@@ -10,6 +10,7 @@
 
 func TestWhatIsUrgentGoesFirstInTheMidstOfABatchToo(t *testing.T) {
 	l := newLoop()
+	l.attendEvery = 0
 	var order []string
 	note := func(what string) func() { return func() { order = append(order, what) } }
 	l.post(func() {
@@ -26,3 +27,16 @@
 	// After "third" the end may wait for another round.
 	assert.Equal(t, []string{"before", "tick", "first", "message", "tick", "second", "tick", "tick", "tick", "third"}, order[:10])
 }
+
+func TestWhatIsUrgentWaitsForAShortBatchToEnd(t *testing.T) {
+	l := newLoop()
+	l.attendEvery = time.Hour
+	var order []string
+	l.post(func() {
+		l.postUrgent(func() { order = append(order, "message"); l.stop() })
+		order = append(order, "first")
+	})
+	l.post(func() { order = append(order, "second") })
+	l.run(func() time.Duration { return 0 })
+	assert.Equal(t, []string{"first", "second", "message"}, order)
+}
--- a/internal/system/control/roles.go
+++ b/internal/system/control/roles.go
@@ -22,7 +22,7 @@
 	forgetAtMost      = 8192
 	forgetEvery       = 10 * time.Second
 	// tickEvery is how often the core is told to judge at least, while there is anything to do: each of its steps may put its wake off.
-	tickEvery = 10 * time.Millisecond
+	tickEvery = 20 * time.Millisecond
 )
 
 // flush collects what the cores want done after a batch of inputs, until nothing more comes up, and gives the time to the next wake.
@@ -32,7 +32,7 @@
 	n.periodic(n.now())
 	for range 8 {
 		ordered := n.runScheduler()
-		n.loop.attend()
+		n.loop.attendWhenDue()
 		if !n.engine.flush() && !ordered {
 			break
 		}
