--- a/internal/system/control/operatorsdoubt_test.go
+++ b/internal/system/control/operatorsdoubt_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gaugeslip/coord/chain"
+	"gaugeslip/coord/replica"
 	"gaugeslip/coord/transport"
 	"gaugeslip/internal/system/internalapi"
 	"gaugeslip/internal/system/state"
@@ -130,3 +131,17 @@
 		p.loop.post(p.engine.close)
 	}))
 }
+
+// A core that has ended neither answers nor stands for the head's place: its disk takes nothing any more.
+func TestACoreThatHasEndedSaysNothing(t *testing.T) {
+	playOperators(t, 3, func(w *operatorsWorld, head *operatorsMachine) {
+		p := w.others(head)[0].running()
+		said := 0
+		p.loop.post(func() {
+			p.engine.close()
+			p.engine.options.send = func(string, *replica.Message) { said++ }
+		})
+		time.Sleep(2 * time.Second)
+		assert.Zero(t, said)
+	})
+}
