--- a/coord/replica/backoff.go
+++ b/coord/replica/backoff.go
@@ -17,6 +17,7 @@
 	stallDoublings = 3
 	silenceFrom    = 4 // upsets after which patience with silence grows
 	silenceSteps   = 4 // upsets after which it has grown by a grant
+	fellOften      = 1 // falls of one member after which its short silences are borne
 )
 
 // upset is a view from which members fell out of the chain.
@@ -52,6 +53,17 @@
 	return count
 }
 
+// upsetsOf is how often a member fell out of the chain within the last minute.
+func (r *Replica) upsetsOf(now time.Duration, id view.ReplicaID) int {
+	count := 0
+	for _, u := range r.upsets {
+		if now-u.at < upsetFor && slices.Contains(u.fell, id) {
+			count++
+		}
+	}
+	return count
+}
+
 // stallPatience is how long the disk of a replica that is in touch, or the own one, may hold things up.
 func (r *Replica) stallPatience(now time.Duration, id view.ReplicaID) time.Duration {
 	return r.cfg.StallAfter << min(max(r.upsetsBeside(now, id)-stallFrom, 0), stallDoublings)
--- a/coord/replica/blame.go
+++ b/coord/replica/blame.go
@@ -108,9 +108,14 @@
 	return r.broken || ahead != 0 && now-ahead > r.cfg.StallAfter/aheadPart
 }
 
-// memberPatience is how long an entry may wait for one member: what the own disk took lately is granted to others' as well.
+// memberPatience is how long an entry may wait for one member: what the own disk took lately is granted to others' as well. One that
+// is silent for moments again and again, and isn't kept out for that, is dropped for its silence only.
 func (r *Replica) memberPatience(now time.Duration, id view.ReplicaID) time.Duration {
-	return r.stallPatience(now, id) + min(r.pace.recent(now), r.cfg.StallAfter)
+	patience := r.stallPatience(now, id) + min(r.pace.recent(now), r.cfg.StallAfter)
+	if p := r.peers[id]; p != nil && r.quiet(now, p) && r.upsetsOf(now, id) >= fellOften {
+		return max(patience, r.cfg.DropAfter)
+	}
+	return patience
 }
 
 // diskPace keeps the longest sync of late.
--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -38,6 +38,9 @@
 	heldSince time.Duration
 	heldAgain time.Duration
 	penalties map[view.ReplicaID]penalty
+
+	condemned   view.ReplicaID // told last that its state differs
+	condemnedAt time.Duration  // or when the epoch began
 }
 
 // peer is what is known of another replica.
@@ -55,6 +58,7 @@
 	broken   bool // its disk refuses
 	silent   bool // out of reach since it was the head's or a candidate's
 	gone     bool // its disk is lost, or it has moved
+	digests  []view.Digest
 }
 
 // learner is one that has asked to become a member, and how promptly it acknowledges.
@@ -86,7 +90,7 @@
 func (r *Replica) resetHead(now time.Duration) {
 	h := &r.head
 	head := headState{lease: view.NewLease(r.cfg.Grant, r.numbering), allowed: true, beatAt: now, governAt: now, stuckSince: now,
-		majority: r.mark(now), blame: blameState{stuck: r.mark(now)}, learners: h.learners, penalties: h.penalties}
+		majority: r.mark(now), blame: blameState{stuck: r.mark(now)}, learners: h.learners, penalties: h.penalties, condemnedAt: now}
 	if r.position() == 0 {
 		head.announced, head.announcedE, head.leaseUntil = h.announced, h.announcedE, h.leaseUntil
 		if h.served != 0 && h.served == r.view.Epoch {
@@ -139,7 +143,7 @@
 		r.chain.Commit(now)
 	}
 	r.watchStuck(now)
-	if r.judging {
+	if r.judging || r.leaving || r.head.admitting != "" {
 		r.head.governAt = now + governEvery
 		if r.leaving || r.head.admitting != "" {
 			r.head.governAt = now + governSoon
@@ -178,13 +182,14 @@
 	r.send(voter, m)
 }
 
-// permitReads gives the tail's permission. It ends before the lease does.
+// permitReads gives the tail's permission. It ends before the lease does, and counts at the tail from when it acknowledged
+// the echoed heartbeat, which was before word of that came here.
 func (r *Replica) permitReads(now time.Duration, tail *peer) (echo uint64, readFor time.Duration) {
 	if tail.echo == 0 || tail.leaving || !r.IsHead(now) || now-r.head.stuckSince > stuckNoReads {
 		return 0, 0
 	}
 	readFor = min(r.head.leaseUntil-now, r.cfg.Grant/readPart)
-	r.head.readsUntil = max(r.head.readsUntil, now+readFor)
+	r.head.readsUntil = max(r.head.readsUntil, tail.ackedAt+readFor)
 	return tail.echo, readFor
 }
 
@@ -212,6 +217,8 @@
 	p.silent, p.broken = false, m.Broken
 	p.echo = max(p.echo, m.Sequence)
 	p.received, p.synced, p.acked = m.Received, m.Synced, m.Acked
+	p.digests = m.Digests
+	r.judge(now)
 	if !m.Granted {
 		if p.refused == 0 {
 			p.refused = now
--- a/coord/replica/receive.go
+++ b/coord/replica/receive.go
@@ -14,9 +14,9 @@
 	readUntil time.Duration
 }
 
-// Parts of ReadFor that a tail uses, so that clocks may drift.
+// The part of ReadFor that a tail uses, so that clocks may drift apart by a tenth.
 const (
-	readMargin  = 95
+	readMargin  = 90
 	readMargins = 100
 )
 
@@ -97,6 +97,8 @@
 		r.onLeave(now, m.From.ID, m.Leave)
 	case m.Request != nil:
 		r.news(now, m.From)
+	case m.Differs != nil:
+		r.onDiffers(m.From, *m.Differs)
 	}
 }
 
@@ -119,7 +121,7 @@
 	if r.proposer.Phase == view.Preparing {
 		r.proposer.Phase = view.Idle
 	}
-	ack := &view.HeartbeatAck{Sequence: m.Heartbeat.Sequence, Broken: r.broken}
+	ack := &view.HeartbeatAck{Sequence: m.Heartbeat.Sequence, Broken: r.broken, Digests: r.audit.own}
 	if r.position() < 0 || r.chain.InStep() { // else the log may hold what an earlier epoch never committed
 		ack.Received, ack.Synced, ack.Acked = r.LastIndex(), r.chain.Synced(), r.chain.Acked()
 	}
@@ -155,7 +157,7 @@
 	if r.position() == 0 {
 		return r.IsHead(now)
 	}
-	return now < r.tail.readUntil && !r.leaving
+	return now < r.tail.readUntil
 }
 
 // ReadIndex gives the index that has to be applied before a read that came now is answered, so that it shows all
--- a/coord/replica/replica.go
+++ b/coord/replica/replica.go
@@ -20,7 +20,7 @@
 	cfg     Config
 	self    view.Member
 	random  *rand.Rand
-	fresh   bool // the disk was empty: no earlier life
+	fresh   bool // no earlier life can have had this identity
 	started time.Duration
 	stepped time.Duration
 	pauses  pauses
@@ -47,6 +47,7 @@
 
 	head      headState
 	tail      tailState
+	audit     audit
 	peers     map[view.ReplicaID]*peer
 	leaving   bool
 	left      bool
@@ -99,8 +100,8 @@
 	r.chain = chain.New(keep, (*environment)(r), restored.Log)
 	r.numbering = life >> sequenceBits << sequenceBits
 	r.head.lease = view.NewLease(cfg.Grant, r.numbering)
-	r.fresh = restored.Identity == ""
-	if r.fresh {
+	r.fresh = restored.Identity == "" && cfg.Genesis == nil
+	if restored.Identity == "" {
 		r.begin(now)
 	} else {
 		r.resume(now, restored)
@@ -108,7 +109,7 @@
 	return r
 }
 
-// begin starts on an empty disk.
+// begin starts on an empty disk. With a genesis an earlier life may have granted under this identity before it was on disk.
 func (r *Replica) begin(now time.Duration) {
 	r.store(encodeIdentity(r.self.ID))
 	if r.cfg.Genesis != nil {
@@ -119,7 +120,6 @@
 // resume goes on from what the disk holds. What was granted before isn't known any more.
 func (r *Replica) resume(now time.Duration, restored Persisted) {
 	r.grant = now + r.cfg.Grant
-	r.head.readsUntil = now + r.cfg.Grant/readPart
 	if !restored.View.Known() {
 		return
 	}
@@ -138,6 +138,9 @@
 
 // Step takes one input. Others are judged for their silence at a Tick only.
 func (r *Replica) Step(now time.Duration, in Input) Output {
+	if r.audit.fault != nil {
+		return r.ending(now, in)
+	}
 	r.awake(now)
 	_, r.judging = in.(Tick)
 	switch in := in.(type) {
@@ -154,6 +157,8 @@
 		r.contacts = in.Addresses
 	case SnapshotReady:
 		r.chain.Offer(now, in.Index, in.Data)
+	case Audited:
+		r.onAudited(now, in.Digest)
 	}
 	return r.finish(now)
 }
@@ -162,6 +167,9 @@
 // Output.Committed with the epoch that View had here; another epoch at such an index means that they are lost. The
 // data must not be changed any more.
 func (r *Replica) Propose(now time.Duration, data [][]byte) (first uint64, out Output, err error) {
+	if r.audit.fault != nil {
+		return 0, r.end(now), ErrNotHead
+	}
 	r.awake(now)
 	r.judging = false
 	if err = r.CanPropose(now); err == nil {
@@ -195,6 +203,9 @@
 		r.work(now)
 	}
 	r.announce(now)
+	if r.audit.fault != nil {
+		return r.end(now)
+	}
 	r.out.NeedSnapshot = r.chain.WantsSnapshot()
 	if len(r.out.Persist) > 0 {
 		r.token++
--- a/internal/system/scheduler/scheduler.go
+++ b/internal/system/scheduler/scheduler.go
@@ -28,6 +28,8 @@
 	Token uint64
 	// Machine is the replicated state, with everything applied that is committed.
 	Machine *state.Machine
+	// Calls is how many calls on workers may be out at once; 0: any number.
+	Calls int
 	// Bounds are the figures of the rules in force.
 	Bounds nodesettings.Bounds
 }
@@ -42,6 +44,8 @@
 	Wake time.Duration
 	// Superseded tells that a worker has seen a higher token: this scheduler orders nothing any more.
 	Superseded bool
+	// Findings tell of tasks that have waited for long.
+	Findings []Finding
 }
 
 // Scheduler is the scheduler role. Make one with New.
@@ -62,6 +66,8 @@
 	dues       dueQueue
 	calls      map[uint64]*call
 	answers    answerTimes
+	mostCalls  int
+	looks      firstLooks
 	lastCall   uint64
 	lastMark   uint64
 	superseded bool
@@ -74,6 +80,7 @@
 	voiding  map[state.Run]*run
 	ordered  []*run
 	shares   shares
+	auditing auditing
 	scratch  scratch
 }
 
@@ -84,6 +91,7 @@
 		machine:   options.Machine,
 		bounds:    options.Bounds,
 		started:   now,
+		mostCalls: options.Calls,
 		now:       now,
 		workers:   make(map[string]*worker),
 		services:  make(map[string]*service),
@@ -94,6 +102,7 @@
 		shares:    newShares(options.Machine.Quotas()),
 	}
 	s.rebuild()
+	s.planAudit()
 	return s
 }
 
@@ -187,6 +196,9 @@
 	if result.Reply.Outcome == workerapi.RefusedFence {
 		s.superseded = true
 	}
+	if ended.first {
+		defer s.firstLookEnded()
+	}
 	if s.workers[ended.worker.life.Instance] != ended.worker {
 		return
 	}
@@ -214,8 +226,8 @@
 	s.proposeVoids()
 	s.dispatch()
 	s.proposeStarts()
-	output := Output{Commands: s.commands, Calls: s.out, Wake: s.nextWake()}
-	s.commands, s.out = nil, nil
+	output := Output{Commands: s.commands, Calls: s.out, Wake: s.nextWake(), Findings: s.auditing.findings}
+	s.commands, s.out, s.auditing.findings = nil, nil, nil
 	return output
 }
 
