--- a/internal/system/control/engine_test.go
+++ b/internal/system/control/engine_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
+	"math"
 	"testing"
 	"time"
 
@@ -341,3 +343,24 @@
 	settings.IP, settings.EphemeralPorts = loopback(0), []int{9001, 9001}
 	return &Node{settings: settings, logger: log.New(io.Discard)}
 }
+
+// A state that takes the place of the one before ends the snapshot that is being made of that.
+func TestASnapshotThatComesEndsTheOneUnderWay(t *testing.T) {
+	r := newEngineRig(t, simdisk.New(1))
+	r.lead()
+	for id := range state.JobID(4) {
+		body := fmt.Appendf(nil, `{"spec":"x","note":"%0*d","stages":[{"count":1,"cpu":100}]}`, captureSlice, 0)
+		r.put(state.Command{Kind: state.KindJobAccepted, JobAccepted: &state.JobAccepted{ID: id + 1, Route: "r", Body: body}})
+	}
+	r.work()
+	require.Len(t, r.machine.Jobs(), 4)
+	r.compactAt = 0
+	r.compact()
+	require.NotNil(t, r.capturing.capture, "it takes several turns")
+	r.carryOut(replica.Output{Install: &chain.Snapshot{Index: r.appliedTo, Epoch: 9, Data: state.New().Snapshot()}})
+	r.compactAt = math.MaxInt64
+	r.work()
+	assert.Zero(t, r.rewritten)
+	assert.False(t, r.rewriting, "the next one may begin")
+	assert.Nil(t, r.capturing.capture)
+}
