Have the test of a waking head send its order right before the head wakes

With the shorter patience of operators' calls its order was left unclear before the head woke, so the loss of two guards went unseen (operator-orders-need-the-lease, read-needs-to-know-what-was-acknowledged). Both are seen again.

--- a/internal/system/control/operators_test.go
+++ b/internal/system/control/operators_test.go
@@ -170,12 +170,16 @@
 func TestAHeadThatWakesRefusesNothingByItsOldState(t *testing.T) {
 	playOperators(t, 3, func(w *operatorsWorld, head *operatorsMachine) {
 		w.isolate(head, true, true, true)
-		head.freeze(2 * time.Second)
+		const standsStill = 2 * time.Second
+		wakes := time.Now().Add(standsStill)
+		head.freeze(standsStill)
 		other := w.others(head)[0]
 		assert.Eventually(t, func() bool { return w.send(other, newOrder(1, 3, 10), longPatience).status == http.StatusOK }, time.Minute,
 			time.Millisecond)
+		time.Sleep(time.Until(wakes) - operatorPatience/2)
 		next := w.send(head, newOrder(3, 4, 10), longPatience)
 		assert.Equal(t, unclear, next.status)
+		assert.False(t, time.Now().Before(wakes), "it has waited for the head to wake")
 		stale := w.send(head, operatorsCall{read: true}, longPatience)
 		assert.Equal(t, unclear, stale.status)
 		w.isolate(head, false, true, true)
