--- a/coord/replica/audit_test.go
+++ b/coord/replica/audit_test.go
@@ -175,7 +175,7 @@
 	r.peers["b"].digests = []view.Digest{digest(128, 1)}
 	soon := condemnPause*r.cfg.DropAfter - time.Millisecond
 	for _, p := range r.peers {
-		p.ackedAt, p.heardAt = soon, soon
+		p.ackedAt, p.heard.at = soon, soon
 	}
 	assert.Empty(t, differing(r.Step(soon, Audited{digest(128, 1)})))
 }
--- a/coord/replica/config.go
+++ b/coord/replica/config.go
@@ -25,6 +25,7 @@
 	electionUnheard   = 150 * time.Millisecond
 	ballotRepeat      = 60 * time.Millisecond
 	governEvery       = 40 * time.Millisecond
+	governSoon        = 5 * time.Millisecond // while a change is on its way
 	joinEvery         = 200 * time.Millisecond
 	leaveNoticeEvery  = 100 * time.Millisecond
 	drainAtMost       = 150 * time.Millisecond
@@ -36,8 +37,9 @@
 	refusedRefresh    = time.Second
 	newsAtMostEvery   = 10 * time.Millisecond
 	frozenAfter       = 350 * time.Millisecond // between two steps
-	frozenPatience    = 100 * time.Millisecond
-	wakeAtLeastEvery  = 200 * time.Millisecond
+	frozenPatience    = 200 * time.Millisecond
+	leastPause        = 3 * time.Millisecond  // that a step may come late without being held up
+	wakeAtLeastEvery  = 50 * time.Millisecond // the finer, the less of a pause goes unnoticed
 	penaltyFirst      = 2 * time.Second
 	penaltyMost       = 16 * time.Second
 	penaltyForgiven   = time.Minute
@@ -46,9 +48,15 @@
 	learnerHeardSince = 400 * time.Millisecond
 )
 
-// inTouch is how many heartbeats' time after an answer a member counts as in touch.
+// inTouch is how many heartbeats' time after an answer a member counts as in touch; after more it was silent.
 const inTouch = 2
 
+// How a head tells whether its own disk is slower than others'.
+const (
+	aheadPart = 2                // others have to be ahead for this part of StallAfter
+	paceKept  = 10 * time.Second // for which a slow sync here is granted to others as well
+)
+
 // earlyKept bounds the messages kept for the chain while a view is on its way to disk.
 const earlyKept = 256
 
--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -26,7 +26,8 @@
 func (r *Replica) hearsMajority(now time.Duration) bool {
 	heard := 0
 	for _, voter := range r.view.Voters {
-		if voter.ID == r.self.ID || now-r.peer(voter.ID, now).heardAt <= max(r.cfg.DropAfter, 2*r.cfg.HeartbeatEvery) {
+		patience := max(r.cfg.DropAfter+r.silencePatience(now, voter.ID), inTouch*r.cfg.HeartbeatEvery)
+		if voter.ID == r.self.ID || r.since(now, r.peer(voter.ID, now).heard) <= patience {
 			heard++
 		}
 	}
@@ -36,7 +37,7 @@
 // governLeave hands the head's place over where this replica has to go. One that only wants to leave goes on as the head until f+1
 // others have everything.
 func (r *Replica) governLeave(now time.Duration) bool {
-	stalls := r.ownDiskStalls(now)
+	stalls := r.ownDiskHinders(now)
 	if !r.leaving && !stalls {
 		return false
 	}
@@ -46,12 +47,18 @@
 		return stalls && r.yield(now)
 	}
 	if !r.head.handingOver {
-		r.head.handingOver, r.head.drainedBy = true, now+drainAtMost
+		r.head.handingOver, r.head.drainedBy = true, now+r.cfg.DropAfter+drainAtMost
 	}
-	if r.Committed() < r.LastIndex() && now < r.head.drainedBy && !stalls {
+	if !stalls && now < r.head.drainedBy && !r.drained(now, rest) {
 		return true
 	}
-	return r.proposeChain(now, rest, "", r.leaveCause(now))
+	return r.proposeChain(now, rest, "", r.leaveCause(now, stalls))
+}
+
+// drained tells whether those who stay have everything, and are there. Where one of them isn't, that shows within DropAfter.
+func (r *Replica) drained(now time.Duration, rest []view.Member) bool {
+	away := func(m view.Member) bool { return r.quiet(now, r.peer(m.ID, now)) }
+	return r.Committed() >= r.LastIndex() && !slices.ContainsFunc(rest, away)
 }
 
 // without is the chain without one member and without the lost ones.
@@ -70,7 +77,7 @@
 			next = append(next, member)
 		}
 	}
-	return r.proposeChain(now, next, "", r.leaveCause(now))
+	return r.proposeChain(now, next, "", r.leaveCause(now, true))
 }
 
 // governChain drops members that are lost, or want to leave and can be spared.
@@ -114,7 +121,7 @@
 		return false
 	}
 	p := r.peer(id, now)
-	return id == culprit || p.gone || p.broken || p.silent || now-p.heardAt > r.cfg.DropAfter
+	return id == culprit || p.gone || p.broken || p.silent || r.since(now, p.heard) > r.cfg.DropAfter+r.silencePatience(now, id)
 }
 
 // proposeChain proposes the view with another chain. Voters that go and aren't needed lose their seats with it.
@@ -190,7 +197,7 @@
 // punish keeps a member out that was dropped for its disk: it answered heartbeats and didn't acknowledge. One that didn't answer either
 // has stopped or is cut off, and may come back at any time.
 func (r *Replica) punish(now time.Duration, id view.ReplicaID) {
-	if now-r.peer(id, now).heardAt > inTouch*r.cfg.HeartbeatEvery {
+	if r.quiet(now, r.peer(id, now)) {
 		return
 	}
 	length := penaltyFirst
