--- /dev/null
+++ b/coord/replica/seats.go
@@ -0,0 +1,82 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"gaugeslip/coord/view"
+)
+
+// passSeats gives the votes of lost disks to the new ones at their addresses, which need no data to vote.
+func (r *Replica) passSeats(now time.Duration, next *view.View) (changed bool) {
+	for _, l := range r.head.learners {
+		seat := voterAt(*next, l.member.Address)
+		if seat < 0 || next.IsVoter(l.member.ID) || !r.peer(next.Voters[seat].ID, now).gone || next.InChain(next.Voters[seat].ID) {
+			continue
+		}
+		next.Voters[seat] = l.member
+		changed = true
+	}
+	return changed
+}
+
+// dropSeats takes the votes of those away that have left the chain or lost their disks, as long as 2f+1 voters remain: the next
+// loss may come at once.
+func (r *Replica) dropSeats(now time.Duration, next *view.View) {
+	for _, voter := range slices.Clone(next.Voters) {
+		p := r.peer(voter.ID, now)
+		going := p.leaving || p.gone
+		if voter.ID == r.self.ID {
+			going = r.leaving
+		}
+		if going && !next.InChain(voter.ID) && len(next.Voters) > 2*r.cfg.Tolerance+1 {
+			next.Voters = view.Without(next.Voters, func(id view.ReplicaID) bool { return id == voter.ID })
+		}
+	}
+}
+
+// seatFor is the voter's seat that a new member takes over: its own, that of its lost disk, or that of one out of
+// reach; -1 for a new seat.
+func (r *Replica) seatFor(now time.Duration, next view.View, member view.Member) int {
+	for i, voter := range next.Voters {
+		if voter.ID == member.ID {
+			return i
+		}
+	}
+	if seat := voterAt(next, member.Address); seat >= 0 {
+		return seat
+	}
+	return slices.IndexFunc(next.Voters, func(m view.Member) bool { return r.voterGone(now, m.ID) })
+}
+
+// voterGone tells whether a voter's seat can be given away.
+func (r *Replica) voterGone(now time.Duration, id view.ReplicaID) bool {
+	if id == r.self.ID || r.view.InChain(id) {
+		return false
+	}
+	p := r.peer(id, now)
+	return p.gone || p.leaving || now-p.ackedAt > voterGoneAfter
+}
+
+// governVoters drops a voter out of reach that isn't needed, and clears promises that keep a voter from granting.
+func (r *Replica) governVoters(now time.Duration) {
+	next := r.view.Next()
+	if r.passSeats(now, &next) {
+		r.propose(now, next, r.seatCause(now, next))
+		return
+	}
+	if len(next.Voters) > 2*r.cfg.Tolerance+1 {
+		gone := slices.IndexFunc(next.Voters, func(m view.Member) bool { return r.voterGone(now, m.ID) })
+		if gone >= 0 {
+			next.Voters = slices.Delete(next.Voters, gone, gone+1)
+			r.propose(now, next, r.seatCause(now, next))
+			return
+		}
+	}
+	for _, member := range r.view.Chain {
+		if p := r.peers[member.ID]; p != nil && p.refused != 0 && now-p.refused > refusedRefresh {
+			r.propose(now, next, Cause{Kind: CausePromise, Member: member.ID, Silence: now - p.refused, Patience: refusedRefresh})
+			return
+		}
+	}
+}
