--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -26,7 +26,8 @@
 func (r *Replica) hearsMajority(now time.Duration) bool {
 	heard := 0
 	for _, voter := range r.view.Voters {
-		if voter.ID == r.self.ID || now-r.peer(voter.ID, now).heardAt <= max(r.cfg.DropAfter, 2*r.cfg.HeartbeatEvery) {
+		patience := max(r.cfg.DropAfter+r.silencePatience(now, voter.ID), inTouch*r.cfg.HeartbeatEvery)
+		if voter.ID == r.self.ID || r.since(now, r.peer(voter.ID, now).heard) <= patience {
 			heard++
 		}
 	}
@@ -36,7 +37,7 @@
 // governLeave hands the head's place over where this replica has to go. One that only wants to leave goes on as the head until f+1
 // others have everything.
 func (r *Replica) governLeave(now time.Duration) bool {
-	stalls := r.ownDiskStalls(now)
+	stalls := r.ownDiskHinders(now)
 	if !r.leaving && !stalls {
 		return false
 	}
@@ -51,20 +52,15 @@
 	if !stalls && now < r.head.drainedBy && !r.drained(now, rest) {
 		return true
 	}
-	return r.proposeChain(now, rest, "", r.leaveCause(now))
+	return r.proposeChain(now, rest, "", r.leaveCause(now, stalls))
 }
 
 // drained tells whether those who stay have everything, and are there. Where one of them isn't, that shows within DropAfter.
 func (r *Replica) drained(now time.Duration, rest []view.Member) bool {
-	away := func(m view.Member) bool { return !r.inTouch(now, m.ID) }
+	away := func(m view.Member) bool { return r.quiet(now, r.peer(m.ID, now)) }
 	return r.Committed() >= r.LastIndex() && !slices.ContainsFunc(rest, away)
 }
 
-// inTouch tells whether a member has answered of late.
-func (r *Replica) inTouch(now time.Duration, id view.ReplicaID) bool {
-	return now-r.peer(id, now).heardAt <= inTouchFor*r.cfg.HeartbeatEvery
-}
-
 // without is the chain without one member and without the lost ones.
 func (r *Replica) without(now time.Duration, id view.ReplicaID) []view.Member {
 	return view.Without(r.view.Chain, func(other view.ReplicaID) bool { return other == id || r.lost(now, other, "") })
@@ -81,7 +77,7 @@
 			next = append(next, member)
 		}
 	}
-	return r.proposeChain(now, next, "", r.leaveCause(now))
+	return r.proposeChain(now, next, "", r.leaveCause(now, true))
 }
 
 // governChain drops members that are lost, or want to leave and can be spared.
@@ -125,7 +121,7 @@
 		return false
 	}
 	p := r.peer(id, now)
-	return id == culprit || p.gone || p.broken || p.silent || now-p.heardAt > r.cfg.DropAfter
+	return id == culprit || p.gone || p.broken || p.silent || r.since(now, p.heard) > r.cfg.DropAfter+r.silencePatience(now, id)
 }
 
 // proposeChain proposes the view with another chain. Voters that go and aren't needed lose their seats with it.
@@ -173,7 +169,7 @@
 // punish keeps a member out that was dropped for its disk: it answered heartbeats and didn't acknowledge. One that didn't answer either
 // has stopped or is cut off, and may come back at any time.
 func (r *Replica) punish(now time.Duration, id view.ReplicaID) {
-	if !r.inTouch(now, id) {
+	if r.quiet(now, r.peer(id, now)) {
 		return
 	}
 	length := penaltyFirst
--- a/coord/replica/receive.go
+++ b/coord/replica/receive.go
@@ -121,8 +121,10 @@
 	if r.proposer.Phase == view.Preparing {
 		r.proposer.Phase = view.Idle
 	}
-	ack := &view.HeartbeatAck{Sequence: m.Heartbeat.Sequence, Received: r.LastIndex(), Synced: r.chain.Synced(), Broken: r.broken}
-	ack.Acked, ack.Digests = r.chain.Acked(), r.audit.own
+	ack := &view.HeartbeatAck{Sequence: m.Heartbeat.Sequence, Broken: r.broken, Digests: r.audit.own}
+	if r.position() < 0 || r.chain.InStep() { // else the log may hold what an earlier epoch never committed
+		ack.Received, ack.Synced, ack.Acked = r.LastIndex(), r.chain.Synced(), r.chain.Acked()
+	}
 	if r.view.IsVoter(r.self.ID) && !r.acceptor.PromisedAway(m.From.ID) {
 		r.grant = max(r.grant, now+r.cfg.Grant)
 		ack.Granted = true
--- a/internal/system/control/sockets.go
+++ b/internal/system/control/sockets.go
@@ -48,7 +48,7 @@
 }
 
 func (n *Node) received(messages []*replica.Message) {
-	n.loop.post(func() {
+	n.loop.postUrgent(func() {
 		for _, message := range messages {
 			n.engine.step(replica.Receive{Message: message})
 		}
