Blame no member for what got stuck at a lost one before it

A middle member that died with an entry synced but not passed on left the tail lacking it: the tail was taken for the culprit. As no member is dropped while f+1 others aren't left, neither of both went, and with three machines nothing was committed any more. Now a lost member goes first and nobody else is judged meanwhile.

--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -234,12 +234,16 @@
 	}
 }
 
-// culprit is the member because of which nothing has been committed for too long, if any.
+// culprit is the member because of which nothing has been committed for too long, if any. As long as a member is lost it is none
+// of the others: what they lack may have got stuck there.
 func (r *Replica) culprit(now time.Duration) view.ReplicaID {
 	stuck := r.head.stuckIndex
 	if now-r.head.stuckSince <= r.cfg.StallAfter || r.Committed() >= stuck {
 		return ""
 	}
+	if slices.ContainsFunc(r.view.Chain[1:], func(m view.Member) bool { return r.lost(now, m.ID, "") }) {
+		return ""
+	}
 	for _, member := range r.view.Chain[1:] {
 		if p := r.peers[member.ID]; p != nil && p.synced < stuck {
 			return member.ID
--- a/coord/replica/leader_test.go
+++ b/coord/replica/leader_test.go
@@ -412,3 +412,22 @@
 	}
 	assert.Empty(t, s.drain(), "it neither beats nor stands")
 }
+
+// The middle one dies with an entry that it has synced and the tail never got: it is dropped, and the tail, which lacks the entry, stays.
+func TestTailIsNotToBlameForADeadMiddle(t *testing.T) {
+	s := leader(t)
+	_, out, err := s.core.Propose(s.now, [][]byte{[]byte("x")})
+	require.NoError(t, err)
+	s.take(out)
+	s.sync()
+	synced := &view.HeartbeatAck{Sequence: s.lastBeat("b").Sequence, Granted: true, Received: 1, Synced: 1}
+	s.receive("b", &Message{HeartbeatAck: synced})
+	for s.now = s.now + time.Millisecond; len(collect(s.sent, func(m *Message) *view.Accept { return m.Accept })) == 0; {
+		s.ackOf("c", s.lastBeat("c").Sequence)
+		s.after(DefaultHeartbeatEvery)
+		require.Less(t, s.now, standStart+2*standLength+DefaultGrant, "nobody is dropped")
+	}
+	next := s.accepts()[0].Value
+	assert.False(t, next.InChain("b"))
+	assert.True(t, next.InChain("c"))
+}
