--- a/coord/chain/incoming.go
+++ b/coord/chain/incoming.go
@@ -49,9 +49,14 @@
 func (i *incoming) sound() bool { return i.sum == 0 || i.sum == snapshotSum(i.data) }
 
 // onChunk takes a part of a snapshot. The head may begin with another one in the same session, when it has forgotten this replica
-// meanwhile: then what has come of the one before is dropped.
+// meanwhile: then what has come of the one before is dropped. Where entries had begun to come in this session, a Hello that was late or
+// doubled has told the head too little: another session tells it anew.
 func (c *Chain) onChunk(now time.Duration, m *Chunk) {
-	if m.Session != c.session || c.opened || c.incoming.older(m) {
+	if m.Session != c.session || !c.opened && c.incoming.older(m) {
+		return
+	}
+	if c.opened {
+		c.rehello(now)
 		return
 	}
 	if !c.incoming.of(m) {
--- a/coord/chain/snapshot_test.go
+++ b/coord/chain/snapshot_test.go
@@ -189,6 +189,47 @@
 	assert.Equal(t, uint64(10), head.Committed()-head.Log().Base(), "nobody needs it any more")
 }
 
+// A Hello that comes late or twice, after the head has forgotten the learner, has it send a snapshot in a session in which the learner
+// takes entries already: it asks in another one, and is in step again.
+func TestASnapshotInAnOpenedSessionIsAskedForAnew(t *testing.T) {
+	head, learner := trimmedHead(t, 10), newLearner(t, 2)
+	old := learner.take()
+	for _, p := range old {
+		head.gets(learnerMember, p.body)
+	}
+	head.Offer(head.now, 10, state('a', 10))
+	settleDown(head, learner)
+	require.Equal(t, 1, len(learner.installed))
+	var late []*Body
+	learner.hello(learner.now)
+	for _, p := range learner.take() {
+		late = append(late, p.body)
+		head.gets(learnerMember, p.body)
+	}
+	settleDown(head, learner)
+
+	head.after(learnerSilence + time.Millisecond) // it is forgotten, and the log goes on without it
+	head.write("x", "x")
+	head.sync(2)
+	head.Commit(head.now)
+	head.log.Drop(12)
+	head.take()
+	for _, body := range late {
+		head.gets(learnerMember, body)
+	}
+	require.True(t, head.WantsSnapshot())
+	head.Offer(head.now, 12, state('b', 10))
+	learner.after(rehelloAfter)
+	for range 4 {
+		carry(head, learner, nil)
+		carry(learner, head, nil)
+		head.Offer(head.now, 12, state('b', 10))
+	}
+	require.NoError(t, learner.fault)
+	require.Equal(t, 2, len(learner.installed))
+	assert.Equal(t, uint64(12), learner.installed[1].Index)
+}
+
 func TestALateChunkDoesNotReplaceAnOpenedLog(t *testing.T) {
 	r := follower(t, false, entriesOf(1)...)
 	r.starts(1, 1, 1, 0)
