Give a differing disk up only while f+1 others have everything

Cause: found by reading: in a chain of f+1 members one whose state differed from the head's was told to stop, and its disk was given up: the next loss could have taken the only copy, and with two members nobody knows which state is right. Change: a member is told only where f+1 others stay in the chain. Measured: TestNobodyIsToldWhereTooFewWouldHaveEverything fails without the condition; the packages' tests pass.

--- a/coord/replica/audit.go
+++ b/coord/replica/audit.go
@@ -118,8 +118,11 @@
 	r.send(member, &Message{Differs: &agreed})
 }
 
-// spares tells whether a majority of the voters is there without one of them.
+// spares tells whether a member of the chain can be done without: f+1 others are in it, and a majority of the voters is there.
 func (r *Replica) spares(now time.Duration, id view.ReplicaID) bool {
+	if len(r.view.Chain)-1 <= r.cfg.Tolerance {
+		return false
+	}
 	alive := 0
 	for _, voter := range r.view.Voters {
 		known := r.peers[voter.ID]
--- a/coord/replica/audit_test.go
+++ b/coord/replica/audit_test.go
@@ -190,6 +190,16 @@
 	assert.Empty(t, differing(r.Step(0, Audited{digest(128, 1)})))
 }
 
+// With f+1 members in the chain nobody is told: the next loss could take the only copy.
+func TestNobodyIsToldWhereTooFewWouldHaveEverything(t *testing.T) {
+	r := auditing(t)
+	r.view.Chain = r.view.Chain[:2]
+	r.peers["b"].digests = []view.Digest{digest(64, 2)}
+	assert.Empty(t, differing(r.Step(0, Audited{digest(64, 1)})))
+	r.cfg.Tolerance = 0
+	assert.Equal(t, []string{"b"}, differing(r.Step(0, Audited{digest(128, 1)})))
+}
+
 // stopping is a member of a chain of three that has found its state to differ.
 func stopping(t *testing.T) (*Replica, Output) {
 	r := auditing(t)
