--- a/internal/system/control/digests.go
+++ b/internal/system/control/digests.go
@@ -7,8 +7,14 @@
 	"gaugeslip/internal/system/state"
 )
 
+// auditBacklog is how many entries may come at once for their digests to be taken; a head proposes half as many at a time.
+const auditBacklog = 2 * mostProposalBatch
+
 // audited sums up what an entry came to.
 func (e *engine) audited(entry chain.Entry, result *state.Result) {
+	if e.catchingUp {
+		return
+	}
 	if sum, due := e.audit.Applied(entry.Index, entry.Data, result, e.machine); due {
 		e.digests = append(e.digests, view.Digest{Index: entry.Index, Format: state.AuditFormat, Sum: sum})
 	}
--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -56,16 +56,18 @@
 	disk      *disk
 	appliedTo uint64
 	audit     *state.Audit
-	digests   []view.Digest // not yet handed to the core
-	queue     []*proposal
-	flying    map[uint64]*proposal
-	reads     []waitingRead
-	contactAt time.Duration // last word from the head, or the last own lease that was seen
-	wake      time.Duration
-	closed    bool
-	rewriting bool
-	capturing capturing
-	compactAt int64
+	// catchingUp: a backlog of entries is being applied.
+	catchingUp bool
+	digests    []view.Digest // not yet handed to the core
+	queue      []*proposal
+	flying     map[uint64]*proposal
+	reads      []waitingRead
+	contactAt  time.Duration // last word from the head, or the last own lease that was seen
+	wake       time.Duration
+	closed     bool
+	rewriting  bool
+	capturing  capturing
+	compactAt  int64
 }
 
 // mostProposalBatch bounds the commands that are appended at once.
@@ -131,9 +133,7 @@
 	if len(output.Persist) > 0 {
 		e.persist(output.Persist, output.Token)
 	}
-	for _, entry := range output.Committed {
-		e.apply(entry)
-	}
+	e.applyAll(output.Committed)
 	e.settleReads()
 	for _, event := range output.Events {
 		if _, changed := event.(replica.ViewChanged); changed {
@@ -194,6 +194,18 @@
 	return true
 }
 
+// applyAll applies committed entries. A backlog of them isn't summed up: that takes a replica that has just started, or has been away, the
+// time that it needs to be there; nobody waits for its digests of then.
+func (e *engine) applyAll(entries []chain.Entry) {
+	e.catchingUp = len(entries) > auditBacklog
+	for _, entry := range entries {
+		e.apply(entry)
+	}
+	if e.catchingUp {
+		e.audit, e.catchingUp = state.NewAudit(e.appliedTo), false
+	}
+}
+
 func (e *engine) apply(entry chain.Entry) {
 	if entry.Index <= e.appliedTo {
 		return
