--- a/internal/system/scheduler/firstlooks.go
+++ b/internal/system/scheduler/firstlooks.go
@@ -1,8 +1,9 @@
 package scheduler
 
 // mostFirstLooks bounds the looks that are out at workers which have answered nothing yet: a new head that asks thousands at once has no
-// processor left for the answers, which then come too late, and none for its lease.
-const mostFirstLooks = 128
+// processor left for the answers, which then come too late, and none for its lease. Some hundreds are no matter, and asked in turn they keep a head
+// of a grown site from starting anything for a moment that shows.
+const mostFirstLooks = 640
 
 // firstLooks are the looks at workers that have answered no hold of this scheduler.
 type firstLooks struct {
