--- a/internal/system/scheduler/firstlooks_test.go
+++ b/internal/system/scheduler/firstlooks_test.go
@@ -70,3 +70,18 @@
 	d.hold("w1", running(started, 2), nil)
 	require.Equal(t, 2, d.count(CallHold))
 }
+
+// Some hundred workers are asked all at once, thousands in turn.
+func TestFewWorkersAreAskedAtOnce(t *testing.T) {
+	for _, workers := range []int{fewWorkers, fewWorkers + 1} {
+		r := newRush(workers, 1, time.Second)
+		r.run(r.now + time.Second)
+		r.holdCosts = time.Hour // nobody answers
+		r.elect()
+		want := workers
+		if workers > fewWorkers {
+			want = mostFirstLooks
+		}
+		require.Equal(t, want, r.sched.looks.out)
+	}
+}
--- a/internal/system/scheduler/workers.go
+++ b/internal/system/scheduler/workers.go
@@ -96,6 +96,7 @@
 	s.advance(now)
 	s.lastMark++
 	mark := s.lastMark
+	s.looks.fleet = len(instances)
 	for i := range instances {
 		w := s.openWorker(instances[i].ID)
 		w.hold.mark = mark
