Order on a change that only its dead head had told of

Cause: heads learn of commits sooner now, so that the test of a new head that decides before it has committed what it inherited saw neither of its two guards lost: a repeat of the change is taken for one either way. Change: the first order to the new head builds on the change, and would be refused by one that doesn't have it yet.

--- a/internal/system/control/operators_test.go
+++ b/internal/system/control/operators_test.go
@@ -217,14 +217,16 @@
 	})
 }
 
-// A head ends right after it has confirmed a change, before the others can know that. None of them acts on less.
+// A head ends right after it has confirmed a change, before the others can know that. None of them acts on less: an order on that change
+// isn't refused, and neither is the change itself when it comes again.
 func TestANewHeadActsOnAllThatWasConfirmed(t *testing.T) {
 	playOperators(t, 3, func(w *operatorsWorld, head *operatorsMachine) {
 		const changes = 8
-		for version := uint64(1); version <= changes; version++ {
+		for version := uint64(1); version <= 2*changes; version += 2 {
 			w.expect(head, newOrder(version, version+1, 10), http.StatusOK)
 			head.kill(false)
 			for _, m := range w.others(head) {
+				w.expect(m, newOrder(version+1, version+2, 10), http.StatusOK)
 				w.expect(m, newOrder(version, version+1, 10), http.StatusOK)
 			}
 			head.start()
