Let all random tests say in one place which seeds they play

Cause: eight tests each read the environment for one seed or a number of them; some took a mistyped seed for none, and played all. Change: internal/seeds, which ends the test on text that is no number.

--- a/coord/replica/bound_test.go
+++ b/coord/replica/bound_test.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"fmt"
-	"os"
 	"slices"
 	"strconv"
 	"testing"
@@ -13,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gaugeslip/coord/view"
+	"gaugeslip/internal/seeds"
 )
 
 // How a machine is lost at the bound.
@@ -344,16 +344,14 @@
 // of seeds, which are played with a state of 50 MB in full; the default holds a sixteenth and
 // counts it as the whole.
 func TestLossesAtTheBound(t *testing.T) {
-	if text := os.Getenv("GAUGESLIP_BOUND"); text != "" {
-		seed, err := strconv.ParseUint(text, 10, 64)
-		require.NoError(t, err)
-		_, err = boundTrialOf(seed, boundLosses, boundBytes, 1, t.Logf)
+	if seed, alone := seeds.Alone(t, "GAUGESLIP_BOUND"); alone {
+		_, err := boundTrialOf(seed, boundLosses, boundBytes, 1, t.Logf)
 		require.NoError(t, err)
 		return
 	}
-	count, losses, scale := len(boundShapes), 4, 16
-	if n, err := strconv.Atoi(os.Getenv("GAUGESLIP_BOUNDS")); err == nil {
-		count, losses, scale = n, boundLosses, 1
+	count, losses, scale := seeds.Count(t, "GAUGESLIP_BOUNDS", 0), boundLosses, 1
+	if count == 0 {
+		count, losses, scale = len(boundShapes), 4, 16
 	}
 	var returns [lossKinds][]returned
 	for seed := range uint64(count) {
--- a/coord/replica/cutoff_test.go
+++ b/coord/replica/cutoff_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"fmt"
-	"os"
-	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/seeds"
 )
 
 // Who is cut off.
@@ -211,13 +211,9 @@
 // TestCutOff plays a cut, or a freeze, of 5 to 60 s of each place, in each way, with restarts besides. GAUGESLIP_CUTOFFS gives the
 // number of seeds for each, GAUGESLIP_CUTOFF one seed; -run names the scenario.
 func TestCutOff(t *testing.T) {
-	first, count := uint64(2), uint64(1) // at seed 2 a head that heard nobody made itself the only member
-	if n, err := strconv.ParseUint(os.Getenv("GAUGESLIP_CUTOFFS"), 10, 64); err == nil {
-		count = n
-	}
+	played := seeds.Played(t, "GAUGESLIP_CUTOFF", "GAUGESLIP_CUTOFFS", 2, 1) // at seed 2 a head that heard nobody made itself the only member
 	trace := func(*testing.T) func(string, ...any) { return nil }
-	if n, err := strconv.ParseUint(os.Getenv("GAUGESLIP_CUTOFF"), 10, 64); err == nil {
-		first, count = n, 1
+	if _, alone := seeds.Alone(t, "GAUGESLIP_CUTOFF"); alone {
 		trace = func(t *testing.T) func(string, ...any) { return t.Logf }
 	}
 	for _, who := range []string{victimHead, victimMiddle, victimTail, victimLearner} {
@@ -225,7 +221,7 @@
 			for _, besides := range []string{besidesNothing, besidesRestart, besidesPower, besidesOthers} {
 				t.Run(fmt.Sprintf("%s/%s/%s", who, how, besides), func(t *testing.T) {
 					t.Parallel()
-					for seed := first; seed < first+count; seed++ {
+					for _, seed := range played {
 						require.NoError(t, playCutOff(seed, who, how, besides, trace(t)), "replay with GAUGESLIP_CUTOFF=%d go test -run '%s' ./coord/replica", seed, t.Name())
 					}
 				})
--- a/coord/replica/longtrials_test.go
+++ b/coord/replica/longtrials_test.go
@@ -1,13 +1,14 @@
 package replica
 
 import (
-	"os"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/seeds"
 )
 
 const (
@@ -135,14 +136,11 @@
 
 // TestLongTrials plays long faults. GAUGESLIP_LONG_TRIALS gives the number of seeds, GAUGESLIP_LONG_TRIAL one seed, with a trace.
 func TestLongTrials(t *testing.T) {
-	if seed, err := strconv.ParseUint(os.Getenv("GAUGESLIP_LONG_TRIAL"), 10, 64); err == nil {
+	if seed, alone := seeds.Alone(t, "GAUGESLIP_LONG_TRIAL"); alone {
 		require.NoError(t, longTrial(seed, t.Logf))
 		return
 	}
-	count := 8
-	if n, err := strconv.Atoi(os.Getenv("GAUGESLIP_LONG_TRIALS")); err == nil {
-		count = n
-	}
+	count := seeds.Count(t, "GAUGESLIP_LONG_TRIALS", 8)
 	const parts = 4
 	for part := range parts {
 		t.Run(strconv.Itoa(part), func(t *testing.T) {
--- a/coord/replica/trials_test.go
+++ b/coord/replica/trials_test.go
@@ -1,13 +1,14 @@
 package replica
 
 import (
-	"os"
 	"strconv"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/seeds"
 )
 
 // What a fault may be. All but the last few hit one machine and count against the tolerance.
@@ -355,9 +356,7 @@
 
 // TestTrials plays random faults. GAUGESLIP_TRIALS gives the number of seeds, GAUGESLIP_TRIAL one seed, with a trace.
 func TestTrials(t *testing.T) {
-	if text := os.Getenv("GAUGESLIP_TRIAL"); text != "" {
-		seed, err := strconv.ParseUint(text, 10, 64)
-		require.NoError(t, err)
+	if seed, alone := seeds.Alone(t, "GAUGESLIP_TRIAL"); alone {
 		require.NoError(t, trial(seed, t.Logf))
 		return
 	}
@@ -365,9 +364,7 @@
 	if testing.Short() {
 		count = 40
 	}
-	if n, err := strconv.Atoi(os.Getenv("GAUGESLIP_TRIALS")); err == nil {
-		count = n
-	}
+	count = seeds.Count(t, "GAUGESLIP_TRIALS", count)
 	const parts = 10
 	for part := range parts {
 		t.Run(strconv.Itoa(part), func(t *testing.T) {
--- a/coord/transport/faults_test.go
+++ b/coord/transport/faults_test.go
@@ -4,8 +4,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"gaugeslip/internal/seeds"
 	"gaugeslip/internal/simnet"
 )
 
@@ -25,14 +24,9 @@
 
 // Calls at once under cuts of one way, resets, frozen and stopped servers: what each error says is what came of the call.
 func TestCallsUnderFaults(t *testing.T) {
-	first, last := uint64(1), uint64(faultSeeds)
-	if text := os.Getenv(seedVariable); text != "" {
-		seed, err := strconv.ParseUint(text, 10, 64)
-		require.NoError(t, err)
-		first, last = seed, seed
-	}
+	played := seeds.Played(t, seedVariable, "", 1, faultSeeds)
 	told := map[string]int{}
-	for seed := first; seed <= last; seed++ {
+	for _, seed := range played {
 		inWire(t, seed, func(t *testing.T, w *wire) {
 			defer func() {
 				if t.Failed() {
@@ -43,7 +37,7 @@
 		})
 	}
 	t.Log(told)
-	if first != last {
+	if len(played) > 1 {
 		for _, outcome := range []string{"answered", "unknown", "not sent"} {
 			require.Greater(t, told[outcome], faultSeeds, "the faults are too few")
 		}
--- /dev/null
+++ b/internal/seeds/seeds_test.go
@@ -0,0 +1,41 @@
+package seeds
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	aloneVariable = "SEEDS_TEST_ALONE"
+	manyVariable  = "SEEDS_TEST_MANY"
+)
+
+// recorder is a test of which only the end is noted.
+type recorder struct {
+	testing.TB
+	ended bool
+}
+
+func (r *recorder) Helper() {}
+
+func (r *recorder) Fatalf(string, ...any) { r.ended = true }
+
+func TestPlayed(t *testing.T) {
+	assert.Equal(t, []uint64{5, 6, 7}, Played(t, aloneVariable, manyVariable, 5, 3))
+	assert.Equal(t, []uint64{0, 1}, Played(t, "", "", 0, 2))
+	t.Setenv(manyVariable, "1")
+	assert.Equal(t, []uint64{5}, Played(t, aloneVariable, manyVariable, 5, 3))
+	t.Setenv(aloneVariable, "18446744073709551615")
+	assert.Equal(t, []uint64{1<<64 - 1}, Played(t, aloneVariable, manyVariable, 5, 3))
+}
+
+func TestTextThatIsNoSeedEndsTheTest(t *testing.T) {
+	for _, text := range []string{"-1", "x", "1.5", "18446744073709551616"} {
+		t.Setenv(aloneVariable, text)
+		r := &recorder{TB: t}
+		_, _ = Alone(r, aloneVariable)
+		require.True(t, r.ended, text)
+	}
+}
--- a/internal/system/control/operatorshistory_test.go
+++ b/internal/system/control/operatorshistory_test.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"testing"
@@ -14,6 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"gaugeslip/internal/seeds"
 	"gaugeslip/internal/system/state"
 )
 
@@ -240,17 +240,11 @@
 // TestOperatorsSeeOneRegister plays operators under random faults. GAUGESLIP_OPERATORS_SEEDS gives the number of seeds,
 // GAUGESLIP_OPERATORS one seed, with a trace.
 func TestOperatorsSeeOneRegister(t *testing.T) {
-	if text := os.Getenv("GAUGESLIP_OPERATORS"); text != "" {
-		seed, err := strconv.ParseUint(text, 10, 64)
-		require.NoError(t, err)
+	if seed, alone := seeds.Alone(t, "GAUGESLIP_OPERATORS"); alone {
 		checkHistory(t, seed, t.Logf)
 		return
 	}
-	seeds := historySeeds
-	if n, err := strconv.Atoi(os.Getenv("GAUGESLIP_OPERATORS_SEEDS")); err == nil {
-		seeds = n
-	}
-	for seed := range seeds {
+	for seed := range seeds.Count(t, "GAUGESLIP_OPERATORS_SEEDS", historySeeds) {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			t.Parallel()
 			checkHistory(t, uint64(seed), nil)
--- a/internal/system/control/restart_test.go
+++ b/internal/system/control/restart_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -12,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gaugeslip/coord/wal/simdisk"
+	"gaugeslip/internal/seeds"
 	"gaugeslip/internal/system/state"
 )
 
@@ -198,18 +198,12 @@
 // TestRestartsAmongChanges plays random faults. GAUGESLIP_RESTARTS gives the number of seeds, GAUGESLIP_RESTART one seed, with a trace, and
 // GAUGESLIP_CHANGES the number of changes of each.
 func TestRestartsAmongChanges(t *testing.T) {
-	number := func(name string, preset int) int {
-		if n, err := strconv.Atoi(os.Getenv(name)); err == nil {
-			return n
-		}
-		return preset
-	}
-	changes := number("GAUGESLIP_CHANGES", 60)
-	if one := number("GAUGESLIP_RESTART", -1); one >= 0 {
-		synctest.Test(t, func(t *testing.T) { playRestarts(t, uint64(one), changes, t.Logf) })
+	changes := seeds.Count(t, "GAUGESLIP_CHANGES", 60)
+	if seed, alone := seeds.Alone(t, "GAUGESLIP_RESTART"); alone {
+		synctest.Test(t, func(t *testing.T) { playRestarts(t, seed, changes, t.Logf) })
 		return
 	}
-	for seed := range number("GAUGESLIP_RESTARTS", 4) {
+	for seed := range seeds.Count(t, "GAUGESLIP_RESTARTS", 4) {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { playRestarts(t, uint64(seed), changes, nil) })
 		})
--- a/internal/system/dataplane/wire_test.go
+++ b/internal/system/dataplane/wire_test.go
@@ -3,8 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gaugeslip/coord/transport"
+	"gaugeslip/internal/seeds"
 	"gaugeslip/internal/simnet"
 	"gaugeslip/internal/system/internalapi"
 )
@@ -139,14 +138,9 @@
 
 // Whatever goes wrong on the way to the replica: a job that was answered 200 is there, one that was answered 503 never is.
 func TestAnswersAreCertainOverTheWire(t *testing.T) {
-	first, last := uint64(1), uint64(wireSeeds)
-	if text := os.Getenv(wireSeedVariable); text != "" {
-		seed, err := strconv.ParseUint(text, 10, 64)
-		require.NoError(t, err)
-		first, last = seed, seed
-	}
+	played := seeds.Played(t, wireSeedVariable, "", 1, wireSeeds)
 	statuses := map[int]int{}
-	for seed := first; seed <= last; seed++ {
+	for _, seed := range played {
 		inCoreWire(t, seed, func(t *testing.T, w *wireCore) {
 			defer func() {
 				if t.Failed() {
@@ -157,7 +151,7 @@
 		})
 	}
 	t.Log(statuses)
-	if first != last {
+	if len(played) > 1 {
 		for _, status := range []int{http.StatusOK, http.StatusServiceUnavailable, http.StatusGatewayTimeout} {
 			require.Greater(t, statuses[status], wireSeeds, "the faults are too few")
 		}
--- a/internal/system/simworld/world_test.go
+++ b/internal/system/simworld/world_test.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -15,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"gaugeslip/coord/transport"
+	"gaugeslip/internal/seeds"
 	"gaugeslip/internal/simnet"
 	"gaugeslip/internal/system/control"
 	"gaugeslip/internal/system/internalapi"
@@ -202,19 +202,5 @@
 
 // seedsToPlay are the seeds of a random run: one from the environment, or as many as are asked for.
 func seedsToPlay(t *testing.T, rounds int) []uint64 {
-	if text := os.Getenv(seedVariable); text != "" {
-		seed, err := strconv.ParseUint(text, 10, 64)
-		require.NoError(t, err)
-		return []uint64{seed}
-	}
-	if text := os.Getenv(roundsVariable); text != "" {
-		asked, err := strconv.Atoi(text)
-		require.NoError(t, err)
-		rounds = asked
-	}
-	var seeds []uint64
-	for seed := range rounds {
-		seeds = append(seeds, uint64(seed)+1)
-	}
-	return seeds
+	return seeds.Played(t, seedVariable, roundsVariable, 1, rounds)
 }
