Dial an address again while its opening packet may be lost

The kernel repeats a lost opening packet after a second only, so each dial took its whole 400 ms and a back-off of 100 ms came on top: the first view was decided at 36.13 s, 0.65 s after the first replica was up, as the promises of members that had long been up came in at 36.03. Change: a dial begins another attempt each 80 ms, four at most, and takes the first outcome.

--- a/coord/transport/peers.go
+++ b/coord/transport/peers.go
@@ -131,7 +131,7 @@
 func (c *Client) dialTCP(addr string, timeout time.Duration) (net.Conn, error) {
 	bounded, cancel := context.WithTimeout(c.context, timeout)
 	defer cancel()
-	return c.options.Dial(bounded, "tcp", addr)
+	return dialRepeatedly(bounded, c.options.Dial, addr)
 }
 
 // dialed records the end of a dial and starts the connection.
