Have requests wait for a dispatcher's first configuration

Cause: after a loss of power of all machines 89 requests were refused with 503 and Retry-After: 1 by dispatchers that had just started and had no configuration yet; it came within 0.3 to 0.9 s, their clients a second and more later. A call that failed in that time was given up at once too, as a dispatcher that has just started has never heard of the core. Change: a request waits for the first configuration for the part of its time in which it is worked on; a dispatcher that has just started has hope of the core for as long as one that has just lost it. TestWithoutConfiguration plays in simulated time now, as it would wait 1.35 s else.

--- a/internal/system/dataplane/directory.go
+++ b/internal/system/dataplane/directory.go
@@ -27,6 +27,8 @@
 	// refused is the newest version whose body couldn't be used.
 	refused uint64
 	news    chan struct{}
+	// configured is closed once there is a configuration.
+	configured chan struct{}
 
 	view   atomic.Pointer[view.View]
 	config atomic.Pointer[Configuration]
@@ -44,6 +46,7 @@
 	d := &Directory{
 		viewChanged: make(chan struct{}),
 		news:        make(chan struct{}, 1),
+		configured:  make(chan struct{}),
 		started:     time.Now(),
 	}
 	d.view.Store(&view.View{})
@@ -107,7 +110,10 @@
 		d.refused = version
 		return false, fmt.Errorf("configuration %d: %w", version, err)
 	}
-	d.config.Store(&Configuration{Version: version, Body: body, Router: clusterconfig.NewRouter(parsed)})
+	first := d.config.Swap(&Configuration{Version: version, Body: body, Router: clusterconfig.NewRouter(parsed)}) == nil
+	if first {
+		close(d.configured)
+	}
 	d.tell()
 	return true, nil
 }
@@ -125,6 +131,14 @@
 // Reachable tells whether a replica that serves was heard of within that time.
 func (d *Directory) Reachable(within time.Duration) bool { return d.since(d.seen.Load()) < within }
 
+// MayBeReachable is Reachable for a process that has just started besides: it hasn't had that time to hear of one yet.
+func (d *Directory) MayBeReachable(within time.Duration) bool {
+	return d.Reachable(within) || time.Since(d.started) < within
+}
+
+// Configured is closed once there is a configuration.
+func (d *Directory) Configured() <-chan struct{} { return d.configured }
+
 // Current takes note that a replica which serves has just answered that it knows no configuration newer than this version.
 func (d *Directory) Current(version uint64) {
 	d.mutex.Lock()
--- a/internal/system/dataplane/dispatcher.go
+++ b/internal/system/dataplane/dispatcher.go
@@ -87,7 +87,7 @@
 }
 
 func (d *Dispatcher) answer(w http.ResponseWriter, request *http.Request, arrived time.Time, lease *memorybudget.Lease) answer {
-	config := d.directory.Config()
+	config := d.awaitConfiguration(request, arrived)
 	if config == nil {
 		return unavailable.because(reasonNoConfiguration, course{})
 	}
@@ -109,15 +109,35 @@
 		if body == nil {
 			return refusal
 		}
-		return d.submit(id, route, body, newPatience(arrived, wait, sureShare))
+		return d.submit(id, route, body, newPatience(arrived, wait, shareOf(request.Method)))
 	case http.MethodGet, http.MethodHead:
-		return d.status(id, newPatience(arrived, wait, doubtShare))
+		return d.status(id, newPatience(arrived, wait, shareOf(request.Method)))
 	case http.MethodDelete:
-		return d.cancel(id, newPatience(arrived, wait, doubtShare))
+		return d.cancel(id, newPatience(arrived, wait, shareOf(request.Method)))
 	}
 	return wrongMethod
 }
 
+// awaitConfiguration gives the configuration in force. A dispatcher that has just started waits for its first one, for as long as the
+// request may be worked on and there is hope of the core.
+func (d *Dispatcher) awaitConfiguration(request *http.Request, arrived time.Time) *Configuration {
+	if config := d.directory.Config(); config != nil || d.hopeless() {
+		return config
+	}
+	wait, ok := clientWait(request.Header.Get(deadlineHeader), arrived)
+	if !ok {
+		wait = d.options.DefaultWait
+	}
+	until := d.beforeTheEnd(newPatience(arrived, wait, shareOf(request.Method)).sure)
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-d.directory.Configured():
+	case <-timer.C:
+	}
+	return d.directory.Config()
+}
+
 // noRoute answers for a route that isn't in the configuration; it may be in one that we missed.
 func (d *Dispatcher) noRoute() answer {
 	if !d.directory.UpToDate(d.options.StaleContact) {
--- a/internal/system/dataplane/dispatcher_test.go
+++ b/internal/system/dataplane/dispatcher_test.go
@@ -71,10 +71,12 @@
 }
 
 func TestWithoutConfiguration(t *testing.T) {
-	dispatcher := NewDispatcher(replying(allDone), NewDirectory(), noPoke, Options{})
-	answer := ask(dispatcher, "POST", testPrefix+testID, testBody)
-	assert.Equal(t, 503, answer.Code)
-	assert.Equal(t, "1", answer.Header().Get("Retry-After"))
+	synctest.Test(t, func(t *testing.T) {
+		dispatcher := NewDispatcher(replying(allDone), NewDirectory(), noPoke, Options{})
+		answer := ask(dispatcher, "POST", testPrefix+testID, testBody)
+		assert.Equal(t, 503, answer.Code)
+		assert.Equal(t, "1", answer.Header().Get("Retry-After"))
+	})
 }
 
 func TestAnUnknownRouteOutOfReach(t *testing.T) {
--- a/internal/system/dataplane/errand.go
+++ b/internal/system/dataplane/errand.go
@@ -96,9 +96,10 @@
 	return reply.ConfigVersion != 0 && reply.ConfigVersion < d.directory.ConfigVersion()
 }
 
-// hopeless tells whether nobody who serves was heard of for so long that waiting is no use.
+// hopeless tells whether nobody who serves was heard of for so long that waiting is no use. A dispatcher that has just started, as after
+// a loss of power of all machines, waits for the core as one does that has just lost it.
 func (d *Dispatcher) hopeless() bool {
-	return !d.directory.Reachable(d.options.ContactLife)
+	return !d.directory.MayBeReachable(d.options.ContactLife)
 }
 
 // try makes one call and takes in what its reply tells of the core.
--- a/internal/system/dataplane/patience.go
+++ b/internal/system/dataplane/patience.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"net/http"
 	"strconv"
 	"time"
 )
@@ -19,6 +20,15 @@
 	leastAbsolute = 1e11
 )
 
+// shareOf is the part of the client's time for which a request is worked on while it surely wasn't carried out: a job that isn't taken is
+// refused while there is time to hand it in elsewhere.
+func shareOf(method string) float64 {
+	if method == http.MethodPost {
+		return sureShare
+	}
+	return doubtShare
+}
+
 // patience is until when an answer is worked for.
 type patience struct {
 	// sure holds while it is certain that nothing was carried out, doubt once it isn't.
