Let a new head act first, and not wait for a head whose disk is lost

Change: newcomers are taken in, and votes given away, only 600 ms after a new head has begun to act, unless too few are in touch to commit. A replica with another disk at a member's address that knows the present view proves that the member is gone for good: voters don't wait for its grants, nor for a tail's permission to read.

--- a/coord/replica/admission_test.go
+++ b/coord/replica/admission_test.go
@@ -253,3 +253,27 @@
 		assert.Len(t, w.head().process.View().Chain, 6, "seed %d", seed)
 	}
 }
+
+// A new head with enough members acts before it takes newcomers in, and goes on for a while without holding writes back for them.
+func TestANewHeadActsBeforeItAdmits(t *testing.T) {
+	eachSeed(t, func(t *testing.T, w *world) {
+		for _, m := range w.machines {
+			m.losePower()
+		}
+		w.run(w.now + 100*time.Millisecond)
+		late := w.machines[len(w.machines)-1]
+		for _, m := range w.machines {
+			if m != late {
+				m.start()
+			}
+		}
+		w.run(w.now + 700*time.Millisecond)
+		head := w.head()
+		require.NotNil(t, head, "seed %d", w.seed)
+		acted := head.process.head.actsSince
+		late.start()
+		w.untilIn(late, 5*time.Second)
+		assert.GreaterOrEqual(t, head.clock()-acted, admitAfter, "seed %d", w.seed)
+		assert.Less(t, head.clock()-acted, 2*time.Second, "seed %d", w.seed)
+	})
+}
--- a/coord/replica/config.go
+++ b/coord/replica/config.go
@@ -31,7 +31,8 @@
 	drainAtMost       = 150 * time.Millisecond
 	holdAtMost        = 300 * time.Millisecond
 	holdAgainAfter    = 300 * time.Millisecond
-	holdWithin        = 512 // entries that a learner may lack when writes are held back for it
+	admitAfter        = 600 * time.Millisecond // a new head began to act
+	holdWithin        = 512                    // entries that a learner may lack when writes are held back for it
 	stuckNoReads      = 250 * time.Millisecond
 	voterGoneAfter    = 2 * time.Second
 	refusedRefresh    = time.Second
--- a/coord/replica/election.go
+++ b/coord/replica/election.go
@@ -157,12 +157,13 @@
 	r.sendStored(from, &Message{Promise: reply})
 }
 
-// mayVote tells whether this replica votes, and has no grant out to another.
+// mayVote tells whether this replica votes, and has no grant out to another that may still use it.
 func (r *Replica) mayVote(now time.Duration, b view.Ballot) bool {
 	if !r.view.IsVoter(r.self.ID) {
 		return false
 	}
-	return now >= r.grant || b.Owner == r.view.Head().ID
+	head := r.view.Head().ID
+	return now >= r.grant || b.Owner == head || r.replaced(head)
 }
 
 func (r *Replica) onAccept(now time.Duration, from view.Member, m *view.Accept) {
--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -18,7 +18,9 @@
 	if r.governLeave(now) || r.governChain(now) || r.governAdmission(now) {
 		return
 	}
-	r.governVoters(now)
+	if r.mayAdmit(now) {
+		r.governVoters(now)
+	}
 }
 
 // hearsMajority tells whether a majority of the voters, itself among them, has been heard within the time after which members
@@ -149,7 +151,7 @@
 // to run out, as neither its word nor another's says for sure that it has stopped.
 func (r *Replica) readsOver(now time.Duration, next view.View) bool {
 	for _, member := range r.view.Chain {
-		if member.ID != r.self.ID && !next.InChain(member.ID) && now < r.readsUntil(member.ID) {
+		if member.ID != r.self.ID && !next.InChain(member.ID) && !r.replaced(member.ID) && now < r.readsUntil(member.ID) {
 			return false
 		}
 	}
@@ -177,6 +179,9 @@
 
 // governAdmission takes a learner in that has everything, and holds writes back for one that nearly has.
 func (r *Replica) governAdmission(now time.Duration) bool {
+	if !r.mayAdmit(now) {
+		return false
+	}
 	if r.head.admitting == "" {
 		r.chooseLearner(now)
 		if r.head.admitting == "" {
@@ -201,6 +206,13 @@
 	return r.proposeView(now, r.viewWith(now, l.member, culprit), culprit, cause)
 }
 
+// mayAdmit tells whether learners may be taken in and votes given away. Where enough members are in touch to commit, a new head acts first, and goes on for
+// admitAfter without holding writes back for a newcomer: what had waited for a head comes then, and after a loss of power of all machines
+// newcomers are many and still slow.
+func (r *Replica) mayAdmit(now time.Duration) bool {
+	return r.head.announced && now >= r.head.actsSince+admitAfter || r.short(now)
+}
+
 func (r *Replica) chooseLearner(now time.Duration) {
 	if now < r.head.heldAgain {
 		return
--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -24,6 +24,8 @@
 	// announcedUntil is till when a head that was announced in an earlier epoch counts as one that is about to have the lease of this.
 	announcedUntil time.Duration
 	announcedE     uint64 // the epoch of BecameHead
+	// actsSince is when this replica began to act as the head, with no other in between since.
+	actsSince time.Duration
 	// served is one more than the epoch up to which this replica has been the head since BecameHead, with no other in between.
 	served    uint64
 	governAt  time.Duration
@@ -62,7 +64,9 @@
 	broken   bool // its disk refuses
 	silent   bool // out of reach since it was the head's or a candidate's
 	gone     bool // its disk is lost, or it has moved
-	digests  []view.Digest
+	// replacedIn is one more than the epoch in which that was proven for a member of the chain; 0: never.
+	replacedIn uint64
+	digests    []view.Digest
 }
 
 // learner is one that has asked to become a member, and how promptly it acknowledges.
@@ -97,6 +101,7 @@
 		majority: r.mark(now), blame: blameState{stuck: r.mark(now)}, learners: h.learners, penalties: h.penalties, condemnedAt: now}
 	if r.position() == 0 {
 		head.announced, head.announcedE, head.announcedUntil = h.announced, h.announcedE, max(h.leaseUntil, h.announcedUntil)
+		head.actsSince = h.actsSince
 		if h.served != 0 && h.served == r.view.Epoch {
 			head.served = h.served + 1
 		}
@@ -242,7 +247,11 @@
 		h.announced = false
 		r.out.Events = append(r.out.Events, LostHead{Epoch: h.announcedE, Cause: r.leaseCause(now)})
 	case r.IsHead(now) && r.Committed() >= h.inherited && (!h.announced || h.announcedE != r.view.Epoch):
-		r.out.Events = append(r.out.Events, BecameHead{Epoch: r.view.Epoch, Continued: h.announced || h.served == r.view.Epoch+1})
+		continued := h.announced || h.served == r.view.Epoch+1
+		if !continued {
+			h.actsSince = now
+		}
+		r.out.Events = append(r.out.Events, BecameHead{Epoch: r.view.Epoch, Continued: continued})
 		h.announced, h.announcedE, h.served = true, r.view.Epoch, r.view.Epoch+1
 	}
 }
--- a/coord/replica/join.go
+++ b/coord/replica/join.go
@@ -79,7 +79,11 @@
 	r.noteGone(now, m.From)
 	p := r.peer(m.From.ID, now)
 	p.leaving, p.broken = false, false
-	if !r.leading() || m.Viewless || m.Epoch != r.view.Epoch {
+	if m.Viewless || m.Epoch != r.view.Epoch {
+		return
+	}
+	r.noteReplaced(now, m.From)
+	if !r.leading() {
 		return
 	}
 	l := r.head.learners[m.From.ID]
@@ -92,6 +96,29 @@
 	r.chain.Invite(now, m.From)
 }
 
+// noteReplaced notes that another disk has taken the address of a member of the present view, by word of a replica that knows that view.
+// The member had its place at that address before the view was decided, and the newcomer runs there after: the member's disk is lost, no
+// process has its identity any more, and whatever it was granted or permitted can't be used. Where that is the head, nobody has to wait
+// for its grants to run out.
+func (r *Replica) noteReplaced(now time.Duration, from view.Member) {
+	for i, member := range r.view.Chain {
+		if member.ID == from.ID || member.Address != from.Address {
+			continue
+		}
+		known := r.replaced(member.ID)
+		r.peer(member.ID, now).replacedIn = r.view.Epoch + 1
+		if at := r.position(); i == 0 && at > 0 && !known {
+			r.electAt = min(r.electAt, now+time.Duration(at-1)*electionStagger+r.jitter(electionJitter))
+		}
+	}
+}
+
+// replaced tells whether it is proven that a member of the present view is gone for good.
+func (r *Replica) replaced(id view.ReplicaID) bool {
+	p := r.peers[id]
+	return p != nil && p.replacedIn == r.view.Epoch+1
+}
+
 // noteGone notes a member whose address has another disk now, or whose disk has another address.
 func (r *Replica) noteGone(now time.Duration, from view.Member) {
 	for _, member := range r.view.Voters {
--- a/internal/tools/mutants/table.go
+++ b/internal/tools/mutants/table.go
@@ -10,6 +10,8 @@
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"gaugeslip/internal/tools/sourceedit"
 )
 
 // guard is one condition on which safety stands, with the smallest change that breaks it and the test that sees this.
@@ -96,6 +98,11 @@
 	return err
 }
 
+// mutated is the guard's file with the guard taken out.
+func (g *guard) mutated(root string) ([]byte, error) {
+	return sourceedit.Edit{File: g.File, Function: g.Function, Old: g.Old, New: g.New}.Apply(root)
+}
+
 // choose gives the guards with these names, or all, and of them those of one point, if one is given.
 func choose(all []guard, names []string, point int) ([]guard, error) {
 	for _, name := range names {
--- a/internal/tools/mutants/mutate.go
+++ b/internal/tools/sourceedit/sourceedit.go
@@ -1,4 +1,5 @@
-package main
+// Package sourceedit makes small changes to Go sources, each of one text in one function, for tools that build and play changed copies.
+package sourceedit
 
 import (
 	"bytes"
@@ -14,26 +15,36 @@
 
 var errNoFunction = errors.New("no such function")
 
-// mutated is the guard's file with the guard taken out. The text must stand once in the function.
-func (g *guard) mutated(root string) ([]byte, error) {
-	source, err := os.ReadFile(filepath.Join(root, g.File))
+// Edit is one change: a text that stands once in a function, and what comes in its place.
+type Edit struct {
+	// File is the file's path below the module's folder.
+	File string `toml:"file"`
+	// Function limits the change to one function or method; empty: anywhere in the file.
+	Function string `toml:"function"`
+	Old      string `toml:"old"`
+	New      string `toml:"new"`
+}
+
+// Apply is the edit's file with the change made. The old text must stand once in the function, and the file must still parse.
+func (e Edit) Apply(root string) ([]byte, error) {
+	source, err := os.ReadFile(filepath.Join(root, e.File))
 	if err != nil {
 		return nil, err
 	}
-	from, to, err := extent(source, g.Function)
+	from, to, err := extent(source, e.Function)
 	if err != nil {
-		return nil, fmt.Errorf("%s: %w", g.File, err)
+		return nil, fmt.Errorf("%s: %w", e.File, err)
 	}
 	body := source[from:to]
-	if count := bytes.Count(body, []byte(g.Old)); count != 1 {
-		return nil, fmt.Errorf("%s: the old text stands %d times in %q, want once", g.File, count, g.Function)
+	if count := bytes.Count(body, []byte(e.Old)); count != 1 {
+		return nil, fmt.Errorf("%s: the old text stands %d times in %q, want once", e.File, count, e.Function)
 	}
-	changed := bytes.Replace(body, []byte(g.Old), []byte(g.New), 1)
-	mutant := bytes.Join([][]byte{source[:from], changed, source[to:]}, nil)
-	if _, err := parser.ParseFile(token.NewFileSet(), g.File, mutant, 0); err != nil {
+	changed := bytes.Replace(body, []byte(e.Old), []byte(e.New), 1)
+	edited := bytes.Join([][]byte{source[:from], changed, source[to:]}, nil)
+	if _, err := parser.ParseFile(token.NewFileSet(), e.File, edited, 0); err != nil {
 		return nil, fmt.Errorf("the changed file can't be read: %w", err)
 	}
-	return mutant, nil
+	return edited, nil
 }
 
 // extent is where a function or method stands in a file: from its first byte to after its last. `Type.Method` names a method
