Place the tasks of a step together on few workers

Cause: a job is done when its last task is. The fit alone sent each task to the fullest worker that had room for one. Change: a task joins the one of its step that was placed just before where it suits and passes the demand test, without a search; a search prefers workers that take more of the step's tasks.

--- a/internal/system/scheduler/placement.go
+++ b/internal/system/scheduler/placement.go
@@ -28,6 +28,22 @@
 // choose finds the worker for one task: in its size's range, then in the neighbouring ones, the best that passes the demand test;
 // failing that, the best that has room at all. Nil: the task is held.
 func (s *Scheduler) choose(st *step, t *task) *worker {
+	if last := st.lastChosen; last != nil && s.choosesAgain(st, t, last) {
+		return last
+	}
+	st.lastChosen = s.search(st, t)
+	return st.lastChosen
+}
+
+// choosesAgain tells whether a task may join the one of its step that was placed just before: a step is done when its last task is, so
+// that each further worker that it depends on is one more that may fail or be cut off.
+func (s *Scheduler) choosesAgain(st *step, t *task, last *worker) bool {
+	near := st.stage.Colocation == "" || last.hasLabel(st.stage.Colocation)
+	return near && s.suits(last, st, t) && s.passes(st, last)
+}
+
+// search goes through the workers of the step's service.
+func (s *Scheduler) search(st *step, t *task) *worker {
 	if st.stage.Colocation != "" {
 		if near := s.chooseNear(st, t); near != nil || !s.mayGoFar(st) {
 			return near
@@ -83,17 +99,19 @@
 }
 
 const (
-	timeWeight    = 4.0
-	fitWeight     = 1.0
-	gpuWaste      = 2.0
-	suspectWeight = 3.0
+	timeWeight     = 4.0
+	fitWeight      = 1.0
+	gpuWaste       = 2.0
+	suspectWeight  = 3.0
+	togetherWeight = 1.0
 )
 
-// score ranks workers that suit: fast and near first, then sound ones, then those that the task fills best. GPUs are kept for tasks
-// that need them.
+// score ranks workers that suit: fast and near first, then sound ones, then those that take most of the step's tasks and that the task
+// fills best. GPUs are kept for tasks that need them.
 func (s *Scheduler) score(w *worker, st *step) float64 {
 	score := -timeWeight * s.distance(st, w) * w.health.factor()
 	score += fitWeight * w.used.plus(st.need).shareOf(w.room)
+	score += togetherWeight * st.togetherOn(w)
 	score -= suspectWeight * w.health.suspicion(s.now)
 	if st.need.GPUs == 0 && w.room.GPUs > 0 {
 		score -= gpuWaste
@@ -101,6 +119,18 @@
 	return score
 }
 
+// togetherOn is the part of the step's tasks still to be placed that a worker can take.
+func (st *step) togetherOn(w *worker) float64 {
+	if st.unplaced <= 1 {
+		return 1
+	}
+	most := st.unplaced
+	if st.onWorker != nil {
+		most = min(most, st.stage.AntiAffinity-st.onWorker[w])
+	}
+	return float64(min(most, st.need.times(w.free()))) / float64(st.unplaced)
+}
+
 // passes is the demand test: whether the task, counting from now through what is accepted on the worker, ends by its deadline.
 func (s *Scheduler) passes(st *step, w *worker) bool {
 	accepted := s.scratch.accepted[:0]
--- a/internal/system/scheduler/queue.go
+++ b/internal/system/scheduler/queue.go
@@ -178,7 +178,9 @@
 	}
 	left := st.waiting[:0]
 	full := false
+	st.lastChosen = nil
 	for at, index := range st.waiting {
+		st.unplaced = len(st.waiting) - at
 		if !s.shareFits(st) {
 			left = append(left, st.waiting[at:]...)
 			break
--- a/internal/system/scheduler/steps.go
+++ b/internal/system/scheduler/steps.go
@@ -37,8 +37,11 @@
 	keepNotBefore time.Duration
 	farAt         time.Duration
 	onWorker      map[*worker]int // runs, where antiAffinity bounds them
-	gang          gangState
-	retryAt       time.Duration // when a held gang is tried again at the earliest
+	// unplaced is how many tasks are still to be placed in this round, lastChosen the worker that was chosen last in it.
+	unplaced   int
+	lastChosen *worker
+	gang       gangState
+	retryAt    time.Duration // when a held gang is tried again at the earliest
 	// retryPlanned tells that it will be, since room was freed before.
 	retryPlanned bool
 }
