Tell late jobs by what their time was spent on

Cause: which part of a late job's time was lost could only be guessed from the outside. Change: each task's time is kept by part (room, order, unanswered, run, slow, silent worker, failed, stopped or lost runs, noting of the end); a job that misses its objective is told with the parts of the steps and tasks that ended last, which sum to its time. They are histograms in the figures, a line in the log each 10 s and at the end. The scheduler's simulated world holds the sums.

--- a/internal/system/control/figures.go
+++ b/internal/system/control/figures.go
@@ -19,6 +19,7 @@
 	ends    [state.Alone + 1]uint64
 	lost    uint64
 	views   uint64
+	late    lateCounts
 	refused [internalapi.InDoubt + 1]atomic.Uint64 // by verdict
 }
 
@@ -74,6 +75,7 @@
 	overview := n.overview()
 	writeChain(w, &overview)
 	n.counts.write(w)
+	n.counts.late.write(w)
 	n.invariants.Write(w)
 	jobs := make([]figures.Labelled, 0, len(overview.Jobs))
 	for number := state.Pending; number <= state.Cancelled; number++ {
--- /dev/null
+++ b/internal/system/control/late.go
@@ -0,0 +1,76 @@
+package control
+
+import (
+	"time"
+
+	"gaugeslip/internal/system/figures"
+	"gaugeslip/internal/system/scheduler"
+)
+
+// tellLateEvery is how often the log is told of late jobs, if there were any.
+const tellLateEvery = 10 * time.Second
+
+// lateCounts sum up the jobs that missed their objective, by what their time was spent on.
+type lateCounts struct {
+	jobs uint64
+	// parts are the times that late jobs have spent on each part, where they spent any.
+	parts [scheduler.PartCount]figures.Histogram
+	// recent is what the log hasn't been told yet.
+	recent     scheduler.Spent
+	recentJobs uint64
+	toldAt     time.Duration
+}
+
+// note takes in jobs that have ended late.
+func (c *lateCounts) note(late []scheduler.LateJob) {
+	for i := range late {
+		c.jobs++
+		c.recentJobs++
+		for part, length := range late[i].Spent {
+			if length > 0 {
+				c.parts[part].Observe(length)
+				c.recent[part] += length
+			}
+		}
+	}
+}
+
+// tellOfLateJobs logs the late jobs since the last time, now and then.
+func (n *Node) tellOfLateJobs(now time.Duration) {
+	if now-n.counts.late.toldAt >= tellLateEvery {
+		n.counts.late.toldAt = now
+		n.tellOfRecentLateJobs()
+	}
+}
+
+// tellOfRecentLateJobs logs the late jobs that haven't been told yet.
+func (n *Node) tellOfRecentLateJobs() {
+	c := &n.counts.late
+	if c.recentJobs == 0 {
+		return
+	}
+	n.logger.Info("jobs late", "jobs", c.recentJobs, "spent", c.recent)
+	c.recent, c.recentJobs = scheduler.Spent{}, 0
+}
+
+func (c *lateCounts) write(w *figures.Writer) {
+	w.Counter("jobs_late_total", "Jobs, and due times of timed ones, that were completed after their objective while this replica was the head.", float64(c.jobs))
+	for part := range scheduler.PartCount {
+		w.Histogram("late_"+part.String()+"_seconds", "Time of late jobs: "+lateHelp[part]+".", &c.parts[part])
+	}
+}
+
+var lateHelp = [scheduler.PartCount]string{
+	scheduler.PartBefore:     "before this head knew that their turn had come",
+	scheduler.PartRoom:       "waiting for room, for their turn or near their data",
+	scheduler.PartPause:      "pausing after starts that were refused or ends that came too soon",
+	scheduler.PartOrder:      "from a start's intent to the worker's answer",
+	scheduler.PartUnanswered: "while an order without an answer might still be carried out",
+	scheduler.PartRun:        "running",
+	scheduler.PartSlow:       "running, far behind what was expected",
+	scheduler.PartSilent:     "on workers that didn't answer",
+	scheduler.PartFailed:     "on runs that failed",
+	scheduler.PartStopped:    "on runs that were stopped, lapsed or broken off",
+	scheduler.PartLost:       "on runs that went with their worker",
+	scheduler.PartNoted:      "from a listed end to its commit",
+}
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -188,6 +188,7 @@
 func (n *Node) stop() {
 	n.loop.stop()
 	<-n.loop.ended
+	n.tellOfRecentLateJobs()
 	n.engine.close()
 	n.orders.close()
 	n.list.Close()
--- a/internal/system/control/roles.go
+++ b/internal/system/control/roles.go
@@ -100,6 +100,7 @@
 		return false
 	}
 	n.tellOfWaits(output.Findings)
+	n.counts.late.note(output.Late)
 	for _, command := range output.Commands {
 		n.engine.propose(command, func(state.Result, fate) {})
 	}
@@ -206,6 +207,7 @@
 
 // keepHouse tells the core of replicas that were heard of, and forgets jobs that were over for long enough.
 func (n *Node) keepHouse() {
+	n.tellOfLateJobs(n.now())
 	if n.engine.closed {
 		return
 	}
--- a/internal/system/scheduler/gangs.go
+++ b/internal/system/scheduler/gangs.go
@@ -49,6 +49,7 @@
 
 func (s *Scheduler) gangIsDone(st *step) {
 	for i := range st.tasks {
+		st.tasks[i].account.turn(s.now, PartNoted)
 		st.tasks[i].state = taskDone
 		for _, r := range st.tasks[i].runs {
 			s.at(s.now+gangEndGrace, func() { s.wantStop(r) })
@@ -65,6 +66,7 @@
 	pause := time.Duration(0)
 	for i := range st.tasks {
 		st.tasks[i].state = taskWaiting
+		st.tasks[i].account.turn(s.now, PartRoom)
 		s.waits(&st.tasks[i])
 		pause = max(pause, st.tasks[i].pause())
 	}
--- a/internal/system/scheduler/holds.go
+++ b/internal/system/scheduler/holds.go
@@ -192,6 +192,7 @@
 		return
 	}
 	w.reach = silent
+	s.noteSilence(w, PartSilent)
 	s.suspected(w)
 	s.probe(w)
 }
@@ -202,6 +203,7 @@
 		return
 	}
 	w.reach = answering
+	s.noteSilence(w, PartRun)
 	s.roomFreed(w)
 }
 
--- a/internal/system/scheduler/jobs.go
+++ b/internal/system/scheduler/jobs.go
@@ -148,6 +148,9 @@
 		if j == nil {
 			continue
 		}
+		if record.State == state.Completed {
+			s.judgeCompleted(j)
+		}
 		delete(s.jobs, record.ID)
 		s.pending.over(j)
 		for _, number := range slices.Sorted(maps.Keys(j.times)) {
--- a/internal/system/scheduler/lost.go
+++ b/internal/system/scheduler/lost.go
@@ -75,6 +75,7 @@
 	for i := len(w.list) - 1; i >= 0; i-- {
 		r := w.list[i]
 		names = append(names, r.name)
+		s.spoiled(r, PartLost)
 		s.drop(r)
 	}
 	w.used = Resources{}
--- a/internal/system/scheduler/run.go
+++ b/internal/system/scheduler/run.go
@@ -44,6 +44,8 @@
 	// checkpoint is what its start carries, each time that it is sent: an end that comes late may change the replicated one.
 	checkpoint string
 
+	before Spent // of its task, when the run was proposed
+
 	orderedAt  time.Duration
 	presentAt  time.Duration
 	percent    int
@@ -91,6 +93,8 @@
 	t := &r.step.tasks[r.name.Task.Index]
 	t.runs = append(t.runs, r)
 	t.state = taskActive
+	t.account.turn(s.now, PartOrder)
+	r.before = t.account.spent
 	if r.step.onWorker != nil {
 		r.step.onWorker[w]++
 	}
--- a/internal/system/scheduler/runs.go
+++ b/internal/system/scheduler/runs.go
@@ -15,6 +15,7 @@
 	r.setPhase(runPresent)
 	r.presentAt = s.now
 	r.percentAt = s.now
+	s.spend(r, PartRun)
 	if t := r.task(); t != nil {
 		t.refusals, t.since = 0, 0
 		s.pending.begin(r.step.job)
@@ -72,6 +73,11 @@
 	}
 	s.pending.begin(r.step.job)
 	s.waits(t)
+	if end.How == state.Done {
+		s.spend(r, PartNoted)
+	} else {
+		s.spoiled(r, spoiledBy(end.How))
+	}
 	t.saw(r.name.Attempt, end.Checkpoint)
 	t.avoid = nil
 	if end.How == state.Failed && !r.step.stage.LongRunning || r.moved {
--- a/internal/system/scheduler/scheduler.go
+++ b/internal/system/scheduler/scheduler.go
@@ -46,6 +46,8 @@
 	Superseded bool
 	// Findings tell of tasks that have waited for long.
 	Findings []Finding
+	// Late tells of jobs that have missed their objective.
+	Late []LateJob
 }
 
 // Scheduler is the scheduler role. Make one with New.
@@ -82,6 +84,7 @@
 	ordered  []*run
 	shares   shares
 	auditing auditing
+	late     []LateJob
 	scratch  scratch
 }
 
@@ -229,8 +232,8 @@
 	s.proposeVoids()
 	s.dispatch()
 	s.proposeStarts()
-	output := Output{Commands: s.commands, Calls: s.out, Wake: s.nextWake(), Findings: s.auditing.findings}
-	s.commands, s.out, s.auditing.findings = nil, nil, nil
+	output := Output{Commands: s.commands, Calls: s.out, Wake: s.nextWake(), Findings: s.auditing.findings, Late: s.late}
+	s.commands, s.out, s.auditing.findings, s.late = nil, nil, nil, nil
 	return output
 }
 
--- a/internal/system/scheduler/startorders.go
+++ b/internal/system/scheduler/startorders.go
@@ -110,6 +110,7 @@
 		return
 	}
 	r.setPhase(runDoubtful)
+	s.spend(r, PartUnanswered)
 	if r.worker.answeredAt < r.orderedAt {
 		s.silence(r.worker)
 	}
--- a/internal/system/scheduler/steps.go
+++ b/internal/system/scheduler/steps.go
@@ -25,6 +25,7 @@
 	opened  bool
 	closed  bool
 	readyAt time.Duration
+	path    Spent // the time of the steps that it waited for
 
 	queued bool
 	ticket sizing.Ticket
@@ -76,6 +77,7 @@
 	doubted     bool          // the last audit has found no reason for its wait
 	pausedUntil time.Duration
 	refusal     workerapi.Outcome // the last one in turn
+	account     account
 	// carefulUntil is until when a task that has failed before waits for a proven worker.
 	carefulUntil time.Duration
 }
@@ -119,6 +121,7 @@
 	st.readyAt = s.now
 	s.arrived(st)
 	for i := range st.tasks {
+		st.tasks[i].beginAccount(s.now)
 		s.settle(st, uint32(i))
 	}
 }
@@ -162,6 +165,7 @@
 	t := &st.tasks[index]
 	if pause := t.pause(); pause > 0 {
 		t.state, t.pausedUntil = taskPaused, s.now+pause
+		t.account.turn(s.now, PartPause)
 		s.waits(t)
 		s.at(s.now+pause, func() { s.pauseOver(st, index) })
 		return
@@ -180,6 +184,7 @@
 func (s *Scheduler) wait(st *step, index uint32) {
 	t := &st.tasks[index]
 	t.state = taskWaiting
+	t.account.turn(s.now, PartRoom)
 	s.waits(t)
 	st.waiting = append(st.waiting, index)
 	s.enqueue(st)
@@ -238,6 +243,7 @@
 	if t.state == taskWaiting {
 		s.unwait(st, index)
 	}
+	t.account.turn(s.now, PartNoted)
 	t.state = taskDone
 	for _, r := range t.runs {
 		s.wantStop(r)
@@ -267,10 +273,13 @@
 			continue
 		}
 		if j.record.StepReady(t.number, uint32(later)) {
-			s.openStep(s.ensureStep(j, t, uint32(later)))
+			next := s.ensureStep(j, t, uint32(later))
+			next.path = st.spentUpTo(s.now)
+			s.openStep(next)
 		}
 	}
 	if timeDone(j.record, t.number) {
+		s.judge(t)
 		delete(j.times, t.number)
 	}
 }
--- a/internal/system/scheduler/stragglers.go
+++ b/internal/system/scheduler/stragglers.go
@@ -48,6 +48,7 @@
 	}
 	if !r.slowNoted && elapsed > moveGain*expected+overdueAfter {
 		r.slowNoted = true
+		s.spend(r, PartSlow)
 		w.health.measured(float64(elapsed) / float64(expected))
 	}
 	if t.moves >= mostMoves {
--- a/internal/system/scheduler/world_test.go
+++ b/internal/system/scheduler/world_test.go
@@ -48,7 +48,7 @@
 }
 
 type worldStats struct {
-	starts, ends, gangsAlone, holds int
+	starts, ends, gangsAlone, holds, late int
 }
 
 type event struct {
@@ -162,6 +162,7 @@
 		return
 	}
 	output := w.sched.Drain()
+	w.checkLate(output.Late)
 	if output.Superseded {
 		return
 	}
