Break off calls that are out once a worker has seen a higher token

A superseded scheduler orders nothing more, but calls that waited for a connection could still go out with the old token, up to 2.7 s after the refusal (a hold's wait and its time-out). Change: they are broken off.

--- a/internal/system/control/orders.go
+++ b/internal/system/control/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"gaugeslip/internal/system/workerapi"
@@ -29,14 +30,17 @@
 type orders struct {
 	client *workerapi.Client
 	slots  chan struct{}
-	cancel context.CancelFunc
+
+	mutex  sync.Mutex
 	ctx    context.Context
+	cancel context.CancelFunc
 }
 
 func newOrders(connections int, dial workerapi.Dial) *orders {
-	ctx, cancel := context.WithCancel(context.Background())
 	client := workerapi.NewClient(workerapi.Options{Connections: connections, ConnectionsPerWorker: connectionsPerWorker, Dial: dial})
-	return &orders{client: client, slots: make(chan struct{}, mostCalls), ctx: ctx, cancel: cancel}
+	o := &orders{client: client, slots: make(chan struct{}, mostCalls)}
+	o.ctx, o.cancel = context.WithCancel(context.Background())
+	return o
 }
 
 // start runs one call; with no slot free it answers false, and nothing was sent.
@@ -46,17 +50,35 @@
 	default:
 		return false
 	}
+	until := o.current()
 	go func() {
 		defer func() { <-o.slots }()
-		ctx, cancel := context.WithTimeout(o.ctx, timeout)
+		ctx, cancel := context.WithTimeout(until, timeout)
 		defer cancel()
 		call(ctx, o.client)
 	}()
 	return true
 }
 
-// close breaks off all calls.
+// current is the context of the calls that begin now.
+func (o *orders) current() context.Context {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return o.ctx
+}
+
+// breakOff ends all calls that are out, those among them that still wait for a connection; calls may be made again.
+func (o *orders) breakOff() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.cancel()
+	o.ctx, o.cancel = context.WithCancel(context.Background())
+}
+
+// close breaks off all calls for good.
 func (o *orders) close() {
+	o.mutex.Lock()
 	o.cancel()
+	o.mutex.Unlock()
 	o.client.Close()
 }
--- a/internal/system/control/roles.go
+++ b/internal/system/control/roles.go
@@ -97,6 +97,7 @@
 	if output.Superseded {
 		n.logger.Warn("a worker has seen a higher token", "epoch", n.schedulerEpoch)
 		n.schedulerActive = false
+		n.orders.breakOff() // nothing more goes out with this token
 		return false
 	}
 	n.tellOfWaits(output.Findings)
