Look again at once after a missed hold, and see runs that stand still sooner

(2) A worker that is cut off is given more until two holds of up to 1 s each have come to nothing. Change: a start that isn't wanted any more isn't sent again; a hold after one without an answer doesn't wait; a run counts as standing still after 0.6 s, by its worker's clock, so that lists that are taken in late say nothing.

--- a/internal/system/scheduler/callends_test.go
+++ b/internal/system/scheduler/callends_test.go
@@ -55,3 +55,25 @@
 	_, again := d.take(CallHold, "w2")
 	require.False(t, again, "nobody knows that worker any more")
 }
+
+// A second sending is not for a run that isn't wanted any more: that of a copy, say, whose task has ended elsewhere.
+func TestAnUnwantedStartIsNotSentAgain(t *testing.T) {
+	d := newDesk(t)
+	d.list(entry("w", 4000))
+	id := d.submit(stage(1, 1000, time.Second))
+	d.commit()
+	d.must(CallStart, "w")
+	d.cancel(id)
+	d.pass(100 * time.Millisecond)
+	require.Zero(t, d.count(CallStart))
+}
+
+// A hold without an answer is followed by one that doesn't wait.
+func TestAWorkerThatMissedAHoldIsLookedAtAtOnce(t *testing.T) {
+	d := newDesk(t)
+	d.list(entry("w", 4000))
+	made := d.must(CallHold, "w")
+	require.Positive(t, made.Hold.WaitMs)
+	d.answer(made, workerapi.Unknown)
+	require.Zero(t, d.must(CallHold, "w").Hold.WaitMs)
+}
--- a/internal/system/scheduler/holds.go
+++ b/internal/system/scheduler/holds.go
@@ -119,8 +119,8 @@
 
 // holdWait is how long the next hold is to wait for an end.
 func (s *Scheduler) holdWait(w *worker) time.Duration {
-	if w.reach != answering || !w.clock.known {
-		return 0
+	if w.reach != answering || !w.clock.known || w.hold.failures > 0 {
+		return 0 // the sooner it answers or doesn't, the sooner nothing more is started there
 	}
 	wait := min(longestWait, s.bounds.MaxHold()/3)
 	if len(w.runs) > 0 {
--- a/internal/system/scheduler/placement_test.go
+++ b/internal/system/scheduler/placement_test.go
@@ -226,3 +226,36 @@
 	d.commit()
 	d.must(CallStart, "w1")
 }
+
+// What a replica is late to take in says nothing of a run: the worker's own clock tells how long it has stood still.
+func TestALateListIsNoStandstill(t *testing.T) {
+	d := newDesk(t)
+	d.list(entry("w", 4000))
+	d.sched.movingRuns = movingRuns
+	d.submit(stage(1, 1000, time.Second))
+	d.commit()
+	made := d.start("w")
+	d.hold("w", running(made, 10), nil)
+	clock := d.clockMs() + hangAfter.Milliseconds()
+	d.pass(3 * hangAfter)
+	for _, late := range []int64{0, 1} {
+		require.Zero(t, d.count(CallStop))
+		reply := workerapi.HoldReply{Outcome: workerapi.Done, ClockMs: clock + late, Running: running(made, 10)}
+		d.end(d.must(CallHold, "w"), reply)
+	}
+	d.must(CallStop, "w")
+}
+
+// The tasks of a step go to one worker where it has room for them, rather than each to the fullest.
+func TestTasksOfAStepGoTogether(t *testing.T) {
+	d := newDesk(t)
+	d.list(entry("small", 2000), entry("large", 8000), entry("other", 3000))
+	d.submit(stage(4, 1000, time.Second))
+	d.commit()
+	for range 4 {
+		d.must(CallStart, "large")
+	}
+	d.submit(stage(1, 1000, time.Second))
+	d.commit()
+	d.must(CallStart, "large") // one that goes alone fills it best
+}
--- a/internal/system/scheduler/run.go
+++ b/internal/system/scheduler/run.go
@@ -50,6 +50,7 @@
 	presentAt  time.Duration
 	percent    int
 	percentAt  time.Duration // when it changed last
+	percentMs  int64         // the same on the worker's clock; 0: nothing was listed yet
 	firstAt    time.Duration // the first progress that was seen, and when
 	firstShown int
 
--- a/internal/system/scheduler/runs.go
+++ b/internal/system/scheduler/runs.go
@@ -44,6 +44,9 @@
 	if r.firstAt == 0 {
 		r.firstAt, r.firstShown = s.now, listed.Percent
 	}
+	if listed.Percent != r.percent || r.percentMs == 0 {
+		r.percentMs = r.worker.hold.listedMs
+	}
 	if listed.Percent != r.percent {
 		if r.percent == 0 {
 			s.movingRuns++
--- a/internal/system/scheduler/startorders.go
+++ b/internal/system/scheduler/startorders.go
@@ -43,7 +43,7 @@
 	w.highestDue = max(w.highestDue, r.dueAtMs)
 	s.sendStart(r)
 	s.at(s.now+s.answers.hedge(), func() {
-		if r.phase == runOrdered && w.runs[r.name] == r {
+		if r.phase == runOrdered && w.runs[r.name] == r && !r.stopWanted {
 			s.sendStart(r)
 		}
 	})
@@ -80,6 +80,7 @@
 	}
 	switch reply.Outcome {
 	case workerapi.Done:
+		r.percentMs = reply.ClockMs
 		s.present(r)
 	case workerapi.Unknown:
 		s.doubt(r)
--- a/internal/system/scheduler/stragglers.go
+++ b/internal/system/scheduler/stragglers.go
@@ -4,9 +4,11 @@
 
 const (
 	// hangAfter is how long a run may show no progress at the least before it counts as standing still.
-	hangAfter = 1500 * time.Millisecond
+	hangAfter = 600 * time.Millisecond
+	// gangHangAfter is the same for a member of a gang.
+	gangHangAfter = 1500 * time.Millisecond
 	// hangPart is the part of its estimate for which a run may show none.
-	hangPart = 3
+	hangPart = 4
 	// silentFactor is how many times its estimate a run may take without a word of progress.
 	silentFactor = 3
 	// movingRuns is how many runs must have shown progress before a lack of it means anything.
@@ -74,16 +76,26 @@
 	return expected
 }
 
-// standsStill tells whether a run makes no progress though runs elsewhere do.
+// standsStill tells whether a run makes no progress though runs elsewhere do. What counts is the worker's own time between two of its lists:
+// that this replica was late to take one in says nothing of the run.
 func (s *Scheduler) standsStill(r *run, expected, elapsed time.Duration) bool {
 	if s.movingRuns < movingRuns {
 		return elapsed > silentFactor*expected+2*hangAfter && r.percent == 0
 	}
+	still := time.Duration(r.worker.hold.listedMs-r.percentMs) * time.Millisecond
+	return r.percent < 100 && r.percentMs > 0 && still > s.hangPatience(r, expected)
+}
+
+// hangPatience is for how long a run may show no progress. The members of a gang wait for each other.
+func (s *Scheduler) hangPatience(r *run, expected time.Duration) time.Duration {
 	patience := max(hangAfter, expected/hangPart)
+	if r.step.stage.Gang {
+		patience = max(gangHangAfter, expected/hangPart)
+	}
 	if r.resumed {
 		patience += s.bounds.Restore()
 	}
-	return r.percent < 100 && s.now-r.percentAt > patience
+	return patience
 }
 
 // worthMoving tells whether a run is so far behind that its task ends sooner, and by much, when it is started elsewhere, and whether
