Let a start be due as soon as its answer is overdue

Cause: a start without an answer could be carried out for 300 ms on its worker's clock, though both sendings of it are given up after 150 ms where workers answer quickly; only then may its task be started again. A job of ten tasks has such a start nearly always where two in five orders get no answer. Change: the due time is as long ahead as both sendings are waited for, 150 to 300 ms, and a clock that isn't slow isn't ahead of it by that.

--- a/internal/system/scheduler/clock.go
+++ b/internal/system/scheduler/clock.go
@@ -29,6 +29,11 @@
 	return c.readMs + int64(passed/float64(time.Millisecond))
 }
 
+// mayBeAhead is by how much a clock that isn't slow is ahead of lower.
+func (c *workerClock) mayBeAhead(now time.Duration) time.Duration {
+	return time.Duration(float64(max(now-c.readAt, 0)) * (1 - slowestRate))
+}
+
 // surelyPast is the time on our clock from which on the worker's clock has surely passed a time in milliseconds.
 func (c *workerClock) surelyPast(dueMs int64) time.Duration {
 	ahead := float64(dueMs+1-c.readMs) / slowestRate
--- a/internal/system/scheduler/startorders.go
+++ b/internal/system/scheduler/startorders.go
@@ -7,8 +7,18 @@
 	"gaugeslip/internal/system/workerapi"
 )
 
-// startWindow is how long a worker may carry out a start, on its clock.
-const startWindow = 300 * time.Millisecond
+// A worker may carry out a start for as long as both sendings are waited for, within these bounds: what gets no answer is soon known to be
+// over, and answers that are slow altogether leave time for the order.
+const (
+	shortestWindow = 150 * time.Millisecond
+	longestWindow  = 300 * time.Millisecond
+)
+
+// startWindow is how long a worker may carry out a start that is sent now, from the least that its clock may show.
+func (s *Scheduler) startWindow(w *worker) time.Duration {
+	waited := s.answers.hedge() + s.answers.timeout()
+	return min(max(waited, shortestWindow), longestWindow) + w.clock.mayBeAhead(s.now)
+}
 
 // orderStarts sends the starts whose intents were committed, but for those that are unwanted by now.
 func (s *Scheduler) orderStarts() {
@@ -39,7 +49,7 @@
 	w := r.worker
 	r.setPhase(runOrdered)
 	r.orderedAt = s.now
-	r.dueAtMs = w.clock.lower(s.now) + startWindow.Milliseconds()
+	r.dueAtMs = w.clock.lower(s.now) + s.startWindow(w).Milliseconds()
 	w.highestDue = max(w.highestDue, r.dueAtMs)
 	s.sendStart(r)
 	s.at(s.now+s.answers.hedge(), func() {
