--- a/internal/system/scheduler/gangs.go
+++ b/internal/system/scheduler/gangs.go
@@ -224,6 +224,7 @@
 	s.lastMark++
 	mark := s.lastMark
 	for len(members) < len(st.tasks) {
+		st.unplaced = len(st.tasks) - len(members)
 		w := s.bestUntaken(st, allowed, mark)
 		if w == nil {
 			return nil
@@ -237,16 +238,9 @@
 	return members
 }
 
+// bestUntaken is the best worker for members that hasn't been given any in this round.
 func (s *Scheduler) bestUntaken(st *step, allowed func(*worker) bool, mark uint64) *worker {
-	var found *worker
-	highest := 0.0
-	for _, w := range st.service.workers {
-		if w.hold.taken == mark || !allowed(w) || s.gangAvoids(st, w) || !s.suits(w, st, &st.tasks[0]) {
-			continue
-		}
-		if score := s.score(w, st); found == nil || score > highest {
-			found, highest = w, score
-		}
-	}
-	return found
+	return s.bestAmong(st.service.workers, st, func(w *worker) bool {
+		return w.hold.taken != mark && allowed(w) && !s.gangAvoids(st, w) && s.suits(w, st, &st.tasks[0])
+	})
 }
--- a/internal/system/scheduler/placement.go
+++ b/internal/system/scheduler/placement.go
@@ -68,10 +68,15 @@
 
 // best is the worker of highest score that suits a task, nil if none does.
 func (s *Scheduler) best(workers []*worker, st *step, t *task) *worker {
+	return s.bestAmong(workers, st, func(w *worker) bool { return s.suits(w, st, t) })
+}
+
+// bestAmong is the worker of highest score that is allowed, nil if none is.
+func (s *Scheduler) bestAmong(workers []*worker, st *step, allowed func(*worker) bool) *worker {
 	var found *worker
 	highest := 0.0
 	for _, w := range workers {
-		if !s.suits(w, st, t) {
+		if !allowed(w) {
 			continue
 		}
 		if score := s.score(w, st); found == nil || score > highest {
@@ -154,17 +159,8 @@
 
 // chooseNear finds the best worker in the rack of the step's data.
 func (s *Scheduler) chooseNear(st *step, t *task) *worker {
-	var found *worker
-	highest := 0.0
-	for _, w := range st.service.workers {
-		if !w.hasLabel(st.stage.Colocation) || !s.suits(w, st, t) {
-			continue
-		}
-		if score := s.score(w, st); found == nil || score > highest {
-			found, highest = w, score
-		}
-	}
-	return found
+	near := func(w *worker) bool { return w.hasLabel(st.stage.Colocation) && s.suits(w, st, t) }
+	return s.bestAmong(st.service.workers, st, near)
 }
 
 // mayGoFar tells whether a task may start away from its data: when waiting for room near it costs more, or has lasted too long.
