--- a/internal/system/scheduler/stragglers.go
+++ b/internal/system/scheduler/stragglers.go
@@ -4,11 +4,9 @@
 
 const (
 	// hangAfter is how long a run may show no progress at the least before it counts as standing still.
-	hangAfter = 600 * time.Millisecond
-	// gangHangAfter is the same for a member of a gang.
-	gangHangAfter = 1500 * time.Millisecond
+	hangAfter = 1500 * time.Millisecond
 	// hangPart is the part of its estimate for which a run may show none.
-	hangPart = 4
+	hangPart = 3
 	// silentFactor is how many times its estimate a run may take without a word of progress.
 	silentFactor = 3
 	// movingRuns is how many runs must have shown progress before a lack of it means anything.
@@ -86,12 +84,9 @@
 	return r.percent < 100 && r.percentMs > 0 && still > s.hangPatience(r, expected)
 }
 
-// hangPatience is for how long a run may show no progress. The members of a gang wait for each other.
+// hangPatience is for how long a run may show no progress.
 func (s *Scheduler) hangPatience(r *run, expected time.Duration) time.Duration {
 	patience := max(hangAfter, expected/hangPart)
-	if r.step.stage.Gang {
-		patience = max(gangHangAfter, expected/hangPart)
-	}
 	if r.resumed {
 		patience += s.bounds.Restore()
 	}
