--- a/cmd/controlplane/jobs.go
+++ b/cmd/controlplane/jobs.go
@@ -123,11 +123,11 @@
 		return
 	}
 	t.Gap()
-	t.Row("TIME", "STEP", "TASK", "STATE", "ATTEMPT", "FAILURES", "PROGRESS", "DEADLINE", "WORKERS", "WHY")
+	t.Row("TIME", "STEP", "TASK", "STATE", "ATTEMPT", "FAILURES", "PROGRESS", "DEADLINE", "WORKERS", "SPENT", "WHY")
 	for i := range detail.Tasks {
 		task := &detail.Tasks[i]
 		t.Row(task.Time, task.Step, task.Index, task.State, task.Attempt, task.Failures, progress(task), deadline(task),
-			console.OrDash(strings.Join(task.Workers, " ")), task.Why)
+			console.OrDash(strings.Join(task.Workers, " ")), console.OrDash(task.Spent), task.Why)
 	}
 	if detail.TasksLeftOut > 0 {
 		t.Gap()
--- a/internal/system/control/jobdetail.go
+++ b/internal/system/control/jobdetail.go
@@ -107,7 +107,7 @@
 		return task
 	}
 	if shown, open := d.waits[name]; open {
-		task.State, task.Why = shown.State, shown.Why
+		task.State, task.Why, task.Spent = shown.State, shown.Why, shown.Spent.String()
 		task.HasDeadline, task.DeadlineMs = true, shown.Deadline.Milliseconds()-d.nowMs
 		if len(shown.Runs) > 0 {
 			task.Workers = shown.Runs
--- a/internal/system/internalapi/overview.go
+++ b/internal/system/internalapi/overview.go
@@ -136,6 +136,7 @@
 	HasCheckpoint     bool
 	Workers           []string // on which runs of it may exist
 	Why               string   // what keeps it from starting
+	Spent             string   // its time so far by part, with that of the steps it waited for
 	DeadlineMs        int64    // from now, negative when it is past
 	HasDeadline       bool
 }
--- a/internal/system/scheduler/view.go
+++ b/internal/system/scheduler/view.go
@@ -71,6 +71,8 @@
 	Why string
 	// Runs are the workers on which runs of it may exist.
 	Runs []string
+	// Spent is its time so far by part, with that of the steps it waited for.
+	Spent Spent
 	// Deadline is on the steady clock.
 	Deadline time.Duration
 }
@@ -102,7 +104,7 @@
 
 func (s *Scheduler) viewTask(st *step, index uint32) TaskView {
 	t := &st.tasks[index]
-	view := TaskView{Task: st.name(index), State: taskStateNames[t.state], Deadline: st.deadline()}
+	view := TaskView{Task: st.name(index), State: taskStateNames[t.state], Deadline: st.deadline(), Spent: st.path.plus(t.account.upTo(s.now))}
 	for _, r := range t.runs {
 		view.Runs = append(view.Runs, r.worker.life.Instance)
 	}
