Let others' silence excuse no stalled disk, and newcomers ask sooner

Change: while no view is known a newcomer asks each 50 ms; the silence of others excuses a member only if it hasn't got the entry yet.

--- a/coord/replica/blame.go
+++ b/coord/replica/blame.go
@@ -78,12 +78,19 @@
 	return r.since(now, p.heard) > inTouch*r.cfg.HeartbeatEvery
 }
 
-// backAgain gives a member that was silent for a while, but shorter than it may be, the time to make up for it: its disk can't be
-// blamed for what it hadn't been told yet.
-func (r *Replica) backAgain(now time.Duration, p *peer) {
-	if now-p.heard.at > inTouch*r.cfg.HeartbeatEvery {
-		r.head.blame.stuck = r.mark(now)
+// heardAgain notes that a member has answered. One that was silent for a while, but shorter than it may be, gets the time to make up for
+// it: its disk can't be blamed for what it hadn't been told yet, nor can those behind it. Where the member that holds the watched entry up
+// has got it, others' silence was no reason for that.
+func (r *Replica) heardAgain(now time.Duration, p *peer) {
+	away := now-p.heard.at > inTouch*r.cfg.HeartbeatEvery
+	p.heard, p.ackedAt = r.mark(now), now
+	if !away {
+		return
+	}
+	if holder := r.peers[r.holder(now)]; holder != nil && holder != p && holder.received >= r.head.stuckIndex {
+		return
 	}
+	r.head.blame.stuck = r.mark(now)
 }
 
 // ownDiskStalls tells whether the disk here has done nothing for too long.
--- a/coord/replica/config.go
+++ b/coord/replica/config.go
@@ -27,6 +27,7 @@
 	governEvery       = 40 * time.Millisecond
 	governSoon        = 5 * time.Millisecond // while a change is on its way
 	joinEvery         = 200 * time.Millisecond
+	joinFirstEvery    = 50 * time.Millisecond // while no view is known: others may just be starting
 	leaveNoticeEvery  = 100 * time.Millisecond
 	drainAtMost       = 150 * time.Millisecond
 	holdAtMost        = 300 * time.Millisecond
--- a/coord/replica/head.go
+++ b/coord/replica/head.go
@@ -221,8 +221,7 @@
 		return
 	}
 	p := r.peer(from.ID, now)
-	r.backAgain(now, p)
-	p.heard, p.ackedAt = r.mark(now), now
+	r.heardAgain(now, p)
 	p.silent, p.broken = false, m.Broken
 	p.echo = max(p.echo, m.Sequence)
 	p.received, p.synced, p.acked = m.Received, m.Synced, m.Acked
--- a/coord/replica/join.go
+++ b/coord/replica/join.go
@@ -21,6 +21,9 @@
 
 func (r *Replica) askToJoin(now time.Duration) {
 	r.joinAt = now + joinEvery
+	if !r.view.Known() {
+		r.joinAt = now + joinFirstEvery
+	}
 	r.numbers++
 	asked := map[string]bool{r.self.Address: true}
 	for _, voter := range r.view.Voters {
--- a/coord/replica/leader_test.go
+++ b/coord/replica/leader_test.go
@@ -432,3 +432,25 @@
 	assert.False(t, next.InChain("b"))
 	assert.True(t, next.InChain("c"))
 }
+
+// Where answers of others are lost now and then, a stalled disk is found out all the same: whoever has the entry has nobody to wait for.
+func TestAStalledDiskIsNotExcusedByOthersSilence(t *testing.T) {
+	s := leader(t)
+	_, out, err := s.core.Propose(s.now, [][]byte{[]byte("x")})
+	require.NoError(t, err)
+	s.take(out)
+	s.sync()
+	began := s.now
+	for beat := 0; len(collect(s.sent, func(m *Message) *view.Accept { return m.Accept })) == 0; beat++ {
+		require.Less(t, s.now, began+2*DefaultDropAfter, "nobody is dropped")
+		stalled := &view.HeartbeatAck{Sequence: s.lastBeat("b").Sequence, Granted: true, Received: 1}
+		s.receive("b", &Message{HeartbeatAck: stalled})
+		if beat%(inTouch+2) == 0 {
+			s.ackOf("c", s.lastBeat("c").Sequence)
+		}
+		s.after(DefaultHeartbeatEvery)
+	}
+	next := s.accepts()[0].Value
+	assert.False(t, next.InChain("b"))
+	assert.True(t, next.InChain("c"))
+}
