Apply a backlog in slices, so that no member holds the others up

Change: what is more than one slice is applied in turns of the loop, between heartbeats, acknowledgements and forwarding. That this replica acts as the head is told after its backlog; views at once. A log line tells when a backlog is over.

--- a/internal/system/control/committed.go
+++ b/internal/system/control/committed.go
@@ -20,9 +20,10 @@
 	}
 }
 
-// takeConfig puts the newest of the configurations in force that a batch of commits has brought; those before it are passed over.
+// takeConfig puts the newest of the configurations in force that a batch of commits, or a backlog, has brought; those before it are passed
+// over.
 func (n *Node) takeConfig() {
-	if n.configStale {
+	if n.configStale && !n.engine.catchingUp() {
 		n.configTaken()
 	}
 }
--- a/internal/system/control/digests.go
+++ b/internal/system/control/digests.go
@@ -12,7 +12,7 @@
 
 // audited sums up what an entry came to.
 func (e *engine) audited(entry chain.Entry, result *state.Result) {
-	if e.catchingUp {
+	if e.catchingUp() {
 		return
 	}
 	if sum, due := e.audit.Applied(entry.Index, entry.Data, result, e.machine); due {
--- a/internal/system/control/engine.go
+++ b/internal/system/control/engine.go
@@ -21,6 +21,8 @@
 	post    func(func())
 	send    func(to string, message *replica.Message)
 	applied func(state.Result)
+	// caughtUp is told that a backlog of so many entries has been applied.
+	caughtUp func(entries int, took time.Duration)
 	// committed is told how long an own command took from its append to its commit.
 	committed func(took time.Duration)
 	installed func() // a snapshot took the place of the state
@@ -41,19 +43,18 @@
 	disk      *disk
 	appliedTo uint64
 	audit     *state.Audit
-	// catchingUp: a backlog of entries is being applied.
-	catchingUp bool
-	digests    []view.Digest // not yet handed to the core
-	queue      []*proposal
-	flying     map[uint64]*proposal
-	reads      []waitingRead
-	unapplied  unapplied
-	contactAt  time.Duration // last word from the head, or the last own lease that was seen
-	wake       time.Duration
-	closed     bool
-	rewriting  bool
-	capturing  capturing
-	compactAt  int64
+	backlog   backlog
+	digests   []view.Digest // not yet handed to the core
+	queue     []*proposal
+	flying    map[uint64]*proposal
+	reads     []waitingRead
+	unapplied unapplied
+	contactAt time.Duration // last word from the head, or the last own lease that was seen
+	wake      time.Duration
+	closed    bool
+	rewriting bool
+	capturing capturing
+	compactAt int64
 }
 
 // newEngine reads what the disk holds; begin sets it going.
@@ -119,10 +120,7 @@
 	e.applyAll(output.Committed)
 	e.settleReads()
 	for _, event := range output.Events {
-		if _, changed := event.(replica.ViewChanged); changed {
-			e.refuseReads()
-		}
-		e.options.event(event)
+		e.tell(event)
 	}
 	e.wake = output.Wake
 	if output.NeedSnapshot {
@@ -165,6 +163,7 @@
 		return false
 	}
 	e.appliedTo = snapshot.Index
+	e.backlog.drop()
 	e.dropCapture()
 	e.audit = state.NewAudit(e.appliedTo)
 	for index, waiting := range e.flying {
@@ -177,35 +176,6 @@
 	return true
 }
 
-// applyAll applies committed entries. A backlog of them isn't summed up: that takes a replica that has just started, or has been away, the
-// time that it needs to be there; nobody waits for its digests of then.
-func (e *engine) applyAll(entries []chain.Entry) {
-	e.catchingUp = len(entries) > auditBacklog
-	for _, entry := range entries {
-		e.apply(entry)
-	}
-	if e.catchingUp {
-		e.audit, e.catchingUp = state.NewAudit(e.appliedTo), false
-	}
-}
-
-func (e *engine) apply(entry chain.Entry) {
-	if entry.Index <= e.appliedTo {
-		return
-	}
-	e.checkEntry(entry)
-	e.appliedTo = entry.Index
-	if len(entry.Data) == 0 {
-		e.audited(entry, nil)
-		e.settle(entry, state.Result{})
-		return
-	}
-	result := e.machine.ApplyBytes(entry.Data)
-	e.audited(entry, &result)
-	e.options.applied(result)
-	e.settle(entry, result)
-}
-
 // isHead tells whether this replica may act as the head now.
 func (e *engine) isHead() bool { return !e.closed && e.replica.IsHead(e.options.now()) }
 
@@ -218,6 +188,7 @@
 		return
 	}
 	e.closed = true
+	e.backlog.drop()
 	e.disk.stop()
 	e.refuseQueued()
 	e.refuseReads()
--- a/internal/system/control/events.go
+++ b/internal/system/control/events.go
@@ -95,6 +95,11 @@
 	n.logger.Info("log read", "records", records, "bytes", bytes, "applied", n.engine.appliedTo)
 }
 
+// tellOfBacklog logs that what was committed before this replica came back is applied.
+func (n *Node) tellOfBacklog(entries int, took time.Duration) {
+	n.logger.Info("backlog applied", "entries", entries, "took", took.Round(time.Millisecond), "applied", n.engine.appliedTo)
+}
+
 // tellOfWaits logs, at the head, tasks that have waited for long, and for what: loudly what was found forgotten, quietly those that are
 // held for a reason.
 func (n *Node) tellOfWaits(findings []scheduler.Finding) {
--- a/internal/system/control/reads.go
+++ b/internal/system/control/reads.go
@@ -19,10 +19,11 @@
 	e.await(index, ok, answer)
 }
 
-// readJob is read for one job: it waits only for what may change that job. Nothing is said of the order of changes to different jobs.
+// readJob is read for one job: it waits only for what may change that job. Nothing is said of the order of changes to different jobs. A
+// backlog is waited for as a whole: to look through it takes about as long as to apply it.
 func (e *engine) readJob(id state.JobID, answer func(current bool)) {
 	index, ok := e.readIndex()
-	if ok && index > e.appliedTo {
+	if ok && index > e.appliedTo && !e.catchingUp() {
 		e.unapplied.look(e.replica.Held(max(e.unapplied.seen, e.appliedTo)))
 		index = min(index, e.unapplied.lastOf(id))
 	}
--- a/internal/system/control/restart.go
+++ b/internal/system/control/restart.go
@@ -26,7 +26,7 @@
 		return fmt.Errorf("give up an unfit disk: %w", err)
 	}
 	engine, err := newEngine(engineOptions{config: n.replicaConfig(), log: file, records: records, now: n.now, post: n.loop.postUrgent,
-		send: n.sender.Send, applied: n.applied, committed: n.counts.latency.Observe, installed: n.installed, event: n.event,
+		send: n.sender.Send, applied: n.applied, caughtUp: n.tellOfBacklog, committed: n.counts.latency.Observe, installed: n.installed, event: n.event,
 		failed: n.engineFailed, fault: n.fail, rewritten: n.logRewritten, invariants: n.invariants})
 	if err != nil {
 		return fmt.Errorf("read log: %w", err)
