Bound the starts under way by how promptly they are answered

Change: intents and orders without an answer are bounded by a window that prompt answers widen and slow ones narrow (64 to 512, at first 128); what is put off leaves in its order. Slow is a mean that is 25 ms above the quickest of late. While answers are slow a start isn't sent a second time.

--- a/internal/system/scheduler/calls.go
+++ b/internal/system/scheduler/calls.go
@@ -44,6 +44,10 @@
 	// promptAnswer is up to which mean answer time a missing answer counts as lost: beyond it, this replica or the way is slow itself, and
 	// more calls would make that worse.
 	promptAnswer = 25 * time.Millisecond
+	// slowAnswer is by how much the mean answer may take longer than the quickest of late; promptMemory is over how many answers that one
+	// is forgotten.
+	slowAnswer   = 25 * time.Millisecond
+	promptMemory = 4096
 	// hedgePart is after which part of its time-out a start is sent a second time.
 	hedgePart = 4
 	// firstAnswerTime is the mean before anything was measured.
@@ -53,6 +57,8 @@
 // answerTimes is what was learnt of how long workers take to answer, and whether answers are lost on their way.
 type answerTimes struct {
 	mean time.Duration
+	// prompt is how long the way takes at least, as the quickest of late show.
+	prompt time.Duration
 	// lossyUntil is how long answers are taken to be lost now and then, though the workers are there.
 	lossyUntil time.Duration
 }
@@ -66,8 +72,17 @@
 		a.mean = firstAnswerTime
 	}
 	a.mean += (took - a.mean) / answerMemory
+	if a.prompt == 0 || took < a.prompt {
+		a.prompt = took
+		return
+	}
+	a.prompt += (took - a.prompt) / promptMemory
 }
 
+// slow tells whether answers take clearly longer than the way does: this replica has more to do than it gets done, and more calls would make
+// that worse.
+func (a *answerTimes) slow() bool { return a.mean-a.prompt > slowAnswer }
+
 // timeout is how long a call waits for its answer.
 func (a *answerTimes) timeout() time.Duration {
 	mean := a.mean
@@ -103,6 +118,9 @@
 	if ended.kind != CallHold {
 		s.answers.measured(s.now - ended.sentAt)
 	}
+	if ended.kind == CallStart {
+		s.pace.answered(s.now, &s.answers)
+	}
 }
 
 // call is a call that is out.
--- a/internal/system/scheduler/check.go
+++ b/internal/system/scheduler/check.go
@@ -23,13 +23,28 @@
 			return fmt.Errorf("job %s: %w", id, err)
 		}
 	}
-	if err := s.checkKeepings(); err != nil {
-		return err
+	return cmp.Or(s.checkKeepings(), s.checkPace(), s.checkPending(), s.checkPlacements())
+}
+
+// checkPace holds that the starts under way are those that are out, or may still be committed.
+func (s *Scheduler) checkPace() error {
+	sent, proposed := 0, 0
+	for _, made := range s.calls {
+		if made.kind == CallStart {
+			sent++
+		}
+	}
+	for _, w := range s.workers {
+		for _, r := range w.list {
+			if r.phase == runProposed {
+				proposed++
+			}
+		}
 	}
-	if err := s.checkPending(); err != nil {
-		return err
+	if sent != s.pace.sent || proposed > s.pace.proposed {
+		return fmt.Errorf("%d starts are out and %d proposed, counted are %d and %d", sent, proposed, s.pace.sent, s.pace.proposed)
 	}
-	return s.checkPlacements()
+	return nil
 }
 
 // What CheckSome looks at. A step may have a hundred thousand tasks, and each is looked for among those that wait: comparisons are bounded
--- a/internal/system/scheduler/queue.go
+++ b/internal/system/scheduler/queue.go
@@ -107,11 +107,11 @@
 	}
 }
 
-// dispatch starts what can be started.
+// dispatch starts what can be started. What isn't tried since enough starts are under way is tried once some of them are answered.
 func (s *Scheduler) dispatch() {
 	s.retryKept()
 	for _, svc := range s.kinds {
-		for svc.fresh || len(svc.freed) > 0 {
+		for (svc.fresh || len(svc.freed) > 0) && !s.pace.full() {
 			s.dispatchService(svc)
 		}
 	}
@@ -129,7 +129,11 @@
 		}
 		s.refreshLayout(svc)
 	}
-	for _, st := range held {
+	for at, st := range held {
+		if s.pace.full() {
+			s.putOff(svc, held[at:])
+			break
+		}
 		if s.keptBack(st) {
 			continue
 		}
@@ -151,6 +155,14 @@
 	s.scratch.held = held[:0]
 }
 
+// putOff has held steps tried on all workers later.
+func (s *Scheduler) putOff(svc *service, held []*step) {
+	svc.fresh = true
+	for _, st := range held {
+		st.fresh = true
+	}
+}
+
 // takeFreed gives the workers on which room has been freed; room that is freed from now on is the next round's.
 func (svc *service) takeFreed() []*worker {
 	freed := svc.freed
--- a/internal/system/scheduler/scheduler.go
+++ b/internal/system/scheduler/scheduler.go
@@ -69,6 +69,7 @@
 	dues       dueQueue
 	calls      map[uint64]*call
 	answers    answerTimes
+	pace       startPace
 	mostCalls  int
 	looks      firstLooks
 	lastCall   uint64
@@ -105,6 +106,7 @@
 		calls:     make(map[uint64]*call),
 		voiding:   make(map[state.Run]*run),
 		shares:    newShares(options.Machine.Quotas()),
+		pace:      startPace{window: firstStarts},
 	}
 	s.rebuild()
 	s.planAudit()
@@ -199,6 +201,9 @@
 		return
 	}
 	delete(s.calls, result.ID)
+	if ended.kind == CallStart {
+		s.pace.ended()
+	}
 	if result.Reply.Outcome == workerapi.RefusedFence {
 		s.superseded = true
 	}
--- a/internal/system/scheduler/startorders.go
+++ b/internal/system/scheduler/startorders.go
@@ -53,14 +53,15 @@
 	w.highestDue = max(w.highestDue, r.dueAtMs)
 	s.sendStart(r)
 	s.at(s.now+s.answers.hedge(), func() {
-		if r.phase == runOrdered && w.runs[r.name] == r && !r.stopWanted {
+		if r.phase == runOrdered && w.runs[r.name] == r && !r.stopWanted && !s.answers.slow() {
 			s.sendStart(r)
 		}
 	})
 	s.holdAt(w, s.now)
 }
 
-// sendStart sends the start of a run. It may be sent twice: a worker takes the same run's start for the same order.
+// sendStart sends the start of a run. It may be sent twice, unless answers are slow altogether: a worker takes the same run's start for the
+// same order.
 func (s *Scheduler) sendStart(r *run) {
 	w := r.worker
 	order := workerapi.StartOrder{
@@ -72,6 +73,7 @@
 		Checkpoint: r.checkpoint,
 	}
 	r.startsOut++
+	s.pace.sending()
 	s.send(Call{Kind: CallStart, Start: order, Timeout: s.answers.timeout()}, w, r)
 }
 
--- a/internal/system/scheduler/starts.go
+++ b/internal/system/scheduler/starts.go
@@ -25,16 +25,17 @@
 	name := state.Run{Task: st.name(index), Attempt: attempt}
 	s.add(&run{name: name, worker: w, step: st, need: st.need, checkpoint: checkpoint, resumed: checkpoint != ""})
 	s.shares.propose(name, st)
+	s.pace.proposing()
 	s.starts = append(s.starts, state.Start{Run: name, Worker: w.life.Instance, Checkpoint: checkpoint})
 }
 
-// mostStarts is how many intents one command holds, but for those of one step, which stay together.
-const mostStarts = 1000
+// mostIntents is how many intents one command holds, but for those of one step, which stay together.
+const mostIntents = 1000
 
 // proposeStarts puts the intents of this round into few commands.
 func (s *Scheduler) proposeStarts() {
 	for len(s.starts) > 0 {
-		end := min(mostStarts, len(s.starts))
+		end := min(mostIntents, len(s.starts))
 		for end < len(s.starts) && sameStep(&s.starts[end-1], &s.starts[end]) {
 			end++
 		}
@@ -61,6 +62,7 @@
 
 func (s *Scheduler) startCommitted(start *state.Start, holds bool) {
 	s.shares.settle(start.Run, holds)
+	s.pace.committed()
 	w := s.openWorker(start.Worker)
 	r := w.runs[start.Run]
 	switch {
