Let a committed entry prove that only the tail may read

Change: where an entry that was made in the view's epoch is committed, all members have acknowledged it as members, so that they know the view and only its tail may have a permission. The disk's word on what is committed makes that known to a head that has just started.

--- a/coord/replica/candidate_test.go
+++ b/coord/replica/candidate_test.go
@@ -135,6 +135,35 @@
 	assert.False(t, accepts[0].Value.InChain("c"))
 }
 
+// A head that comes back drops others than the tail at once if an entry of the epoch is known to be committed: they all know the view then, in
+// which only the tail may read. An entry of an earlier epoch, or one that isn't known to be committed, proves nothing.
+func TestRestartedHeadWaitsForNobodyButTheTailOnceAllKnowTheView(t *testing.T) {
+	for name, c := range map[string]struct {
+		epoch, committed uint64
+		at               time.Duration
+	}{
+		"committed":     {standEpoch, 3, electionPatience},
+		"not committed": {standEpoch, 0, DefaultGrant / readPart},
+		"earlier":       {standEpoch - 1, 3, DefaultGrant / readPart},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := resumed(t, standConfig("a"), Persisted{View: standView(standEpoch, "a", "b", "c"), Log: logOf(c.epoch, 3), Committed: c.committed})
+			s.step(Tick{})
+			ballot := s.prepares()[0].Ballot
+			s.sync()
+			s.promise("c", view.Promise{Ballot: ballot, OK: true})
+			for s.now < standStart+c.at {
+				require.Empty(t, s.accepts(), "b may answer reads, or answer yet")
+				s.after(10 * time.Millisecond)
+			}
+			s.after(10 * time.Millisecond)
+			accepts := s.accepts()
+			require.NotEmpty(t, accepts)
+			assert.False(t, accepts[0].Value.InChain("b"))
+		})
+	}
+}
+
 // A head's lease ends with its epoch: in the next one it leads only once a majority has granted it a heartbeat of that epoch, as the grants of
 // those who learn an epoch end with the one before, and nothing but patience keeps them from standing.
 func TestALeaseEndsWithItsEpoch(t *testing.T) {
--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -159,13 +159,23 @@
 }
 
 // readsUntil is when a member's permission to read has run out, by the clock here. An earlier head may have given one, or
-// this one in an earlier epoch or life, till the view was learnt.
+// this one in an earlier epoch or life, till the view was learnt. Only the tail can have one once all members know the view.
 func (r *Replica) readsUntil(id view.ReplicaID) time.Duration {
 	earlier := r.learned + r.cfg.Grant/readPart
-	if id != r.view.Tail().ID {
-		return earlier
+	switch {
+	case id == r.view.Tail().ID:
+		return max(earlier, r.head.readsUntil)
+	case r.allKnowTheView():
+		return 0
 	}
-	return max(earlier, r.head.readsUntil)
+	return earlier
+}
+
+// allKnowTheView tells whether all members of the chain surely know the view: an entry that was made in its epoch is committed, so that each
+// has acknowledged it as a member. Whoever learns a view gives up the permission that it had before.
+func (r *Replica) allKnowTheView() bool {
+	epoch, ok := r.chain.Log().EpochAt(r.Committed())
+	return ok && epoch == r.view.Epoch
 }
 
 // punish keeps a member out that was dropped for its disk: it answered heartbeats and didn't acknowledge.
