Rewrite the log at 1 MB

Cause: a log of 5 MB takes 0.2 s of half a core to apply, which each replica does before it can act; it was rewritten from 8 MB on.

Change: 1 MB, and as before at three times its compacted length. A rewrite takes 10 to 25 ms, some ten a minute on the grown sites.

--- a/coord/replica/weight_test.go
+++ b/coord/replica/weight_test.go
@@ -6,7 +6,7 @@
 
 // When the control plane rewrites its log: at this length, and again at each multiple of its rewritten length.
 const (
-	leastCompaction  = 8 << 20
+	leastCompaction  = 1 << 20
 	compactionGrowth = 3
 )
 
--- a/internal/system/control/compaction.go
+++ b/internal/system/control/compaction.go
@@ -4,7 +4,7 @@
 
 // leastCompaction is the length at which the log is rewritten, and again at each multiple of its compacted length.
 const (
-	leastCompaction  = 8 << 20
+	leastCompaction  = 1 << 20
 	compactionGrowth = 3
 )
 
