Check the lease just before calls go out, and read the platform's list early

Cause: the invariant start_is_committed was broken in service ('held by the state true, head false'): the scheduler's decisions for a large fleet outlasted the lease by which they were begun. And a new head read the platform's list only once it acted, 0.05 s before its first look.

Change: calls go out if this replica is still the head after the decisions; otherwise the scheduler is told that they weren't sent. Whoever becomes the head by a view reads the list while it waits for its lease and applies its backlog. What keeps the list is a type and a file of its own.

--- a/internal/system/control/callsowner_test.go
+++ b/internal/system/control/callsowner_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"gaugeslip/coord/replica"
+	"gaugeslip/coord/view"
 	"gaugeslip/internal/simnet"
 	"gaugeslip/internal/system/nodesettings"
 	"gaugeslip/internal/system/scheduler"
@@ -73,3 +75,21 @@
 		})
 	}
 }
+
+// Decisions for a large fleet may outlast the lease by which they were begun: then nothing is sent, and the scheduler is told so.
+func TestCallsAreNotSentOnceTheLeaseIsOver(t *testing.T) {
+	core := replica.New(replica.Config{Self: view.Member{ID: "a", Address: headHost}, Seed: 1}, replica.Persisted{}, 0)
+	n := &Node{loop: newLoop(), clock: time.Now, started: time.Now(), engine: &engine{replica: core, options: engineOptions{
+		now: func() time.Duration { return 0 }}}}
+	require.False(t, n.engine.isHead())
+	acting, call := newOwner(t, 1)
+	n.scheduler = acting
+	n.makeCalls([]scheduler.Call{call}) // without a client: to send would fail
+	for _, work := range n.loop.take(nil) {
+		work()
+	}
+	acting.Tick(3 * time.Second)
+	again := acting.Drain().Calls
+	require.NotEmpty(t, again, "it looks again")
+	require.NotEqual(t, call.ID, again[0].ID)
+}
--- a/internal/system/control/events.go
+++ b/internal/system/control/events.go
@@ -14,19 +14,19 @@
 
 // listNotRead takes note of a reading of the platform's list that failed.
 func (n *Node) listNotRead(err error) {
-	if n.listFailures == listFailuresTold {
-		n.logger.Warn("platform's list not read", "failures", n.listFailures, "error", err)
+	if n.platform.failures == listFailuresTold {
+		n.logger.Warn("platform's list not read", "failures", n.platform.failures, "error", err)
 		return
 	}
-	n.logger.Debug("platform's list not read", "failures", n.listFailures, "error", err)
+	n.logger.Debug("platform's list not read", "failures", n.platform.failures, "error", err)
 }
 
 // listRead takes note of a reading that did well.
 func (n *Node) listRead() {
-	if n.listFailures >= listFailuresTold {
-		n.logger.Info("platform's list read again", "failures", n.listFailures)
+	if n.platform.failures >= listFailuresTold {
+		n.logger.Info("platform's list read again", "failures", n.platform.failures)
 	}
-	n.listFailures = 0
+	n.platform.failures = 0
 }
 
 // tellOfLoss logs, at the head, that a worker's runs were given up; a worker without runs is only forgotten.
--- a/internal/system/control/events_test.go
+++ b/internal/system/control/events_test.go
@@ -22,7 +22,7 @@
 	var out bytes.Buffer
 	node := &Node{logger: log.New(&out)}
 	for range 20 {
-		node.listFailures++
+		node.platform.failures++
 		node.listNotRead(errors.New("no answer"))
 	}
 	assert.Equal(t, 1, strings.Count(out.String(), "list not read"))
--- a/internal/system/control/headship.go
+++ b/internal/system/control/headship.go
@@ -41,10 +41,10 @@
 	options := scheduler.Options{Token: event.Epoch, Machine: n.engine.machine, Bounds: n.settings.Bounds, Calls: n.workerConnections()}
 	n.scheduler = scheduler.New(options, n.now())
 	n.schedulerEpoch = event.Epoch
-	n.listAt, n.listing = 0, false
 	if n.config != nil {
 		n.scheduler.Configured(n.now(), n.config)
 	}
+	n.takeEarlyList()
 	n.spreadConfig() // others that have just started may know an old one only, and spread none
 }
 
@@ -59,6 +59,8 @@
 	if newest.Head().ID != n.engine.replica.Self().ID {
 		n.dropScheduler()
 		n.engine.refuseQueued()
+	} else {
+		n.readListEarly()
 	}
 	data, err := internalapi.EncodeView(newest)
 	if err != nil {
--- a/internal/system/control/invariants.go
+++ b/internal/system/control/invariants.go
@@ -88,11 +88,7 @@
 }
 
 // checkCalls holds what orders to workers need, at the moment at which they are sent.
-func (n *Node) checkCalls(calls []scheduler.Call) {
-	if len(calls) == 0 {
-		return
-	}
-	sender := sending{epoch: n.engine.view().Epoch, head: n.engine.isHead()}
+func (n *Node) checkCalls(calls []scheduler.Call, sender sending) {
 	for i := range calls {
 		n.checkCall(&calls[i], sender)
 	}
--- a/internal/system/control/node.go
+++ b/internal/system/control/node.go
@@ -84,9 +84,7 @@
 	schedulerActive bool
 	schedulerEpoch  uint64
 	schedulerWake   time.Duration
-	listing         bool
-	listAt          time.Duration
-	listFailures    int
+	platform        platformList
 	clockAt         time.Duration
 	tickedAt        time.Duration
 	// overSince is when this replica, as the head, first saw each job over; forgetAt is when it looks next.
--- a/internal/system/control/operatorsworld_test.go
+++ b/internal/system/control/operatorsworld_test.go
@@ -1,10 +1,13 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -19,6 +22,7 @@
 	"gaugeslip/coord/wal/simdisk"
 	"gaugeslip/internal/system/internalapi"
 	"gaugeslip/internal/system/nodesettings"
+	"gaugeslip/internal/system/workerapi"
 )
 
 const (
@@ -79,6 +83,11 @@
 	return w
 }
 
+// noPlatform reads a list that can't be reached.
+func noPlatform() *workerapi.ListClient {
+	return workerapi.NewListClient(func(context.Context, string, string) (net.Conn, error) { return nil, syscall.ECONNREFUSED })
+}
+
 // start brings the machine's process up, if it is down.
 func (m *operatorsMachine) start() {
 	if m.running() != nil {
@@ -86,7 +95,7 @@
 	}
 	p := &operatorsProcess{machine: m, Node: &Node{settings: m.settings, logger: log.New(io.Discard),
 		clock: time.Now, started: time.Now().Add(-time.Second), loop: newLoop(),
-		wall: newWallClock(), client: transport.NewClient(transport.Options{}), left: make(chan struct{})}}
+		wall: newWallClock(), client: transport.NewClient(transport.Options{}), list: noPlatform(), left: make(chan struct{})}}
 	p.members = membership.New(p.client, membership.Options{Self: peersampling.Peer{Address: p.self().Address, Role: RoleName}})
 	p.forward = p.callPeer
 	file, records, err := wal.Open(m.disk.Process(), logName)
--- a/internal/system/control/restartworld_test.go
+++ b/internal/system/control/restartworld_test.go
@@ -104,7 +104,7 @@
 	}
 	w := m.world
 	p := &restartProcess{machine: m, Node: &Node{settings: m.settings, logger: log.New(io.Discard), clock: time.Now,
-		started: time.Now().Add(-time.Second), loop: newLoop(), wall: newWallClock(), left: make(chan struct{})}}
+		started: time.Now().Add(-time.Second), loop: newLoop(), wall: newWallClock(), list: noPlatform(), left: make(chan struct{})}}
 	disk := m.disk.Process()
 	file, records, err := wal.Open(disk, logName)
 	require.NoError(w.t, err)
--- a/internal/system/control/roles.go
+++ b/internal/system/control/roles.go
@@ -15,10 +15,6 @@
 	clockEvery        = time.Second
 	clockCallTimeout  = 400 * time.Millisecond
 	housekeepingEvery = time.Second
-	listEvery         = 900 * time.Millisecond
-	listTimeout       = 4 * time.Second
-	listRetryFirst    = 300 * time.Millisecond
-	listRetryMost     = 2 * time.Second
 	forgetAtMost      = 8192
 	forgetEvery       = 10 * time.Second
 	// tickEvery is how often the core is told to judge at least, while there is anything to do: each of its steps may put its wake off.
@@ -59,8 +55,8 @@
 		if n.schedulerWake > 0 {
 			wake = min(wake, n.schedulerWake)
 		}
-		if !n.listing {
-			wake = min(wake, n.listAt)
+		if !n.platform.reading {
+			wake = min(wake, n.platform.readAt)
 		}
 	}
 	return max(wake-now, time.Millisecond)
@@ -77,7 +73,7 @@
 		n.housekeepingAt = now + housekeepingEvery
 		n.keepHouse()
 	}
-	if n.schedulerActive && !n.listing && now >= n.listAt {
+	if n.schedulerActive && n.platform.due(now) {
 		n.readList()
 	}
 }
@@ -105,23 +101,42 @@
 	for _, command := range output.Commands {
 		n.engine.propose(command, func(state.Result, fate) {})
 	}
-	n.checkCalls(output.Calls)
-	for _, call := range output.Calls {
+	n.makeCalls(output.Calls)
+	return len(output.Commands)+len(output.Calls) > 0
+}
+
+// makeCalls makes the scheduler's calls if this replica is still the head: with a large fleet the decisions before may have outlasted its
+// lease. Otherwise none is sent, and the scheduler is told so.
+func (n *Node) makeCalls(calls []scheduler.Call) {
+	if len(calls) == 0 {
+		return
+	}
+	sender := sending{epoch: n.engine.view().Epoch, head: n.engine.isHead()}
+	if !sender.head {
+		for i := range calls {
+			n.callEnded(n.scheduler, calls[i].ID, workerapi.HoldReply{Outcome: workerapi.NotSent})
+		}
+		return
+	}
+	n.checkCalls(calls, sender)
+	for _, call := range calls {
 		n.call(call)
 	}
-	return len(output.Commands)+len(output.Calls) > 0
 }
 
-// call makes one of the scheduler's calls; its answer counts only for the scheduler that made it.
+// callEnded hands the end of a call to the scheduler that made it; for another one it doesn't count.
+func (n *Node) callEnded(from *scheduler.Scheduler, id uint64, reply workerapi.HoldReply) {
+	n.loop.post(func() {
+		if n.scheduler == from {
+			from.CallEnded(n.now(), scheduler.CallResult{ID: id, Reply: reply})
+		}
+	})
+}
+
+// call makes one of the scheduler's calls.
 func (n *Node) call(call scheduler.Call) {
 	from := n.scheduler
-	end := func(reply workerapi.HoldReply) {
-		n.loop.post(func() {
-			if n.scheduler == from {
-				from.CallEnded(n.now(), scheduler.CallResult{ID: call.ID, Reply: reply})
-			}
-		})
-	}
+	end := func(reply workerapi.HoldReply) { n.callEnded(from, call.ID, reply) }
 	started := n.orders.start(call.Timeout, func(ctx context.Context, client *workerapi.Client) {
 		end(carryOut(ctx, client, &call))
 	})
@@ -145,35 +160,6 @@
 	}
 }
 
-// readList reads the platform's list; only the head does.
-func (n *Node) readList() {
-	n.listing = true
-	from := n.scheduler
-	address := n.settings.CloudProvider.Address
-	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
-		defer cancel()
-		instances, err := n.list.List(ctx, address)
-		n.loop.post(func() { n.listed(from, instances, err) })
-	}()
-}
-
-func (n *Node) listed(from *scheduler.Scheduler, instances []workerapi.Instance, err error) {
-	if n.scheduler != from || from == nil {
-		return
-	}
-	n.listing = false
-	if err != nil {
-		n.listFailures++
-		n.listAt = n.now() + min(listRetryFirst<<min(n.listFailures-1, 4), listRetryMost)
-		n.listNotRead(err)
-		return
-	}
-	n.listRead()
-	n.listAt = n.now() + listEvery
-	from.Listed(n.now(), instances)
-}
-
 // readClocks asks the other replicas for their time of day.
 func (n *Node) readClocks() {
 	if n.engine.closed {
--- a/internal/system/control/sharesworld_test.go
+++ b/internal/system/control/sharesworld_test.go
@@ -90,12 +90,12 @@
 	settings.EphemeralPorts = []int{9001, 9001}
 	settings.SeedNodes, settings.Bootstrap, settings.FaultTolerance.Machines = seeds, true, 1
 	r := &shareReplica{world: w, number: number, Node: &Node{settings: settings, logger: log.New(io.Discard), clock: time.Now, started: time.Now(),
-		loop: newLoop(), wall: newWallClock(), client: transport.NewClient(transport.Options{}), left: make(chan struct{})}}
+		loop: newLoop(), wall: newWallClock(), client: transport.NewClient(transport.Options{}), list: noPlatform(), left: make(chan struct{})}}
 	r.members = membership.New(r.client, membership.Options{Self: peersampling.Peer{Address: r.self().Address, Role: RoleName}})
 	file, records, err := wal.Open(simdisk.New(uint64(number)).Process(), logName)
 	require.NoError(w.t, err)
 	r.engine, err = newEngine(engineOptions{config: r.replicaConfig(), log: file, records: records, now: r.now, post: r.loop.post,
-		send: r.send, applied: r.take, committed: r.counts.latency.Observe, installed: r.installed, event: r.event,
+		send: r.send, applied: r.take, caughtUp: func(int, time.Duration) {}, yield: r.loop.post, committed: r.counts.latency.Observe, installed: r.installed, event: r.event,
 		failed: r.fault, fault: r.fault})
 	require.NoError(w.t, err)
 	return r
