Find a stalled disk out though its own machine's answers get lost

Change: a member that has the entry is excused for as long as its silence lasted. No newcomer is taken in while an entry is stuck and nobody can be blamed for it yet, unless too few members are in touch to commit.

--- a/coord/replica/blame.go
+++ b/coord/replica/blame.go
@@ -80,17 +80,21 @@
 
 // heardAgain notes that a member has answered. One that was silent for a while, but shorter than it may be, gets the time to make up for
 // it: its disk can't be blamed for what it hadn't been told yet, nor can those behind it. Where the member that holds the watched entry up
-// has got it, others' silence was no reason for that.
+// has got it, others' silence was no reason for that, and its own, in which it may have stood still, only for as long as it lasted.
 func (r *Replica) heardAgain(now time.Duration, p *peer) {
-	away := now-p.heard.at > inTouch*r.cfg.HeartbeatEvery
+	silence := now - p.heard.at
 	p.heard, p.ackedAt = r.mark(now), now
-	if !away {
+	if silence <= inTouch*r.cfg.HeartbeatEvery {
 		return
 	}
-	if holder := r.peers[r.holder(now)]; holder != nil && holder != p && holder.received >= r.head.stuckIndex {
-		return
+	holder := r.peers[r.holder(now)]
+	stuck := &r.head.blame.stuck
+	switch {
+	case holder == nil || holder.received < r.head.stuckIndex:
+		*stuck = r.mark(now)
+	case holder == p:
+		stuck.at = min(stuck.at+silence, now)
 	}
-	r.head.blame.stuck = r.mark(now)
 }
 
 // ownDiskStalls tells whether the disk here has done nothing for too long.
--- a/coord/replica/govern.go
+++ b/coord/replica/govern.go
@@ -189,7 +189,8 @@
 
 // governAdmission takes a learner in that has everything, and holds writes back for one that nearly has.
 func (r *Replica) governAdmission(now time.Duration) bool {
-	if !r.mayAdmit(now) {
+	if !r.mayAdmit(now) || r.awaitsBlame(now) {
+		r.head.admitting = ""
 		return false
 	}
 	if r.head.admitting == "" {
@@ -223,6 +224,13 @@
 	return r.head.announced && now >= r.head.actsSince+admitAfter || r.short(now)
 }
 
+// awaitsBlame tells whether a member holds an entry up for which it can't be blamed yet: another view would only begin its time anew. Where
+// too few members are in touch to commit anything, newcomers are what is waited for.
+func (r *Replica) awaitsBlame(now time.Duration) bool {
+	stuck := r.Committed() < r.head.stuckIndex && now-r.head.stuckSince > stuckNoReads
+	return stuck && r.culprit(now) == "" && !r.short(now)
+}
+
 func (r *Replica) chooseLearner(now time.Duration) {
 	if now < r.head.heldAgain {
 		return
--- a/coord/replica/leader_test.go
+++ b/coord/replica/leader_test.go
@@ -454,3 +454,27 @@
 	assert.False(t, next.InChain("b"))
 	assert.True(t, next.InChain("c"))
 }
+
+// Nor do lost answers of its own excuse it for ever: each counts for as long as the silence lasted.
+func TestAStalledDiskIsExcusedByItsOwnSilenceForAsLongAsThatLasted(t *testing.T) {
+	s := leader(t)
+	_, out, err := s.core.Propose(s.now, [][]byte{[]byte("x")})
+	require.NoError(t, err)
+	s.take(out)
+	s.sync()
+	began := s.now
+	const quietBeats = inTouch + 2
+	for beat := 0; len(collect(s.sent, func(m *Message) *view.Accept { return m.Accept })) == 0; beat++ {
+		require.Less(t, s.now, began+quietBeats*DefaultDropAfter, "nobody is dropped")
+		if beat%quietBeats < 2 {
+			stalled := &view.HeartbeatAck{Sequence: s.lastBeat("b").Sequence, Granted: true, Received: 1}
+			s.receive("b", &Message{HeartbeatAck: stalled})
+		}
+		s.ackOf("c", s.lastBeat("c").Sequence)
+		s.after(DefaultHeartbeatEvery)
+	}
+	next := s.accepts()[0].Value
+	assert.False(t, next.InChain("b"))
+	assert.True(t, next.InChain("c"))
+	assert.Greater(t, s.now, began+DefaultDropAfter+quietBeats*DefaultHeartbeatEvery/2, "its silence counts")
+}
