Tell in the scheduler's page where to look, and read a client's wait in one place

The scheduler's package has 34 files: its page says which holds the order of placement, health, recovery and calls. awaitConfiguration and Dispatcher.wait read the client's header alike; one does now.

--- a/internal/system/dataplane/dispatcher.go
+++ b/internal/system/dataplane/dispatcher.go
@@ -95,7 +95,7 @@
 	if !ok {
 		return d.noRoute()
 	}
-	wait := d.wait(request, route, arrived)
+	wait := d.wait(request, route.Timeout, arrived)
 	if rest == "" {
 		return d.answerQueue(request.Method, route, arrived, wait)
 	}
@@ -124,11 +124,8 @@
 	if config := d.directory.Config(); config != nil || d.hopeless() {
 		return config
 	}
-	wait, ok := clientWait(request.Header.Get(deadlineHeader), arrived)
-	if !ok {
-		wait = d.options.DefaultWait
-	}
-	until := d.beforeTheEnd(newPatience(arrived, wait, shareOf(request.Method)).sure)
+	patience := newPatience(arrived, d.wait(request, 0, arrived), shareOf(request.Method))
+	until := d.beforeTheEnd(patience.sure)
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
 	select {
--- a/internal/system/dataplane/errands.go
+++ b/internal/system/dataplane/errands.go
@@ -168,13 +168,13 @@
 	return false
 }
 
-// wait is how long a client waits for its answer: what it says, or else its route's timeout.
-func (d *Dispatcher) wait(request *http.Request, route *clusterconfig.Route, now time.Time) time.Duration {
+// wait is how long a client waits for its answer: what it says, or else its route's timeout; 0 stands for none.
+func (d *Dispatcher) wait(request *http.Request, timeout time.Duration, now time.Time) time.Duration {
 	if wait, ok := clientWait(request.Header.Get(deadlineHeader), now); ok {
 		return wait
 	}
-	if route.Timeout > 0 {
-		return route.Timeout
+	if timeout > 0 {
+		return timeout
 	}
 	return d.options.DefaultWait
 }
--- a/internal/system/scheduler/scheduler.go
+++ b/internal/system/scheduler/scheduler.go
@@ -7,6 +7,17 @@
 //
 // A start is ordered only once its intent was committed. Whether a run exists is taken only from what proves it: the worker's own
 // answer, its lists, its clock that has passed the order's due time, or the end of its hold.
+//
+// Where to look:
+//
+//   - inputs and outputs: scheduler.go; calls and their time-outs: calls.go, timers.go
+//   - jobs, steps and tasks: jobs.go, steps.go, gangs.go; counts for clients: pending.go
+//   - the order of placement: queue.go; the choice of a worker: placement.go, resources.go, estimates.go
+//   - room that is kept: reserve.go, shares.go, sharekeeping.go, tenants.go
+//   - runs from intent to end: run.go, starts.go, startorders.go, pace.go, runs.go, lists.go
+//   - workers: workers.go, firstlooks.go, holds.go, clock.go, drain.go, lost.go
+//   - health: health.go, trials.go (workers that failed), stragglers.go (runs that stand still, copies)
+//   - for operators: view.go, lateness.go, audit.go; invariants: check.go
 package scheduler
 
 import (
