--- a/cmd/gaugelab/system.go
+++ b/cmd/gaugelab/system.go
@@ -15,9 +15,9 @@
 func systemCommand() *cobra.Command {
 	c := &cobra.Command{Use: "system", Short: "Run the whole cluster scheduler on loopback: real processes, hollow workers, clients, troubles",
 		RunE: func(*cobra.Command, []string) error {
-			return usageError{errors.New("system: run or scale is wanted, or soak")}
+			return usageError{errors.New("system: run or scale is wanted, or soak or decide")}
 		}}
-	c.AddCommand(systemRun(), systemScale(), systemSoak(), systemProcess())
+	c.AddCommand(systemRun(), systemScale(), systemSoak(), systemDecide(), systemProcess())
 	return c
 }
 
--- a/cmd/gaugelab/system_test.go
+++ b/cmd/gaugelab/system_test.go
@@ -2,11 +2,18 @@
 
 import (
 	"bytes"
+	"encoding/json"
+	"path/filepath"
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/system/decisionlab"
 )
 
+// pressDeployment is one that decisions are played on.
+const pressDeployment = "../../scenarios/decisions/press.toml"
+
 func TestSystemRefusesWhatItCannotRun(t *testing.T) {
 	for name, arguments := range map[string][]string{
 		"run or scale":              {"system"},
@@ -15,6 +22,11 @@
 		"no number":                 {"system", "scale", "--workers", "30,many"},
 		"neither controlplane nor":  {"system", "process", "somebody", "x.toml"},
 		"unknown flag: --workforce": {"system", "run", "--workforce", "3"},
+		"a deployment is wanted":    {"system", "decide"},
+		"missing.toml":              {"system", "decide", "missing.toml"},
+		"want some of":              {"system", "decide", "--policies", "guess", pressDeployment},
+		"want 1 at least":           {"system", "decide", "--days", "0", pressDeployment},
+		"want more than 0":          {"system", "decide", "--load", "-1", pressDeployment},
 	} {
 		var output, faults bytes.Buffer
 		require.Equal(t, exitUsage, run(t.Context(), arguments, &output, &faults), "%v", arguments)
@@ -27,3 +39,20 @@
 	require.Equal(t, exitFailed, run(t.Context(), []string{"system", "run", "--programs", t.TempDir(), "--workers", "1000000"}, &output, &faults))
 	require.Contains(t, faults.String(), "1000000 workers")
 }
+
+// A single line's worth stands by itself, for tools that compare programs; JSON and a drawing are made of the same figures.
+func TestSystemDecideTellsWhatWasEarned(t *testing.T) {
+	var output, faults bytes.Buffer
+	require.Equal(t, exitOK, run(t.Context(), []string{"system", "decide", pressDeployment, "--days", "1", "--policies", "scheduler"}, &output, &faults),
+		faults.String())
+	require.Regexp(t, `(?m)^worth 0\.\d{4}$`, output.String())
+
+	output.Reset()
+	drawing := filepath.Join(t.TempDir(), "worth.svg")
+	require.Equal(t, exitOK, run(t.Context(), []string{"system", "decide", pressDeployment, "--days", "2", "--load", "0.3,0.6", "--policies",
+		"scheduler,first-come", "--json", "--plot", drawing}, &output, &faults), faults.String())
+	var summaries []decisionlab.Summary
+	require.NoError(t, json.Unmarshal(output.Bytes(), &summaries))
+	require.Len(t, summaries, 4)
+	require.FileExists(t, drawing)
+}
--- /dev/null
+++ b/internal/system/decisionlab/decode.go
@@ -0,0 +1,26 @@
+package decisionlab
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+func bytesReader(text []byte) io.Reader { return bytes.NewReader(text) }
+
+// detailed tells where a text can't be read.
+func detailed(err error) error {
+	var unknown *toml.StrictMissingError
+	if errors.As(err, &unknown) {
+		return fmt.Errorf("unknown keys:\n%s", unknown.String())
+	}
+	var place *toml.DecodeError
+	if errors.As(err, &place) {
+		row, column := place.Position()
+		return fmt.Errorf("line %d, column %d: %w", row, column, err)
+	}
+	return err
+}
