--- a/internal/system/control/operatorsworld_test.go
+++ b/internal/system/control/operatorsworld_test.go
@@ -103,7 +103,8 @@
 	config := p.replicaConfig()
 	config.KeepEntries, config.Seed = operatorsKeep, m.world.draw()
 	p.engine, err = newEngine(engineOptions{config: config, log: file, records: records, now: p.now, post: p.loop.post, send: p.send,
-		applied: p.applied, caughtUp: func(int, time.Duration) {}, yield: p.loop.post, committed: p.counts.latency.Observe, installed: p.snapshotTaken, event: p.event, failed: p.failed, fault: p.broken,
+		applied: p.applied, caughtUp: func(int, time.Duration) {}, yield: p.loop.post, committed: p.counts.latency.Observe,
+		installed: p.snapshotTaken, event: p.event, failed: p.failed, fault: p.broken,
 		rewritten: func(int64, time.Duration) {}})
 	require.NoError(m.world.t, err)
 	p.engine.compactAt = operatorsCompaction
--- a/internal/system/control/restartworld_test.go
+++ b/internal/system/control/restartworld_test.go
@@ -113,7 +113,8 @@
 	config := p.replicaConfig()
 	config.KeepEntries, config.Seed = restartKeep, w.draw()
 	p.engine, err = newEngine(engineOptions{config: config, log: file, records: records, now: p.now, post: p.loop.post, send: p.send,
-		applied: p.applied, caughtUp: func(int, time.Duration) {}, yield: p.loop.post, committed: func(time.Duration) {}, installed: p.installed, event: p.event, failed: p.failed, fault: p.broken,
+		applied: p.applied, caughtUp: func(int, time.Duration) {}, yield: p.loop.post, committed: func(time.Duration) {},
+		installed: p.installed, event: p.event, failed: p.failed, fault: p.broken,
 		rewritten: func(int64, time.Duration) {}})
 	require.NoError(w.t, err)
 	p.engine.compactAt = restartCompaction
