Give a reading of the list up whose scheduler is gone

Change: a reading names its scheduler, and is given up where that one is gone.

Measured: both new tests are green, the guard taken out is seen; the package's tests green.

--- /dev/null
+++ b/internal/system/control/platformlist_test.go
@@ -0,0 +1,87 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/stretchr/testify/require"
+
+	"gaugeslip/internal/system/nodesettings"
+	"gaugeslip/internal/system/workerapi"
+)
+
+// listStand is a node whose platform says nothing until the reading's time is over.
+func listStand() *Node {
+	silent := func(ctx context.Context, _, _ string) (net.Conn, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	return &Node{loop: newLoop(), clock: time.Now, started: time.Now(), settings: nodesettings.Default(), logger: log.New(io.Discard),
+		list: workerapi.NewListClient(silent)}
+}
+
+// A reading that is out when its scheduler goes keeps neither that replica's next scheduler from reading, nor one that comes after its end.
+func TestAReadingOfAGoneSchedulerHoldsNobodyUp(t *testing.T) {
+	for _, endsFirst := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			n := listStand()
+			n.scheduler, _ = newOwner(t, 1)
+			n.readList()
+			require.False(t, n.platform.due(n.now()))
+			n.dropScheduler()
+			if endsFirst {
+				time.Sleep(2 * listTimeout)
+				synctest.Wait()
+				for _, work := range n.loop.take(nil) {
+					work()
+				}
+			}
+			n.scheduler, _ = newOwner(t, 2)
+			n.takeEarlyList()
+			require.True(t, n.platform.due(n.now()), "the reading had ended first: %v", endsFirst)
+			n.readList()
+			time.Sleep(2 * listTimeout)
+			synctest.Wait()
+			for _, work := range n.loop.take(nil) {
+				work()
+			}
+			require.True(t, n.platform.due(n.now()+listRetryMost), "it is read again")
+			require.Equal(t, 1, n.platform.failures, "the reading of the one that is gone doesn't count")
+		})
+	}
+}
+
+// An early reading serves the scheduler that is made while it is out, or after it.
+func TestAnEarlyReadingServesTheNextScheduler(t *testing.T) {
+	for _, endsFirst := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			n := listStand()
+			n.readListEarly()
+			early := n.platform.reading
+			require.NotNil(t, early)
+			list := []workerapi.Instance{{ID: "i-9", Address: ownedWorker, State: workerapi.StateReady}}
+			if endsFirst {
+				n.listed(early, list, nil)
+			}
+			n.scheduler, _ = newOwner(t, 1)
+			n.takeEarlyList()
+			require.Equal(t, endsFirst, n.platform.reading == nil)
+			if !endsFirst {
+				n.listed(early, list, nil)
+			}
+			calls := n.scheduler.Drain().Calls
+			require.NotEmpty(t, calls, "the worker of the list is looked at")
+			require.Equal(t, "i-9", calls[0].Worker.Instance)
+			require.False(t, n.platform.due(n.now()))
+			n.listed(early, nil, errors.New("twice"))
+			require.Zero(t, n.platform.failures)
+			time.Sleep(2 * listTimeout)
+		})
+	}
+}
--- a/internal/system/control/roles.go
+++ b/internal/system/control/roles.go
@@ -55,7 +55,7 @@
 		if n.schedulerWake > 0 {
 			wake = min(wake, n.schedulerWake)
 		}
-		if !n.platform.reading {
+		if n.platform.reading == nil {
 			wake = min(wake, n.platform.readAt)
 		}
 	}
