--- a/coord/replica/leader_test.go
+++ b/coord/replica/leader_test.go
@@ -244,11 +244,7 @@
 }
 
 func TestNoPermissionWhileWritesAreStuck(t *testing.T) {
-	s := leader(t)
-	_, out, err := s.core.Propose(s.now, [][]byte{[]byte("x")})
-	require.NoError(t, err)
-	s.take(out)
-	s.sync()
+	s := leaderWithEntry(t)
 	for range 3 {
 		s.after(DefaultHeartbeatEvery)
 		s.ack("b")
@@ -416,11 +412,7 @@
 
 // The middle one dies with an entry that it has synced and the tail never got: it is dropped, and the tail, which lacks the entry, stays.
 func TestTailIsNotToBlameForADeadMiddle(t *testing.T) {
-	s := leader(t)
-	_, out, err := s.core.Propose(s.now, [][]byte{[]byte("x")})
-	require.NoError(t, err)
-	s.take(out)
-	s.sync()
+	s := leaderWithEntry(t)
 	synced := &view.HeartbeatAck{Sequence: s.lastBeat("b").Sequence, Granted: true, Received: 1, Synced: 1}
 	s.receive("b", &Message{HeartbeatAck: synced})
 	for s.now = s.now + time.Millisecond; len(collect(s.sent, func(m *Message) *view.Accept { return m.Accept })) == 0; {
@@ -433,13 +425,20 @@
 	assert.True(t, next.InChain("c"))
 }
 
-// Where answers of others are lost now and then, a stalled disk is found out all the same: whoever has the entry has nobody to wait for.
-func TestAStalledDiskIsNotExcusedByOthersSilence(t *testing.T) {
+// leaderWithEntry is a leader that has an entry on its own disk and on no other yet.
+func leaderWithEntry(t *testing.T) *stand {
+	t.Helper()
 	s := leader(t)
 	_, out, err := s.core.Propose(s.now, [][]byte{[]byte("x")})
 	require.NoError(t, err)
 	s.take(out)
 	s.sync()
+	return s
+}
+
+// Where answers of others are lost now and then, a stalled disk is found out all the same: whoever has the entry has nobody to wait for.
+func TestAStalledDiskIsNotExcusedByOthersSilence(t *testing.T) {
+	s := leaderWithEntry(t)
 	began := s.now
 	for beat := 0; len(collect(s.sent, func(m *Message) *view.Accept { return m.Accept })) == 0; beat++ {
 		require.Less(t, s.now, began+2*DefaultDropAfter, "nobody is dropped")
@@ -457,11 +456,7 @@
 
 // Nor do lost answers of its own excuse it for ever: each counts for as long as the silence lasted.
 func TestAStalledDiskIsExcusedByItsOwnSilenceForAsLongAsThatLasted(t *testing.T) {
-	s := leader(t)
-	_, out, err := s.core.Propose(s.now, [][]byte{[]byte("x")})
-	require.NoError(t, err)
-	s.take(out)
-	s.sync()
+	s := leaderWithEntry(t)
 	began := s.now
 	const quietBeats = inTouch + 2
 	for beat := 0; len(collect(s.sent, func(m *Message) *view.Accept { return m.Accept })) == 0; beat++ {
--- a/internal/system/decisionlab/agent.go
+++ b/internal/system/decisionlab/agent.go
@@ -29,7 +29,6 @@
 
 // waitingHold is a hold that waits for an end.
 type waitingHold struct {
-	lastSeen uint64
 	reply    func(workerapi.HoldReply)
 	answered *bool
 }
@@ -131,7 +130,7 @@
 func (a *agent) hold(order *workerapi.HoldOrder, reply func(workerapi.HoldReply)) {
 	a.holdUntil(order.DueAtMs)
 	a.finished = slices.DeleteFunc(a.finished, func(end workerapi.FinishedTask) bool { return end.N <= order.LastSeen })
-	waiting := waitingHold{lastSeen: order.LastSeen, reply: reply, answered: new(bool)}
+	waiting := waitingHold{reply: reply, answered: new(bool)}
 	if order.WaitMs == 0 || len(a.finished) > 0 {
 		a.answer(waiting)
 		return
--- a/internal/system/decisionlab/decode.go
+++ b/internal/system/decisionlab/decode.go
@@ -1,16 +1,12 @@
 package decisionlab
 
 import (
-	"bytes"
 	"errors"
 	"fmt"
-	"io"
 
 	"github.com/pelletier/go-toml/v2"
 )
 
-func bytesReader(text []byte) io.Reader { return bytes.NewReader(text) }
-
 // detailed tells where a text can't be read.
 func detailed(err error) error {
 	var unknown *toml.StrictMissingError
--- a/internal/system/decisionlab/deployment.go
+++ b/internal/system/decisionlab/deployment.go
@@ -1,6 +1,7 @@
 package decisionlab
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
 	"os"
@@ -107,7 +108,7 @@
 // Parse reads a deployment from a text; the name stands in errors.
 func Parse(name string, text []byte) (*Deployment, error) {
 	var d Deployment
-	decoder := toml.NewDecoder(bytesReader(text))
+	decoder := toml.NewDecoder(bytes.NewReader(text))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&d); err != nil {
 		return nil, fmt.Errorf("deployment %s: %w", name, detailed(err))
