Let a crashed worker of the review take nothing in

An order that came in just as the stand-in crashed was carried out in its dead life, and its end was listed in the next life under a high number.

--- a/review/stand/worker.go
+++ b/review/stand/worker.go
@@ -25,6 +25,7 @@
 	changed   *sync.Cond
 	server    *http.Server
 	life      int
+	down      bool
 	instance  string
 	started   time.Time
 	fence     uint64
@@ -108,6 +109,7 @@
 	}
 	w.runs, w.rejected, w.finished = map[runKey]*run{}, map[string]int{}, nil
 	w.life++
+	w.down = true
 	w.mutex.Unlock()
 	w.changed.Broadcast()
 	_ = w.server.Close()
@@ -115,6 +117,7 @@
 		w.mutex.Lock()
 		w.instance = w.instance[:len(w.instance)-2] + fmt.Sprintf("%02x", w.life)
 		w.started, w.fence, w.heldUntil, w.used, w.last = time.Now().Add(-time.Second), 0, 0, 0, 0
+		w.down = false
 		w.mutex.Unlock()
 		if err := w.listen(); err != nil {
 			w.world.note("worker %s doesn't return: %v", w.instance, err)
@@ -158,6 +161,9 @@
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if w.down {
+		panic(http.ErrAbortHandler) // it came in just as the worker crashed
+	}
 	if expected := in.Header.Get("X-Gaugeslip-Expect-Instance"); expected != "" && expected != w.instance {
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
