--- a/review/stand/refused.go
+++ b/review/stand/refused.go
@@ -21,10 +21,6 @@
 	if w.trouble {
 		w.core[2].signal(syscall.SIGSTOP)
 		w.note("%s stands still", w.core[2].name)
-		time.AfterFunc(1800*time.Millisecond, func() {
-			w.note("%s runs again", w.core[2].name)
-			w.core[2].signal(syscall.SIGCONT)
-		})
 	}
 	acknowledged := make(chan int, 1)
 	go func() {
@@ -44,6 +40,11 @@
 	if first := <-acknowledged; first != http.StatusOK {
 		return couldNotRun, fmt.Errorf("version 7 is answered %d", first)
 	}
+	if w.trouble {
+		time.Sleep(200 * time.Millisecond)
+		w.core[2].signal(syscall.SIGCONT)
+		w.note("%s runs again", w.core[2].name)
+	}
 	time.Sleep(5 * time.Second)
 	newest := 0
 	for i := range w.core {
