--- a/review/stand/laststep.go
+++ b/review/stand/laststep.go
@@ -39,7 +39,7 @@
 	}
 	often := 0
 	for _, p := range w.core {
-		w.note("%s has ended by itself %d times", p.name, p.ownEnds)
+		w.note("%s has ended by itself %d times; its log says %q", p.name, p.ownEnds, p.panics())
 		if p.ownEnds >= 3 {
 			often++
 		}
--- a/review/stand/world.go
+++ b/review/stand/world.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -211,6 +212,18 @@
 	_ = p.command.Process.Signal(s)
 }
 
+// panics returns the lines of the process's log that begin a panic.
+func (p *process) panics() []string {
+	content, _ := os.ReadFile(p.log.Name())
+	var found []string
+	for line := range strings.Lines(string(content)) {
+		if strings.HasPrefix(line, "panic:") {
+			found = append(found, strings.TrimSpace(line))
+		}
+	}
+	return found
+}
+
 // end kills a process for good, also a stopped one.
 func (p *process) end() {
 	p.mutex.Lock()
