Never open a step without tasks at the head

Cause: openOccurrence, closeStep and the audit opened each step whose dependencies are done, also one that has no tasks. Every other place takes an open step to have a first task; when a job or an occurrence ends, lastStep asks each open step for the task that changed last, and lastChangedTask took &st.tasks[0]. Whether that step was open before the end depends on the order of ends, which is why a worker's crash brought it about. An empty first step is open from the start and needs no disruption.

Change: a step without tasks counts as done from the start (state.Job.StepDone said so already) and is never opened: one predicate, job.stepReady, for the three places that open steps and for the check of the invariants. Each recorded step has a task, and checkStep holds that. Steps behind an empty one open as before, since StepReady looks at the replicated state. So no reader of tasks[0] needs a guard of its own: those of gangs, reservations, trials and lateness are covered alike.

Evidence: the panic's trace names lastChangedTask, lastStep, reportCompletedIfLate, jobsEnded. Before the fix:

go test ./internal/system/scheduler -run StepWithoutTasks --- FAIL: TestLateJobWithStepWithoutTasksCompletes --- FAIL: TestLateJobWithStepWithoutTasksCompletes/last,_newest_first_false panic: runtime error: index out of range [0] with length 0 internal/system/scheduler/lateness.go:188

and so, each run alone, TestLateOccurrenceWithStepWithoutTasksEnds and TestNewHeadCompletesLateJobWithStepWithoutTasks. With it they pass. The random jobs of the simulated cluster and of the state machine's test draw steps without tasks from now on; none ever did.

--- a/internal/system/scheduler/audit.go
+++ b/internal/system/scheduler/audit.go
@@ -101,7 +101,7 @@
 func (s *Scheduler) auditOccurrence(j *job, t *occurrence) {
 	for i := range t.steps {
 		st := t.steps[i]
-		if (st == nil || !st.opened) && j.record.StepReady(t.number, uint32(i)) {
+		if (st == nil || !st.opened) && j.stepReady(t.number, uint32(i)) {
 			s.openStep(s.ensureStep(j, t, uint32(i)))
 			s.reportFinding(Finding{Task: t.steps[i].name(0), Reason: "the step was not open", Repaired: true})
 		}
--- a/internal/system/scheduler/check.go
+++ b/internal/system/scheduler/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -133,7 +134,7 @@
 	for _, t := range j.occurrences {
 		for number, st := range t.steps {
 			if st == nil {
-				if j.record.StepReady(t.number, uint32(number)) {
+				if j.stepReady(t.number, uint32(number)) {
 					return fmt.Errorf("step %d.%d is ready but not open", t.number, number)
 				}
 				continue
@@ -147,6 +148,9 @@
 }
 
 func (s *Scheduler) checkStep(st *step, comparisons *int) error {
+	if len(st.tasks) == 0 {
+		return errors.New("has no tasks")
+	}
 	if st.queued != (st.hasWaiting() && !st.closed) {
 		return fmt.Errorf("queued is %v with %d waiting tasks, closed is %v", st.queued, len(st.waiting), st.closed)
 	}
--- a/internal/system/scheduler/jobs.go
+++ b/internal/system/scheduler/jobs.go
@@ -122,7 +122,7 @@
 	}
 	t := s.ensureOccurrence(j, number)
 	for i := range t.steps {
-		if j.record.StepReady(number, uint32(i)) {
+		if j.stepReady(number, uint32(i)) {
 			s.openStep(s.ensureStep(j, t, uint32(i)))
 		}
 	}
--- a/internal/system/scheduler/scheduler_test.go
+++ b/internal/system/scheduler/scheduler_test.go
@@ -31,6 +31,9 @@
 	}
 }
 
+// emptyStepShare is the share of random steps that have no tasks.
+const emptyStepShare = 0.15
+
 // randomSpec returns a random job specification of any kind.
 func (w *simCluster) randomSpec() *jobspec.Spec {
 	spec := &jobspec.Spec{Text: fmt.Sprintf("spec %d", w.random.Uint64())}
@@ -59,6 +62,9 @@
 		} else if w.chance(0.2) {
 			stage.AntiAffinity = 1 + w.random.IntN(2)
 		}
+		if w.chance(emptyStepShare) {
+			stage.Count = 0
+		}
 		spec.Stages = append(spec.Stages, stage)
 	}
 	if w.chance(0.15) {
--- a/internal/system/scheduler/steps.go
+++ b/internal/system/scheduler/steps.go
@@ -88,7 +88,13 @@
 	text    string
 }
 
-// ensureStep returns the record of a step. It creates the record if needed, but does not open the step.
+// stepReady reports whether a step has tasks and all steps that it depends on are done. A step without tasks counts as done from the start:
+// it gets no record and is never opened, so every recorded step has at least one task.
+func (j *job) stepReady(occurrence, number uint32) bool {
+	return j.record.Spec.Stages[number].Count > 0 && j.record.StepReady(occurrence, number)
+}
+
+// ensureStep returns the record of a step that has tasks. It creates the record if needed, but does not open the step.
 func (s *Scheduler) ensureStep(j *job, t *occurrence, number uint32) *step {
 	st := t.steps[number]
 	if st != nil {
@@ -276,7 +282,7 @@
 		if !slices.Contains(j.record.Spec.Stages[later].DependsOn, int(st.number)) {
 			continue
 		}
-		if j.record.StepReady(t.number, uint32(later)) {
+		if j.stepReady(t.number, uint32(later)) {
 			next := s.ensureStep(j, t, uint32(later))
 			next.upstreamSpent = st.spentUpTo(s.now)
 			s.openStep(next)
--- a/internal/system/state/machine_test.go
+++ b/internal/system/state/machine_test.go
@@ -14,7 +14,7 @@
 	spec := &jobspec.Spec{Text: rapid.StringN(0, 10, 20).Draw(t, "text")}
 	for i := range rapid.IntRange(0, 3).Draw(t, "stages") {
 		stage := jobspec.Stage{
-			Count:       rapid.IntRange(1, 3).Draw(t, "count"),
+			Count:       rapid.IntRange(0, 3).Draw(t, "count"),
 			CPU:         1000,
 			Gang:        rapid.Bool().Draw(t, "gang"),
 			Speculative: rapid.Bool().Draw(t, "speculative"),
