Count nothing for a step without tasks in a job's chains

What callers saw: nothing by itself; a job's objective and the deadlines by which its tasks are ordered held the estimate of a step that has no tasks, up to any size that the client wrote there.

Cause: LongestPathsTo and LongestPathsFrom took each stage to last as long as one of its tasks.

Change: Stage.Duration is nothing for a stage without tasks. Before the fix:

go test ./internal/system/jobspec --- FAIL: TestStepWithoutTasksAddsNothingToChains expected: 3s actual : 1h0m3s

With it the package passes; TestPathsMeetInEveryStep draws such stages too.

--- a/internal/system/jobspec/work.go
+++ b/internal/system/jobspec/work.go
@@ -15,6 +15,14 @@
 	return s.Cores() * milliseconds(s.Estimated)
 }
 
+// Duration returns the estimated duration of a stage with all tasks at once: nothing if it has no tasks.
+func (s *Stage) Duration() time.Duration {
+	if s.Count == 0 {
+		return 0
+	}
+	return s.Estimated
+}
+
 // Work returns the estimated work of all tasks of one occurrence in core-milliseconds.
 func (s *Spec) Work() float64 {
 	work := 0.0
@@ -43,7 +51,7 @@
 		for _, step := range stage.DependsOn {
 			before = max(before, chains[step])
 		}
-		chains[index] = before + stage.Estimated
+		chains[index] = before + stage.Duration()
 	}
 	return chains
 }
@@ -53,7 +61,7 @@
 	chains := make([]time.Duration, len(s.Stages))
 	for index := len(s.Stages) - 1; index >= 0; index-- {
 		stage := &s.Stages[index]
-		chains[index] += stage.Estimated
+		chains[index] += stage.Duration()
 		for _, step := range stage.DependsOn {
 			chains[step] = max(chains[step], chains[index])
 		}
--- a/internal/system/jobspec/work_test.go
+++ b/internal/system/jobspec/work_test.go
@@ -28,6 +28,18 @@
 	assert.Zero(t, (&Spec{}).CriticalPath())
 }
 
+// A step without tasks has no work: its estimate would give the job a later deadline than it is measured by.
+func TestStepWithoutTasksAddsNothingToChains(t *testing.T) {
+	spec := &Spec{Stages: []Stage{
+		{Count: 1, Estimated: 2 * time.Second},
+		{Estimated: time.Hour, DependsOn: []int{0}},
+		{Count: 1, Estimated: time.Second, DependsOn: []int{1}},
+	}}
+	assert.Equal(t, 3*time.Second, spec.CriticalPath())
+	assert.Equal(t, []time.Duration{2e9, 2e9, 3e9}, spec.LongestPathsTo())
+	assert.Equal(t, []time.Duration{3e9, 1e9, 1e9}, spec.LongestPathsFrom())
+}
+
 func TestWorkCountsAGPUAsCores(t *testing.T) {
 	spec := diamond()
 	assert.InDelta(t, 10, spec.Stages[2].Cores(), 1e-9)
@@ -41,11 +53,11 @@
 		longest, upTo, from := spec.CriticalPath(), spec.LongestPathsTo(), spec.LongestPathsFrom()
 		reached := len(spec.Stages) == 0
 		for index := range spec.Stages {
-			through := upTo[index] + from[index] - spec.Stages[index].Estimated
+			through := upTo[index] + from[index] - spec.Stages[index].Duration()
 			require.LessOrEqual(t, through, longest)
 			reached = reached || through == longest
 			for _, step := range spec.Stages[index].DependsOn {
-				require.GreaterOrEqual(t, upTo[index], upTo[step]+spec.Stages[index].Estimated)
+				require.GreaterOrEqual(t, upTo[index], upTo[step]+spec.Stages[index].Duration())
 			}
 		}
 		require.True(t, reached)
