Don't refuse an order on a version that is still to come

Cause: CheckConfig answered Conflict for each base that isn't the version in force. If the base is below it, that is final: versions only rise, so no copy of the order can be taken any more. If the base is above it, a copy that an earlier, unanswered call left on its way is taken as soon as the base comes. That a second operator's refusal was sound "at one moment" was the reading of docs/design/control-safety/2-two-operators.md; an operator ends its call for good on a 412, so a refusal has to be true from then on.

Change: a base above the version in force, with a version above that base, is BaseAhead and no refusal. Nothing new is stored, so nothing bounded can forget.

--- a/internal/system/control/config.go
+++ b/internal/system/control/config.go
@@ -95,6 +95,9 @@
 	case state.Forgotten:
 		return internalapi.ReplaceReply{Verdict: internalapi.InDoubt, Status: http.StatusGatewayTimeout,
 			Text: "older than all that is remembered: it may have been in place"}
+	case state.BaseAhead:
+		return internalapi.ReplaceReply{Verdict: internalapi.NotYet, Status: http.StatusServiceUnavailable,
+			Text: "the version that it is based on is not in place yet"}
 	}
 	return internalapi.ReplaceReply{Verdict: internalapi.Invalid, Status: http.StatusBadRequest, Text: "version: not higher than the one in force"}
 }
@@ -122,8 +125,9 @@
 	return internalapi.ReadReply{Verdict: internalapi.Done, Version: newest.Version, Body: newest.Body}
 }
 
-// replaceOrForward decides a request locally or forwards it to the head, until it is decided or forwardRetryWindow is over. Once a copy of
-// the request may still be carried out, a precondition failure is no definite answer and is retried.
+// replaceOrForward decides a request locally or forwards it to the head, until it is decided or forwardRetryWindow is over. A request that is
+// based on a version still to come is tried again, as that version may be on its way. Once a copy of the request may still be carried out,
+// a precondition failure is no definite answer and is retried.
 func (n *Node) replaceOrForward(args internalapi.ReplaceArgs, timeout time.Duration) internalapi.ReplaceReply {
 	deadline, retryUntil := time.Now().Add(timeout), time.Now().Add(forwardRetryWindow)
 	inDoubt := false
@@ -138,16 +142,28 @@
 			inDoubt = inDoubt || err != nil && !errors.Is(err, transport.ErrNotSent)
 		}
 		inDoubt = inDoubt || reply.Verdict == internalapi.InDoubt
-		if reply.Verdict != internalapi.NotHead && !(inDoubt && reply.Status == http.StatusPreconditionFailed) {
+		if isDecided(&reply, inDoubt) {
 			return reply
 		}
 		if time.Until(retryUntil) < 2*forwardRetryInterval {
+			if reply.Verdict == internalapi.NotYet && !inDoubt {
+				return reply
+			}
 			return undecidedReply(inDoubt)
 		}
 		time.Sleep(forwardRetryInterval)
 	}
 }
 
+// isDecided reports whether a reply is the answer to an operator's request. inDoubt is set if a copy of the request may still be carried out.
+func isDecided(reply *internalapi.ReplaceReply, inDoubt bool) bool {
+	switch reply.Verdict {
+	case internalapi.NotHead, internalapi.NotYet:
+		return false
+	}
+	return !inDoubt || reply.Status != http.StatusPreconditionFailed
+}
+
 // undecidedReply returns the reply to a request without a known outcome: in doubt if a copy of it may be carried out, otherwise certainly
 // not carried out by this replica.
 func undecidedReply(inDoubt bool) internalapi.ReplaceReply {
--- a/internal/system/internalapi/api.go
+++ b/internal/system/internalapi/api.go
@@ -33,6 +33,7 @@
 	Overloaded         // not accepted, for lack of capacity
 	NotKnown           // there is no such job
 	InDoubt            // the call may have been carried out or not
+	NotYet             // the call can't be decided yet: it builds on a configuration that is not in force, but may come
 )
 
 // DigestArgs are the arguments of Digest, which returns the newest versions known to a replica.
@@ -95,7 +96,8 @@
 	Body []byte
 }
 
-// ReplaceReply answers Replace. Status is the HTTP status for the operator, 0 with NotHead.
+// ReplaceReply answers Replace. Status is the HTTP status for the operator, 0 with NotHead. A status of 4xx is final: no copy of the request
+// can be carried out any more.
 type ReplaceReply struct {
 	Verdict Verdict
 	Status  int
--- a/internal/system/state/config.go
+++ b/internal/system/state/config.go
@@ -21,14 +21,17 @@
 	sum     uint64
 }
 
-// CheckConfig returns the outcome that a configuration change would have now. Conflict and Stale mean that the change was certainly never
-// in force. If that can't be determined any more, the outcome is Forgotten.
+// CheckConfig returns the outcome that a configuration change would have now. Conflict and Stale are final: the change was never in force and
+// no copy of it can be applied later, because versions only rise. BaseAhead is not: the change was never in force, but a copy of it can be
+// applied once its base is. If it can't be determined any more whether the change was in force, the outcome is Forgotten.
 func (m *Machine) CheckConfig(next *ConfigReplaced) Outcome {
 	switch {
 	case m.wasApplied(next):
 		return Repeated
 	case m.mayBeForgotten(next):
 		return Forgotten
+	case next.Base > m.config.Version && next.Version > next.Base:
+		return BaseAhead
 	case next.Base != m.config.Version:
 		return Conflict
 	case next.Version <= m.config.Version:
--- a/internal/system/state/describe.go
+++ b/internal/system/state/describe.go
@@ -23,7 +23,7 @@
 }
 
 var outcomeNames = [...]string{Applied: "applied", Repeated: "repeated", Conflict: "conflict", Stale: "stale", Unknown: "unknown",
-	Malformed: "malformed"}
+	Malformed: "malformed", BaseAhead: "base-ahead"}
 
 // String returns the outcome's name as shown to operators.
 func (o Outcome) String() string {
--- a/internal/system/state/machine.go
+++ b/internal/system/state/machine.go
@@ -36,11 +36,12 @@
 const (
 	Applied   Outcome = iota
 	Repeated          // the command was already in effect
-	Conflict          // the configuration's base is not the current version
+	Conflict          // the configuration's base is not the current version and never will be when it could be applied
 	Stale             // the configuration's version is not higher than the current one
 	Forgotten         // the configuration may have been in force before the oldest remembered one; it is not applied now
 	Unknown           // there is no such job or worker
 	Malformed         // the command can't be decoded; the state is unchanged
+	BaseAhead         // the configuration's base is a version that may still come; it is not applied now, but may be applied then
 )
 
 // Result describes the effect of a command.
