Don't refuse for good a request that stopped arriving

What callers saw: 400, which ends a call for good, for an order that stalled or whose connection failed within the body, and for a job whose stream ended within it. The request is whole at its sender; another copy of it may be taken elsewhere before or after.

Cause: only an end of the stream (operators) or only a stall (clients) was told apart from a malformed body.

Change: requestbody.Interrupted names the three ways in which a body stops arriving, and both doors use it: 503 to operators, 408 to clients. Malformed framing stays 400, as it is malformed in each copy.

--- a/internal/system/control/operator.go
+++ b/internal/system/control/operator.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -74,10 +73,10 @@
 	http.Error(writer, reply.Text, reply.Status)
 }
 
-// bodyErrorStatus returns the status for a request whose body cannot be read in full. A body that was truncated on its way, or that there
-// is no memory for, may be complete at the caller and may have been accepted before: the status must not be a definite refusal.
+// bodyErrorStatus returns the status for a request whose body cannot be read in full. A body that stopped arriving, or that there is no memory
+// for, may be complete at the caller and may be accepted elsewhere: the status must not be a definite refusal.
 func bodyErrorStatus(err error) int {
-	if errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, requestbody.ErrNoMemory) {
+	if requestbody.Interrupted(err) || errors.Is(err, requestbody.ErrNoMemory) {
 		return http.StatusServiceUnavailable
 	}
 	return http.StatusBadRequest
--- a/internal/system/control/operator_test.go
+++ b/internal/system/control/operator_test.go
@@ -4,9 +4,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/iotest"
 	"time"
@@ -36,6 +39,10 @@
 	begun := strings.NewReader(`{"version":1`)
 	brokenOff := io.MultiReader(begun, iotest.ErrReader(fmt.Errorf("read: %w", io.ErrUnexpectedEOF)))
 	assert.Equal(t, http.StatusServiceUnavailable, sendReplace(brokenOff, "0", never), "a truncated request is not definitely refused")
+	stalled := io.MultiReader(begun, iotest.ErrReader(fmt.Errorf("read: %w", os.ErrDeadlineExceeded)))
+	assert.Equal(t, http.StatusServiceUnavailable, sendReplace(stalled, "0", never), "a request that stalls is not definitely refused")
+	cut := io.MultiReader(begun, iotest.ErrReader(&net.OpError{Op: "read", Err: syscall.ECONNRESET}))
+	assert.Equal(t, http.StatusServiceUnavailable, sendReplace(cut, "0", never), "nor is one whose connection fails")
 	malformed := io.MultiReader(begun, iotest.ErrReader(errors.New("malformed chunk")))
 	assert.Equal(t, http.StatusBadRequest, sendReplace(malformed, "0", never), "malformed")
 	assert.Equal(t, http.StatusBadRequest, sendReplace(strings.NewReader("{}"), "one", never), "base that is not a number")
--- a/internal/system/dataplane/answer.go
+++ b/internal/system/dataplane/answer.go
@@ -51,7 +51,7 @@
 	noMemory         = response{status: http.StatusTooManyRequests, retryable: true, close: true}
 	timedOut         = response{status: http.StatusGatewayTimeout}
 	bodyTooLarge     = response{status: http.StatusRequestEntityTooLarge}
-	bodyTimedOut     = response{status: http.StatusRequestTimeout}
+	bodyInterrupted  = response{status: http.StatusRequestTimeout}
 	invalidID        = invalidResponse(findings.Findings{{Place: "id", Text: "is not 16 hex digits"}})
 	bodyUnreadable   = invalidResponse(findings.Findings{{Place: "body", Text: "can't be read in full"}})
 	wrongMethod      = response{status: http.StatusMethodNotAllowed, allow: jobMethods}
--- a/internal/system/dataplane/body.go
+++ b/internal/system/dataplane/body.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"net/http"
-	"os"
 	"time"
 
 	"gaugeslip/internal/system/memorybudget"
@@ -43,8 +42,8 @@
 		return nil, bodyTooLarge
 	case errors.Is(err, requestbody.ErrNoMemory):
 		return nil, noMemory.withReason(reasonBodiesFull, callSummary{})
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return nil, bodyTimedOut
+	case requestbody.Interrupted(err):
+		return nil, bodyInterrupted
 	case err != nil:
 		return nil, bodyUnreadable
 	}
--- a/internal/system/dataplane/bytes_test.go
+++ b/internal/system/dataplane/bytes_test.go
@@ -190,3 +190,21 @@
 		group.Wait()
 	})
 }
+
+// A job whose bytes stop arriving may be complete at its client, and another copy of it may be accepted: it is not refused for good.
+func TestRequestThatStopsArrivingIsNotRefusedForGood(t *testing.T) {
+	for _, stalls := range []bool{false, true} {
+		withNetworkClients(t, func(t *testing.T, w *networkClients) {
+			conn := w.dial(t)
+			text := postRequest(1)
+			_, err := io.WriteString(conn, text[:len(text)-1])
+			require.NoError(t, err)
+			if !stalls {
+				require.NoError(t, conn.CloseWrite())
+			}
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			require.Equal(t, http.StatusRequestTimeout, response.StatusCode, "stalls: %v", stalls)
+		})
+	}
+}
--- a/internal/system/requestbody/requestbody.go
+++ b/internal/system/requestbody/requestbody.go
@@ -5,7 +5,9 @@
 import (
 	"errors"
 	"io"
+	"net"
 	"net/http"
+	"os"
 
 	"gaugeslip/internal/system/memorybudget"
 )
@@ -24,6 +26,13 @@
 	ErrNoMemory = errors.New("no memory for the body")
 )
 
+// Interrupted reports whether reading a body failed because the request stopped arriving. The request may be complete at its sender, and
+// another copy of it may be carried out, so it must not be refused for good.
+func Interrupted(err error) bool {
+	var onConnection net.Error
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, os.ErrDeadlineExceeded) || errors.As(err, &onConnection)
+}
+
 // Read reads the complete body of a request, of at most maxBytes bytes. The lease reserves its memory.
 func Read(request *http.Request, maxBytes int64, lease *memorybudget.Lease) ([]byte, error) {
 	declared := request.ContentLength
