Let no copy of a job run that was cancelled before it came

What callers saw: a client hands a job in at a dispatcher that stands still, gets no answer, and cancels it at another one, which answers 410, as no such job is known.

A cancellation of an unknown job was committed and left no trace.

Change: it leaves a record, CancelledUnseen. To clients there is no such job (GET and a second DELETE: 410), until a copy of the submission arrives: that is accepted and is cancelled in the same command, so that nothing of it ever starts, under any head and after a restore. The record is an ordinary entry of the jobs, forgotten with the finished ones after twice status_s. They are at most 65,536; beyond that a cancellation of an unknown job is answered 429, which promises nothing, instead of 410.

--- a/internal/system/control/figures.go
+++ b/internal/system/control/figures.go
@@ -78,7 +78,7 @@
 	n.counts.lateJobs.write(w)
 	n.invariants.Write(w)
 	jobs := make([]figures.Labelled, 0, len(overview.Jobs))
-	for number := state.Pending; number <= state.Cancelled; number++ {
+	for number := state.Pending; number <= state.CancelledUnseen; number++ {
 		jobs = append(jobs, figures.Labelled{Label: number.String(), Value: float64(overview.Jobs[number.String()])})
 	}
 	w.Gauges("jobs", "Jobs that are kept, by state.", "state", jobs)
--- a/internal/system/control/jobreply_test.go
+++ b/internal/system/control/jobreply_test.go
@@ -24,6 +24,7 @@
 			{state.Repeated, statusCommitted, internalapi.Done},
 			{state.Malformed, statusCommitted, internalapi.Invalid},
 			{state.Unknown, statusCommitted, internalapi.NotKnown},
+			{state.TooMany, statusCommitted, internalapi.Overloaded},
 			{state.Applied, statusInDoubt, internalapi.InDoubt},
 			{state.Applied, statusRejected, internalapi.NotHead},
 		} {
--- a/internal/system/control/overview.go
+++ b/internal/system/control/overview.go
@@ -100,7 +100,7 @@
 
 // countJobs counts the jobs by state, and the runs that may exist on workers.
 func countJobs(machine *state.Machine) (jobs map[string]int, runs int) {
-	counts := [state.Cancelled + 1]int{}
+	counts := [state.CancelledUnseen + 1]int{}
 	for _, job := range machine.Jobs() {
 		if int(job.State) < len(counts) {
 			counts[job.State]++
--- a/internal/system/control/service.go
+++ b/internal/system/control/service.go
@@ -79,7 +79,7 @@
 		answer(n.notHead())
 		return
 	}
-	if job := n.engine.machine.Job(state.JobID(args.ID)); job != nil {
+	if job := n.engine.machine.Job(state.JobID(args.ID)); job != nil && job.State != state.CancelledUnseen {
 		answer(internalapi.JobReply{Verdict: internalapi.Done})
 		return
 	}
@@ -125,6 +125,8 @@
 		return internalapi.JobReply{Verdict: internalapi.Invalid, Text: "the job can't be read"}
 	case result.Outcome == state.Unknown:
 		return internalapi.JobReply{Verdict: internalapi.NotKnown}
+	case result.Outcome == state.TooMany:
+		return internalapi.JobReply{Verdict: internalapi.Overloaded, Text: "too many unknown jobs are cancelled"}
 	}
 	return internalapi.JobReply{Verdict: internalapi.Done}
 }
@@ -169,7 +171,7 @@
 		return n.notHead()
 	}
 	job := n.engine.machine.Job(id)
-	if job == nil {
+	if job == nil || job.State == state.CancelledUnseen {
 		return internalapi.JobReply{Verdict: internalapi.NotKnown}
 	}
 	return internalapi.JobReply{Verdict: internalapi.Done, State: job.State.String()}
--- a/internal/system/simworld/jobs_test.go
+++ b/internal/system/simworld/jobs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -150,3 +151,28 @@
 		assert.Equal(t, internalapi.Done, (<-submitted).Verdict)
 	})
 }
+
+// A client's cancellation overtakes a copy of its job that waits in a dispatcher that stands still. Once the cancellation is answered, the
+// copy must not run when the dispatcher goes on, also under another head (review).
+func TestJobThatComesAfterItsCancellationDoesNotRun(t *testing.T) {
+	runInWorld(t, 1, options{replicas: 3, tolerance: 1, workers: 2}, func(w *world) {
+		w.configure()
+		cancelled := w.newClient(0).newJob(w.shortStage())
+		id, err := strconv.ParseUint(cancelled.id, 16, 64)
+		require.NoError(t, err)
+		head := w.replicaWithRole(roleHead)
+		require.Equal(t, internalapi.NotKnown, w.jobCall(head, internalapi.MethodCancel, internalapi.CancelArgs{ID: id}).Verdict)
+		require.Equal(t, internalapi.NotKnown, w.jobCall(head, internalapi.MethodStatus, internalapi.StatusArgs{ID: id}).Verdict)
+		w.farm.CancelJob(cancelled.id)
+		w.replicas[head].kill()
+		next := w.awaitHead(2)
+		time.Sleep(4 * time.Second) // the workers' world allows starts for a while after a cancellation
+		require.Equal(t, internalapi.Done, w.submitAt(next, id, "barn").Verdict)
+		time.Sleep(4 * time.Second)
+		status := w.jobCall(next, internalapi.MethodStatus, internalapi.StatusArgs{ID: id})
+		assert.Equal(t, internalapi.Done, status.Verdict)
+		assert.Equal(t, "cancelled", status.State)
+		assert.Zero(t, w.farm.Stats().Starts)
+		assert.Empty(t, w.farm.Violations())
+	})
+}
--- a/internal/system/state/describe.go
+++ b/internal/system/state/describe.go
@@ -23,7 +23,7 @@
 }
 
 var outcomeNames = [...]string{Applied: "applied", Repeated: "repeated", Conflict: "conflict", Stale: "stale", Unknown: "unknown",
-	Malformed: "malformed", BaseAhead: "base-ahead"}
+	Malformed: "malformed", BaseAhead: "base-ahead", TooMany: "too-many"}
 
 // String returns the outcome's name as shown to operators.
 func (o Outcome) String() string {
--- a/internal/system/state/guards_test.go
+++ b/internal/system/state/guards_test.go
@@ -133,3 +133,50 @@
 	require.NotNil(t, m.Worker("i-1"))
 	require.NoError(t, m.Check())
 }
+
+func cancelOf(id JobID) Command {
+	return Command{Kind: KindJobCancelled, JobCancelled: &JobCancelled{ID: id, AtMs: 5}}
+}
+
+func acceptOf(id JobID) Command {
+	body := []byte(`{"spec":"text","stages":[{"count":1,"cpu":100}]}`)
+	return Command{Kind: KindJobAccepted, JobAccepted: &JobAccepted{ID: id, Route: "r", Service: "s", MaxRetries: 3, Body: body}}
+}
+
+// A cancellation that is answered as of an unknown job is final: a copy of the submission that comes later must not run (review).
+func TestJobCancelledBeforeItsSubmissionNeverRuns(t *testing.T) {
+	for _, restored := range []bool{false, true} {
+		m := New()
+		require.Equal(t, Unknown, m.Apply(cancelOf(1)).Outcome)
+		require.Equal(t, Unknown, m.Apply(cancelOf(1)).Outcome, "the same again")
+		if restored {
+			require.NoError(t, m.Restore(m.Snapshot()))
+		}
+		result := m.Apply(acceptOf(1))
+		require.Equal(t, Applied, result.Outcome)
+		require.Equal(t, Cancelled, m.Job(1).State)
+		require.Equal(t, []*Job{m.Job(1)}, result.Finished)
+		require.Empty(t, m.pending)
+		start := Start{Run: Run{Task: TaskName{Job: 1}, Attempt: 1}, Worker: "i-1"}
+		require.False(t, m.MayStart(&start))
+		require.Equal(t, Repeated, m.Apply(acceptOf(1)).Outcome)
+		require.Equal(t, Repeated, m.Apply(cancelOf(1)).Outcome)
+		require.NoError(t, m.Check())
+	}
+}
+
+// The records of unknown jobs are bounded. Beyond the bound a cancellation is not answered as final, until some are forgotten.
+func TestCancellationsOfUnknownJobsAreBounded(t *testing.T) {
+	m := New()
+	for id := range JobID(maxCancelledUnseen) {
+		require.Equal(t, Unknown, m.Apply(cancelOf(id)).Outcome)
+	}
+	require.Equal(t, TooMany, m.Apply(cancelOf(maxCancelledUnseen)).Outcome)
+	require.Nil(t, m.Job(maxCancelledUnseen))
+	require.NoError(t, m.Restore(m.Snapshot()))
+	require.Equal(t, TooMany, m.Apply(cancelOf(maxCancelledUnseen)).Outcome, "also after a restore")
+	require.Equal(t, Applied, m.Apply(acceptOf(maxCancelledUnseen)).Outcome, "other jobs are accepted")
+	m.Apply(Command{Kind: KindJobsForgotten, JobsForgotten: []JobID{7}})
+	require.Equal(t, Unknown, m.Apply(cancelOf(maxCancelledUnseen+1)).Outcome)
+	require.NoError(t, m.Check())
+}
--- a/internal/system/state/job.go
+++ b/internal/system/state/job.go
@@ -18,9 +18,13 @@
 	Completed
 	JobFailed
 	Cancelled
+	// CancelledUnseen is the state of a job that was cancelled before it was submitted. To clients there is no such job, until a copy of its
+	// submission arrives: that is accepted, and is Cancelled at once.
+	CancelledUnseen
 )
 
-var jobStateNames = [...]string{Pending: "pending", Running: "running", Completed: "completed", JobFailed: "failed", Cancelled: "cancelled"}
+var jobStateNames = [...]string{Pending: "pending", Running: "running", Completed: "completed", JobFailed: "failed", Cancelled: "cancelled",
+	CancelledUnseen: "cancelled-unseen"}
 
 // String returns the word that is sent to clients.
 func (s JobState) String() string {
--- a/internal/system/state/machine.go
+++ b/internal/system/state/machine.go
@@ -17,8 +17,10 @@
 	jobs    map[JobID]*Job
 	workers map[string]*Worker
 	pending map[string]int // number of unfinished jobs by route
-	quotas  *quota.Ledger
-	capture *Capture // the capture in progress, nil if there is none
+	// cancelledUnseen is the number of jobs in the state CancelledUnseen.
+	cancelledUnseen int
+	quotas          *quota.Ledger
+	capture         *Capture // the capture in progress, nil if there is none
 
 	lastSnapshotLength int // used to allocate the buffer of the next snapshot at once
 }
@@ -41,6 +43,7 @@
 	Forgotten         // the configuration may have been in force before the oldest remembered one; it is not applied now
 	Unknown           // there is no such job or worker
 	Malformed         // the command can't be decoded; the state is unchanged
+	TooMany           // the command needs a record beyond the limit of its kind; the state is unchanged
 	BaseAhead         // the configuration's base is a version that may still come; it is not applied now, but may be applied then
 )
 
@@ -118,9 +121,10 @@
 }
 
 func (m *Machine) acceptJob(accepted *JobAccepted, result *Result) {
-	if job := m.jobs[accepted.ID]; job != nil {
+	known := m.jobs[accepted.ID]
+	if known != nil && known.State != CancelledUnseen {
 		result.Outcome = Repeated
-		result.Jobs = append(result.Jobs, job)
+		result.Jobs = append(result.Jobs, known)
 		return
 	}
 	spec, err := jobspec.Parse(accepted.Body)
@@ -132,7 +136,11 @@
 	m.jobs[job.ID] = job
 	m.pending[job.Route]++
 	result.Jobs = append(result.Jobs, job)
-	if spec.Tasks() == 0 {
+	switch {
+	case known != nil:
+		m.cancelledUnseen--
+		m.finishJob(job, Cancelled, known.OverMs, result)
+	case spec.Tasks() == 0:
 		m.finishJob(job, Completed, accepted.AcceptedMs, result)
 	}
 }
@@ -140,6 +148,10 @@
 func (m *Machine) cancelJob(cancelled *JobCancelled, result *Result) {
 	job := m.jobs[cancelled.ID]
 	if job == nil {
+		result.Outcome = m.cancelUnseen(cancelled)
+		return
+	}
+	if job.State == CancelledUnseen {
 		result.Outcome = Unknown
 		return
 	}
@@ -151,6 +163,24 @@
 	m.finishJob(job, Cancelled, cancelled.AtMs, result)
 }
 
+// maxCancelledUnseen bounds the jobs in the state CancelledUnseen. It is part of the replicated state's definition.
+const maxCancelledUnseen = 1 << 16
+
+// cancelUnseen records that a job was cancelled that is not known. A copy of its submission may still be on its way, and must not run once
+// the cancellation is answered. Such a record is forgotten like a finished job.
+func (m *Machine) cancelUnseen(cancelled *JobCancelled) Outcome {
+	if m.cancelledUnseen >= maxCancelledUnseen {
+		return TooMany
+	}
+	m.addCancelledUnseen(&Job{JobAccepted: JobAccepted{ID: cancelled.ID}, State: CancelledUnseen, OverMs: cancelled.AtMs})
+	return Unknown
+}
+
+func (m *Machine) addCancelledUnseen(job *Job) {
+	m.jobs[job.ID] = job
+	m.cancelledUnseen++
+}
+
 // finishJob moves a job into a final state.
 func (m *Machine) finishJob(job *Job, state JobState, atMs int64, result *Result) {
 	if job.State.Finished() {
@@ -216,21 +246,32 @@
 
 func (m *Machine) forgetJobs(ids []JobID) {
 	for _, id := range ids {
-		if job := m.jobs[id]; job != nil && job.State.Finished() && job.Runs == 0 {
-			delete(m.jobs, id)
+		job := m.jobs[id]
+		if job == nil || !job.State.Finished() || job.Runs > 0 {
+			continue
 		}
+		if job.State == CancelledUnseen {
+			m.cancelledUnseen--
+		}
+		delete(m.jobs, id)
 	}
 }
 
 // Check verifies the invariants of the state and returns an error for the first violation.
 func (m *Machine) Check() error {
-	runs := 0
+	runs, cancelledUnseen := 0, 0
 	for id, job := range m.jobs {
+		if job.State == CancelledUnseen {
+			cancelledUnseen++
+		}
 		if err := job.check(); err != nil {
 			return fmt.Errorf("job %s: %w", id, err)
 		}
 		runs += job.Runs
 	}
+	if cancelledUnseen != m.cancelledUnseen {
+		return fmt.Errorf("%d jobs were cancelled before they were submitted, counted %d", cancelledUnseen, m.cancelledUnseen)
+	}
 	held := 0
 	for _, worker := range m.workers {
 		held += len(worker.Runs)
--- a/internal/system/state/snapshot.go
+++ b/internal/system/state/snapshot.go
@@ -156,6 +156,10 @@
 	if format == tenantSnapshotFormat {
 		job.Tenant = r.string()
 	}
+	if job.State == CancelledUnseen {
+		m.addCancelledUnseen(job)
+		return nil
+	}
 	m.chargeRuns(job)
 	m.jobs[job.ID] = job
 	if !job.State.Finished() {
