Review: three jobs of many tasks that ask for nothing stop the whole service

Cause: the demand test is built anew from all runs of a worker for each task placed, and all tasks of a step are placed in one turn of the replica's loop. Runs that ask for nothing all fit on one worker, so the turn lasts for tens of seconds, at each replica that becomes the head.

--- a/review/stand-2/cluster.go
+++ b/review/stand-2/cluster.go
@@ -50,12 +50,14 @@
 	began    time.Time
 	base     int // version of the newest acknowledged configuration
 
-	mutex   sync.Mutex
-	record  *os.File
-	starts  []startSeen
-	core    []*machine
-	edge    []*machine
-	workers []*worker
+	mutex  sync.Mutex
+	record *os.File
+	starts []startSeen
+	// largeBegun and largeEnded count the runs of tasks that ask for nothing. They are too many for a line each.
+	largeBegun, largeEnded int
+	core                   []*machine
+	edge                   []*machine
+	workers                []*worker
 }
 
 // startSeen is a task that a worker has begun.
@@ -396,3 +398,31 @@
 		{"count": count, "cpu": 1000, "memMb": 256, "estimatedMs": ms}}})
 	return body
 }
+
+// asksNothing ends the spec of a task that asks for no cpu.
+const asksNothing = ", no cpu"
+
+// jobWithoutNeed is job for tasks that ask for nothing but their turn.
+func jobWithoutNeed(count, ms int) []byte {
+	spec := fmt.Sprintf("work %d", ms) + asksNothing
+	body, _ := json.Marshal(map[string]any{"spec": spec, "stages": []map[string]any{{"count": count, "estimatedMs": ms}}})
+	return body
+}
+
+// countLarge counts runs of tasks that ask for nothing.
+func (c *cluster) countLarge(begun, ended int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.largeBegun += begun
+	c.largeEnded += ended
+}
+
+// logLarge notes these counts once a second.
+func (c *cluster) logLarge() {
+	for range time.Tick(time.Second) {
+		c.mutex.Lock()
+		begun, ended := c.largeBegun, c.largeEnded
+		c.mutex.Unlock()
+		c.logf("runs of the large jobs so far: %d begun, %d ended", begun, ended)
+	}
+}
--- a/review/stand-2/worker.go
+++ b/review/stand-2/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -23,6 +24,7 @@
 	runs      map[runName]*time.Timer
 	startedAt map[runName]time.Time
 	work      map[runName]time.Duration
+	cpu       map[runName]int
 	rejected  map[string]int // per task: runs up to this one are rejected
 	ends      []end
 	lastEnd   int
@@ -41,18 +43,18 @@
 	how    string
 }
 
-// Every task of these cases takes 1,000 thousandths of a core.
 const (
 	workerCPU = 32000
-	taskCPU   = 1000
-	maxHold   = 6000 // maxHoldMs
-	stopTime  = 50 * time.Millisecond
+	// taskCPU is what a task takes, in thousandths of a core, unless its spec says that it asks for nothing.
+	taskCPU  = 1000
+	maxHold  = 6000 // maxHoldMs
+	stopTime = 50 * time.Millisecond
 )
 
 func startWorker(c *cluster, number int, service string) (*worker, error) {
 	w := &worker{cluster: c, id: fmt.Sprintf("i-%04d", number), service: service, address: c.address(workerSubnet, number, 8080),
 		zone: zones[number%len(zones)], rack: fmt.Sprintf("r%d-1", number%len(zones)), began: time.Now(), runs: map[runName]*time.Timer{},
-		startedAt: map[runName]time.Time{}, work: map[runName]time.Duration{}, rejected: map[string]int{}, changed: make(chan struct{})}
+		startedAt: map[runName]time.Time{}, work: map[runName]time.Duration{}, cpu: map[runName]int{}, rejected: map[string]int{}, changed: make(chan struct{})}
 	listener, err := net.Listen("tcp", w.address)
 	if err != nil {
 		return nil, err
@@ -140,18 +142,27 @@
 	if o.Attempt <= w.rejected[o.Task] {
 		return refused("old")
 	}
-	if w.used+taskCPU > workerCPU {
-		return refused("room")
-	}
 	var ms int
 	if _, err := fmt.Sscanf(o.Spec, "work %d", &ms); err != nil {
 		return http.StatusBadRequest, nil
 	}
-	w.used += taskCPU
+	cpu := taskCPU
+	if strings.HasSuffix(o.Spec, asksNothing) {
+		cpu = 0
+	}
+	if w.used+cpu > workerCPU {
+		return refused("room")
+	}
+	w.used += cpu
+	w.cpu[run] = cpu
 	w.startedAt[run], w.work[run] = time.Now(), time.Duration(ms)*time.Millisecond
 	w.runs[run] = time.AfterFunc(w.work[run], func() { w.finish(run, "done") })
 	w.cluster.noteStart(o.Task, w)
-	w.cluster.logf("worker %s of %s begins %s, run %d, token %d", w.id, w.service, o.Task, o.Attempt, o.FenceToken)
+	if cpu == 0 {
+		w.cluster.countLarge(1, 0)
+	} else {
+		w.cluster.logf("worker %s of %s begins %s, run %d, token %d", w.id, w.service, o.Task, o.Attempt, o.FenceToken)
+	}
 	return http.StatusOK, nil
 }
 
@@ -163,13 +174,19 @@
 	}
 	w.runs[run].Stop()
 	delete(w.runs, run)
-	w.used -= taskCPU
+	cpu := w.cpu[run]
+	w.used -= cpu
+	delete(w.cpu, run)
 	w.lastEnd++
 	w.ends = append(w.ends, end{w.lastEnd, run, how})
 	w.rejected[run.task] = max(w.rejected[run.task], run.attempt)
 	close(w.changed)
 	w.changed = make(chan struct{})
-	w.cluster.logf("worker %s of %s ends %s, run %d: %s", w.id, w.service, run.task, run.attempt, how)
+	if cpu == 0 {
+		w.cluster.countLarge(0, 1)
+	} else {
+		w.cluster.logf("worker %s of %s ends %s, run %d: %s", w.id, w.service, run.task, run.attempt, how)
+	}
 }
 
 func (w *worker) stop(o order) (int, map[string]any) {
